--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,82 @@
+#pragma once
+
+// Identifiers and time shared by every module. An identifier is a distinct type for each kind of
+// object, so that an organisation cannot be passed where a service is meant.
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace jasminebank {
+
+/// Clock of all decisions: time since boot, which goes on during a suspend. It has no now(): the
+/// daemon reads CLOCK_BOOTTIME and passes the time in.
+struct boot_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+};
+
+using duration = boot_clock::duration;
+using time_point = boot_clock::time_point;
+
+/// Identifier of one kind of object; `Tag` keeps kinds apart.
+template <class Tag>
+struct id {
+    std::uint64_t value = 0;
+    constexpr auto operator<=>(const id&) const = default;
+};
+
+using organisation_id = id<struct organisation_tag>; ///< tenant, hash of its name
+using service_id = id<struct service_tag>;           ///< hash of the service's name
+using route_id = id<struct route_tag>;               ///< hash of the route's name
+using vm_id = id<struct vm_tag>;                     ///< one node process, hash of its VM's name
+using failure_domain_id = id<struct failure_domain_tag>; ///< hash of the domain's name
+using backend_server_id = id<struct backend_server_tag>; ///< upstream, hash of "host:port"
+
+/// Number that grows with each start of a process on the same VM; tells an old run from a new one.
+using incarnation = id<struct incarnation_tag>;
+
+/// FNV-1a over a name, the source of every id above. Names that collide are refused by `check`.
+constexpr std::uint64_t hash_name(std::string_view name)
+{
+    constexpr std::uint64_t offset_basis = 14695981039346656037ULL;
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    std::uint64_t h = offset_basis;
+    for (char c : name) {
+        h ^= static_cast<unsigned char>(c);
+        h *= prime;
+    }
+    return h;
+}
+
+template <class Id>
+constexpr Id id_of(std::string_view name)
+{
+    return Id{hash_name(name)};
+}
+
+/// Mixes two words into one with good avalanche; used for rendezvous hashing and shards.
+constexpr std::uint64_t mix(std::uint64_t a, std::uint64_t b)
+{
+    std::uint64_t x = a ^ (b + 0x9e3779b97f4a7c15ULL + (a << 6) + (a >> 2));
+    x ^= x >> 30;
+    x *= 0xbf58476d1ce4e5b9ULL;
+    x ^= x >> 27;
+    x *= 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+} // namespace jasminebank
+
+template <class Tag>
+struct std::hash<jasminebank::id<Tag>> {
+    std::size_t operator()(const jasminebank::id<Tag>& it) const noexcept
+    {
+        return static_cast<std::size_t>(jasminebank::mix(it.value, 0));
+    }
+};
