--- /dev/null
+++ b/src/bench_main.cpp
@@ -0,0 +1,78 @@
+// bench: drives the decision objects with seeded workloads, without sockets, and prints the
+// measures and a signature of all decisions taken.
+
+#include "bench_report.h"
+
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <string_view>
+
+namespace {
+
+using namespace jasminebank;
+
+// One workload of the bench. `seed` makes the run reproducible.
+struct workload {
+    std::string_view name;
+    std::string_view meaning;
+    void (*run)(std::uint64_t seed, bench_report& report);
+};
+
+// One row a workload, sorted by name.
+constexpr std::array<workload, 0> workloads{};
+
+void print_help()
+{
+    fmt::print("usage: bench [--seed N] [WORKLOAD...]\n\n"
+               "Runs the named workloads, or all of them, and prints figures and a signature.\n\n"
+               "  -s, --seed N   seed of the random workloads (default 1)\n"
+               "  -h, --help     this text\n\nworkloads:\n");
+    for (const workload& it : workloads)
+        fmt::print("  {:<12} {}\n", it.name, it.meaning);
+}
+
+bool is_wanted(std::string_view name, int argc, char** argv)
+{
+    for (int n = optind; n < argc; ++n) {
+        if (name == argv[n])
+            return true;
+    }
+    return optind == argc;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::uint64_t seed = 1;
+    const std::array<option, 3> options{{{"seed", required_argument, nullptr, 's'},
+                                         {"help", no_argument, nullptr, 'h'},
+                                         {nullptr, 0, nullptr, 0}}};
+    for (int c = 0; (c = getopt_long(argc, argv, "s:h", options.data(), nullptr)) != -1;) {
+        if (c == 's') {
+            seed = std::strtoull(optarg, nullptr, 10);
+        }
+        else {
+            print_help();
+            return c == 'h' ? EXIT_SUCCESS : EXIT_FAILURE;
+        }
+    }
+    std::uint64_t total = 0;
+    for (const workload& it : workloads) {
+        if (!is_wanted(it.name, argc, argv))
+            continue;
+        bench_report report;
+        it.run(seed, report);
+        for (const bench_figure& figure : report.figures())
+            fmt::print("{:<12} {:<56} {:>14.4f} {}\n", it.name, figure.name, figure.value,
+                       figure.unit);
+        fmt::print("{:<12} signature {:016x}\n", it.name, report.signature());
+        total += report.signature();
+    }
+    fmt::print("signature {:016x}\n", total);
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/ini_file.cpp
@@ -0,0 +1,278 @@
+#include "ini_file.h"
+
+#include <fmt/format.h>
+#include <ini.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace jasminebank {
+
+// inih reads lines into a buffer of 200 bytes; longer ones would be split without a word.
+constexpr std::size_t longest_line_bytes = 190;
+
+std::string describe(const ini_error& it)
+{
+    std::string out = it.file;
+    if (it.line > 0)
+        out += fmt::format(":{}", it.line);
+    if (!it.section.empty())
+        out += fmt::format(": [{}]", it.section);
+    if (!it.field.empty())
+        out += fmt::format(" {}", it.field);
+    return out + fmt::format(": found {}, allowed: {}", it.found, it.allowed);
+}
+
+namespace {
+
+// Feeds inih line by line and counts, since the library's callback does not tell the line.
+struct line_source {
+    std::string_view rest;
+    int line = 0;
+    int too_long_line = 0;
+    ini_file* out = nullptr;
+};
+
+char* next_line(char* buf, int size, void* stream)
+{
+    auto& source = *static_cast<line_source*>(stream);
+    if (source.rest.empty())
+        return nullptr;
+    const std::size_t end = std::min(source.rest.find('\n'), source.rest.size() - 1);
+    std::string_view line = source.rest.substr(0, end + 1);
+    source.rest.remove_prefix(end + 1);
+    ++source.line;
+    if (line.size() > longest_line_bytes && source.too_long_line == 0)
+        source.too_long_line = source.line;
+    const std::size_t n = std::min(line.size(), static_cast<std::size_t>(size) - 1);
+    std::memcpy(buf, line.data(), n);
+    buf[n] = '\0';
+    return buf;
+}
+
+int take_field(void* user, const char* section, const char* name, const char* value)
+{
+    auto& source = *static_cast<line_source*>(user);
+    auto& sections = source.out->sections;
+    auto it = std::find_if(sections.begin(), sections.end(),
+                           [&](const ini_section& s) { return s.name == section; });
+    if (it == sections.end())
+        it = sections.insert(sections.end(), {.name = section, .line = source.line, .fields = {}});
+    it->fields.push_back({.name = name, .value = value, .line = source.line});
+    return 1;
+}
+
+} // namespace
+
+// Walks the text with inih and then looks for fields given twice, which inih would let through.
+result<ini_file, ini_error> parse_ini(const std::string& name, std::string_view text)
+{
+    ini_file out{.name = name, .sections = {}};
+    line_source source{.rest = text, .out = &out};
+    const int bad_line = ini_parse_stream(next_line, &source, take_field, &source);
+    if (source.too_long_line > 0)
+        return ini_error{name, source.too_long_line, "", "", "a longer line", "190 bytes a line"};
+    if (bad_line != 0)
+        return ini_error{name, bad_line, "", "", "another line", "[section], name = value, ; text"};
+    for (const ini_section& section : out.sections) {
+        for (auto it = section.fields.begin(); it != section.fields.end(); ++it) {
+            const bool twice = std::any_of(section.fields.begin(), it, [&](const ini_field& other) {
+                return other.name == it->name;
+            });
+            if (twice)
+                return ini_error{name, it->line, section.name, it->name, "it twice", "it once"};
+        }
+    }
+    return out;
+}
+
+result<ini_file, ini_error> load_ini(const std::string& path)
+{
+    std::ifstream in(path, std::ios::binary);
+    std::ostringstream text;
+    if (in)
+        text << in.rdbuf();
+    if (!in || !text)
+        return ini_error{path, 0, "", "", "no readable file", "a file"};
+    return parse_ini(path, text.str());
+}
+
+field_reader::field_reader(const ini_file& file, const ini_section& section)
+    : file_(file), section_(section)
+{
+}
+
+const ini_field* field_reader::find(std::string_view name)
+{
+    asked_.emplace_back(name);
+    for (const ini_field& it : section_.fields) {
+        if (it.name == name)
+            return &it;
+    }
+    return nullptr;
+}
+
+bool field_reader::has(std::string_view name) const
+{
+    return std::any_of(section_.fields.begin(), section_.fields.end(),
+                       [&](const ini_field& it) { return it.name == name; });
+}
+
+void field_reader::reject(std::string_view name, std::string_view allowed)
+{
+    if (error_)
+        return;
+    const ini_field* it = find(name);
+    error_ = ini_error{.file = file_.name,
+                       .line = it == nullptr ? 0 : it->line,
+                       .section = section_.name,
+                       .field = std::string(name),
+                       .found = it == nullptr ? "nothing" : "\"" + it->value + "\"",
+                       .allowed = std::string(allowed)};
+}
+
+std::string field_reader::text(std::string_view name, std::string_view fallback)
+{
+    const ini_field* it = find(name);
+    return it == nullptr ? std::string(fallback) : it->value;
+}
+
+std::string field_reader::required_text(std::string_view name)
+{
+    const ini_field* it = find(name);
+    if (it != nullptr && !it->value.empty())
+        return it->value;
+    reject(name, "a value");
+    return {};
+}
+
+// Whole text must be one number; from_chars alone would accept trailing letters.
+template <class Number>
+static std::optional<Number> parse_whole(std::string_view text)
+{
+    Number out{};
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    if (ec != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return out;
+}
+
+std::uint64_t field_reader::number(std::string_view name, std::uint64_t fallback, std::uint64_t low,
+                                   std::uint64_t high)
+{
+    const ini_field* it = find(name);
+    if (it == nullptr)
+        return fallback;
+    const auto out = parse_whole<std::uint64_t>(it->value);
+    if (out && *out >= low && *out <= high)
+        return *out;
+    reject(name, fmt::format("a whole number from {} to {}", low, high));
+    return fallback;
+}
+
+double field_reader::decimal(std::string_view name, double fallback, double low, double high)
+{
+    const ini_field* it = find(name);
+    if (it == nullptr)
+        return fallback;
+    const auto out = parse_whole<double>(it->value);
+    if (out && *out >= low && *out <= high)
+        return *out;
+    reject(name, fmt::format("a number from {} to {}", low, high));
+    return fallback;
+}
+
+static std::optional<duration> parse_time(std::string_view text)
+{
+    const std::size_t split = std::min(text.find_first_not_of("0123456789"), text.size());
+    const auto n = parse_whole<std::uint32_t>(text.substr(0, split));
+    const std::string_view unit = text.substr(split);
+    if (!n)
+        return std::nullopt;
+    if (unit == "ms")
+        return std::chrono::milliseconds(*n);
+    if (unit == "s")
+        return std::chrono::seconds(*n);
+    if (unit == "min")
+        return std::chrono::minutes(*n);
+    return std::nullopt;
+}
+
+duration field_reader::time(std::string_view name, duration fallback, duration low, duration high)
+{
+    const ini_field* it = find(name);
+    if (it == nullptr)
+        return fallback;
+    const auto out = parse_time(it->value);
+    if (out && *out >= low && *out <= high)
+        return *out;
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    reject(name, fmt::format("a time from {}ms to {}ms, as 250ms, 2s or 3min",
+                             duration_cast<milliseconds>(low).count(),
+                             duration_cast<milliseconds>(high).count()));
+    return fallback;
+}
+
+bool field_reader::flag(std::string_view name, bool fallback)
+{
+    return one_of(name, fallback ? "yes" : "no", {"yes", "no"}) == "yes";
+}
+
+std::string field_reader::one_of(std::string_view name, std::string_view fallback,
+                                 const std::vector<std::string_view>& allowed)
+{
+    const ini_field* it = find(name);
+    if (it == nullptr)
+        return std::string(fallback);
+    if (std::find(allowed.begin(), allowed.end(), it->value) != allowed.end())
+        return it->value;
+    reject(name, fmt::format("{}", fmt::join(allowed, " or ")));
+    return std::string(fallback);
+}
+
+std::vector<std::string> field_reader::list(std::string_view name)
+{
+    std::vector<std::string> out;
+    const ini_field* it = find(name);
+    if (it == nullptr || it->value.empty())
+        return out;
+    std::istringstream parts(it->value);
+    for (std::string part; std::getline(parts, part, ',');) {
+        const std::size_t first = part.find_first_not_of(" \t");
+        if (first == std::string::npos) {
+            reject(name, "values between commas");
+            return {};
+        }
+        out.push_back(part.substr(first, part.find_last_not_of(" \t") - first + 1));
+    }
+    return out;
+}
+
+std::optional<ini_error> field_reader::finish() const
+{
+    if (error_)
+        return error_;
+    for (const ini_field& it : section_.fields) {
+        if (std::find(asked_.begin(), asked_.end(), it.name) == asked_.end()) {
+            return ini_error{file_.name,           it.line,
+                             section_.name,        it.name,
+                             "an unknown setting", "only the settings of the manual"};
+        }
+    }
+    return std::nullopt;
+}
+
+const ini_section* find_section(const ini_file& file, std::string_view name)
+{
+    for (const ini_section& it : file.sections) {
+        if (it.name == name)
+            return &it;
+    }
+    return nullptr;
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/ini_file.h
@@ -0,0 +1,100 @@
+#pragma once
+
+// INI files with checked fields. Every error names the file, the line, the section, the field, what
+// was found and what is allowed. A field that nobody asked for is an error too.
+
+#include "result.h"
+#include "types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminebank {
+
+/// What is wrong in an INI file, and where. `line` is 0 when the field is missing.
+struct ini_error {
+    std::string file;
+    int line = 0;
+    std::string section;
+    std::string field;
+    std::string found;
+    std::string allowed;
+};
+
+/// One line for a person: "file:line: [section] field: found X, allowed: Y".
+std::string describe(const ini_error& it);
+
+/// One "name = value" line.
+struct ini_field {
+    std::string name;
+    std::string value;
+    int line = 0;
+};
+
+/// The fields below one "[name]" heading, in file order. A heading met twice continues its section.
+struct ini_section {
+    std::string name;
+    int line = 0;
+    std::vector<ini_field> fields;
+};
+
+/// A parsed file.
+struct ini_file {
+    std::string name;
+    std::vector<ini_section> sections;
+};
+
+/// Splits `text` into sections and fields. Lines above 190 bytes are refused.
+result<ini_file, ini_error> parse_ini(const std::string& name, std::string_view text);
+
+/// Reads `path` and parses it; a file that cannot be read is an error of line 0.
+result<ini_file, ini_error> load_ini(const std::string& path);
+
+/// Reads the typed fields of one section and keeps the first error. Call `finish` last: it reports
+/// that error, or the first field that was never asked for.
+class field_reader {
+public:
+    field_reader(const ini_file& file, const ini_section& section);
+
+    /// The value, or `fallback` when the field is absent.
+    std::string text(std::string_view name, std::string_view fallback);
+    /// The value; an error when the field is absent or empty.
+    std::string required_text(std::string_view name);
+    /// A whole number from `low` to `high`.
+    std::uint64_t number(std::string_view name, std::uint64_t fallback, std::uint64_t low,
+                         std::uint64_t high);
+    /// A decimal number from `low` to `high`.
+    double decimal(std::string_view name, double fallback, double low, double high);
+    /// A time such as "250ms", "2s" or "3min", from `low` to `high`.
+    duration time(std::string_view name, duration fallback, duration low, duration high);
+    /// "yes" or "no".
+    bool flag(std::string_view name, bool fallback);
+    /// One of `allowed`.
+    std::string one_of(std::string_view name, std::string_view fallback,
+                       const std::vector<std::string_view>& allowed);
+    /// Values separated by commas, without blanks around them.
+    std::vector<std::string> list(std::string_view name);
+
+    /// True when the field stands in the section.
+    bool has(std::string_view name) const;
+    /// Records that `name` holds something that is not allowed.
+    void reject(std::string_view name, std::string_view allowed);
+    /// The first error, if any.
+    std::optional<ini_error> finish() const;
+
+private:
+    const ini_field* find(std::string_view name);
+
+    const ini_file& file_;
+    const ini_section& section_;
+    std::vector<std::string> asked_;
+    std::optional<ini_error> error_;
+};
+
+/// The section of that name, or nothing.
+const ini_section* find_section(const ini_file& file, std::string_view name);
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,46 @@
+#pragma once
+
+// Numbered log events on standard error. The catalogue, docs/EVENTS.md, has a row for each number;
+// a test compares the two.
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace jasminebank {
+
+enum class severity : std::uint8_t { info, warning, error };
+
+/// Event numbers. 100 node, 200 links, 300 store, 400 callers' HTTP, 500 configuration,
+/// 600 limits, 700 ejection, 800 membership, 900 stand-ins.
+enum class event : std::uint16_t {
+    node_started = 100,
+    node_stopping = 101,
+    node_stopped = 102,
+    settings_rejected = 103,
+    settings_reloaded = 104,
+    standin_started = 900,
+};
+
+/// One row of the catalogue.
+struct event_entry {
+    event number;
+    severity level;
+    std::string_view name;
+};
+
+/// All events, by number.
+std::span<const event_entry> event_catalogue();
+
+/// Writes one line: wall time, severity, number, name, text. Safe from any thread.
+void write_log(event number, std::string_view text);
+
+template <class... Args>
+void log_event(event number, fmt::format_string<Args...> format, Args&&... args)
+{
+    write_log(number, fmt::format(format, std::forward<Args>(args)...));
+}
+
+} // namespace jasminebank
