Fake backend server and its announcer

Trials and tests need a backend server whose truth is known: what it ran, by request id and by idempotency key, and which header lines it saw. Its answers are a function of the request, so that a crossed, cut or foreign one shows.

cpp-httplib's own connection loop was ruled out: it gives a handler no socket, so a caller that leaves goes unseen, and it listens with a backlog of 5 on a shared port. socket_server overrides the one virtual function for a connection and keeps the rest of the library.

Bad modes are in but only the good path has a test yet.

--- /dev/null
+++ b/src/announcer.cpp
@@ -0,0 +1,122 @@
+#include "announcer.h"
+
+#include "log.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace jasminebank {
+
+// A node that misses this many announcements in a row is given up for the next one.
+constexpr int failures_until_next_node = 2;
+
+std::string to_json(const announcement& it)
+{
+    return nlohmann::json{{"service", it.service}, {"address", to_string(it.address)},
+                          {"slots", it.slots},     {"draining", it.draining},
+                          {"load", it.load},       {"incarnation", it.incarnation}}
+        .dump();
+}
+
+announcer::announcer(announcer_options options, std::function<announcement()> describe)
+    : options_(std::move(options)), describe_(std::move(describe))
+{
+}
+
+announcer::~announcer()
+{
+    stop();
+}
+
+void announcer::start()
+{
+    if (!options_.nodes.empty())
+        thread_ = std::thread([this] { run(); });
+}
+
+void announcer::announce_now()
+{
+    const std::lock_guard lock(mutex_);
+    now_ = true;
+    wake_.notify_all();
+}
+
+void announcer::silence()
+{
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+    wake_.notify_all();
+}
+
+void announcer::stop()
+{
+    silence();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+bool announcer::announce_last()
+{
+    return !options_.nodes.empty() && post_once();
+}
+
+std::optional<endpoint> announcer::node() const
+{
+    const std::lock_guard lock(mutex_);
+    if (!accepted_)
+        return std::nullopt;
+    return options_.nodes[current_];
+}
+
+void announcer::run()
+{
+    while (true) {
+        post_once();
+        std::unique_lock lock(mutex_);
+        wake_.wait_for(lock, options_.interval, [this] { return stopping_ || now_; });
+        if (stopping_)
+            return;
+        now_ = false;
+    }
+}
+
+// Tries nodes in order until one takes the announcement. A node that took one before is kept
+// through a single failure, since one lost answer is no reason to move.
+bool announcer::post_once()
+{
+    const std::string body = to_json(describe_());
+    for (std::size_t n = 0; n < options_.nodes.size(); ++n) {
+        const endpoint node = options_.nodes[current_];
+        const bool taken = post_to(node, body);
+        const std::lock_guard lock(mutex_);
+        if (taken) {
+            if (!accepted_)
+                log_event(event::backend_announced, "{} took {}", to_string(node), body);
+            accepted_ = true;
+            failures_ = 0;
+            return true;
+        }
+        ++failures_;
+        if (accepted_ && failures_ < failures_until_next_node)
+            return false;
+        log_event(event::backend_announce_failed, "{} did not take {}", to_string(node), body);
+        accepted_ = false;
+        failures_ = 0;
+        current_ = (current_ + 1) % options_.nodes.size();
+        if (stopping_)
+            return false;
+    }
+    return false;
+}
+
+bool announcer::post_to(const endpoint& node, const std::string& body) const
+{
+    httplib::Client client(node.host, node.port);
+    client.set_connection_timeout(options_.answer_timeout);
+    client.set_read_timeout(options_.answer_timeout);
+    client.set_write_timeout(options_.answer_timeout);
+    const httplib::Result answer = client.Post("/announce", body, "application/json");
+    return answer && answer->status == 200;
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/backend_mode.cpp
@@ -0,0 +1,140 @@
+#include "backend_mode.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <limits>
+
+namespace jasminebank {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr double longest_ms = 3'600'000;
+constexpr std::size_t longest_crash_text = 256;
+
+// Takes the fields of one object out of it; what is left at the end is unknown.
+class mode_reader {
+public:
+    explicit mode_reader(json& object) : object_(object) {}
+
+    void number(const char* name, double& out, double low, double high)
+    {
+        const auto it = object_.find(name);
+        if (it == object_.end())
+            return;
+        if (it->is_number() && it->get<double>() >= low && it->get<double>() <= high)
+            out = it->get<double>();
+        else
+            reject(name, fmt::format("a number from {} to {}", low, high));
+        object_.erase(it);
+    }
+
+    void time(const char* name, duration& out)
+    {
+        double ms = std::chrono::duration<double, std::milli>(out).count();
+        number(name, ms, 0, longest_ms);
+        out = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+    }
+
+    void flag(const char* name, bool& out)
+    {
+        const auto it = object_.find(name);
+        if (it == object_.end())
+            return;
+        if (it->is_boolean())
+            out = it->get<bool>();
+        else
+            reject(name, "true or false");
+        object_.erase(it);
+    }
+
+    void text(const char* name, std::string& out)
+    {
+        const auto it = object_.find(name);
+        if (it == object_.end())
+            return;
+        if (it->is_string() && it->get<std::string>().size() <= longest_crash_text)
+            out = it->get<std::string>();
+        else
+            reject(name, "a text of at most 256 bytes");
+        object_.erase(it);
+    }
+
+    void reject(std::string field, std::string allowed)
+    {
+        if (error_.field.empty())
+            error_ = {.field = std::move(field), .allowed = std::move(allowed)};
+    }
+
+    mode_error finish()
+    {
+        if (!object_.empty())
+            reject(object_.begin().key(), "only the fields of the manual");
+        return error_;
+    }
+
+private:
+    json& object_;
+    mode_error error_;
+};
+
+bool drawn(double share, std::mt19937_64& random)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random) < share;
+}
+
+} // namespace
+
+result<backend_mode, mode_error> parse_mode(std::string_view text)
+{
+    json object = json::parse(text, nullptr, false);
+    if (!object.is_object())
+        return mode_error{.field = "body", .allowed = "a JSON object"};
+    backend_mode out;
+    mode_reader in(object);
+    in.number("slow_share", out.slow_share, 0, 1);
+    in.number("slow_factor", out.slow_factor, 0.01, 1000);
+    in.number("error_share", out.error_share, 0, 1);
+    in.number("truncate_share", out.truncate_share, 0, 1);
+    in.number("wrong_length_share", out.wrong_length_share, 0, 1);
+    in.number("wrong_body_share", out.wrong_body_share, 0, 1);
+    in.number("hang_share", out.hang_share, 0, 1);
+    in.text("crash_text", out.crash_text);
+    in.time("flap_period_ms", out.flap_period);
+    in.flag("honest_health", out.honest_health);
+    in.number("fixed_load", out.fixed_load, -1, std::numeric_limits<std::int32_t>::max());
+    in.time("report_lag_ms", out.report_lag);
+    const mode_error error = in.finish();
+    if (!error.field.empty())
+        return error;
+    return out;
+}
+
+bool is_bad(const backend_mode& mode, time_point now)
+{
+    const bool any = mode.slow_share > 0 || mode.error_share > 0 || mode.truncate_share > 0 ||
+                     mode.wrong_length_share > 0 || mode.wrong_body_share > 0 ||
+                     mode.hang_share > 0;
+    if (!any || mode.flap_period <= duration::zero())
+        return any;
+    return now.time_since_epoch() % mode.flap_period < mode.flap_period / 2;
+}
+
+// All shares are drawn for each request, also when the mode is good at the moment, so that the same
+// seed gives the same fates whatever the clock says.
+request_fate draw_fate(const backend_mode& mode, time_point now, std::mt19937_64& random)
+{
+    request_fate out;
+    if (drawn(mode.slow_share, random))
+        out.slow_factor = mode.slow_factor;
+    out.error = drawn(mode.error_share, random);
+    out.truncate = drawn(mode.truncate_share, random);
+    out.wrong_length = drawn(mode.wrong_length_share, random);
+    out.wrong_body = drawn(mode.wrong_body_share, random);
+    out.hang = drawn(mode.hang_share, random);
+    return is_bad(mode, now) ? out : request_fate{};
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/fake_backend.cpp
@@ -0,0 +1,440 @@
+#include "fake_backend.h"
+
+#include "log.h"
+#include "system_clock.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <charconv>
+#include <cmath>
+
+namespace jasminebank {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::uint64_t part_bytes = 16 * 1024;
+constexpr duration longest_hang = std::chrono::minutes(5);
+constexpr duration longest_wait = std::chrono::minutes(5);
+constexpr const char* shed_header = "X-Backend-Shed";
+constexpr const char* content_type = "application/octet-stream";
+
+// Digests a body and looks for a text in it while it passes, so that uploads need no memory.
+class body_scanner {
+public:
+    explicit body_scanner(std::string text)
+        : context_(EVP_MD_CTX_new(), EVP_MD_CTX_free), text_(std::move(text))
+    {
+        EVP_DigestInit_ex(context_.get(), EVP_sha256(), nullptr);
+    }
+
+    void take(std::string_view part)
+    {
+        EVP_DigestUpdate(context_.get(), part.data(), part.size());
+        if (text_.empty() || found_)
+            return;
+        tail_ += part;
+        found_ = tail_.find(text_) != std::string::npos;
+        if (tail_.size() >= text_.size())
+            tail_.erase(0, tail_.size() - text_.size() + 1);
+    }
+
+    bool found() const { return found_; }
+
+    digest finish()
+    {
+        digest out;
+        EVP_DigestFinal_ex(context_.get(), out.bytes.data(), nullptr);
+        return out;
+    }
+
+private:
+    std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context_;
+    std::string text_;
+    std::string tail_;
+    bool found_ = false;
+};
+
+std::optional<std::uint64_t> parse_number(const std::string& text)
+{
+    std::uint64_t out = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    if (ec != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return out;
+}
+
+void refuse(httplib::Response& res, int status, const std::string& why)
+{
+    res.status = status;
+    res.set_content(why + "\n", "text/plain");
+}
+
+std::string refusal_over_connections()
+{
+    return fmt::format("HTTP/1.1 503 Service Unavailable\r\n{}: 1\r\nContent-Length: 0\r\n"
+                       "Connection: close\r\n\r\n",
+                       shed_header);
+}
+
+json to_json(const run_entry& it)
+{
+    return {{"id", it.id},
+            {"runs", it.runs},
+            {"organisation", it.organisation},
+            {"method", it.method},
+            {"mixed", it.mixed}};
+}
+
+// Entries with the wanted id, or all; or only those that ran more than once.
+json entries_json(const std::vector<run_entry>& entries, const httplib::Request& req)
+{
+    const std::string id = req.get_param_value("id");
+    const bool repeated = req.has_param("repeated");
+    json out = json::array();
+    for (const run_entry& it : entries) {
+        if ((id.empty() || it.id == id) && (!repeated || it.runs > 1))
+            out.push_back(to_json(it));
+    }
+    return out;
+}
+
+std::uint64_t wall_milliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+} // namespace
+
+// One request from its arrival to its answer.
+struct fake_backend::work {
+    const httplib::Request& req;
+    httplib::Response& res;
+    time_point deadline = time_point::max();
+    std::uint64_t size = 0;
+    digest body{};
+    bool crashes = false;
+    request_fate fate{};
+};
+
+fake_backend::fake_backend(fake_backend_options options)
+    : options_(std::move(options)), account_(options_.account),
+      gate_(options_.slots, options_.waiting), server_({.listen = options_.listen,
+                                                        .connections = options_.connections,
+                                                        .refusal = refusal_over_connections()}),
+      announcer_({.nodes = options_.nodes, .interval = options_.announce_interval},
+                 [this] { return describe(); }),
+      random_(options_.seed), incarnation_(wall_milliseconds())
+{
+    server_.set_payload_max_length(options_.longest_body_bytes);
+    add_control_routes();
+    add_routes();
+}
+
+fake_backend::~fake_backend()
+{
+    stop();
+}
+
+bool fake_backend::start()
+{
+    started_ = boot_now();
+    if (!server_.start())
+        return false;
+    announcer_.start();
+    return true;
+}
+
+void fake_backend::drain()
+{
+    if (draining_.exchange(true))
+        return;
+    log_event(event::backend_draining, "{} at {}", options_.service, to_string(address()));
+    announcer_.announce_now();
+}
+
+// Announces first and serves on for `notice`, since nodes learn of the drain a little later.
+void fake_backend::leave(duration notice, duration grace)
+{
+    drain();
+    std::this_thread::sleep_for(notice);
+    gate_.wait_until_idle(grace);
+    announcer_.stop();
+    announcer_.announce_last();
+    stop();
+}
+
+void fake_backend::stop()
+{
+    announcer_.stop();
+    server_.stop_gently();
+}
+
+void fake_backend::crash()
+{
+    if (dead_.exchange(true))
+        return;
+    server_.cut_all();
+    announcer_.silence();
+    log_event(event::backend_crashed, "{} at {}", options_.service, to_string(address()));
+    if (options_.on_crash)
+        options_.on_crash();
+}
+
+void fake_backend::set_mode(const backend_mode& mode)
+{
+    const std::lock_guard lock(mutex_);
+    mode_ = mode;
+}
+
+announcement fake_backend::describe()
+{
+    return {.service = options_.service,
+            .address = server_.address(),
+            .slots = options_.slots,
+            .draining = draining_,
+            .load = reported_load(),
+            .incarnation = incarnation_};
+}
+
+// Health and load are taken anew only when the last report is older than the mode's lag.
+void fake_backend::refresh_report()
+{
+    const time_point now = boot_now();
+    if (report_time_ != time_point{} && now - report_time_ < mode_.report_lag)
+        return;
+    report_time_ = now;
+    load_ = mode_.fixed_load >= 0 ? mode_.fixed_load : gate_.load();
+    healthy_ = !mode_.honest_health || (!draining_ && !is_bad(mode_, now));
+}
+
+double fake_backend::reported_load()
+{
+    const std::lock_guard lock(mutex_);
+    refresh_report();
+    return load_;
+}
+
+bool fake_backend::reported_health()
+{
+    const std::lock_guard lock(mutex_);
+    refresh_report();
+    return healthy_;
+}
+
+void fake_backend::add_control_routes()
+{
+    server_.Get("/health", [this](const httplib::Request&, httplib::Response& res) {
+        const bool healthy = reported_health();
+        res.status = healthy ? 200 : 503;
+        res.set_content(healthy ? "ok\n" : "bad\n", "text/plain");
+    });
+    server_.Get("/load", [this](const httplib::Request&, httplib::Response& res) {
+        const json it{{"load", reported_load()},
+                      {"running", gate_.running()},
+                      {"draining", draining_.load()}};
+        res.set_content(it.dump(), "application/json");
+    });
+    server_.Post("/control/mode", [this](const httplib::Request& req, httplib::Response& res) {
+        const auto mode = parse_mode(req.body);
+        if (failed(mode))
+            return refuse(res, 400, error_of(mode).field + ": allowed: " + error_of(mode).allowed);
+        set_mode(value_of(mode));
+    });
+    server_.Post("/control/drain",
+                 [this](const httplib::Request&, httplib::Response&) { drain(); });
+    server_.Get("/control/account", [this](const httplib::Request& req, httplib::Response& res) {
+        const run_report report = account_.report();
+        const json it{{"runs", report.runs},
+                      {"complete", report.complete},
+                      {"shed", shed_.load()},
+                      {"cancelled", cancelled_.load()},
+                      {"expired", expired_.load()},
+                      {"requests", entries_json(report.by_request, req)},
+                      {"keys", entries_json(report.by_idempotency_key, req)}};
+        res.set_content(it.dump(), "application/json");
+    });
+    server_.Get("/control/seen", [this](const httplib::Request& req, httplib::Response& res) {
+        if (req.get_param_value("text").empty())
+            return refuse(res, 400, "text: allowed: a text to look for");
+        const seen_report report = account_.seen(req.get_param_value("text"));
+        const json it{{"count", report.lines}, {"complete", report.complete}};
+        res.set_content(it.dump(), "application/json");
+    });
+}
+
+void fake_backend::add_routes()
+{
+    const auto plain = [this](const httplib::Request& req, httplib::Response& res) {
+        handle(req, res, nullptr);
+    };
+    const auto with_body = [this](const httplib::Request& req, httplib::Response& res,
+                                  const httplib::ContentReader& reader) {
+        handle(req, res, &reader);
+    };
+    server_.Get(".*", plain).Options(".*", plain).Delete(".*", plain);
+    server_.Post(".*", with_body).Put(".*", with_body).Patch(".*", with_body);
+    server_.Delete(".*", with_body);
+}
+
+// Takes a slot for the request or tells honestly that it did not run. The slot is given back when
+// the work is done; writing the answer needs none.
+void fake_backend::handle(const httplib::Request& req, httplib::Response& res,
+                          const httplib::ContentReader* reader)
+{
+    work it{.req = req, .res = res};
+    if (!read_request(it, reader))
+        return;
+    const duration patience =
+        it.deadline == time_point::max() ? longest_wait : it.deadline - boot_now();
+    const slot_answer slot = gate_.acquire(std::max(patience, duration::zero()));
+    if (slot == slot_answer::shed) {
+        ++shed_;
+        res.set_header(shed_header, "1");
+        return refuse(res, 503, "all slots are taken");
+    }
+    if (slot == slot_answer::expired) {
+        ++expired_;
+        return refuse(res, 504, "the deadline passed before the request ran");
+    }
+    run(it);
+    gate_.release();
+}
+
+// Notes the headers, reads the body to its end, and checks what the request asks for.
+bool fake_backend::read_request(work& it, const httplib::ContentReader* reader)
+{
+    const time_point arrival = boot_now();
+    account_.keep_line("target", it.req.target);
+    for (const auto& [name, value] : it.req.headers)
+        account_.keep_line(name, value);
+    std::string crash_text;
+    {
+        const std::lock_guard lock(mutex_);
+        crash_text = mode_.crash_text;
+    }
+    body_scanner scanner(crash_text);
+    for (const auto& [name, value] : it.req.headers)
+        it.crashes =
+            it.crashes || (!crash_text.empty() && value.find(crash_text) != std::string::npos);
+    const auto take = [&](const char* data, std::size_t n) {
+        scanner.take({data, n});
+        return true;
+    };
+    if (reader != nullptr && !(*reader)(take)) {
+        it.res.set_header("Connection", "close");
+        refuse(it.res, it.res.status > 0 ? it.res.status : 400, "the body could not be read");
+        return false;
+    }
+    it.crashes = it.crashes || scanner.found();
+    it.body = scanner.finish();
+    const auto size =
+        parse_number(it.req.has_param("size") ? it.req.get_param_value("size")
+                                              : std::to_string(options_.answer_bytes));
+    const std::string deadline = it.req.get_header_value("Jasmine-Deadline-Ms");
+    const auto left = parse_number(deadline.empty() ? "0" : deadline);
+    if (!size || *size > options_.longest_answer_bytes || !left) {
+        refuse(it.res, 400, "size or Jasmine-Deadline-Ms is not a number within bounds");
+        return false;
+    }
+    it.size = *size;
+    if (!deadline.empty())
+        it.deadline =
+            arrival + std::chrono::milliseconds(std::min<std::uint64_t>(*left, 3'600'000));
+    return true;
+}
+
+// The noise is log-normal with mean 1. The first requests, and those of the first moments, are
+// slow.
+duration fake_backend::draw_service_time(const request_fate& fate)
+{
+    const double sigma = options_.service_noise;
+    double factor = fate.slow_factor;
+    if (sigma > 0)
+        factor *= std::lognormal_distribution<double>(-sigma * sigma / 2, sigma)(random_);
+    const bool cold =
+        started_requests_++ < options_.cold_requests || boot_now() - started_ < options_.cold_time;
+    if (cold)
+        factor *= options_.cold_factor;
+    return std::chrono::duration_cast<duration>(options_.service_time * factor);
+}
+
+// Does the work: it takes its time, and ends early when the caller leaves or the deadline passes.
+void fake_backend::run(work& it)
+{
+    if (socket_server::peer_left()) {
+        ++cancelled_;
+        return;
+    }
+    account_.count_run(it.req.get_header_value("X-Request-Id"),
+                       it.req.get_header_value("Idempotency-Key"),
+                       it.req.get_header_value("Jasmine-Organisation"), it.req.method);
+    if (it.crashes)
+        return crash();
+    duration time{};
+    {
+        const std::lock_guard lock(mutex_);
+        it.fate = draw_fate(mode_, boot_now(), random_);
+        time = it.fate.hang ? longest_hang : draw_service_time(it.fate);
+    }
+    const duration left =
+        it.deadline == time_point::max() ? duration::max() : it.deadline - boot_now();
+    if (socket_server::wait_for_peer_to_leave(std::max(std::min(time, left), duration::zero()))) {
+        ++cancelled_;
+        return;
+    }
+    if (left < time) {
+        ++expired_;
+        return refuse(it.res, 504, "the deadline passed while the request ran");
+    }
+    if (it.fate.hang)
+        return socket_server::cut_current();
+    answer(it);
+}
+
+// Gives the answer that the fate allows. cpp-httplib writes whatever the provider gives it, also
+// more than the announced length, and cuts the connection when the provider fails.
+void fake_backend::answer(work& it)
+{
+    const std::string id = it.req.get_header_value("X-Request-Id");
+    it.res.set_header("X-Request-Id", id);
+    it.res.set_header("X-Organisation", it.req.get_header_value("Jasmine-Organisation"));
+    if (it.fate.error)
+        return refuse(it.res, 500, "internal error");
+    const answer_body body(it.fate.wrong_body ? id + "-other" : id, it.size, it.body);
+    const bool truncate = it.fate.truncate;
+    const auto give = [body, truncate](std::size_t offset, httplib::DataSink& sink) {
+        if (truncate && offset >= body.size() / 2)
+            return false;
+        const std::uint64_t end = truncate ? body.size() / 2 : body.size();
+        const std::string part = body.part(offset, std::min(part_bytes, end - offset));
+        return sink.write(part.data(), part.size());
+    };
+    if (it.req.has_param("chunked")) {
+        it.res.set_chunked_content_provider(
+            content_type, [body, give](std::size_t offset, httplib::DataSink& sink) {
+                if (offset < body.size())
+                    return give(offset, sink);
+                sink.done();
+                return true;
+            });
+        return;
+    }
+    const std::uint64_t length = it.fate.wrong_length ? it.size - it.size / 4 : it.size;
+    if (length == 0)
+        return it.res.set_content("", content_type);
+    it.res.set_content_provider(
+        length, content_type,
+        [body, give, length](std::size_t offset, std::size_t, httplib::DataSink& sink) {
+            if (body.size() == length)
+                return give(offset, sink);
+            const std::string whole = body.part(0, body.size());
+            return sink.write(whole.data(), whole.size());
+        });
+}
+
+} // namespace jasminebank
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -16,6 +16,11 @@
     event_entry{event::settings_rejected, severity::error, "settings_rejected"},
     event_entry{event::settings_reloaded, severity::info, "settings_reloaded"},
     event_entry{event::standin_started, severity::info, "standin_started"},
+    event_entry{event::backend_announced, severity::info, "backend_announced"},
+    event_entry{event::backend_announce_failed, severity::warning, "backend_announce_failed"},
+    event_entry{event::backend_draining, severity::info, "backend_draining"},
+    event_entry{event::backend_crashed, severity::error, "backend_crashed"},
+    event_entry{event::answer_wrong, severity::error, "answer_wrong"},
 };
 
 std::span<const event_entry> event_catalogue()
--- a/src/log.h
+++ b/src/log.h
@@ -22,6 +22,11 @@
     settings_rejected = 103,
     settings_reloaded = 104,
     standin_started = 900,
+    backend_announced = 920,
+    backend_announce_failed = 921,
+    backend_draining = 922,
+    backend_crashed = 923,
+    answer_wrong = 924,
 };
 
 /// One row of the catalogue.
--- /dev/null
+++ b/src/slot_gate.h
@@ -0,0 +1,44 @@
+#pragma once
+
+// The slots of a backend server: how many requests run at once, and how many may wait for a slot.
+
+#include "types.h"
+
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+
+namespace jasminebank {
+
+/// How a request came to a slot, or why not.
+enum class slot_answer : std::uint8_t {
+    granted, ///< call `release` when done
+    shed,    ///< all slots and all waiting places are taken
+    expired, ///< its deadline passed while it waited
+};
+
+/// Thread-safe. Waiting requests are served in no particular order.
+class slot_gate {
+public:
+    slot_gate(std::size_t slots, std::size_t waiting) : slots_(slots), places_(waiting) {}
+
+    /// Waits for a slot for at most `patience`.
+    slot_answer acquire(duration patience);
+    void release();
+
+    std::size_t running() const;
+    /// Running and waiting requests by slots; above 1 when some wait.
+    double load() const;
+    /// Waits until nothing runs or waits, at most `patience`; true when idle.
+    bool wait_until_idle(duration patience);
+
+private:
+    std::size_t slots_;
+    std::size_t places_;
+    std::size_t running_ = 0;
+    std::size_t waiting_ = 0;
+    mutable std::mutex mutex_;
+    std::condition_variable freed_;
+};
+
+} // namespace jasminebank
