Load generator with checked answers and reports

Open loop by organisation, latency from the scheduled time, so that a stalled server does not hide the requests that it kept waiting. Every answer is checked against the function of its request.

Boost.Accumulators' density statistic was ruled out for the histograms: it takes its range from the first samples, and its linear bins lose the tail. A statistic with logarithmic buckets is added to the accumulator set instead.

--- a/src/answer_body.h
+++ b/src/answer_body.h
@@ -26,7 +26,7 @@
     bool matches(std::uint64_t offset, std::string_view text) const;
 
 private:
-    char at(std::uint64_t offset) const;
+    std::uint64_t word(std::uint64_t offset) const;
 
     std::uint64_t seed_ = 0;
     std::uint64_t size_ = 0;
--- /dev/null
+++ b/src/arrival_schedule.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// When callers of each organisation send their requests: Poisson arrivals at a rate of its own,
+// which one that misbehaves exceeds in the middle third of the run.
+
+#include "types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace jasminebank {
+
+/// The demand of one organisation.
+struct arrival_rate {
+    double per_second = 1;
+    double burst_factor = 1; ///< times the rate in the middle third; at least 1
+};
+
+/// One request to send.
+struct arrival {
+    duration at{};                ///< since the start of the run
+    std::size_t organisation = 0; ///< index into the rates
+    std::uint64_t number = 0;     ///< counts from 0
+};
+
+/// Gives arrivals in the order of time; the same seed gives the same arrivals.
+class arrival_schedule {
+public:
+    arrival_schedule(std::vector<arrival_rate> rates, duration run_time, std::uint64_t seed);
+
+    /// The next arrival; nothing once the run is over.
+    std::optional<arrival> next();
+
+private:
+    struct source {
+        arrival_rate rate;
+        std::mt19937_64 random;
+        duration next{};
+    };
+    void advance(source& it) const;
+    bool is_burst(duration at) const;
+
+    std::vector<source> sources_;
+    duration run_time_;
+    std::uint64_t count_ = 0;
+};
+
+} // namespace jasminebank
--- a/src/fake_backend.h
+++ b/src/fake_backend.h
@@ -47,7 +47,7 @@
     duration announce_interval = std::chrono::seconds(1);
     account_options account{};
     std::function<void()>
-        on_crash; ///< called after a crash has cut everything; may end the process
+        on_crash{}; ///< called after a crash has cut everything; may end the process
 };
 
 /// Serves from `start` until `leave`, `stop` or a crash.
--- /dev/null
+++ b/src/latency_histogram.h
@@ -0,0 +1,89 @@
+#pragma once
+
+// Latencies as a histogram with logarithmic buckets. It is a Boost.Accumulators set with a
+// statistic of our own: the library's density statistic has linear bins whose range the first
+// samples fix, so a late tail would fall out of it.
+
+#include "types.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace jasminebank {
+
+/// 200 buckets a decade, 1.2 % wide each, from 10 microseconds to 100 seconds; what lies outside
+/// counts in the first or last one.
+struct log_scale {
+    static constexpr std::size_t buckets_a_decade = 200;
+    static constexpr std::size_t decades = 7;
+    static constexpr std::size_t buckets = buckets_a_decade * decades;
+    static constexpr double lowest_seconds = 1e-5;
+
+    static std::size_t bucket_of(double seconds);
+    /// Lower bound of a bucket.
+    static double seconds_of(double bucket);
+};
+
+using bucket_counts = std::array<std::uint64_t, log_scale::buckets>;
+
+/// The statistic: counts samples, in seconds, by bucket.
+template <class Sample>
+struct log_buckets_accumulator : boost::accumulators::accumulator_base {
+    using result_type = const bucket_counts&;
+
+    log_buckets_accumulator(boost::accumulators::dont_care /*args*/) {}
+
+    template <class Args>
+    void operator()(const Args& args)
+    {
+        ++counts[log_scale::bucket_of(args[boost::accumulators::sample])];
+    }
+
+    result_type result(boost::accumulators::dont_care /*args*/) const { return counts; }
+
+    bucket_counts counts{};
+};
+
+/// Names the statistic in a set.
+struct log_buckets_tag : boost::accumulators::depends_on<> {
+    using impl = log_buckets_accumulator<boost::mpl::_1>;
+};
+
+/// One bar of a picture.
+struct histogram_bar {
+    duration from{};
+    duration to{};
+    std::uint64_t count = 0;
+};
+
+/// Not thread-safe.
+class latency_histogram {
+public:
+    void add(duration latency);
+
+    std::uint64_t count() const;
+    duration mean() const;
+    duration max() const;
+    /// The latency that `share` of the samples do not exceed, interpolated inside its bucket; zero
+    /// without samples.
+    duration quantile(double share) const;
+    /// Bars of a tenth of a decade, from the first that holds samples to the last.
+    std::vector<histogram_bar> bars() const;
+
+private:
+    boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::mean,
+                                   boost::accumulators::tag::max, log_buckets_tag>>
+        set_;
+};
+
+} // namespace jasminebank
