Fake backend server: control posts reach their handlers, and failure tests

Cause: POST /control/mode ran as an ordinary request. cpp-httplib asks handlers that read the body themselves first, whatever the order of registration, and the route for all other paths is one. The control routes now read their bodies themselves too.

Its destructor cuts what still runs, since a hung request would hold it for minutes.

Each test was seen to fail with its mechanism broken: no shedding, a caller's leaving not watched, connections without bound, a crash that cuts nothing, SO_REUSEPORT in place of SO_REUSEADDR, an announcer that stays with its first node, a drain that is not announced, runs miscounted, and multipart bodies left to the library.

--- a/src/announcer.cpp
+++ b/src/announcer.cpp
@@ -5,6 +5,8 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace jasminebank {
 
 // A node that misses this many announcements in a row is given up for the next one.
@@ -93,19 +95,21 @@
             if (!accepted_)
                 log_event(event::backend_announced, "{} took {}", to_string(node), body);
             accepted_ = true;
+            reported_ = false;
             failures_ = 0;
             return true;
         }
         ++failures_;
         if (accepted_ && failures_ < failures_until_next_node)
             return false;
-        log_event(event::backend_announce_failed, "{} did not take {}", to_string(node), body);
         accepted_ = false;
         failures_ = 0;
         current_ = (current_ + 1) % options_.nodes.size();
         if (stopping_)
             return false;
     }
+    if (!std::exchange(reported_, true))
+        log_event(event::backend_announce_failed, "no node took {}", body);
     return false;
 }
 
--- a/src/announcer.h
+++ b/src/announcer.h
@@ -69,6 +69,7 @@
     bool now_ = false;
     std::size_t current_ = 0; // index of the node in use or tried next
     bool accepted_ = false;   // the current node took an announcement
+    bool reported_ = false;   // that no node takes announcements
     int failures_ = 0;        // in a row, at the current node
 };
 
--- a/src/backend_mode.h
+++ b/src/backend_mode.h
@@ -21,7 +21,7 @@
     double wrong_length_share = 0; ///< Content-Length smaller than the body that follows
     double wrong_body_share = 0;   ///< body of another request
     double hang_share = 0;         ///< never answered, until the caller leaves
-    std::string crash_text;        ///< a request with this text in a header or its body crashes it
+    std::string crash_text{};      ///< a request with this text in a header or its body crashes it
     duration flap_period{};        ///< bad for one half of each period, good for the other; 0: off
     bool honest_health = false;    ///< /health tells of drain and of bad modes; else always green
     double fixed_load = -1;        ///< reported in place of the true load; negative: off
--- a/src/command_line.cpp
+++ b/src/command_line.cpp
@@ -41,7 +41,7 @@
     }
     longs.push_back({nullptr, 0, nullptr, 0});
 
-    ini_section out;
+    ini_section out{.name = "options", .line = 0, .fields = {}};
     opterr = 0;
     optind = 1;
     int index = 0;
--- a/src/fake_backend.cpp
+++ b/src/fake_backend.cpp
@@ -15,7 +15,8 @@
 
 using json = nlohmann::json;
 
-constexpr std::uint64_t part_bytes = 16 * 1024;
+constexpr std::size_t npos = std::string::npos;
+constexpr std::uint64_t part_bytes = 16ULL * 1024;
 constexpr duration longest_hang = std::chrono::minutes(5);
 constexpr duration longest_wait = std::chrono::minutes(5);
 constexpr const char* shed_header = "X-Backend-Shed";
@@ -72,6 +73,22 @@
     res.set_content(why + "\n", "text/plain");
 }
 
+// Empty when the body is too long; the rest of it is read all the same, to keep the connection in
+// step.
+std::string read_control_body(const httplib::ContentReader& reader)
+{
+    constexpr std::size_t longest = 64ULL * 1024;
+    std::string out;
+    bool fits = true;
+    reader([&](const char* data, std::size_t n) {
+        fits = fits && out.size() + n <= longest;
+        if (fits)
+            out.append(data, n);
+        return true;
+    });
+    return fits ? out : "";
+}
+
 std::string refusal_over_connections()
 {
     return fmt::format("HTTP/1.1 503 Service Unavailable\r\n{}: 1\r\nContent-Length: 0\r\n"
@@ -137,6 +154,7 @@
 
 fake_backend::~fake_backend()
 {
+    server_.cut_all();
     stop();
 }
 
@@ -162,9 +180,11 @@
 {
     drain();
     std::this_thread::sleep_for(notice);
-    gate_.wait_until_idle(grace);
+    const bool idle = gate_.wait_until_idle(grace);
     announcer_.stop();
     announcer_.announce_last();
+    if (!idle)
+        server_.cut_all();
     stop();
 }
 
@@ -239,14 +259,18 @@
                       {"draining", draining_.load()}};
         res.set_content(it.dump(), "application/json");
     });
-    server_.Post("/control/mode", [this](const httplib::Request& req, httplib::Response& res) {
-        const auto mode = parse_mode(req.body);
+    server_.Post("/control/mode", [this](const httplib::Request&, httplib::Response& res,
+                                         const httplib::ContentReader& reader) {
+        const auto mode = parse_mode(read_control_body(reader));
         if (failed(mode))
             return refuse(res, 400, error_of(mode).field + ": allowed: " + error_of(mode).allowed);
         set_mode(value_of(mode));
     });
-    server_.Post("/control/drain",
-                 [this](const httplib::Request&, httplib::Response&) { drain(); });
+    server_.Post("/control/drain", [this](const httplib::Request&, httplib::Response&,
+                                          const httplib::ContentReader& reader) {
+        read_control_body(reader);
+        drain();
+    });
     server_.Get("/control/account", [this](const httplib::Request& req, httplib::Response& res) {
         const run_report report = account_.report();
         const json it{{"runs", report.runs},
@@ -319,8 +343,7 @@
     }
     body_scanner scanner(crash_text);
     for (const auto& [name, value] : it.req.headers)
-        it.crashes =
-            it.crashes || (!crash_text.empty() && value.find(crash_text) != std::string::npos);
+        it.crashes = it.crashes || (!crash_text.empty() && value.find(crash_text) != npos);
     const auto take = [&](const char* data, std::size_t n) {
         scanner.take({data, n});
         return true;
--- a/src/fake_backend.h
+++ b/src/fake_backend.h
@@ -41,9 +41,9 @@
     std::uint64_t cold_requests = 0; ///< the first requests are slower by `cold_factor`
     duration cold_time{};            ///< and so are those in the time after the start
     double cold_factor = 3;
-    std::uint64_t answer_bytes = 256;                      ///< without `size`
-    std::uint64_t longest_answer_bytes = 64 * 1024 * 1024; ///< larger sizes are refused with 400
-    std::uint64_t longest_body_bytes = 64 * 1024 * 1024;   ///< larger bodies are refused with 413
+    std::uint64_t answer_bytes = 256;                         ///< without `size`
+    std::uint64_t longest_answer_bytes = 64ULL * 1024 * 1024; ///< larger sizes are refused with 400
+    std::uint64_t longest_body_bytes = 64ULL * 1024 * 1024; ///< larger bodies are refused with 413
     duration announce_interval = std::chrono::seconds(1);
     account_options account{};
     std::function<void()>
--- a/src/run_account.h
+++ b/src/run_account.h
@@ -40,8 +40,8 @@
 
 /// Bounds of the tables.
 struct account_options {
-    std::size_t entries = 500'000;             ///< in each of the two run tables
-    std::size_t seen_bytes = 64 * 1024 * 1024; ///< of distinct header lines
+    std::size_t entries = 500'000;                ///< in each of the two run tables
+    std::size_t seen_bytes = 64ULL * 1024 * 1024; ///< of distinct header lines
 };
 
 /// Thread-safe.
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -23,7 +23,7 @@
     std::size_t connections = 400; ///< open at once; more get `refusal` and are closed
     duration idle_timeout = std::chrono::minutes(5); ///< kept connection without a request
     duration io_timeout = std::chrono::seconds(30);  ///< one read or write
-    std::string refusal; ///< whole answer for a connection over the bound
+    std::string refusal{}; ///< whole answer for a connection over the bound
 };
 
 /// A server that listens from `start` to `stop`. Register handlers before `start`.
--- a/tests/fake_backend_test.cpp
+++ b/tests/fake_backend_test.cpp
@@ -1,5 +1,7 @@
 #include "fake_backend.h"
 
+#include "system_clock.h"
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -14,9 +16,9 @@
     return {.slots = 1, .waiting = 0, .service_time = 1ms, .service_noise = 0};
 }
 
-httplib::Client client_of(const fake_backend& backend)
+httplib::Client client_of(const endpoint& to)
 {
-    httplib::Client out(backend.address().host, backend.address().port);
+    httplib::Client out(to.host, to.port);
     out.set_keep_alive(true);
     out.set_connection_timeout(5s);
     out.set_read_timeout(10s);
@@ -28,13 +30,49 @@
     return {{"X-Request-Id", id}, {"Jasmine-Organisation", "org1"}};
 }
 
+// True once `condition` holds; false after ten seconds.
+template <class Condition>
+bool eventually(Condition condition)
+{
+    for (const time_point end = boot_now() + 10s; boot_now() < end;) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(2ms);
+    }
+    return false;
+}
+
+// A node that keeps the announcements that it took.
+struct fake_node {
+    socket_server server{{.listen = {.host = "127.0.0.1", .port = 0}}};
+    std::mutex mutex;
+    std::vector<json> taken;
+
+    bool start()
+    {
+        server.Post("/announce", [this](const httplib::Request& req, httplib::Response&) {
+            const std::lock_guard lock(mutex);
+            taken.push_back(json::parse(req.body));
+        });
+        return server.start();
+    }
+
+    bool took(const endpoint& address, bool draining)
+    {
+        const std::lock_guard lock(mutex);
+        return std::any_of(taken.begin(), taken.end(), [&](const json& it) {
+            return it.at("address") == to_string(address) && it.at("draining") == draining;
+        });
+    }
+};
+
 } // namespace
 
 TEST(fake_backend, answer_belongs_to_its_request_and_is_counted_once)
 {
     fake_backend backend(quick_options());
     ASSERT_TRUE(backend.start());
-    auto client = client_of(backend);
+    auto client = client_of(backend.address());
     for (const std::string target : {"/a?size=70000", "/a?size=70000&chunked=1"}) {
         const auto answer =
             client.Post(target, headers_of(target), "upload", "multipart/form-data");
@@ -47,7 +85,96 @@
         EXPECT_FALSE(answer_body("other", 70000, digest_of("upload")).matches(0, answer->body));
         EXPECT_EQ(backend.account().runs_of(target), 1U);
     }
-    const auto seen = client.Get("/control/seen?text=org1");
-    ASSERT_TRUE(seen);
-    EXPECT_EQ(json::parse(seen->body).at("count"), 1);
+    EXPECT_EQ(backend.account().seen("org1").lines, 1U);
+    EXPECT_EQ(backend.account().seen("a key").lines, 0U);
+}
+
+TEST(fake_backend, over_its_slots_it_sheds_and_a_caller_that_leaves_frees_the_slot)
+{
+    fake_backend backend(quick_options());
+    ASSERT_TRUE(backend.start());
+    auto control = client_of(backend.address());
+    EXPECT_EQ(control.Post("/control/mode", R"({"hang_share": 2})", "")->status, 400);
+    EXPECT_EQ(control.Post("/control/mode", R"({"hang_share": 1})", "")->status, 200);
+    auto first = client_of(backend.address());
+    std::thread hanging([&] { EXPECT_FALSE(first.Get("/", headers_of("first"))); });
+    EXPECT_TRUE(eventually([&] { return backend.account().runs_of("first") == 1; }));
+    const auto shed = control.Get("/", headers_of("second"));
+    EXPECT_TRUE(shed && shed->status == 503 && shed->has_header("X-Backend-Shed"));
+    EXPECT_EQ(backend.account().runs_of("second"), 0U);
+    first.stop();
+    hanging.join();
+    EXPECT_TRUE(eventually([&] { return backend.cancelled_requests() == 1; }));
+    httplib::Headers late = headers_of("late");
+    late.emplace("Jasmine-Deadline-Ms", "20");
+    EXPECT_TRUE(eventually([&] { return control.Get("/", late)->status == 504; }));
+    EXPECT_EQ(backend.expired_requests(), 1U);
+}
+
+TEST(fake_backend, connections_over_the_bound_are_shed_and_the_rest_go_on)
+{
+    fake_backend_options options = quick_options();
+    options.connections = 1;
+    fake_backend backend(options);
+    ASSERT_TRUE(backend.start());
+    auto first = client_of(backend.address());
+    ASSERT_TRUE(first.Get("/health"));
+    const auto refused = client_of(backend.address()).Get("/health");
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->get_header_value("X-Backend-Shed"), "1");
+    EXPECT_EQ(first.Get("/health")->status, 200);
+}
+
+TEST(fake_backend, poison_request_crashes_it_for_all_and_counts_as_run)
+{
+    fake_backend backend(quick_options());
+    ASSERT_TRUE(backend.start());
+    backend.set_mode({.crash_text = "bad lid"});
+    auto other = client_of(backend.address());
+    ASSERT_TRUE(other.Get("/health"));
+    EXPECT_FALSE(
+        client_of(backend.address()).Post("/", headers_of("p"), "a bad lid", "text/plain"));
+    EXPECT_TRUE(backend.is_dead());
+    EXPECT_EQ(backend.account().runs_of("p"), 1U);
+    EXPECT_FALSE(other.Get("/health"));
+}
+
+TEST(fake_backend, a_full_account_says_that_it_is_not_complete)
+{
+    run_account account({.entries = 1, .seen_bytes = 8});
+    account.count_run("r1", "k", "org1", "POST");
+    account.count_run("r1", "k", "org2", "POST");
+    EXPECT_TRUE(account.report().by_request.at(0).mixed);
+    EXPECT_FALSE(account.report().complete);
+    account.keep_line("name", "a long value");
+    EXPECT_FALSE(account.seen("secret").complete);
+}
+
+TEST(fake_backend, announces_to_the_first_node_that_answers_and_moves_on_when_it_goes)
+{
+    fake_node first;
+    fake_node second;
+    ASSERT_TRUE(first.start());
+    ASSERT_TRUE(second.start());
+    fake_backend_options options = quick_options();
+    options.nodes = {
+        {.host = "127.0.0.1", .port = 1}, first.server.address(), second.server.address()};
+    options.announce_interval = 10ms;
+    fake_backend backend(options);
+    ASSERT_TRUE(backend.start());
+    EXPECT_TRUE(eventually([&] { return first.took(backend.address(), false); }));
+    EXPECT_FALSE(second.took(backend.address(), false));
+    first.server.stop_gently();
+    EXPECT_TRUE(eventually([&] { return second.took(backend.address(), false); }));
+    backend.leave(0ms, 10s);
+    EXPECT_TRUE(second.took(backend.address(), true));
+}
+
+TEST(fake_backend, two_servers_cannot_have_one_port)
+{
+    fake_backend backend(quick_options());
+    ASSERT_TRUE(backend.start());
+    fake_backend_options options = quick_options();
+    options.listen = backend.address();
+    EXPECT_FALSE(fake_backend(options).start());
 }
