--- a/src/arrival_schedule.cpp
+++ b/src/arrival_schedule.cpp
@@ -4,7 +4,7 @@
 
 namespace jasminebank {
 
-arrival_schedule::arrival_schedule(std::vector<arrival_rate> rates, duration run_time,
+arrival_schedule::arrival_schedule(const std::vector<arrival_rate>& rates, duration run_time,
                                    std::uint64_t seed)
     : run_time_(run_time)
 {
--- a/src/arrival_schedule.h
+++ b/src/arrival_schedule.h
@@ -29,7 +29,7 @@
 /// Gives arrivals in the order of time; the same seed gives the same arrivals.
 class arrival_schedule {
 public:
-    arrival_schedule(std::vector<arrival_rate> rates, duration run_time, std::uint64_t seed);
+    arrival_schedule(const std::vector<arrival_rate>& rates, duration run_time, std::uint64_t seed);
 
     /// The next arrival; nothing once the run is over.
     std::optional<arrival> next();
--- a/src/load_generator.cpp
+++ b/src/load_generator.cpp
@@ -177,7 +177,7 @@
             return true;
         };
         const httplib::Result answer = client_->send(req);
-        const verdict out = judge(answer, trip);
+        verdict out = judge(answer, trip);
         if (out.reason == "no connection")
             connect();
         return out;
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -117,7 +117,7 @@
                                      .key = in.required_text("key"),
                                      .weight = in.decimal("weight", 1, 1e-6, 1e6),
                                      .burst_factor = in.decimal("burst", 1, 1, 1000)});
-        if (const auto error = in.finish())
+        if (auto error = in.finish())
             return error;
     }
     return std::nullopt;
--- a/tests/load_generator_test.cpp
+++ b/tests/load_generator_test.cpp
@@ -21,23 +21,104 @@
             .connections = 8};
 }
 
-load_report run_against(const backend_mode& mode, bool chunked)
+// All answers under one mode are expected to be of one kind and reason.
+struct mode_case {
+    std::string name;
+    backend_mode mode;
+    bool chunked = false;
+    bool direct = true;
+    answer_kind kind = answer_kind::ok;
+    std::string reason{};
+};
+
+std::ostream& operator<<(std::ostream& out, const mode_case& it)
 {
-    fake_backend backend({.slots = 8, .waiting = 64, .service_time = 1ms});
-    EXPECT_TRUE(backend.start());
-    backend.set_mode(mode);
-    load_options options = load_on(backend);
-    options.chunked = chunked;
-    return load_generator(options).run();
+    return out << it.name;
 }
 
+class every_answer : public testing::TestWithParam<mode_case> {};
+
+const std::vector<mode_case> mode_cases{
+    {.name = "good", .mode = {}},
+    {.name = "good_chunked", .mode = {}, .chunked = true},
+    {.name = "truncated",
+     .mode = {.truncate_share = 1},
+     .kind = answer_kind::broken,
+     .reason = "Read"},
+    {.name = "truncated_chunked",
+     .mode = {.truncate_share = 1},
+     .chunked = true,
+     .kind = answer_kind::broken,
+     .reason = "Read"},
+    {.name = "wrong_body",
+     .mode = {.wrong_body_share = 1},
+     .kind = answer_kind::wrong,
+     .reason = "body"},
+    {.name = "error",
+     .mode = {.error_share = 1},
+     .kind = answer_kind::failed,
+     .reason = "status 500 without outcome"},
+    {.name = "foreign_organisation",
+     .mode = {},
+     .direct = false,
+     .kind = answer_kind::wrong,
+     .reason = "organisation"},
+};
+
 } // namespace
 
-TEST(load_generator, all_answers_of_a_good_server_are_whole)
+TEST_P(every_answer, is_judged_for_what_it_is)
 {
-    const load_report report = run_against({}, false);
+    fake_backend backend({.slots = 8, .waiting = 64, .service_time = 1ms});
+    ASSERT_TRUE(backend.start());
+    backend.set_mode(GetParam().mode);
+    load_options options = load_on(backend);
+    options.chunked = GetParam().chunked;
+    options.direct = GetParam().direct;
+    const load_report report = load_generator(options).run();
     EXPECT_GT(report.total.sent, 20U);
-    EXPECT_EQ(report.total.count(answer_kind::ok), report.total.sent);
-    EXPECT_EQ(report.organisations.size(), 2U);
-    EXPECT_EQ(report.total.latency.count(), report.total.sent);
+    EXPECT_EQ(report.total.count(GetParam().kind), report.total.sent);
+    EXPECT_EQ(backend.account().report().runs, report.total.sent);
+    if (GetParam().kind != answer_kind::ok) {
+        ASSERT_EQ(report.total.reasons.size(), 1U);
+        EXPECT_EQ(report.total.reasons[0].reason, GetParam().reason);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(load_generator, every_answer, testing::ValuesIn(mode_cases),
+                         [](const auto& it) { return it.param.name; });
+
+// The bytes beyond the announced length spoil the next answer on the connection.
+TEST(load_generator, wrong_length_is_never_taken_for_whole)
+{
+    fake_backend backend({.slots = 8, .waiting = 64, .service_time = 1ms});
+    ASSERT_TRUE(backend.start());
+    backend.set_mode({.wrong_length_share = 1});
+    const load_report report = load_generator(load_on(backend)).run();
+    EXPECT_EQ(report.total.count(answer_kind::ok), 0U);
+    EXPECT_GE(report.total.count(answer_kind::wrong), 8U); // the first on each connection
+    EXPECT_EQ(report.total.reasons.at(0).reason, "cut but ended as if whole");
+}
+
+TEST(load_generator, a_stalled_server_does_not_hide_the_requests_that_it_kept_waiting)
+{
+    fake_backend backend({.slots = 1, .waiting = 64, .service_time = 20ms, .service_noise = 0});
+    ASSERT_TRUE(backend.start());
+    load_options options = load_on(backend);
+    options.connections = 1;
+    const load_report report = load_generator(options).run();
+    // A caller that starts its clock when it sends would see 20 ms each time.
+    EXPECT_GT(report.total.latency.quantile(0.9), 200ms);
+    EXPECT_EQ(report.unsent, 0U);
+}
+
+TEST(load_generator, no_connection_is_broken_and_the_next_target_is_tried)
+{
+    fake_backend backend({.slots = 8, .waiting = 64, .service_time = 1ms});
+    ASSERT_TRUE(backend.start());
+    load_options options = load_on(backend);
+    options.targets = {{.host = "127.0.0.1", .port = 1}, backend.address()};
+    const load_report report = load_generator(options).run();
+    EXPECT_EQ(report.total.count(answer_kind::broken), 4U); // half of the eight connections, once
+    EXPECT_EQ(report.total.count(answer_kind::ok) + 4, report.total.sent);
 }
