Hold what callers were told against what backend servers ran

That a refused request did not run, that a non-idempotent one ran at most once, and that it ran for its own organisation can't be seen from either side alone. An account lost in a crash or a full table is said so and weakens no finding.

Tests also for verdicts by the node's outcome header, for cold start, and for flapping.

--- a/src/load_generator.cpp
+++ b/src/load_generator.cpp
@@ -158,10 +158,11 @@
         connect();
     }
 
-    verdict send(const arrival& it, std::uint64_t id_seed)
+    // `random` gives the ids that go with the request.
+    verdict send(sent_request& it, std::uint64_t random)
     {
-        const std::uint64_t random = mix(id_seed, it.number);
         const std::string id = make_uuid(random, mix(random, 1));
+        it.id = id;
         const std::string body =
             answer_body(id, options_.body_bytes, {}).part(0, options_.body_bytes);
         const load_organisation& from = options_.organisations[it.organisation];
@@ -178,6 +179,7 @@
         };
         const httplib::Result answer = client_->send(req);
         verdict out = judge(answer, trip);
+        it.kind = out.kind;
         if (out.reason == "no connection")
             connect();
         return out;
@@ -284,21 +286,26 @@
             ++report_.unsent;
             continue;
         }
-        const verdict result = it.send(*next, id_seed_);
-        record(*next, result, boot_now() - due, lag);
+        sent_request sent{.id = "", .organisation = next->organisation};
+        const verdict result = it.send(sent, mix(id_seed_, next->number));
+        record(sent, result, boot_now() - due, lag);
     }
 }
 
-void load_generator::record(const arrival& it, const verdict& result, duration latency,
+void load_generator::record(const sent_request& it, const verdict& result, duration latency,
                             duration lag)
 {
     const std::lock_guard lock(mutex_);
     add_answer(report_.organisations[it.organisation], result, latency);
     add_answer(report_.total, result, latency);
     report_.worst_lag = std::max(report_.worst_lag, lag);
+    if (report_.requests.size() < options_.kept_requests)
+        report_.requests.push_back(it);
+    else
+        report_.requests_complete = false;
     if (result.kind == answer_kind::wrong &&
         report_.total.count(answer_kind::wrong) <= most_logged_wrong) {
-        log_event(event::answer_wrong, "{} of {}: {}", it.number,
+        log_event(event::answer_wrong, "{} of {}: {}", it.id,
                   options_.organisations[it.organisation].name, result.reason);
     }
 }
--- a/src/load_generator.h
+++ b/src/load_generator.h
@@ -43,6 +43,7 @@
     std::size_t closed_loop = 0;  ///< callers that each send again on the answer; 0: open loop
     duration timeout = std::chrono::seconds(10); ///< for an answer to go on
     std::uint64_t seed = 1;
+    std::size_t kept_requests = 1'000'000; ///< in load_report::requests
 };
 
 /// What became of a request.
@@ -82,10 +83,19 @@
     std::uint64_t count(answer_kind it) const { return counts[static_cast<std::size_t>(it)]; }
 };
 
+/// One request and what its caller was told.
+struct sent_request {
+    std::string id;
+    std::size_t organisation = 0; ///< index into load_report::organisations
+    answer_kind kind = answer_kind::ok;
+};
+
 /// Figures of one run.
 struct load_report {
     std::vector<organisation_load> organisations;
     organisation_load total;
+    std::vector<sent_request> requests; ///< in no order
+    bool requests_complete = true;      ///< false: `requests` was full and some are missing
     duration run_time{};
     /// Requests whose time came while all connections were busy for longer than the timeout.
     std::uint64_t unsent = 0;
@@ -108,7 +118,7 @@
     struct worker;
     std::optional<arrival> next_arrival(std::size_t caller);
     void work(std::size_t caller);
-    void record(const arrival& it, const verdict& result, duration latency, duration lag);
+    void record(const sent_request& it, const verdict& result, duration latency, duration lag);
 
     load_options options_;
     arrival_schedule schedule_;
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -1,4 +1,5 @@
-// load: callers for trials. Exit status 1 when an answer was wrong, cut as if whole, or another's.
+// load: callers for trials. Exit status 1 when an answer was wrong, cut as if whole, or another's,
+// or when the accounts of the backend servers show a broken promise.
 
 #include "command_line.h"
 #include "load_generator.h"
@@ -23,6 +24,7 @@
 constexpr std::array options_of_command{
     command_line_option{"node", "A:P[,A:P]", "nodes that callers reach, by turns"},
     command_line_option{"direct", "A:P[,A:P]", "backend servers to compare with, or alone"},
+    command_line_option{"accounts", "A:P[,A:P]", "fake backend servers whose accounts are checked"},
     command_line_option{"duration", "TIME", "length of the run (default 10s)"},
     command_line_option{"rate", "X", "requests a second in all (default 184)"},
     command_line_option{"organisation", "N:KEY:W[:B]",
@@ -48,6 +50,7 @@
 struct settings {
     load_options load;
     std::vector<endpoint> direct;
+    std::vector<endpoint> accounts;
     bool text = false;
     bool json = false;
     std::string html;
@@ -128,6 +131,7 @@
     load_options& it = out.load;
     it.targets = read_endpoints(in, "node");
     out.direct = read_endpoints(in, "direct");
+    out.accounts = read_endpoints(in, "accounts");
     it.run_time = in.time("duration", it.run_time, 1ms, 24h);
     it.rate = in.decimal("rate", it.rate, 0.001, 100'000);
     it.method = in.one_of("method", it.method, {"GET", "POST", "PUT", "PATCH", "DELETE"});
@@ -196,16 +200,35 @@
     return out;
 }
 
+// Methods that HTTP calls idempotent may be sent again by a node.
+run_violations check_accounts(const settings& it, const load_report& report)
+{
+    run_check_options options{.idempotent = it.load.method != "POST" && it.load.method != "PATCH"};
+    std::vector<run_report> accounts;
+    for (const endpoint& from : it.accounts) {
+        auto account = fetch_account(from);
+        if (failed(account)) {
+            fmt::print(stderr, "{}\n", error_of(account).reason);
+            ++options.lost_accounts;
+            continue;
+        }
+        accounts.push_back(std::move(value_of(account)));
+    }
+    return check_runs(report, accounts, options);
+}
+
 // The direct run repeats the demand of the first one; without nodes it is the only one.
 load_comparison run_all(const settings& it)
 {
     load_options direct = it.load;
     direct.targets = it.direct;
     direct.direct = true;
-    if (it.load.targets.empty())
-        return {.run = load_generator(direct).run(), .direct = std::nullopt};
-    load_comparison out{.run = load_generator(it.load).run(), .direct = std::nullopt};
-    if (!it.direct.empty())
+    const bool only_direct = it.load.targets.empty();
+    load_comparison out{.run = load_generator(only_direct ? direct : it.load).run(),
+                        .direct = std::nullopt};
+    if (!it.accounts.empty())
+        out.violations = check_accounts(it, out.run);
+    if (!only_direct && !it.direct.empty())
         out.direct = load_generator(direct).run();
     return out;
 }
@@ -213,6 +236,7 @@
 bool any_wrong(const load_comparison& it)
 {
     return it.run.total.count(answer_kind::wrong) > 0 ||
+           (it.violations && it.violations->total() > 0) ||
            (it.direct && it.direct->total.count(answer_kind::wrong) > 0);
 }
 
--- a/src/load_report.cpp
+++ b/src/load_report.cpp
@@ -68,6 +68,28 @@
     return out;
 }
 
+std::string text_of(const run_violations& it)
+{
+    std::string out =
+        fmt::format("against the accounts: refused but run {}, run twice {}, whole but not run "
+                    "{}, foreign {}{}\n",
+                    it.refused_but_run, it.run_twice, it.whole_but_not_run, it.foreign,
+                    it.complete ? "" : " (accounts are not complete)");
+    for (const std::string& example : it.examples)
+        out += "  " + example + "\n";
+    return out;
+}
+
+json json_of(const run_violations& it)
+{
+    return {{"refused_but_run", it.refused_but_run},
+            {"run_twice", it.run_twice},
+            {"whole_but_not_run", it.whole_but_not_run},
+            {"foreign", it.foreign},
+            {"examples", it.examples},
+            {"complete", it.complete}};
+}
+
 json json_of(const load_report& it)
 {
     json out{{"total", json_of(it.total)},
@@ -166,6 +188,8 @@
 std::string text_report(const load_comparison& it)
 {
     std::string out = text_of(it.run);
+    if (it.violations)
+        out += text_of(*it.violations);
     if (!it.direct)
         return out;
     out += "\ndirect call\n" + text_of(*it.direct);
@@ -176,6 +200,8 @@
 std::string json_report(const load_comparison& it)
 {
     json out = json_of(it.run);
+    if (it.violations)
+        out["violations"] = json_of(*it.violations);
     if (it.direct) {
         out["direct"] = json_of(*it.direct);
         out["added_ms"] = {{"p50", added_ms(it, 0.5)}, {"p99", added_ms(it, 0.99)}};
@@ -191,6 +217,8 @@
         "td,th{border:1px solid #bbb;padding:2px 8px;text-align:right}rect{fill:#47a}"
         "svg text{font-size:10px}</style></head><body>\n<h1>Load run</h1>\n";
     out += html_of(it.direct ? "Through the nodes" : "Figures", it.run);
+    if (it.violations)
+        out += "<pre>" + escaped(text_of(*it.violations)) + "</pre>\n";
     if (it.direct) {
         out += html_of("Direct call", *it.direct);
         out += fmt::format("<p>Added by the nodes: p50 {:+.2f} ms, p99 {:+.2f} ms.</p>\n",
--- a/src/load_report.h
+++ b/src/load_report.h
@@ -4,6 +4,8 @@
 
 #include "load_generator.h"
 
+#include "run_check.h"
+
 #include <optional>
 #include <string>
 
@@ -13,6 +15,7 @@
 struct load_comparison {
     load_report run;
     std::optional<load_report> direct;
+    std::optional<run_violations> violations{}; ///< of the first run, when accounts were asked for
 };
 
 /// A table of all organisations, then reasons, then what the nodes add to a direct call.
--- a/tests/fake_backend_test.cpp
+++ b/tests/fake_backend_test.cpp
@@ -139,6 +139,25 @@
     EXPECT_FALSE(other.Get("/health"));
 }
 
+TEST(fake_backend, first_requests_are_slower_and_flapping_is_bad_half_of_the_time)
+{
+    fake_backend_options options = quick_options();
+    options.cold_requests = 1;
+    options.cold_factor = 200;
+    fake_backend backend(options);
+    ASSERT_TRUE(backend.start());
+    const time_point start = boot_now();
+    ASSERT_TRUE(client_of(backend.address()).Get("/"));
+    EXPECT_GE(boot_now() - start, 200ms);
+    const backend_mode mode{.error_share = 1, .flap_period = 100ms, .honest_health = true};
+    EXPECT_TRUE(is_bad(mode, time_point(40ms)));
+    EXPECT_FALSE(is_bad(mode, time_point(60ms)));
+    EXPECT_TRUE(is_bad(mode, time_point(140ms)));
+    backend.set_mode({.error_share = 1, .honest_health = true, .fixed_load = 0.5});
+    EXPECT_EQ(client_of(backend.address()).Get("/health")->status, 503);
+    EXPECT_EQ(json::parse(client_of(backend.address()).Get("/load")->body).at("load"), 0.5);
+}
+
 TEST(fake_backend, a_full_account_says_that_it_is_not_complete)
 {
     run_account account({.entries = 1, .seen_bytes = 8});
--- a/tests/load_generator_test.cpp
+++ b/tests/load_generator_test.cpp
@@ -112,6 +112,34 @@
     EXPECT_EQ(report.unsent, 0U);
 }
 
+TEST(load_generator, refusals_are_counted_by_the_reason_that_the_node_gives)
+{
+    socket_server node({.listen = {.host = "127.0.0.1", .port = 0}});
+    std::atomic<int> count = 0;
+    node.Get("/", [&](const httplib::Request& req, httplib::Response& res) {
+        static constexpr std::array statuses{429, 502, 500, 200, 503};
+        static constexpr std::array outcomes{"not-run; reason=rate", "unknown; reason=cut", "ran",
+                                             "not-run", "not-run; reason=slots"};
+        const auto n = static_cast<std::size_t>(count++) % statuses.size();
+        res.status = statuses[n];
+        res.set_header("Jasmine-Outcome", outcomes[n]);
+        res.set_header("X-Request-Id", req.get_header_value("X-Request-Id") + (n == 4 ? "x" : ""));
+    });
+    ASSERT_TRUE(node.start());
+    load_options options{.targets = {node.address()},
+                         .organisations = {{.name = "org1", .key = "k1"}},
+                         .run_time = 300ms,
+                         .rate = 200,
+                         .connections = 1};
+    const load_report report = load_generator(options).run();
+    std::vector<std::string> found;
+    for (const reason_count& it : report.total.reasons)
+        found.push_back(std::string(name_of(it.kind)) + " " + it.reason);
+    EXPECT_EQ(found,
+              (std::vector<std::string>{"refused rate", "unknown cut", "failed status 500",
+                                        "wrong status 200 but not-run", "wrong request id"}));
+}
+
 TEST(load_generator, no_connection_is_broken_and_the_next_target_is_tried)
 {
     fake_backend backend({.slots = 8, .waiting = 64, .service_time = 1ms});
