Configuration of the fleet: templates, parameters, routes and keys

Services, routes and organisations are INI sections; a section may name a template whose fields stand below its own. The first thing wrong is reported with file, line, section, field, what was found and what is allowed. Headings without fields are refused or taken like any other: the INI library does not report them, so the reader notes them itself.

--- /dev/null
+++ b/src/fleet_config.cpp
@@ -0,0 +1,321 @@
+#include "fleet_config.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+namespace jasminebank {
+
+constexpr std::size_t longest_name_bytes = 64;
+constexpr double highest_rate = 1e6;  // requests a second
+constexpr double highest_burst = 1e7; // requests
+constexpr std::uint64_t most_floor_slots = 1'000'000;
+constexpr duration shortest_timeout = std::chrono::milliseconds(1);
+constexpr duration default_timeout = std::chrono::seconds(10);
+constexpr duration longest_timeout = std::chrono::minutes(10);
+
+namespace {
+
+// A heading such as "organisation honey" split into its kind and name.
+struct heading {
+    std::string kind;
+    std::string name;
+};
+
+heading split_heading(const std::string& text)
+{
+    const std::size_t blank = text.find(' ');
+    if (blank == std::string::npos)
+        return {.kind = text, .name = {}};
+    return {.kind = text.substr(0, blank), .name = text.substr(blank + 1)};
+}
+
+bool is_name(std::string_view text)
+{
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+               c == '-' || c == '_' || c == '.';
+    };
+    return !text.empty() && text.size() <= longest_name_bytes &&
+           std::all_of(text.begin(), text.end(), allowed);
+}
+
+// Carries the files through the build and keeps the first error.
+class config_builder {
+public:
+    explicit config_builder(const std::vector<ini_file>& files) : files_(files) {}
+
+    result<fleet_config, ini_error> build()
+    {
+        collect_templates();
+        for_each_section("service", [this](field_reader& in, const std::string& name) {
+            add_service(in, name);
+        });
+        for_each_section("organisation", [this](field_reader& in, const std::string& name) {
+            add_organisation(in, name);
+        });
+        sort_by_id(out_.services);
+        sort_by_id(out_.organisations);
+        for_each_section(
+            "route", [this](field_reader& in, const std::string& name) { add_route(in, name); });
+        if (!error_)
+            index_keys();
+        if (error_)
+            return *error_;
+        std::sort(out_.routes.begin(), out_.routes.end(),
+                  [](const auto& a, const auto& b) { return a.path < b.path; });
+        return std::move(out_);
+    }
+
+private:
+    template <class Item>
+    static void sort_by_id(std::vector<Item>& items)
+    {
+        std::sort(items.begin(), items.end(),
+                  [](const Item& a, const Item& b) { return a.id < b.id; });
+    }
+
+    void fail(const ini_file& file, const ini_section& section, std::string found,
+              std::string allowed)
+    {
+        if (!error_) {
+            error_ = ini_error{.file = file.name,
+                               .line = section.line,
+                               .section = section.name,
+                               .field = {},
+                               .found = std::move(found),
+                               .allowed = std::move(allowed)};
+        }
+    }
+
+    // Remembers every "[KIND-template NAME]" and refuses headings of no known kind.
+    void collect_templates()
+    {
+        static constexpr std::array<std::string_view, 3> kinds{"service", "organisation", "route"};
+        for (const ini_file& file : files_) {
+            for (const ini_section& section : file.sections) {
+                const heading it = split_heading(section.name);
+                const bool is_template = it.kind.ends_with("-template");
+                const std::string kind =
+                    is_template ? it.kind.substr(0, it.kind.rfind('-')) : it.kind;
+                if (std::find(kinds.begin(), kinds.end(), kind) == kinds.end() ||
+                    !is_name(it.name)) {
+                    fail(file, section, "this heading",
+                         "[service NAME], [organisation NAME], [route NAME], or the same with "
+                         "-template; a name has letters, digits, '-', '_', '.'");
+                }
+                if (is_template && !templates_.emplace(section.name, &section).second)
+                    fail(file, section, "a template given twice", "one of that name");
+            }
+        }
+    }
+
+    // Puts the fields of the template below those of the section that uses it.
+    ini_section with_template(const ini_file& file, const ini_section& section,
+                              const std::string& kind)
+    {
+        ini_section out = section;
+        field_reader in(file, section);
+        const std::string name = in.text("template", "");
+        if (name.empty())
+            return out;
+        const auto it = templates_.find(kind + "-template " + name);
+        if (it == templates_.end()) {
+            in.reject("template", fmt::format("the name of a [{}-template NAME]", kind));
+            error_ = error_ ? error_ : in.finish();
+            return out;
+        }
+        for (const ini_field& field : it->second->fields) {
+            if (!in.has(field.name))
+                out.fields.push_back(field);
+        }
+        return out;
+    }
+
+    template <class Add>
+    void for_each_section(const std::string& kind, Add add)
+    {
+        std::map<std::uint64_t, std::string> seen;
+        for (const ini_file& file : files_) {
+            for (const ini_section& section : file.sections) {
+                const heading it = split_heading(section.name);
+                if (it.kind != kind || error_)
+                    continue;
+                const auto [place, fresh] = seen.emplace(hash_name(it.name), it.name);
+                if (!fresh) {
+                    fail(file, section, fmt::format("a name that stands for {} too", place->second),
+                         "a name of its own");
+                }
+                const ini_section whole = with_template(file, section, kind);
+                field_reader in(file, whole);
+                in.text("template", "");
+                add(in, it.name);
+                error_ = error_ ? error_ : in.finish();
+            }
+        }
+    }
+
+    void add_service(field_reader& in, const std::string& name)
+    {
+        const std::uint64_t floor = in.number("floor_slots", 0, 0, most_floor_slots);
+        out_.services.push_back(
+            {.id = id_of<service_id>(name),
+             .name = name,
+             .floor_slots = static_cast<std::uint32_t>(floor),
+             .timeout = in.time("timeout", default_timeout, shortest_timeout, longest_timeout)});
+    }
+
+    // Fields "key", "key.NAME" hold one digest each, so that a key can be withdrawn by its name.
+    void add_organisation(field_reader& in, const std::string& name)
+    {
+        organisation_config it{.id = id_of<organisation_id>(name),
+                               .name = name,
+                               .rate = in.decimal("rate", 0, 0, highest_rate),
+                               .burst = in.decimal("burst", 0, 0, highest_burst),
+                               .keys = {}};
+        for (const char* needed : {"rate", "burst"}) {
+            if (!in.has(needed))
+                in.reject(needed, "a number, here or in the template");
+        }
+        for (const std::string& field : in.names_with_prefix("key")) {
+            const auto key = digest_from_hex(in.text(field, ""));
+            if (key)
+                it.keys.push_back(*key);
+            else
+                in.reject(field, "the SHA-256 of a key, 64 hexadecimal digits");
+        }
+        out_.organisations.push_back(std::move(it));
+    }
+
+    void add_route(field_reader& in, const std::string& name)
+    {
+        route_config it{.id = id_of<route_id>(name),
+                        .name = name,
+                        .path = in.required_text("path"),
+                        .service = id_of<service_id>(in.required_text("service")),
+                        .methods = in.list("methods"),
+                        .idempotent = in.flag("idempotent", false),
+                        .organisations = {}};
+        if (!it.path.starts_with('/'))
+            in.reject("path", "a path that begins with '/'");
+        if (find_service(out_, it.service) == nullptr)
+            in.reject("service", "the name of a [service NAME]");
+        for (const std::string& organisation : in.list("organisations")) {
+            it.organisations.push_back(id_of<organisation_id>(organisation));
+            if (find_organisation(out_, it.organisations.back()) == nullptr)
+                in.reject("organisations", "names of [organisation NAME], or nothing for all");
+        }
+        std::sort(it.organisations.begin(), it.organisations.end());
+        out_.routes.push_back(std::move(it));
+    }
+
+    // A key that two organisations hold would leave open for whom a request runs.
+    void index_keys()
+    {
+        for (std::uint32_t n = 0; n < out_.organisations.size(); ++n) {
+            for (const digest& key : out_.organisations[n].keys)
+                out_.keys.push_back({.key = key, .organisation = n});
+        }
+        const auto by_key = [](const key_entry& a, const key_entry& b) { return a.key < b.key; };
+        std::sort(out_.keys.begin(), out_.keys.end(), by_key);
+        const auto same =
+            std::adjacent_find(out_.keys.begin(), out_.keys.end(),
+                               [](const auto& a, const auto& b) { return a.key == b.key; });
+        if (same == out_.keys.end())
+            return;
+        error_ =
+            ini_error{.file = files_.empty() ? std::string("configuration") : files_.front().name,
+                      .section = "organisation " + out_.organisations[same->organisation].name,
+                      .field = "key",
+                      .found = fmt::format("a key that {} holds too",
+                                           out_.organisations[std::next(same)->organisation].name),
+                      .allowed = "a key of its own"};
+    }
+
+    const std::vector<ini_file>& files_;
+    std::map<std::string, const ini_section*> templates_;
+    fleet_config out_;
+    std::optional<ini_error> error_;
+};
+
+} // namespace
+
+result<fleet_config, ini_error> build_fleet_config(const std::vector<ini_file>& files)
+{
+    return config_builder(files).build();
+}
+
+template <class Item, class Id>
+static const Item* find_by_id(const std::vector<Item>& items, Id id)
+{
+    const auto before = [](const Item& a, Id b) { return a.id < b; };
+    const auto it = std::lower_bound(items.begin(), items.end(), id, before);
+    return it != items.end() && it->id == id ? &*it : nullptr;
+}
+
+const service_config* find_service(const fleet_config& config, service_id id)
+{
+    return find_by_id(config.services, id);
+}
+
+const organisation_config* find_organisation(const fleet_config& config, organisation_id id)
+{
+    return find_by_id(config.organisations, id);
+}
+
+// The search runs over digests, so its timing tells nothing about the key itself; the final
+// comparison is in constant time all the same.
+const organisation_config* find_key(const fleet_config& config, const digest& key)
+{
+    const auto it = std::lower_bound(config.keys.begin(), config.keys.end(), key,
+                                     [](const key_entry& a, const digest& b) { return a.key < b; });
+    if (it == config.keys.end() || !same_digest(it->key, key))
+        return nullptr;
+    return &config.organisations[it->organisation];
+}
+
+static bool allows_method(const route_config& route, std::string_view method)
+{
+    return route.methods.empty() ||
+           std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+}
+
+// Tries the path cut at each '/' from the longest to the shortest, so a lookup costs a few binary
+// searches whatever the number of routes.
+const route_config* find_route(const fleet_config& config, std::string_view method,
+                               std::string_view path)
+{
+    const auto before = [](const route_config& a, std::string_view b) { return a.path < b; };
+    for (std::size_t n = path.size(); n > 0;) {
+        const std::string_view prefix = path.substr(0, n);
+        auto it = std::lower_bound(config.routes.begin(), config.routes.end(), prefix, before);
+        for (; it != config.routes.end() && it->path == prefix; ++it) {
+            if (allows_method(*it, method))
+                return &*it;
+        }
+        const bool ends_in_slash = prefix.ends_with('/');
+        const std::size_t slash = prefix.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        n = ends_in_slash ? slash : slash + 1;
+    }
+    return nullptr;
+}
+
+bool may_use(const route_config& route, organisation_id organisation)
+{
+    return route.organisations.empty() ||
+           std::binary_search(route.organisations.begin(), route.organisations.end(), organisation);
+}
+
+bool is_idempotent(const route_config& route, std::string_view method)
+{
+    static constexpr std::array<std::string_view, 5> safe{"GET", "HEAD", "OPTIONS", "PUT",
+                                                          "DELETE"};
+    return route.idempotent || std::find(safe.begin(), safe.end(), method) != safe.end();
+}
+
+} // namespace jasminebank
--- a/src/ini_file.cpp
+++ b/src/ini_file.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <fstream>
 #include <sstream>
+#include <unordered_map>
 
 namespace jasminebank {
 
@@ -34,8 +35,26 @@
     int line = 0;
     int too_long_line = 0;
     ini_file* out = nullptr;
+    std::unordered_map<std::string, std::size_t> places; // of sections in `out`
 };
 
+std::size_t place_of_section(line_source& source, const std::string& name)
+{
+    auto& sections = source.out->sections;
+    const auto [it, fresh] = source.places.emplace(name, sections.size());
+    if (fresh)
+        sections.push_back({.name = name, .line = source.line, .fields = {}});
+    return it->second;
+}
+
+// inih says nothing of a heading without fields below it.
+void note_heading(line_source& source, std::string_view line)
+{
+    const std::size_t end = line.find(']');
+    if (line.starts_with('[') && end != std::string_view::npos)
+        place_of_section(source, std::string(line.substr(1, end - 1)));
+}
+
 char* next_line(char* buf, int size, void* stream)
 {
     auto& source = *static_cast<line_source*>(stream);
@@ -47,6 +66,7 @@
     ++source.line;
     if (line.size() > longest_line_bytes && source.too_long_line == 0)
         source.too_long_line = source.line;
+    note_heading(source, line);
     const std::size_t n = std::min(line.size(), static_cast<std::size_t>(size) - 1);
     std::memcpy(buf, line.data(), n);
     buf[n] = '\0';
@@ -56,12 +76,8 @@
 int take_field(void* user, const char* section, const char* name, const char* value)
 {
     auto& source = *static_cast<line_source*>(user);
-    auto& sections = source.out->sections;
-    auto it = std::find_if(sections.begin(), sections.end(),
-                           [&](const ini_section& s) { return s.name == section; });
-    if (it == sections.end())
-        it = sections.insert(sections.end(), {.name = section, .line = source.line, .fields = {}});
-    it->fields.push_back({.name = name, .value = value, .line = source.line});
+    ini_section& place = source.out->sections[place_of_section(source, section)];
+    place.fields.push_back({.name = name, .value = value, .line = source.line});
     return 1;
 }
 
@@ -71,7 +87,7 @@
 result<ini_file, ini_error> parse_ini(const std::string& name, std::string_view text)
 {
     ini_file out{.name = name, .sections = {}};
-    line_source source{.rest = text, .out = &out};
+    line_source source{.rest = text, .out = &out, .places = {}};
     const int bad_line = ini_parse_stream(next_line, &source, take_field, &source);
     if (source.too_long_line > 0)
         return ini_error{name, source.too_long_line, "", "", "a longer line", "190 bytes a line"};
@@ -115,6 +131,17 @@
     return nullptr;
 }
 
+std::vector<std::string> field_reader::names_with_prefix(std::string_view prefix) const
+{
+    std::vector<std::string> out;
+    const std::string dotted = std::string(prefix) + '.';
+    for (const ini_field& it : section_.fields) {
+        if (it.name == prefix || it.name.starts_with(dotted))
+            out.push_back(it.name);
+    }
+    return out;
+}
+
 bool field_reader::has(std::string_view name) const
 {
     return std::any_of(section_.fields.begin(), section_.fields.end(),
--- a/src/ini_file.h
+++ b/src/ini_file.h
@@ -78,6 +78,8 @@
     /// Values separated by commas, without blanks around them.
     std::vector<std::string> list(std::string_view name);
 
+    /// Names of the fields that are `prefix` or begin with `prefix` and a dot, in file order.
+    std::vector<std::string> names_with_prefix(std::string_view prefix) const;
     /// True when the field stands in the section.
     bool has(std::string_view name) const;
     /// Records that `name` holds something that is not allowed.
--- a/src/types.h
+++ b/src/types.h
@@ -26,20 +26,20 @@
 
 /// Identifier of one kind of object; `Tag` keeps kinds apart.
 template <class Tag>
-struct id {
+struct strong_id {
     std::uint64_t value = 0;
-    constexpr auto operator<=>(const id&) const = default;
+    constexpr auto operator<=>(const strong_id&) const = default;
 };
 
-using organisation_id = id<struct organisation_tag>; ///< tenant, hash of its name
-using service_id = id<struct service_tag>;           ///< hash of the service's name
-using route_id = id<struct route_tag>;               ///< hash of the route's name
-using vm_id = id<struct vm_tag>;                     ///< one node process, hash of its VM's name
-using failure_domain_id = id<struct failure_domain_tag>; ///< hash of the domain's name
-using backend_server_id = id<struct backend_server_tag>; ///< upstream, hash of "host:port"
+using organisation_id = strong_id<struct organisation_tag>; ///< tenant, hash of its name
+using service_id = strong_id<struct service_tag>;           ///< hash of the service's name
+using route_id = strong_id<struct route_tag>;               ///< hash of the route's name
+using vm_id = strong_id<struct vm_tag>; ///< one node process, hash of its VM's name
+using failure_domain_id = strong_id<struct failure_domain_tag>; ///< hash of the domain's name
+using backend_server_id = strong_id<struct backend_server_tag>; ///< upstream, hash of "host:port"
 
 /// Number that grows with each start of a process on the same VM; tells an old run from a new one.
-using incarnation = id<struct incarnation_tag>;
+using incarnation = strong_id<struct incarnation_tag>;
 
 /// FNV-1a over a name, the source of every id above. Names that collide are refused by `check`.
 constexpr std::uint64_t hash_name(std::string_view name)
@@ -74,8 +74,8 @@
 } // namespace jasminebank
 
 template <class Tag>
-struct std::hash<jasminebank::id<Tag>> {
-    std::size_t operator()(const jasminebank::id<Tag>& it) const noexcept
+struct std::hash<jasminebank::strong_id<Tag>> {
+    std::size_t operator()(const jasminebank::strong_id<Tag>& it) const noexcept
     {
         return static_cast<std::size_t>(jasminebank::mix(it.value, 0));
     }
--- /dev/null
+++ b/tests/fleet_config_test.cpp
@@ -0,0 +1,90 @@
+#include "fleet_config.h"
+
+#include <gtest/gtest.h>
+
+using namespace jasminebank;
+
+namespace {
+
+constexpr const char* base = R"([service-template web]
+timeout = 2s
+[service catalogue]
+template = web
+floor_slots = 20
+[service reservations]
+template = web
+[route lookup]
+path = /lids/
+service = catalogue
+methods = GET, HEAD
+[route reserve]
+path = /lids/reserve
+service = reservations
+organisations = honey
+[organisation-template small]
+rate = 5
+burst = 10
+[organisation honey]
+template = small
+rate = 7
+[organisation pepper]
+template = small
+)";
+
+result<fleet_config, ini_error> build(const std::string& text)
+{
+    const auto file = parse_ini("fleet.ini", text);
+    if (failed(file))
+        return error_of(file);
+    return build_fleet_config({value_of(file)});
+}
+
+} // namespace
+
+TEST(fleet_config, parameters_go_before_the_template)
+{
+    const auto config = build(base);
+    ASSERT_FALSE(failed(config)) << describe(error_of(config));
+    const auto* honey = find_organisation(value_of(config), id_of<organisation_id>("honey"));
+    ASSERT_NE(honey, nullptr);
+    EXPECT_EQ(honey->rate, 7);
+    EXPECT_EQ(honey->burst, 10);
+}
+
+TEST(fleet_config, longest_path_wins_and_stops_at_a_slash)
+{
+    const auto config = build(base);
+    const fleet_config& it = value_of(config);
+    EXPECT_EQ(find_route(it, "GET", "/lids/70mm")->name, "lookup");
+    EXPECT_EQ(find_route(it, "POST", "/lids/reserve")->name, "reserve");
+    EXPECT_EQ(find_route(it, "POST", "/lids/reserve/7")->name, "reserve");
+    EXPECT_EQ(find_route(it, "GET", "/lids/reserved")->name, "lookup");
+    EXPECT_EQ(find_route(it, "POST", "/lids/70mm"), nullptr);
+    EXPECT_FALSE(
+        may_use(*find_route(it, "POST", "/lids/reserve"), id_of<organisation_id>("pepper")));
+}
+
+TEST(fleet_config, one_key_belongs_to_one_organisation)
+{
+    const std::string key = to_hex(digest_of("secret"));
+    const auto one = build(std::string(base) + "key = " + key + "\n");
+    ASSERT_FALSE(failed(one));
+    EXPECT_EQ(find_key(value_of(one), digest_of("secret"))->name, "pepper");
+    EXPECT_EQ(find_key(value_of(one), digest_of("other")), nullptr);
+    const auto two = build(std::string(base) + "key = " + key +
+                           "\n[organisation jam]\ntemplate = small\nkey.old = " + key + "\n");
+    ASSERT_TRUE(failed(two));
+    EXPECT_EQ(error_of(two).field, "key");
+}
+
+TEST(fleet_config, errors_name_the_line)
+{
+    const auto unknown = build("[route r]\npath = /a\nservice = none\n");
+    ASSERT_TRUE(failed(unknown));
+    EXPECT_EQ(error_of(unknown).line, 3);
+    EXPECT_EQ(error_of(unknown).field, "service");
+    EXPECT_TRUE(failed(build("[organisation a]\nrate = -1\nburst = 1\n")));
+    EXPECT_TRUE(failed(build("[organisation a]\ntemplate = b\n")));
+    EXPECT_TRUE(failed(build("[organisations a]\n")));
+    EXPECT_TRUE(failed(build("[organisation a]\nrate = 1\n")));
+}
