--- /dev/null
+++ b/src/node_settings.cpp
@@ -0,0 +1,99 @@
+#include "node_settings.h"
+
+#include <sys/stat.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace jasminebank {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t shortest_fleet_key_bytes = 16;
+constexpr std::size_t most_connections = 900; // callers' sockets, one thread each
+constexpr std::size_t most_buffered_body_bytes = 1024 * 1024;
+
+static endpoint read_endpoint(field_reader& in, std::string_view name, std::string_view fallback)
+{
+    const auto out = parse_endpoint(in.text(name, fallback));
+    if (!out)
+        in.reject(name, "an IPv4 address and port, as 127.0.0.1:8080");
+    return out.value_or(endpoint{});
+}
+
+static std::vector<endpoint> read_endpoints(field_reader& in, std::string_view name)
+{
+    std::vector<endpoint> out;
+    for (const std::string& text : in.list(name)) {
+        const auto it = parse_endpoint(text);
+        if (it)
+            out.push_back(*it);
+        else
+            in.reject(name, "IPv4 addresses and ports between commas");
+    }
+    return out;
+}
+
+// The key stands in a file of its own, so that the settings themselves may be shown to anyone.
+static std::string read_fleet_key(field_reader& in)
+{
+    const std::string path = in.required_text("fleet_key_file");
+    struct stat info {};
+    std::ifstream file(path);
+    std::ostringstream text;
+    if (file)
+        text << file.rdbuf();
+    std::string key = text.str();
+    while (!key.empty() && (key.back() == '\n' || key.back() == '\r'))
+        key.pop_back();
+    if (stat(path.c_str(), &info) != 0 || (info.st_mode & 077U) != 0)
+        in.reject("fleet_key_file", "a file that only its owner can read (mode 0600)");
+    if (key.size() < shortest_fleet_key_bytes)
+        in.reject("fleet_key_file", "a file with a key of at least 16 bytes");
+    return key;
+}
+
+static void read_limits(field_reader& in, node_settings& out)
+{
+    out.connections = in.number("connections", out.connections, 1, most_connections);
+    out.buffered_body_bytes =
+        in.number("buffered_body_bytes", out.buffered_body_bytes, 0, most_buffered_body_bytes);
+    out.waiting_requests = in.number("waiting_requests", out.waiting_requests, 0, 100'000);
+    out.backend_idle = in.time("backend_idle", 4s, 100ms, 1min);
+    out.announcement_ttl = in.time("announcement_ttl", 3s, 500ms, 1min);
+    out.stop_grace = in.time("stop_grace", 30s, 0s, 10min);
+}
+
+result<node_settings, ini_error> read_node_settings(const ini_file& file)
+{
+    for (const ini_section& section : file.sections) {
+        if (section.name != "node") {
+            return ini_error{file.name, section.line,         section.name,
+                             "",        "an unknown section", "[node]"};
+        }
+    }
+    const ini_section* section = find_section(file, "node");
+    if (section == nullptr)
+        return ini_error{file.name, 0, "", "", "no section", "[node]"};
+    field_reader in(file, *section);
+    node_settings out;
+    out.vm_name = in.required_text("vm");
+    out.failure_domain = in.required_text("failure_domain");
+    out.region = in.text("region", "");
+    out.callers = read_endpoint(in, "callers", "127.0.0.1:0");
+    out.links = read_endpoint(in, "links", "127.0.0.1:0");
+    out.control = read_endpoint(in, "control", "127.0.0.1:0");
+    out.store = read_endpoints(in, "store");
+    out.peers = read_endpoints(in, "peers");
+    out.fleet_key = read_fleet_key(in);
+    out.port_file = in.text("port_file", "");
+    read_limits(in, out);
+    out.when_cut_off = in.one_of("when_cut_off", "refuse", {"refuse", "serve"}) == "serve"
+                           ? cut_off_policy::serve
+                           : cut_off_policy::refuse;
+    if (const auto wrong = in.finish())
+        return *wrong;
+    return out;
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/router.cpp
@@ -0,0 +1,151 @@
+#include "router.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jasminebank {
+
+// What a hop to another failure domain costs, in units of a fully busy server.
+constexpr double other_domain_penalty = 1.0;
+// A demoted server is picked only when all others are this much busier.
+constexpr double demoted_penalty = 100.0;
+
+router::router(router_options options) : options_(options) {}
+
+// Rebuilds the candidates of each service from the directory. Draining servers and leaving nodes
+// are left out here, which is what keeps new work from them.
+void router::update(const member_directory& directory)
+{
+    std::unordered_map<service_id, std::vector<candidate>> services;
+    std::unordered_map<backend_server_id, server_state> servers;
+    for (const member_record& member : directory.members()) {
+        for (const server_record& it : member.servers) {
+            const auto known = servers_.find(it.id);
+            servers[it.id] = known == servers_.end() ? server_state{} : known->second;
+            if (member.leaving || it.draining)
+                continue;
+            services[it.service].push_back({.choice = {it.id, member.vm, member.run, member.link},
+                                            .domain = member.domain,
+                                            .slots = std::max<std::uint32_t>(it.slots, 1)});
+        }
+    }
+    for (auto& [service, candidates] : services)
+        keep_subset(candidates);
+    services_ = std::move(services);
+    servers_ = std::move(servers);
+}
+
+// Own domain first, then by rendezvous hash of this node and the server, so that subsets of the
+// nodes spread evenly and hardly change when servers come and go.
+void router::keep_subset(std::vector<candidate>& candidates) const
+{
+    if (candidates.size() <= options_.subset)
+        return;
+    const auto rank = [this](const candidate& it) {
+        return mix(options_.self.value, it.choice.server.value);
+    };
+    std::sort(candidates.begin(), candidates.end(), [&](const candidate& a, const candidate& b) {
+        const bool a_own = a.domain == options_.domain;
+        const bool b_own = b.domain == options_.domain;
+        return a_own != b_own ? a_own : rank(a) < rank(b);
+    });
+    // A third of the subset stands in other domains, for the loss of the own one.
+    const std::size_t own =
+        static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), [&](auto& it) {
+            return it.domain == options_.domain;
+        }));
+    const std::size_t others = candidates.size() - own;
+    const std::size_t keep_others = std::min(others, options_.subset / 3);
+    const std::size_t keep_own = std::min(own, options_.subset - keep_others);
+    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(keep_own),
+                     candidates.begin() + static_cast<std::ptrdiff_t>(own));
+    candidates.resize(std::min(candidates.size(), options_.subset));
+}
+
+void router::set_standing(backend_server_id server, server_standing standing)
+{
+    const auto it = servers_.find(server);
+    if (it != servers_.end())
+        it->second.standing = standing;
+}
+
+server_standing router::standing(backend_server_id server) const
+{
+    const auto it = servers_.find(server);
+    return it == servers_.end() ? server_standing::full : it->second.standing;
+}
+
+// Expected busyness: what this node has in flight itself, and what the last answer told.
+double router::score(const candidate& it) const
+{
+    const server_state& state = servers_.at(it.choice.server);
+    double out = state.load + (state.in_flight + 1.0) / it.slots;
+    if (it.domain != options_.domain)
+        out += other_domain_penalty;
+    if (state.standing == server_standing::demoted)
+        out += demoted_penalty;
+    return out;
+}
+
+bool router::is_usable(const candidate& it, std::span<const backend_server_id> tried,
+                       time_point now) const
+{
+    if (std::find(tried.begin(), tried.end(), it.choice.server) != tried.end())
+        return false;
+    if (standing(it.choice.server) == server_standing::ejected)
+        return false;
+    const auto paused = paused_gates_.find(it.choice.gate);
+    return paused == paused_gates_.end() || paused->second <= now;
+}
+
+// Picks two of the usable servers at random, own domain and full standing preferred by their score,
+// and takes the less busy one: near the balance of a full search, without herding.
+std::optional<route_choice> router::choose(service_id service,
+                                           std::span<const backend_server_id> tried,
+                                           std::uint64_t random, time_point now) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return std::nullopt;
+    std::vector<const candidate*> own;
+    std::vector<const candidate*> all;
+    for (const candidate& it : found->second) {
+        if (!is_usable(it, tried, now))
+            continue;
+        all.push_back(&it);
+        if (it.domain == options_.domain && score(it) < other_domain_penalty + 1)
+            own.push_back(&it);
+    }
+    const auto& from = own.empty() ? all : own;
+    if (from.empty())
+        return std::nullopt;
+    const candidate* a = from[random % from.size()];
+    const candidate* b = from[mix(random, 1) % from.size()];
+    return score(*b) < score(*a) ? b->choice : a->choice;
+}
+
+void router::started(backend_server_id server)
+{
+    const auto it = servers_.find(server);
+    if (it != servers_.end())
+        ++it->second.in_flight;
+}
+
+// The server may have left and come back meanwhile, so the count may already stand at zero.
+void router::finished(backend_server_id server, double load)
+{
+    const auto it = servers_.find(server);
+    if (it == servers_.end())
+        return;
+    if (it->second.in_flight > 0)
+        --it->second.in_flight;
+    it->second.load = load;
+}
+
+void router::gate_failed(vm_id gate, time_point now)
+{
+    paused_gates_[gate] = now + options_.gate_pause;
+    std::erase_if(paused_gates_, [now](const auto& it) { return it.second <= now; });
+}
+
+} // namespace jasminebank
