Entry, gate and node: the path of a request (not yet built)

The entry finds the organisation by the digest of the key, the route and the service, and sends the request over a link to the gate of a backend server; the gate holds slots and connections.

--- /dev/null
+++ b/src/backend_call.cpp
@@ -0,0 +1,193 @@
+#include "backend_call.h"
+
+#include "dispatch.h"
+#include "endpoint.h"
+#include "request_outcome.h"
+#include "system_clock.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string>
+
+namespace jasminebank {
+
+namespace {
+
+constexpr duration connect_timeout = std::chrono::milliseconds(500);
+constexpr std::size_t chunk_bytes = 16 * 1024;
+constexpr int no_content_status = 204;
+constexpr int not_modified_status = 304;
+constexpr int unavailable_status = 503;
+constexpr const char* shed_header = "X-Backend-Shed";
+
+std::string lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+// State of one call, shared by the library's callbacks, all of which run on the calling thread.
+class backend_exchange {
+public:
+    backend_exchange(std::shared_ptr<link_stream> stream, const backend_call_options& options)
+        : stream_(std::move(stream)), options_(options)
+    {
+    }
+
+    httplib::Request request()
+    {
+        const message_head head = head_for_backend_server(stream_->head());
+        httplib::Request out;
+        out.method = head.method;
+        out.path = head.path;
+        bool has_length = false;
+        for (const header_field& it : head.fields) {
+            if (it.name == "content-length")
+                has_length = parse_length(it.value, out.content_length_);
+            out.headers.emplace(it.name, it.value);
+        }
+        if (!stream_->has_no_body() && !(has_length && out.content_length_ == 0))
+            add_body(out, has_length);
+        out.response_handler = [this](const httplib::Response& res) { return take_head(res); };
+        out.content_receiver = [this](const char* data, std::size_t n, std::uint64_t,
+                                      std::uint64_t) { return pass_on(data, n); };
+        return out;
+    }
+
+    call_result finish(const httplib::Result& answer, duration service_time)
+    {
+        call_result out{.end = end_of(answer),
+                        .status = status_,
+                        .answered = answered_,
+                        .service_time = service_time};
+        out.may_reuse = out.end == call_end::whole_answer || out.end == call_end::shed;
+        if (out.end == call_end::whole_answer && !answer_ended_)
+            stream_->finish();
+        return out;
+    }
+
+private:
+    static bool parse_length(const std::string& text, std::size_t& out)
+    {
+        const char* last = text.data() + text.size();
+        const auto [end, ec] = std::from_chars(text.data(), last, out);
+        return ec == std::errc{} && end == last;
+    }
+
+    void add_body(httplib::Request& out, bool has_length)
+    {
+        out.is_chunked_content_provider_ = !has_length;
+        if (!has_length)
+            out.headers.emplace("Transfer-Encoding", "chunked");
+        out.content_provider_ = [this](std::size_t, std::size_t, httplib::DataSink& sink) {
+            std::array<char, chunk_bytes> buf{};
+            const auto n = stream_->read(buf, options_.deadline);
+            if (failed(n)) {
+                caller_left_ = true;
+                return false;
+            }
+            if (value_of(n) > 0)
+                return sink.write(buf.data(), value_of(n));
+            sink.done();
+            return true;
+        };
+    }
+
+    // An answer that ends with its connection cannot be told from one that was cut, so it is
+    // refused; an honest shed is kept back, since another backend server may take the request.
+    bool take_head(const httplib::Response& res)
+    {
+        status_ = res.status;
+        if (res.status == unavailable_status && res.has_header(shed_header)) {
+            shed_ = true;
+            return true;
+        }
+        const bool bodiless = stream_->head().method == "HEAD" || res.status == no_content_status ||
+                              res.status == not_modified_status;
+        const bool has_end = bodiless || res.has_header("Content-Length") ||
+                             lower(res.get_header_value("Transfer-Encoding")) == "chunked";
+        if (!has_end)
+            return false;
+        message_head head{.method = {}, .path = {}, .status = res.status, .fields = {}};
+        for (const auto& [name, value] : res.headers) {
+            std::string field = lower(name);
+            if (!is_connection_field(field) && !field.starts_with(internal_prefix))
+                head.fields.push_back({.name = std::move(field), .value = value});
+        }
+        head.fields.push_back({.name = std::string(outcome_field), .value = "ran"});
+        head.fields.push_back(
+            {.name = std::string(load_field), .value = fmt::format("{:.3f}", options_.load)});
+        answer_ended_ = bodiless;
+        answered_ = !failed(stream_->respond(std::move(head), bodiless));
+        return answered_;
+    }
+
+    bool pass_on(const char* data, std::size_t n)
+    {
+        if (shed_)
+            return true;
+        if (failed(stream_->write({data, n}, options_.deadline))) {
+            caller_left_ = true;
+            return false;
+        }
+        return true;
+    }
+
+    call_end end_of(const httplib::Result& answer) const
+    {
+        if (caller_left_ || stream_->is_cancelled())
+            return call_end::caller_left;
+        if (answer)
+            return shed_ ? call_end::shed : call_end::whole_answer;
+        const httplib::Error ec = answer.error();
+        if (ec == httplib::Error::Connection || ec == httplib::Error::ConnectionTimeout)
+            return call_end::not_connected;
+        return status_ != 0 ? call_end::cut_answer : call_end::no_answer;
+    }
+
+    std::shared_ptr<link_stream> stream_;
+    backend_call_options options_;
+    int status_ = 0;
+    bool shed_ = false;
+    bool answered_ = false;
+    bool answer_ended_ = false;
+    bool caller_left_ = false;
+};
+
+} // namespace
+
+std::shared_ptr<httplib::Client> connect_backend(const endpoint& address)
+{
+    auto out = std::make_shared<httplib::Client>(address.host, address.port);
+    out->set_connection_timeout(connect_timeout);
+    out->set_keep_alive(true);
+    out->set_tcp_nodelay(true);
+    out->set_decompress(false);
+    out->set_url_encode(false);
+    out->set_follow_location(false);
+    return out;
+}
+
+// The caller's cancellation shuts the connection down, which ends whatever the library waits for.
+call_result call_backend(const std::shared_ptr<httplib::Client>& client,
+                         const std::shared_ptr<link_stream>& stream,
+                         const backend_call_options& options)
+{
+    const time_point start = boot_now();
+    const duration left =
+        std::max<duration>(options.deadline - start, std::chrono::milliseconds(1));
+    client->set_read_timeout(left);
+    client->set_write_timeout(left);
+    backend_exchange exchange(stream, options);
+    const httplib::Request request = exchange.request();
+    stream->on_cancel([client] { client->stop(); });
+    const httplib::Result answer = client->send(request);
+    stream->on_cancel({});
+    return exchange.finish(answer, boot_now() - start);
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/dispatch.cpp
@@ -0,0 +1,75 @@
+#include "dispatch.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace jasminebank {
+
+constexpr std::string_view server_field = "jasmine-server";
+constexpr std::string_view gate_run_field = "jasmine-gate-run";
+constexpr std::string_view idempotent_field = "jasmine-idempotent";
+constexpr std::string_view fingerprint_field = "jasmine-fingerprint";
+constexpr std::uint64_t longest_deadline_ms = 3'600'000;
+
+static void add_field(message_head& head, std::string_view name, std::string value)
+{
+    head.fields.push_back({.name = std::string(name), .value = std::move(value)});
+}
+
+void write_dispatch(const dispatch& it, message_head& head)
+{
+    const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(it.time_left);
+    add_field(head, server_field, fmt::format("{}", it.server.value));
+    add_field(head, gate_run_field, fmt::format("{}", it.gate_run.value));
+    add_field(head, organisation_field, it.organisation);
+    add_field(head, deadline_field, fmt::format("{}", time_left.count()));
+    add_field(head, idempotent_field, it.idempotent ? "1" : "0");
+    add_field(head, fingerprint_field, fmt::format("{}", it.fingerprint));
+}
+
+static std::optional<std::uint64_t> read_number(const message_head& head, std::string_view name)
+{
+    const std::string* text = find_field(head, name);
+    std::uint64_t out = 0;
+    if (text == nullptr)
+        return std::nullopt;
+    const char* last = text->data() + text->size();
+    const auto [end, ec] = std::from_chars(text->data(), last, out);
+    if (ec != std::errc{} || end != last)
+        return std::nullopt;
+    return out;
+}
+
+std::optional<dispatch> read_dispatch(const message_head& head)
+{
+    const auto server = read_number(head, server_field);
+    const auto run = read_number(head, gate_run_field);
+    const auto time_left = read_number(head, deadline_field);
+    const auto idempotent = read_number(head, idempotent_field);
+    const auto fingerprint = read_number(head, fingerprint_field);
+    const std::string* organisation = find_field(head, organisation_field);
+    if (!server || !run || !time_left || !idempotent || !fingerprint || organisation == nullptr)
+        return std::nullopt;
+    if (*time_left > longest_deadline_ms)
+        return std::nullopt;
+    return dispatch{.server = {*server},
+                    .gate_run = {*run},
+                    .organisation = *organisation,
+                    .time_left = std::chrono::milliseconds(*time_left),
+                    .idempotent = *idempotent != 0,
+                    .fingerprint = *fingerprint};
+}
+
+message_head head_for_backend_server(const message_head& head)
+{
+    message_head out = head;
+    std::erase_if(out.fields, [](const header_field& it) {
+        return it.name.starts_with(internal_prefix) && it.name != organisation_field &&
+               it.name != deadline_field;
+    });
+    return out;
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/entry.cpp
@@ -0,0 +1,341 @@
+#include "entry.h"
+
+#include "caller_head.h"
+#include "socket_server.h"
+#include "system_clock.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
+namespace jasminebank {
+
+namespace {
+
+constexpr std::size_t chunk_bytes = 16 * 1024;
+// How often a thread that waits for an answer looks whether its caller is still there.
+constexpr duration caller_check_interval = std::chrono::milliseconds(100);
+constexpr int no_content_status = 204;
+constexpr int not_modified_status = 304;
+
+// The caller's head with the names that the HTTP library was kept from acting upon.
+message_head head_of(const httplib::Request& req)
+{
+    message_head out{.method = req.method, .path = req.target, .status = 0, .fields = {}};
+    for (const auto& [name, value] : req.headers) {
+        // Added by the library itself, not by the caller.
+        if (name == "REMOTE_ADDR" || name == "REMOTE_PORT" || name == "LOCAL_ADDR" ||
+            name == "LOCAL_PORT")
+            continue;
+        const bool raw = name.starts_with(raw_prefix);
+        out.fields.push_back({.name = raw ? name.substr(raw_prefix.size()) : name, .value = value});
+    }
+    return out;
+}
+
+void refuse(httplib::Response& res, const refusal_answer& it)
+{
+    res.status = status_of(it.reason);
+    res.set_header(std::string(outcome_header), outcome_text(it));
+    if (it.retry_after) {
+        const auto wait = std::chrono::ceil<std::chrono::seconds>(*it.retry_after);
+        res.set_header("Retry-After", fmt::format("{}", std::max<long>(wait.count(), 1)));
+    }
+    res.set_content(fmt::format("{}\n", outcome_text(it)), "text/plain");
+}
+
+std::optional<std::size_t> length_of(const message_head& head)
+{
+    const std::string* text = find_field(head, "content-length");
+    std::size_t out = 0;
+    if (text == nullptr)
+        return std::nullopt;
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), out);
+    if (ec != std::errc{} || end != text->data() + text->size())
+        return std::nullopt;
+    return out;
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find_first_of("?#"));
+}
+
+refusal_answer answer_of(const link_error& it)
+{
+    if (!may_have_run(it))
+        return {.reason = refusal::no_backend_server};
+    if (it.kind == link_failure::timed_out)
+        return {.reason = refusal::deadline, .state = run_state::unknown};
+    return {.reason = refusal::backend_server_error, .state = run_state::unknown};
+}
+
+} // namespace
+
+// What became of one try at one backend server.
+struct entry::attempt {
+    std::shared_ptr<link_stream> stream;
+    std::optional<message_head> answer;
+    std::optional<refusal_answer> refused;
+    bool gate_failed = false;
+    bool body_consumed = false;
+    bool caller_left = false;
+};
+
+entry::entry(entry_options options, link_hub& links, router_options routing)
+    : options_(options), links_(links), router_(routing)
+{
+}
+
+void entry::set_config(std::shared_ptr<const fleet_config> config)
+{
+    const std::lock_guard lock(mutex_);
+    if (config_ == nullptr || config->generation > config_->generation)
+        config_ = std::move(config);
+}
+
+std::shared_ptr<const fleet_config> entry::config() const
+{
+    const std::lock_guard lock(mutex_);
+    return config_;
+}
+
+void entry::set_directory(const member_directory& directory)
+{
+    const std::lock_guard lock(mutex_);
+    router_.update(directory);
+}
+
+// Everything is looked up anew for each request, so that a withdrawn key stops on connections that
+// are already open, too.
+result<admitted_request, refusal_answer> entry::admit(const caller_head& head, time_point now)
+{
+    admitted_request out{.config = config(), .deadline = now};
+    if (out.config == nullptr)
+        return refusal_answer{.reason = refusal::no_configuration};
+    out.organisation = find_key(*out.config, head.key);
+    if (out.organisation == nullptr)
+        return refusal_answer{.reason = refusal::unknown_key};
+    out.route = find_route(*out.config, head.clean.method, path_of(head.clean.path));
+    if (out.route == nullptr)
+        return refusal_answer{.reason = refusal::no_route};
+    if (!may_use(*out.route, out.organisation->id))
+        return refusal_answer{.reason = refusal::not_allowed};
+    out.service = find_service(*out.config, out.route->service);
+    out.idempotent = is_idempotent(*out.route, head.clean.method);
+    out.deadline = now + out.service->timeout;
+    return out;
+}
+
+// A body that nobody will read ends the connection, since its bytes would be taken for the next
+// request.
+void entry::handle(const httplib::Request& req, httplib::Response& res,
+                   const httplib::ContentReader* reader)
+{
+    const auto head = split_caller_head(head_of(req));
+    if (failed(head)) {
+        socket_server::close_after_answer();
+        refuse(res, {.reason = error_of(head)});
+        return;
+    }
+    const auto request = admit(value_of(head), boot_now());
+    if (failed(request)) {
+        if (length_of(value_of(head).clean) != std::size_t{0})
+            socket_server::close_after_answer();
+        refuse(res, error_of(request));
+        return;
+    }
+    forward(value_of(request), value_of(head).clean, res, reader);
+}
+
+std::optional<route_choice> entry::choose(const admitted_request& request,
+                                          const std::vector<backend_server_id>& tried)
+{
+    const std::lock_guard lock(mutex_);
+    auto out = router_.choose(request.service->id, tried, random_(), boot_now());
+    if (out)
+        router_.started(out->server);
+    return out;
+}
+
+// Small bodies are read whole first: a slow caller then holds no slot of a backend server, and the
+// request may be tried again elsewhere. Longer ones are streamed and get one try.
+void entry::forward(const admitted_request& request, const message_head& head,
+                    httplib::Response& res, const httplib::ContentReader* reader)
+{
+    const auto length = length_of(head);
+    const bool buffered = reader == nullptr || (length && *length <= options_.buffered_body_bytes);
+    std::string body;
+    if (buffered && reader != nullptr && *length > 0) {
+        const bool whole = (*reader)([&body](const char* data, std::size_t n) {
+            body.append(data, n);
+            return true;
+        });
+        if (!whole) {
+            socket_server::close_after_answer();
+            refuse(res, {.reason = refusal::bad_request});
+            return;
+        }
+    }
+    std::vector<backend_server_id> tried;
+    refusal_answer last{.reason = refusal::no_backend_server};
+    for (std::size_t n = 0; n < options_.attempts; ++n) {
+        const auto choice = choose(request, tried);
+        if (!choice)
+            break;
+        tried.push_back(choice->server);
+        attempt it = try_once(request, *choice, head, body, buffered ? nullptr : reader);
+        if (it.answer) {
+            deliver(request, *choice, it, head, res);
+            return;
+        }
+        finished(*choice, it);
+        last = *it.refused;
+        if (it.body_consumed)
+            socket_server::close_after_answer();
+        const bool again = may_try_elsewhere(last) ||
+                           (request.idempotent && last.reason == refusal::backend_server_error);
+        if (!again || it.body_consumed || it.caller_left || boot_now() >= request.deadline)
+            break;
+    }
+    refuse(res, last);
+}
+
+void entry::finished(const route_choice& choice, const attempt& it)
+{
+    const std::lock_guard lock(mutex_);
+    if (it.gate_failed)
+        router_.gate_failed(choice.gate, boot_now());
+    double load = 0;
+    if (it.answer) {
+        const std::string* text = find_field(*it.answer, load_field);
+        if (text != nullptr)
+            std::from_chars(text->data(), text->data() + text->size(), load);
+    }
+    router_.finished(choice.server, load);
+}
+
+// Streams the caller's body. False when the caller broke it off or the gate takes no more; the
+// gate's answer, if there is one, tells which.
+static bool pump(const httplib::ContentReader& reader, link_stream& stream, duration timeout)
+{
+    bool gate_left = false;
+    const bool whole = reader([&](const char* data, std::size_t n) {
+        gate_left = failed(stream.write({data, n}, boot_now() + timeout));
+        return !gate_left;
+    });
+    if (whole)
+        stream.finish();
+    else if (!gate_left)
+        stream.reset(reset_reason::cancelled);
+    return whole || gate_left;
+}
+
+// Waits for the answer's head in short steps, to notice a caller that has left.
+static result<message_head, link_error> wait_for_head(link_stream& stream, time_point deadline,
+                                                      bool& caller_left)
+{
+    while (true) {
+        const time_point step = std::min(deadline, boot_now() + caller_check_interval);
+        auto out = stream.read_head(step);
+        if (!failed(out) || error_of(out).kind != link_failure::timed_out || step == deadline)
+            return out;
+        caller_left = socket_server::peer_left();
+        if (caller_left) {
+            stream.reset(reset_reason::cancelled);
+            return out;
+        }
+    }
+}
+
+entry::attempt entry::try_once(const admitted_request& request, const route_choice& choice,
+                               const message_head& head, const std::string& body,
+                               const httplib::ContentReader* reader)
+{
+    message_head out = head;
+    write_dispatch({.server = choice.server,
+                    .gate_run = choice.gate_run,
+                    .organisation = request.organisation->name,
+                    .time_left = request.deadline - boot_now(),
+                    .idempotent = request.idempotent},
+                   out);
+    attempt it;
+    it.body_consumed = reader != nullptr;
+    it.stream = links_.open(choice.gate_link, std::move(out), body.empty() && reader == nullptr);
+    if (!body.empty()) {
+        if (!failed(it.stream->write(body, request.deadline)))
+            it.stream->finish();
+    }
+    if (reader != nullptr && !pump(*reader, *it.stream, request.service->timeout)) {
+        it.caller_left = true;
+        it.refused = {.reason = refusal::bad_request, .state = run_state::unknown};
+        return it;
+    }
+    const time_point deadline =
+        reader == nullptr ? request.deadline : boot_now() + request.service->timeout;
+    auto answer = wait_for_head(*it.stream, deadline, it.caller_left);
+    if (failed(answer)) {
+        it.refused = answer_of(error_of(answer));
+        it.gate_failed = error_of(answer).kind != link_failure::peer_reset && !it.caller_left;
+        return it;
+    }
+    const std::string* outcome = find_field(value_of(answer), outcome_field);
+    if (outcome == nullptr || *outcome != name_of(run_state::ran)) {
+        it.refused = outcome == nullptr ? std::nullopt : parse_outcome(*outcome);
+        if (!it.refused)
+            it.refused = {.reason = refusal::backend_server_error, .state = run_state::unknown};
+        return it;
+    }
+    it.answer = std::move(value_of(answer));
+    return it;
+}
+
+// Passes the body on as it comes. Any failure on the way breaks the caller's connection, so that a
+// part is never taken for the whole.
+void entry::deliver(const admitted_request& request, const route_choice& choice, const attempt& it,
+                    const message_head& head, httplib::Response& res)
+{
+    const message_head& answer = *it.answer;
+    finished(choice, it);
+    res.status = answer.status;
+    const std::string* type = find_field(answer, "content-type");
+    for (const header_field& field : answer.fields) {
+        const bool ours = field.name.starts_with(internal_prefix);
+        if (!ours && field.name != "content-length" && field.name != "content-type")
+            res.headers.emplace(field.name, field.value);
+    }
+    res.set_header(std::string(outcome_header), std::string(name_of(run_state::ran)));
+    const bool bodiless = head.method == "HEAD" || answer.status == no_content_status ||
+                          answer.status == not_modified_status;
+    const auto length = length_of(answer);
+    const auto pass_on = [stream = it.stream, timeout = request.service->timeout,
+                          length](std::size_t, httplib::DataSink& sink) {
+        std::array<char, chunk_bytes> buf{};
+        const auto n = stream->read(buf, boot_now() + timeout);
+        if (failed(n) || (value_of(n) == 0 && length))
+            return false;
+        if (value_of(n) == 0)
+            sink.done();
+        else
+            sink.write(buf.data(), value_of(n));
+        return true;
+    };
+    const std::string content_type = type == nullptr ? "" : *type;
+    if (length) {
+        res.set_content_provider(
+            *length, content_type,
+            [pass_on](std::size_t offset, std::size_t, httplib::DataSink& sink) {
+                return pass_on(offset, sink);
+            });
+    }
+    else if (!bodiless) {
+        res.set_chunked_content_provider(content_type, pass_on);
+    }
+    if (type == nullptr)
+        res.headers.erase("Content-Type");
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,78 @@
+#pragma once
+
+// The callers' side of a node: finds the organisation behind the key, the route and the service,
+// holds the request to the organisation's rate, chooses a backend server, sends the request to its
+// gate, and passes the whole answer back or refuses honestly.
+
+#include "caller_head.h"
+#include "dispatch.h"
+#include "fleet_config.h"
+#include "link_hub.h"
+#include "request_outcome.h"
+#include "router.h"
+#include "types.h"
+
+#include <httplib.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+
+namespace jasminebank {
+
+struct entry_options {
+    std::size_t buffered_body_bytes = 0;
+    std::size_t attempts = 3; ///< backend servers tried for one request, at most
+};
+
+/// A request that may run: whose it is, where it goes.
+struct admitted_request {
+    std::shared_ptr<const fleet_config> config; ///< keeps the pointers below alive
+    const organisation_config* organisation = nullptr;
+    const route_config* route = nullptr;
+    const service_config* service = nullptr;
+    bool idempotent = false;
+    time_point deadline;
+};
+
+/// Thread-safe.
+class entry {
+public:
+    entry(entry_options options, link_hub& links, router_options routing);
+
+    /// Serves one request of a caller; `reader` is there when the method may have a body.
+    void handle(const httplib::Request& req, httplib::Response& res,
+                const httplib::ContentReader* reader);
+
+    /// Takes a configuration over; older generations than the one in force are ignored.
+    void set_config(std::shared_ptr<const fleet_config> config);
+    std::shared_ptr<const fleet_config> config() const;
+    /// Takes over who stands where.
+    void set_directory(const member_directory& directory);
+
+private:
+    struct attempt;
+
+    result<admitted_request, refusal_answer> admit(const caller_head& head, time_point now);
+    void forward(const admitted_request& request, const message_head& head, httplib::Response& res,
+                 const httplib::ContentReader* reader);
+    std::optional<route_choice> choose(const admitted_request& request,
+                                       const std::vector<backend_server_id>& tried);
+    attempt try_once(const admitted_request& request, const route_choice& choice,
+                     const message_head& head, const std::string& body,
+                     const httplib::ContentReader* reader);
+    void finished(const route_choice& choice, const attempt& it);
+    void deliver(const admitted_request& request, const route_choice& choice, const attempt& it,
+                 const message_head& head, httplib::Response& res);
+
+    const entry_options options_;
+    link_hub& links_;
+    mutable std::mutex mutex_;
+    std::shared_ptr<const fleet_config> config_;
+    router router_;
+    std::mt19937_64 random_{std::random_device{}()};
+};
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// One node: callers' HTTP, links to other nodes, the gate of the backend servers that announced
+// themselves here, and the control address. The only place where time and I/O meet the decisions.
+
+#include "entry.h"
+#include "gate.h"
+#include "link_hub.h"
+#include "member_directory.h"
+#include "node_settings.h"
+#include "socket_server.h"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace jasminebank {
+
+/// The addresses that a node took.
+struct node_ports {
+    endpoint callers;
+    endpoint links;
+    endpoint control;
+};
+
+class node {
+public:
+    /// Binds all addresses and starts; nothing if one cannot be had, which is logged.
+    static std::unique_ptr<node> start(const node_settings& settings, incarnation run);
+    /// A planned stop: no request is cut.
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    node_ports ports() const;
+    void set_config(std::shared_ptr<const fleet_config> config);
+    /// Ends after the requests that run; blocks until then, at most the grace of the settings.
+    void stop();
+
+private:
+    node(node_settings settings, incarnation run);
+
+    bool open_doors();
+    void add_caller_routes();
+    void add_control_routes();
+    void answer_announcement(const httplib::Request& req, httplib::Response& res);
+    std::optional<std::string> answer_control(const control_request& request);
+    void merge_members(std::string_view payload);
+    void publish_servers();
+    void exchange_members();
+    void run_ticks();
+
+    const node_settings settings_;
+    const incarnation run_;
+    std::unique_ptr<gate> gate_;
+    std::unique_ptr<link_hub> links_;
+    std::unique_ptr<entry> entry_;
+    std::unique_ptr<socket_server> callers_;
+    std::unique_ptr<socket_server> control_;
+
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    member_directory directory_;
+    member_record self_;
+    bool stopping_ = false;
+    std::thread ticks_;
+};
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/socket_server.cpp
@@ -0,0 +1,337 @@
+#include "socket_server.h"
+
+#include "small_stack_pool.h"
+#include "system_clock.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <limits>
+#include <string_view>
+
+namespace jasminebank {
+
+namespace {
+
+constexpr int backlog = 1024;
+constexpr std::size_t read_buffer_bytes = 4096;
+constexpr duration linger_time = std::chrono::milliseconds(500);
+// Threads beyond the bound on connections, which tell the callers over it so.
+constexpr std::size_t refusing_threads = 8;
+
+thread_local socket_t current_socket = INVALID_SOCKET;
+thread_local bool current_ends = false;
+
+int to_milliseconds(duration time)
+{
+    return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(time).count());
+}
+
+bool wait_for(socket_t sock, short events, duration time)
+{
+    pollfd it{.fd = sock, .events = events, .revents = 0};
+    return poll(&it, 1, to_milliseconds(time)) > 0;
+}
+
+// The stream that cpp-httplib reads requests from and writes answers to.
+class socket_stream : public httplib::Stream {
+public:
+    socket_stream(socket_t sock, duration timeout) : sock_(sock), timeout_(timeout) {}
+
+    /// From here on a slow or endless head fails: it has `time` and `bytes` in all.
+    void begin_head(duration time, std::size_t bytes)
+    {
+        in_head_ = true;
+        head_end_ = boot_now() + time;
+        head_bytes_left_ = bytes;
+    }
+    void end_head() { in_head_ = false; }
+
+    bool has_buffered() const { return begin_ < end_; }
+    bool is_readable() const override
+    {
+        if (has_buffered())
+            return true;
+        const duration left = in_head_ ? std::min(timeout_, head_end_ - boot_now()) : timeout_;
+        return left > duration::zero() && wait_for(sock_, POLLIN, left);
+    }
+    bool is_writable() const override { return wait_for(sock_, POLLOUT, timeout_); }
+    socket_t socket() const override { return sock_; }
+
+    // The library asks for single bytes of the header; they come from a buffer.
+    ssize_t read(char* ptr, std::size_t size) override
+    {
+        if (in_head_ && head_bytes_left_ == 0)
+            return -1;
+        if (!has_buffered()) {
+            if (!is_readable())
+                return -1;
+            const ssize_t n = recv(sock_, buf_.data(), buf_.size(), 0);
+            if (n <= 0)
+                return n;
+            begin_ = 0;
+            end_ = static_cast<std::size_t>(n);
+        }
+        const std::size_t n = std::min(size, end_ - begin_);
+        std::memcpy(ptr, buf_.data() + begin_, n);
+        begin_ += n;
+        head_bytes_left_ -= std::min(n, head_bytes_left_);
+        return static_cast<ssize_t>(n);
+    }
+
+    ssize_t write(const char* ptr, std::size_t size) override
+    {
+        std::size_t done = 0;
+        while (done < size) {
+            if (!is_writable())
+                return -1;
+            const ssize_t n = send(sock_, ptr + done, size - done, MSG_NOSIGNAL);
+            if (n <= 0)
+                return -1;
+            done += static_cast<std::size_t>(n);
+        }
+        return static_cast<ssize_t>(size);
+    }
+
+    void get_remote_ip_and_port(std::string& ip, int& port) const override
+    {
+        name_of(getpeername, ip, port);
+    }
+    void get_local_ip_and_port(std::string& ip, int& port) const override
+    {
+        name_of(getsockname, ip, port);
+    }
+
+private:
+    template <class Call>
+    void name_of(Call call, std::string& ip, int& port) const
+    {
+        sockaddr_in it{};
+        socklen_t n = sizeof it;
+        std::array<char, INET_ADDRSTRLEN> text{};
+        if (call(sock_, reinterpret_cast<sockaddr*>(&it), &n) != 0)
+            return;
+        ip = inet_ntop(AF_INET, &it.sin_addr, text.data(), text.size());
+        port = ntohs(it.sin_port);
+    }
+
+    socket_t sock_;
+    duration timeout_;
+    std::array<char, read_buffer_bytes> buf_{};
+    std::size_t begin_ = 0;
+    std::size_t end_ = 0;
+    bool in_head_ = false;
+    time_point head_end_;
+    std::size_t head_bytes_left_ = 0;
+};
+
+// Closing a socket with unread bytes makes the kernel discard the answer that is still on its way.
+// So the sending side is closed first, and what the peer still sends is read for a moment.
+void finish_answer(socket_t sock)
+{
+    std::array<char, read_buffer_bytes> buf{};
+    const time_point end = boot_now() + linger_time;
+    shutdown(sock, SHUT_WR);
+    while (boot_now() < end && wait_for(sock, POLLIN, end - boot_now())) {
+        if (recv(sock, buf.data(), buf.size(), 0) <= 0)
+            return;
+    }
+}
+
+// The library would parse multipart bodies, pack and unpack compressed ones and cut answers to
+// ranges; bytes pass here as they were sent, so the headers that cause it are put aside. And it
+// would read a body without a length until the connection ends, where there is none.
+void prepare_request(httplib::Request& req)
+{
+    if (!req.has_header("Content-Length") && !req.has_header("Transfer-Encoding"))
+        req.set_header("Content-Length", "0");
+    for (const char* name : {"Content-Type", "Content-Encoding", "Accept-Encoding", "Range"}) {
+        const std::string raw_name = std::string(raw_prefix) + name;
+        const std::string value = req.get_header_value(name);
+        req.headers.erase(raw_name);
+        if (req.headers.erase(name) > 0)
+            req.set_header(raw_name, value);
+    }
+    req.ranges.clear();
+}
+
+} // namespace
+
+// The port is exclusive: SO_REUSEADDR alone lets a restarted server have its port back, but no
+// second server beside it. The library's default, SO_REUSEPORT, would.
+socket_server::socket_server(socket_server_options options) : options_(std::move(options))
+{
+    set_tcp_nodelay(true);
+    set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
+    set_socket_options([this](socket_t sock) {
+        const int yes = 1;
+        setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        listener_ = sock;
+    });
+    new_task_queue = [this] {
+        return new small_stack_pool(options_.connections + refusing_threads);
+    };
+}
+
+socket_server::~socket_server()
+{
+    stop_gently();
+}
+
+// The library listens with a backlog of 5; a second listen on the same socket sets a longer one.
+bool socket_server::start()
+{
+    if (options_.listen.port == 0)
+        port_ = bind_to_any_port(options_.listen.host);
+    else
+        port_ =
+            bind_to_port(options_.listen.host, options_.listen.port) ? options_.listen.port : -1;
+    if (port_ <= 0 || ::listen(listener_, backlog) != 0)
+        return false;
+    thread_ = std::thread([this] { listen_after_bind(); });
+    while (!is_running())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    return true;
+}
+
+void socket_server::stop_listening()
+{
+    if (thread_.joinable() && !closed_.exchange(true))
+        stop();
+}
+
+// A caller may send its next request just before it reads "Connection: close"; the grace lets such
+// requests in before idle connections are ended.
+void socket_server::stop_gently(duration grace)
+{
+    stopping_ = true;
+    std::this_thread::sleep_for(grace);
+    stop_listening();
+    {
+        const std::lock_guard lock(mutex_);
+        ending_idle_ = true;
+        for (const auto& [sock, busy] : connections_) {
+            if (!busy)
+                shutdown(sock, SHUT_RD);
+        }
+    }
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void socket_server::cut_all()
+{
+    stopping_ = true;
+    stop_listening();
+    const std::lock_guard lock(mutex_);
+    ending_idle_ = true;
+    for (const auto& [sock, busy] : connections_)
+        shutdown(sock, SHUT_RDWR);
+}
+
+endpoint socket_server::address() const
+{
+    return {.host = options_.listen.host, .port = static_cast<std::uint16_t>(port_)};
+}
+
+std::size_t socket_server::open_connections() const
+{
+    const std::lock_guard lock(mutex_);
+    return connections_.size();
+}
+
+bool socket_server::peer_left()
+{
+    return wait_for(current_socket, POLLRDHUP, duration::zero());
+}
+
+bool socket_server::wait_for_peer_to_leave(duration time)
+{
+    return wait_for(current_socket, POLLRDHUP, time);
+}
+
+void socket_server::close_after_answer()
+{
+    current_ends = true;
+}
+
+void socket_server::cut_current()
+{
+    shutdown(current_socket, SHUT_RDWR);
+}
+
+bool socket_server::add_connection(socket_t sock)
+{
+    const std::lock_guard lock(mutex_);
+    if (connections_.size() >= options_.connections)
+        return false;
+    connections_.emplace(sock, false);
+    return true;
+}
+
+// Busy and idle change under the lock that `stop_gently` holds, so it never cuts a request.
+void socket_server::mark(socket_t sock, bool busy)
+{
+    const std::lock_guard lock(mutex_);
+    connections_[sock] = busy;
+    if (!busy && ending_idle_)
+        shutdown(sock, SHUT_RD);
+}
+
+void socket_server::remove_connection(socket_t sock)
+{
+    const std::lock_guard lock(mutex_);
+    connections_.erase(sock);
+    close(sock);
+}
+
+bool socket_server::process_and_close_socket(socket_t sock)
+{
+    if (!add_connection(sock)) {
+        socket_stream(sock, std::chrono::seconds(1))
+            .write(options_.refusal.data(), options_.refusal.size());
+        shutdown(sock, SHUT_WR);
+        close(sock);
+        return false;
+    }
+    const int yes = 1;
+    setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+    current_socket = sock;
+    serve(sock);
+    finish_answer(sock);
+    remove_connection(sock);
+    return true;
+}
+
+// One request after the other. A request whose first byte has come is answered, also during a stop.
+void socket_server::serve(socket_t sock)
+{
+    socket_stream stream(sock, options_.io_timeout);
+    const auto prepare = [&](httplib::Request& req) {
+        stream.end_head();
+        prepare_request(req);
+        if (options_.prepare)
+            options_.prepare(req);
+    };
+    bool closed = false;
+    while (!closed) {
+        if (!stream.has_buffered() && !wait_for(sock, POLLIN, options_.idle_timeout))
+            return;
+        mark(sock, true);
+        stream.begin_head(options_.head_timeout, options_.head_bytes);
+        closed = stopping_;
+        current_ends = false;
+        const bool good = process_request(stream, closed, closed, prepare);
+        mark(sock, false);
+        if (!good || current_ends)
+            return;
+    }
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/socket_server.h
@@ -0,0 +1,85 @@
+#pragma once
+
+// cpp-httplib's server with the settings that many kept connections need: an exclusive port, a long
+// backlog, TCP_NODELAY, keep-alive without a count, a bound on connections, and access to the
+// socket of the request that runs on the calling thread.
+
+#include "endpoint.h"
+#include "types.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <unordered_map>
+
+namespace jasminebank {
+
+struct socket_server_options {
+    endpoint listen;               ///< port 0 takes a free one
+    std::size_t connections = 400; ///< open at once; more get `refusal` and are closed
+    duration idle_timeout = std::chrono::minutes(5);  ///< kept connection without a request
+    duration io_timeout = std::chrono::seconds(30);   ///< one read or write
+    duration head_timeout = std::chrono::seconds(10); ///< from first byte to the end of the head
+    std::size_t head_bytes = 64 * 1024;               ///< request line and headers together
+    std::string refusal{}; ///< whole answer for a connection over the bound
+    std::function<void(httplib::Request&)> prepare{}; ///< sees each request before it is routed
+};
+
+/// Prefix of the headers that the library would act upon; `socket_server` puts them aside under it.
+constexpr std::string_view raw_prefix = "X-Raw-";
+
+/// A server that listens from `start` to `stop`. Register handlers before `start`.
+class socket_server : public httplib::Server {
+public:
+    explicit socket_server(socket_server_options options);
+    ~socket_server() override;
+
+    /// Binds and serves on a thread of its own; false when the address cannot be had.
+    bool start();
+    /// Answers for `grace` more with "Connection: close", then ends idle connections, lets requests
+    /// that run finish, and joins. Not from a handler.
+    void stop_gently(duration grace = duration::zero());
+    /// True once a stop has begun.
+    bool is_stopping() const { return stopping_; }
+    /// Closes the listening socket and cuts all connections at once. Fit for a handler.
+    void cut_all();
+
+    /// The address with the real port.
+    endpoint address() const;
+    /// Open connections.
+    std::size_t open_connections() const;
+    /// True once the peer of this thread's request has closed or half-closed its connection.
+    static bool peer_left();
+    /// Waits for `time`, or less when the peer leaves; true when it left.
+    static bool wait_for_peer_to_leave(duration time);
+    /// Ends the connection of this thread's request after its answer.
+    static void close_after_answer();
+    /// Cuts the connection of this thread's request.
+    static void cut_current();
+
+private:
+    bool process_and_close_socket(socket_t sock) override;
+    bool add_connection(socket_t sock);
+    void mark(socket_t sock, bool busy);
+    void serve(socket_t sock);
+    void remove_connection(socket_t sock);
+    void stop_listening();
+
+    socket_server_options options_;
+    socket_t listener_ = INVALID_SOCKET;
+    int port_ = 0;
+    std::thread thread_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<bool> closed_ = false;
+    mutable std::mutex mutex_;
+    bool ending_idle_ = false;
+    std::unordered_map<socket_t, bool> connections_; // true while a request runs
+};
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/worker_pool.cpp
@@ -0,0 +1,76 @@
+#include "worker_pool.h"
+
+namespace jasminebank {
+
+constexpr std::size_t stack_bytes = 256 * 1024;
+
+worker_pool::worker_pool(worker_pool_options options) : options_(options) {}
+
+worker_pool::~worker_pool()
+{
+    stop();
+}
+
+bool worker_pool::start_worker()
+{
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, stack_bytes);
+    pthread_t it{};
+    const bool started = pthread_create(&it, &attributes, run_worker, this) == 0;
+    pthread_attr_destroy(&attributes);
+    if (started)
+        threads_.push_back(it);
+    return started;
+}
+
+// A thread is started only when no idle one can take the job.
+bool worker_pool::submit(std::function<void()> job)
+{
+    const std::lock_guard lock(mutex_);
+    if (stopping_ || jobs_.size() >= options_.waiting + idle_)
+        return false;
+    if (idle_ <= jobs_.size() && threads_.size() < options_.threads && !start_worker() &&
+        threads_.empty())
+        return false;
+    jobs_.push_back(std::move(job));
+    wake_.notify_one();
+    return true;
+}
+
+void worker_pool::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    for (pthread_t it : threads_)
+        pthread_join(it, nullptr);
+    threads_.clear();
+}
+
+void* worker_pool::run_worker(void* pool)
+{
+    static_cast<worker_pool*>(pool)->work();
+    return nullptr;
+}
+
+void worker_pool::work()
+{
+    std::unique_lock lock(mutex_);
+    while (true) {
+        ++idle_;
+        wake_.wait(lock, [this] { return stopping_ || !jobs_.empty(); });
+        --idle_;
+        if (jobs_.empty())
+            return;
+        const std::function<void()> job = std::move(jobs_.front());
+        jobs_.pop_front();
+        lock.unlock();
+        job();
+        lock.lock();
+    }
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/tests/caller_head_test.cpp
@@ -0,0 +1,70 @@
+#include "caller_head.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+using namespace jasminebank;
+
+namespace {
+
+const std::string key = "K3y-of-honey-makers";
+
+message_head head(std::string path, std::vector<header_field> fields)
+{
+    return {.method = "GET", .path = std::move(path), .status = 0, .fields = std::move(fields)};
+}
+
+} // namespace
+
+TEST(caller_head, key_does_not_go_on)
+{
+    const auto it = split_caller_head(head("/a", {{"AUTHORIZATION", "Bearer " + key},
+                                                  {"Jasmine-Organisation", "pepper"},
+                                                  {"Accept", "text/html"},
+                                                  {"Connection", "close"}}));
+    ASSERT_FALSE(failed(it));
+    EXPECT_EQ(value_of(it).key, digest_of(key));
+    ASSERT_EQ(value_of(it).clean.fields.size(), 1U);
+    EXPECT_EQ(value_of(it).clean.fields[0].name, "accept");
+}
+
+// Wherever the key is put, in any case and percent-encoded any number of times, it does not get on.
+RC_GTEST_PROP(caller_head, key_elsewhere_is_refused, ())
+{
+    std::string text = key;
+    for (char& c : text) {
+        if (*rc::gen::arbitrary<bool>())
+            c = static_cast<char>(std::toupper(c));
+    }
+    for (int n = *rc::gen::inRange(0, 3); n > 0; --n) {
+        const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+        char buf[8];
+        std::snprintf(buf, sizeof buf, "%%%02X", static_cast<unsigned char>(text[place]));
+        text.replace(place, 1, buf);
+    }
+    std::vector<header_field> fields{{"x-api-key", key}, {"cookie", "a=b"}};
+    std::string path = "/a";
+    if (*rc::gen::arbitrary<bool>())
+        path += "?k=" + text;
+    else
+        fields[1].value += "; k=" + text;
+    const auto it = split_caller_head(head(path, fields));
+    RC_ASSERT(failed(it));
+    RC_ASSERT(error_of(it) == refusal::bad_request);
+}
+
+TEST(caller_head, refuses_no_key_two_keys_and_unclear_lengths)
+{
+    const header_field shown{"Authorization", "Bearer " + key};
+    EXPECT_EQ(error_of(split_caller_head(head("/", {}))), refusal::no_key);
+    EXPECT_EQ(error_of(split_caller_head(head("/", {shown, {"x-api-key", key + "2"}}))),
+              refusal::bad_request);
+    EXPECT_EQ(error_of(split_caller_head(
+                  head("/", {shown, {"Content-Length", "1"}, {"content-length", "2"}}))),
+              refusal::bad_request);
+    EXPECT_EQ(error_of(split_caller_head(
+                  head("/", {shown, {"Content-Length", "1"}, {"transfer-encoding", "chunked"}}))),
+              refusal::bad_request);
+}
