Links between nodes: nghttp2 streams with a proof of the fleet key

Nodes need request streams with flow control and short control messages over one connection to each peer, and must know whether a failed request may have run. One thread owns all sockets and nghttp2 sessions; other threads post commands to a bounded queue and mark streams that want attention.

A link is proved in one round trip before its first request: the connecting end sends a nonce, gets nonce and proof, and sends its own proof ahead of its requests. Proofs cover both nonces and both identities, so neither can be replayed or reflected. What a stream carries (request, control, proof) travels as :scheme, which no caller's request can set; telling them apart by path was ruled out, since a caller may ask for any path.

not_sent is reported only if no byte of the request's head was given to the socket or the peer refused the stream before any answer.

Windows are given back as the reader takes bytes. The window of the connection is given back at once and the windows of the streams carry the bound, because a shared window lets one slow reader stop all other streams.

--- /dev/null
+++ b/src/link_loop.h
@@ -0,0 +1,66 @@
+#pragma once
+
+// The thread that owns every socket and nghttp2 session of a hub.
+
+#include "link_options.h"
+#include "link_session.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace jasminebank {
+
+/// Waits for sockets and commands, and gives the sessions their turns. Everything but the
+/// constructor runs on the owner thread.
+class link_loop {
+public:
+    link_loop(link_options options, std::shared_ptr<link_queue> queue,
+              std::shared_ptr<link_counters> counters, int listen_fd);
+    ~link_loop();
+    link_loop(const link_loop&) = delete;
+    link_loop& operator=(const link_loop&) = delete;
+
+    /// Runs until `request_stop`, then ends all links.
+    void run();
+    void request_stop() { is_stopping_ = true; }
+
+    void open(const endpoint& peer, const std::shared_ptr<stream_state>& state);
+    void call(const endpoint& peer, control_call it);
+    void drain();
+    void set_cut(const std::string& peer, cut_direction direction);
+    /// True when no session has a stream.
+    bool is_idle() const;
+
+private:
+    void run_turn();
+    void on_event(int fd, std::uint32_t events, time_point now);
+    void run_commands();
+    void run_deferred();
+    void run_timers(time_point now);
+    void accept_all(time_point now);
+    std::shared_ptr<link_session> session_to(const endpoint& peer, time_point now);
+    void add(const std::shared_ptr<link_session>& it);
+    void touch(const std::shared_ptr<link_session>& it);
+    void finish_touched(time_point now);
+    void watch(link_session& it);
+    void remove(const std::shared_ptr<link_session>& it);
+    void finish_all();
+    void stop_listening();
+    std::size_t unproven_links() const;
+
+    link_context context_;
+    int epoll_fd_ = -1;
+    int listen_fd_ = -1;
+    bool is_stopping_ = false;
+    bool is_drain_final_ = false;
+    time_point drain_final_at_;
+    time_point next_tick_;
+    std::unordered_map<int, std::shared_ptr<link_session>> sessions_; ///< by socket
+    std::map<std::string, std::weak_ptr<link_session>> outgoing_;     ///< by "host:port"
+    std::vector<std::shared_ptr<link_session>> touched_;
+    std::vector<int> held_sockets_; ///< of closed sessions under an outbound cut
+};
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/link_stream.cpp
@@ -0,0 +1,194 @@
+#include "link_stream.h"
+
+#include "stream_state.h"
+#include "system_clock.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace jasminebank {
+
+// Waits are cut into short pieces: the condition variable waits by the monotonic clock, which
+// stands still in a suspend, while the deadline goes on.
+constexpr duration longest_wait = std::chrono::seconds(1);
+
+constexpr link_error already_ended{.kind = link_failure::closed,
+                                   .reason = "this side has ended the stream"};
+
+link_stream::link_stream(std::shared_ptr<stream_state> state) : state_(std::move(state)) {}
+
+// A worker that gives up must not leave a stream behind. A caller that still sends a body when the
+// whole answer is out is told to stop by the session.
+link_stream::~link_stream()
+{
+    on_cancel(nullptr);
+    reset(state_->is_caller() ? reset_reason::cancelled : reset_reason::internal_error);
+}
+
+template <class Done>
+bool link_stream::wait(std::unique_lock<std::mutex>& lock, time_point deadline, Done done)
+{
+    while (!done()) {
+        const duration left = deadline - boot_now();
+        if (left <= duration::zero())
+            return false;
+        state_->changed_.wait_for(lock, std::min(left, longest_wait));
+    }
+    return true;
+}
+
+// The mutex is held. A request that has not been handed over is taken back, so that the caller may
+// safely try elsewhere.
+link_error link_stream::deadline_error()
+{
+    stream_state& it = *state_;
+    if (it.is_handed_over_ || it.is_over())
+        return {.kind = link_failure::timed_out, .reason = "deadline passed"};
+    it.reset_ = reset_reason::cancelled;
+    it.error_ = link_error{.kind = link_failure::not_sent,
+                           .reason = "deadline passed before the link was ready"};
+    it.mark_locked();
+    return *it.error_;
+}
+
+result<ok, link_error> link_stream::write(std::span<const char> bytes, time_point deadline)
+{
+    stream_state& it = *state_;
+    std::unique_lock lock(it.mutex_);
+    while (!bytes.empty()) {
+        const std::size_t limit = it.limits_.buffer_bytes;
+        const bool is_ready = wait(lock, deadline, [&] {
+            return it.is_over() || it.is_out_ended_ || it.out_.size() < limit;
+        });
+        if (it.is_over() || it.is_out_ended_)
+            return it.error_.value_or(already_ended);
+        if (!is_ready)
+            return deadline_error();
+        const std::size_t n = std::min(bytes.size(), limit - it.out_.size());
+        it.out_.push(bytes.first(n));
+        it.has_output_ = true;
+        it.mark_locked();
+        bytes = bytes.subspan(n);
+    }
+    return ok{};
+}
+
+void link_stream::finish()
+{
+    stream_state& it = *state_;
+    const std::lock_guard lock(it.mutex_);
+    if (it.is_out_ended_ || it.is_over())
+        return;
+    it.is_out_ended_ = true;
+    it.has_output_ = true;
+    it.mark_locked();
+}
+
+bool link_stream::reset(reset_reason reason)
+{
+    stream_state& it = *state_;
+    const std::lock_guard lock(it.mutex_);
+    if (it.is_over())
+        return it.error_ && !may_have_run(*it.error_);
+    // A whole answer that waits for the link goes out; only the rest of the request is unwanted.
+    if (!it.is_caller_ && it.is_out_ended_ && it.is_responded_)
+        return false;
+    if (reason == reset_reason::refused && (it.is_caller_ || it.is_responded_))
+        reason = reset_reason::internal_error;
+    it.reset_ = reason;
+    it.in_.clear();
+    it.mark_locked();
+    return !it.is_handed_over_;
+}
+
+result<message_head, link_error> link_stream::read_head(time_point deadline)
+{
+    stream_state& it = *state_;
+    std::unique_lock lock(it.mutex_);
+    const bool is_ready = wait(lock, deadline, [&] { return it.head_in_ || it.is_over(); });
+    if (it.head_in_)
+        return *it.head_in_;
+    if (it.is_over())
+        return it.error_.value_or(already_ended);
+    assert(!is_ready);
+    static_cast<void>(is_ready);
+    return deadline_error();
+}
+
+// Bytes taken are told to the link, which gives that much window back to the peer.
+result<std::size_t, link_error> link_stream::read(std::span<char> buf, time_point deadline)
+{
+    stream_state& it = *state_;
+    std::unique_lock lock(it.mutex_);
+    const bool is_ready =
+        wait(lock, deadline, [&] { return !it.in_.empty() || it.is_in_ended_ || it.is_over(); });
+    if (!is_ready)
+        return deadline_error();
+    if (it.reset_)
+        return it.error_.value_or(already_ended);
+    const std::size_t n = it.in_.pop(buf);
+    if (n > 0) {
+        it.taken_bytes_ += n;
+        if (!it.is_in_ended_)
+            it.mark_locked();
+        return n;
+    }
+    if (it.is_in_ended_)
+        return std::size_t{0};
+    return it.error_.value_or(already_ended);
+}
+
+const message_head& link_stream::head() const
+{
+    return state_->request();
+}
+
+bool link_stream::has_no_body() const
+{
+    return state_->request_ends();
+}
+
+result<ok, link_error> link_stream::respond(message_head head, bool ends)
+{
+    stream_state& it = *state_;
+    assert(!it.is_caller_);
+    if (!is_sendable(head, it.limits_.head_bytes) || head.status == 0)
+        return link_error{.reason = "an answer that a link cannot carry"};
+    const std::lock_guard lock(it.mutex_);
+    if (it.is_over() || it.is_responded_)
+        return it.error_.value_or(already_ended);
+    it.is_responded_ = true;
+    it.is_out_ended_ = ends;
+    it.is_out_taken_ = false;
+    it.response_ = std::move(head);
+    it.response_ends_ = ends;
+    it.mark_locked();
+    return ok{};
+}
+
+bool link_stream::is_cancelled() const
+{
+    const std::lock_guard lock(state_->mutex_);
+    return state_->is_cancelled_;
+}
+
+void link_stream::on_cancel(std::function<void()> it)
+{
+    {
+        const std::lock_guard lock(state_->mutex_);
+        if (!state_->is_cancelled_ || !it) {
+            state_->on_cancel_ = std::move(it);
+            return;
+        }
+    }
+    it();
+}
+
+link_identity link_stream::peer() const
+{
+    const std::lock_guard lock(state_->mutex_);
+    return state_->peer_;
+}
+
+} // namespace jasminebank
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -15,6 +15,12 @@
     event_entry{event::node_stopped, severity::info, "node_stopped"},
     event_entry{event::settings_rejected, severity::error, "settings_rejected"},
     event_entry{event::settings_reloaded, severity::info, "settings_reloaded"},
+    event_entry{event::link_listening, severity::info, "link_listening"},
+    event_entry{event::link_opened, severity::info, "link_opened"},
+    event_entry{event::link_closed, severity::info, "link_closed"},
+    event_entry{event::link_refused, severity::warning, "link_refused"},
+    event_entry{event::link_dead, severity::warning, "link_dead"},
+    event_entry{event::link_draining, severity::info, "link_draining"},
     event_entry{event::standin_started, severity::info, "standin_started"},
 };
 
--- a/src/log.h
+++ b/src/log.h
@@ -21,6 +21,12 @@
     node_stopped = 102,
     settings_rejected = 103,
     settings_reloaded = 104,
+    link_listening = 200,
+    link_opened = 201,
+    link_closed = 202,
+    link_refused = 203,
+    link_dead = 204,
+    link_draining = 205,
     standin_started = 900,
 };
 
--- /dev/null
+++ b/src/stream_state.h
@@ -0,0 +1,108 @@
+#pragma once
+
+// One request stream as both sides of a node see it: worker threads through `link_stream`, the
+// thread that owns the links through the functions below. All of it is behind one mutex.
+
+#include "byte_queue.h"
+#include "link_message.h"
+#include "link_queue.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+
+namespace jasminebank {
+
+/// Bounds of one stream.
+struct stream_limits {
+    std::size_t buffer_bytes = 0; ///< written bytes that may wait for the link
+    std::size_t head_bytes = 0;   ///< size of a head, as `size_of` counts
+};
+
+/// What a worker thread asked for since the owner thread last looked.
+struct stream_work {
+    std::optional<message_head> response;
+    bool response_ends = false;
+    std::size_t taken_bytes = 0; ///< read by the worker: window to give back
+    bool has_output = false;
+    std::optional<reset_reason> reset = std::nullopt;
+};
+
+/// Bytes that a stream hands to its link.
+struct stream_output {
+    std::size_t bytes = 0;
+    bool is_end = false;
+};
+
+/// The shared state of one stream. It outlives both the link and the worker's handle.
+class stream_state : public std::enable_shared_from_this<stream_state> {
+public:
+    /// `is_caller` tells the side that sends the request.
+    stream_state(std::shared_ptr<link_queue> queue, stream_limits limits, bool is_caller,
+                 message_head request, bool ends);
+
+    // For the owner thread.
+
+    /// Marks the request as given to the link; false when the caller withdrew it before.
+    bool hand_over();
+    /// Takes what the workers asked for.
+    stream_work take_work();
+    /// Moves written bytes into `buf`.
+    stream_output take_output(std::span<char> buf);
+    void receive_head(message_head head);
+    void receive(std::span<const char> bytes);
+    void receive_end();
+    /// The link is done with the stream: whole if `error` is empty.
+    void finish_link(std::optional<link_error> error);
+    void set_peer(link_identity peer);
+
+    /// Number of the stream in its session, 0 before it has one. Only the owner thread uses it.
+    std::int32_t stream_id = 0;
+    /// The session that carries the stream. Only the owner thread uses it.
+    std::weak_ptr<class link_session> session;
+
+    const message_head& request() const { return request_; }
+    bool is_caller() const { return is_caller_; }
+    /// True when the request has no body. Fixed for the caller's side.
+    bool request_ends() const { return request_ends_; }
+
+private:
+    friend class link_stream;
+
+    bool is_over() const { return is_link_done_ || reset_; }
+    void mark_locked();
+
+    std::shared_ptr<link_queue> queue_;
+    stream_limits limits_;
+    bool is_caller_;
+    message_head request_;
+    bool request_ends_;
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    link_identity peer_;
+    std::optional<message_head> head_in_;
+    std::optional<message_head> response_;
+    bool response_ends_ = false;
+    byte_queue in_;
+    byte_queue out_;
+    std::size_t taken_bytes_ = 0;
+    bool has_output_ = false;
+    bool is_handed_over_ = false;
+    bool is_responded_ = false;
+    bool is_in_ended_ = false;
+    bool is_out_ended_ = false; ///< the worker has written everything
+    bool is_out_taken_ = false; ///< the link has taken the end of it
+    bool is_link_done_ = false;
+    bool is_cancelled_ = false;
+    bool is_marked_ = false;
+    std::optional<reset_reason> reset_;
+    bool is_reset_taken_ = false;
+    std::optional<link_error> error_;
+    std::function<void()> on_cancel_;
+};
+
+} // namespace jasminebank
