--- a/src/command_line.cpp
+++ b/src/command_line.cpp
@@ -28,7 +28,8 @@
 }
 
 result<ini_section, ini_error> parse_command_line(int argc, char** argv,
-                                                  std::span<const command_line_option> options)
+                                                  std::span<const command_line_option> options,
+                                                  std::vector<std::string>* words)
 {
     std::vector<std::string> names;
     for (const command_line_option& it : options)
@@ -50,7 +51,9 @@
             return wrong_option(fmt::format("\"{}\"", argv[std::max(1, optind - 1)]));
         add_value(out, names[static_cast<std::size_t>(index)], optarg == nullptr ? "yes" : optarg);
     }
-    if (optind < argc)
+    if (words != nullptr)
+        words->assign(argv + optind, argv + argc);
+    else if (optind < argc)
         return wrong_option(fmt::format("\"{}\"", argv[optind]));
     return out;
 }
--- a/src/command_line.h
+++ b/src/command_line.h
@@ -19,9 +19,11 @@
 };
 
 /// The options that were given, as the fields of one section. An option that is given more than
-/// once becomes one field with commas between its values.
+/// once becomes one field with commas between its values. What is no option goes into `words`, and
+/// is an error without it.
 result<ini_section, ini_error> parse_command_line(int argc, char** argv,
-                                                  std::span<const command_line_option> options);
+                                                  std::span<const command_line_option> options,
+                                                  std::vector<std::string>* words = nullptr);
 
 /// The help text: usage line, then a line for each option.
 std::string help_text(std::string_view usage, std::span<const command_line_option> options);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -5,6 +5,9 @@
 #include "system_clock.h"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
 
 namespace jasminebank {
 
@@ -31,6 +34,7 @@
     std::unique_ptr<node> out(new node(settings, run));
     if (!out->open_doors())
         return nullptr;
+    out->follow_config();
     out->ticks_ = std::thread([it = out.get()] { it->run_ticks(); });
     return out;
 }
@@ -89,6 +93,17 @@
     return true;
 }
 
+void node::follow_config()
+{
+    if (settings_.store.empty())
+        return;
+    follower_ = std::make_unique<config_follower>(config_follower_options{
+        .store = settings_.store,
+        .on_generation = [this](const std::shared_ptr<const config_generation>& it) {
+            entry_->set_config(it->config);
+        }});
+}
+
 // Every path is served by the same handler; the library's own routing is not used.
 void node::add_caller_routes()
 {
@@ -110,11 +125,32 @@
 void node::add_control_routes()
 {
     control_->set_payload_max_length(64UL * 1024);
+    control_->Get("/status",
+                  [this](const httplib::Request&, httplib::Response& res) { answer_status(res); });
     control_->Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
         answer_announcement(req, res);
     });
 }
 
+void node::answer_status(httplib::Response& res)
+{
+    const auto config = entry_->config();
+    nlohmann::json members = nlohmann::json::array();
+    const std::lock_guard lock(mutex_);
+    for (const member_record& it : directory_.members()) {
+        members.push_back({{"vm", it.name},
+                           {"run", it.run.value},
+                           {"link", to_string(it.link)},
+                           {"leaving", it.leaving},
+                           {"backend_servers", it.servers.size()}});
+    }
+    const nlohmann::json out{{"vm", settings_.vm_name},
+                             {"failure_domain", settings_.failure_domain},
+                             {"generation", config == nullptr ? 0 : config->generation},
+                             {"members", std::move(members)}};
+    res.set_content(out.dump(), "application/json");
+}
+
 void node::answer_announcement(const httplib::Request& req, httplib::Response& res)
 {
     const auto it = parse_announcement(req.body);
@@ -210,11 +246,6 @@
         .callers = callers_->address(), .links = links_->local(), .control = control_->address()};
 }
 
-void node::set_config(std::shared_ptr<const fleet_config> config)
-{
-    entry_->set_config(std::move(config));
-}
-
 // Peers hear first, so that no new work comes; then callers' connections end, then what other nodes
 // still run here, then the links.
 void node::stop()
@@ -228,6 +259,7 @@
     wake_.notify_all();
     if (ticks_.joinable())
         ticks_.join();
+    follower_.reset();
     publish_servers();
     exchange_members();
     if (callers_ != nullptr)
--- a/src/node.h
+++ b/src/node.h
@@ -3,6 +3,7 @@
 // One node: callers' HTTP, links to other nodes, the gate of the backend servers that announced
 // themselves here, and the control address. The only place where time and I/O meet the decisions.
 
+#include "config_follower.h"
 #include "entry.h"
 #include "gate.h"
 #include "link_hub.h"
@@ -35,7 +36,6 @@
     node& operator=(const node&) = delete;
 
     node_ports ports() const;
-    void set_config(std::shared_ptr<const fleet_config> config);
     /// Ends after the requests that run; blocks until then, at most the grace of the settings.
     void stop();
 
@@ -43,8 +43,10 @@
     node(node_settings settings, incarnation run);
 
     bool open_doors();
+    void follow_config();
     void add_caller_routes();
     void add_control_routes();
+    void answer_status(httplib::Response& res);
     void answer_announcement(const httplib::Request& req, httplib::Response& res);
     std::optional<std::string> answer_control(const control_request& request);
     void merge_members(std::string_view payload);
@@ -59,6 +61,7 @@
     std::unique_ptr<entry> entry_;
     std::unique_ptr<socket_server> callers_;
     std::unique_ptr<socket_server> control_;
+    std::unique_ptr<config_follower> follower_;
 
     std::mutex mutex_;
     std::condition_variable wake_;
--- /dev/null
+++ b/src/node_main.cpp
@@ -0,0 +1,109 @@
+// node: the one daemon of the fleet, in a slot on each backend server VM. SIGTERM and SIGINT are a
+// planned stop that cuts no request.
+
+#include "command_line.h"
+#include "log.h"
+#include "node.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+
+namespace {
+
+using namespace jasminebank;
+
+constexpr std::array options_of_command{
+    command_line_option{"settings", "FILE", "INI file with the section [node]"},
+    command_line_option{"check", "", "check the settings and exit"},
+};
+
+result<node_settings, ini_error> load_settings(const std::string& path)
+{
+    const auto file = load_ini(path);
+    if (failed(file))
+        return error_of(file);
+    return read_node_settings(value_of(file));
+}
+
+// Grows with each start on the same VM, also when the clock's resolution is coarse.
+incarnation this_run()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return incarnation{static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count())};
+}
+
+// Written whole under another name first, since whoever waits for the file reads it at once.
+bool write_port_file(const std::string& path, const node_ports& ports)
+{
+    if (path.empty())
+        return true;
+    const std::string draft = path + ".part";
+    std::ofstream out(draft);
+    out << fmt::format("callers = {}\nlinks = {}\ncontrol = {}\n", to_string(ports.callers),
+                       to_string(ports.links), to_string(ports.control));
+    out.close();
+    return out && std::rename(draft.c_str(), path.c_str()) == 0;
+}
+
+int serve(const node_settings& settings)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto it = node::start(settings, this_run());
+    if (it == nullptr)
+        return EXIT_FAILURE;
+    const node_ports ports = it->ports();
+    log_event(event::node_started, "{} in {}: callers {}, links {}, control {}", settings.vm_name,
+              settings.failure_domain, to_string(ports.callers), to_string(ports.links),
+              to_string(ports.control));
+    if (!write_port_file(settings.port_file, ports)) {
+        log_event(event::settings_rejected, "port_file: cannot write {}", settings.port_file);
+        return EXIT_FAILURE;
+    }
+    int number = 0;
+    sigwait(&signals, &number);
+    log_event(event::node_stopping, "signal {}", number);
+    it->stop();
+    log_event(event::node_stopped, "{}", settings.vm_name);
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto line = parse_command_line(argc, argv, options_of_command);
+    if (failed(line)) {
+        fmt::print(stderr, "{}\n", describe(error_of(line)));
+        return EXIT_FAILURE;
+    }
+    if (wants_help(value_of(line))) {
+        fmt::print("{}", help_text("node --settings FILE [--check]", options_of_command));
+        return EXIT_SUCCESS;
+    }
+    const ini_file place{.name = "command line", .sections = {}};
+    field_reader in(place, value_of(line));
+    const std::string path = in.required_text("settings");
+    const bool only_check = in.flag("check", false);
+    if (const auto wrong = in.finish()) {
+        fmt::print(stderr, "{}\n", describe(*wrong));
+        return EXIT_FAILURE;
+    }
+    const auto settings = load_settings(path);
+    if (failed(settings)) {
+        log_event(event::settings_rejected, "{}", describe(error_of(settings)));
+        return EXIT_FAILURE;
+    }
+    return only_check ? EXIT_SUCCESS : serve(value_of(settings));
+}
--- /dev/null
+++ b/src/operator_command.cpp
@@ -0,0 +1,359 @@
+#include "operator_command.h"
+
+#include "digest.h"
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace jasminebank {
+
+namespace {
+
+constexpr std::size_t key_random_bytes = 24;
+constexpr duration node_timeout = std::chrono::seconds(2);
+constexpr int edit_attempts = 5;
+
+using words = std::vector<std::string>;
+using sections = std::vector<ini_section>;
+
+command_exit report(const ini_error& it)
+{
+    fmt::print(stderr, "{}\n", describe(it));
+    return command_exit::rejected;
+}
+
+command_exit report(const config_store_error& it)
+{
+    switch (it.kind) {
+    case config_store_failure::unreachable:
+        fmt::print(stderr, "store unreachable, nothing was written: {}\n", it.detail);
+        return command_exit::unreachable;
+    case config_store_failure::conflict:
+        fmt::print(stderr, "conflict, nothing was written: {}\n", it.detail);
+        return command_exit::conflict;
+    case config_store_failure::unknown:
+        fmt::print(stderr, "the store's answer was lost; look with show: {}\n", it.detail);
+        return command_exit::unknown;
+    case config_store_failure::damaged:
+        fmt::print(stderr, "the stored configuration is damaged: {}\n", it.detail);
+        return command_exit::rejected;
+    }
+    return command_exit::unreachable;
+}
+
+std::string random_hex()
+{
+    std::array<unsigned char, key_random_bytes> bytes{};
+    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::string out;
+    for (unsigned char it : bytes)
+        out += fmt::format("{:02x}", it);
+    return out;
+}
+
+result<sections, ini_error> load_sections(const words& files)
+{
+    sections out;
+    for (const std::string& path : files) {
+        auto file = load_ini(path);
+        if (failed(file))
+            return error_of(file);
+        for (const ini_section& it : value_of(file).sections)
+            put_section(out, it);
+    }
+    return out;
+}
+
+// Checks the files by themselves, so that errors name the operator's own lines.
+command_exit check(const words& files)
+{
+    std::vector<ini_file> parsed;
+    for (const std::string& path : files) {
+        auto file = load_ini(path);
+        if (failed(file))
+            return report(error_of(file));
+        parsed.push_back(std::move(value_of(file)));
+    }
+    const auto config = build_fleet_config(parsed);
+    if (failed(config))
+        return report(error_of(config));
+    fmt::print("{} services, {} routes, {} organisations, {} keys\n",
+               value_of(config).services.size(), value_of(config).routes.size(),
+               value_of(config).organisations.size(), value_of(config).keys.size());
+    return command_exit::done;
+}
+
+// Reads, edits, checks and swaps. `edit` changes the sections or returns why it cannot. After a
+// conflict `edit` runs again on what the other operator left, up to `attempts` times in all; an
+// edit that overwrites whole sections gets one attempt, or it would undo the other's change.
+template <class Edit>
+command_exit change(const operator_options& options, int attempts, Edit edit)
+{
+    store_client store({.endpoints = options.store});
+    const std::string change_id = random_hex();
+    for (int n = 0; n < attempts; ++n) {
+        const auto before = read_config(store);
+        if (failed(before))
+            return report(error_of(before));
+        auto now = read_sections(value_of(before).texts);
+        if (failed(now))
+            return report(error_of(now));
+        if (const std::optional<ini_error> wrong = edit(value_of(now)))
+            return report(*wrong);
+        const config_texts texts = split_documents(value_of(now));
+        const auto built = build_generation(value_of(before).head, texts);
+        if (failed(built))
+            return report(error_of(built));
+        const auto head = change_config(store, value_of(before), texts, change_id);
+        if (!failed(head)) {
+            fmt::print("generation {}\n", value_of(head).generation);
+            return command_exit::done;
+        }
+        if (error_of(head).kind != config_store_failure::conflict || n + 1 == attempts)
+            return report(error_of(head));
+    }
+    return command_exit::conflict;
+}
+
+command_exit apply(const words& files, const operator_options& options)
+{
+    const auto given = load_sections(files);
+    if (failed(given))
+        return report(error_of(given));
+    return change(options, 1, [&](sections& now) -> std::optional<ini_error> {
+        if (options.replace)
+            now.clear();
+        for (const ini_section& it : value_of(given))
+            put_section(now, it);
+        return std::nullopt;
+    });
+}
+
+ini_error no_section(const std::string& name)
+{
+    return {.file = "configuration",
+            .line = 0,
+            .section = name,
+            .field = {},
+            .found = "no such section",
+            .allowed = "a section that show lists"};
+}
+
+command_exit remove(const words& names, const operator_options& options)
+{
+    return change(options, edit_attempts, [&](sections& now) -> std::optional<ini_error> {
+        for (const std::string& it : names) {
+            if (!remove_section(now, it))
+                return no_section(it);
+        }
+        return std::nullopt;
+    });
+}
+
+ini_section* organisation_section(sections& now, const std::string& organisation)
+{
+    const auto it = std::find_if(now.begin(), now.end(), [&](const ini_section& section) {
+        return section.name == "organisation " + organisation;
+    });
+    return it == now.end() ? nullptr : &*it;
+}
+
+// The key itself is printed once and stored nowhere.
+command_exit give_key(const std::string& organisation, const std::string& name,
+                      const operator_options& options)
+{
+    const std::string key = random_hex();
+    const command_exit out =
+        change(options, edit_attempts, [&](sections& now) -> std::optional<ini_error> {
+            ini_section* section = organisation_section(now, organisation);
+            if (section == nullptr)
+                return no_section("organisation " + organisation);
+            std::erase_if(section->fields,
+                          [&](const ini_field& it) { return it.name == "key." + name; });
+            section->fields.push_back(
+                {.name = "key." + name, .value = to_hex(digest_of(key)), .line = 0});
+            return std::nullopt;
+        });
+    if (out == command_exit::done || out == command_exit::unknown)
+        fmt::print("key {}\n", key);
+    return out;
+}
+
+command_exit withdraw_key(const std::string& organisation, const std::string& name,
+                          const operator_options& options)
+{
+    return change(options, edit_attempts, [&](sections& now) -> std::optional<ini_error> {
+        ini_section* section = organisation_section(now, organisation);
+        if (section == nullptr)
+            return no_section("organisation " + organisation);
+        const auto gone = std::erase_if(
+            section->fields, [&](const ini_field& it) { return it.name == "key." + name; });
+        if (gone == 0)
+            return no_section("organisation " + organisation + " key." + name);
+        return std::nullopt;
+    });
+}
+
+void print_section(const ini_section& it)
+{
+    fmt::print("[{}]\n", it.name);
+    for (const ini_field& field : it.fields)
+        fmt::print("{} = {}\n", field.name, field.value);
+}
+
+nlohmann::json to_json(const ini_section& it)
+{
+    nlohmann::json out = nlohmann::json::object();
+    for (const ini_field& field : it.fields)
+        out[field.name] = field.value;
+    return out;
+}
+
+command_exit show(const words& names, const operator_options& options)
+{
+    store_client store({.endpoints = options.store});
+    const auto stored = read_config(store);
+    if (failed(stored))
+        return report(error_of(stored));
+    const auto all = read_sections(value_of(stored).texts);
+    if (failed(all))
+        return report(error_of(all));
+    nlohmann::json json{{"generation", value_of(stored).head.generation},
+                        {"sections", nlohmann::json::object()}};
+    if (!options.json)
+        fmt::print("; generation {}\n", value_of(stored).head.generation);
+    for (const ini_section& it : value_of(all)) {
+        if (!names.empty() && std::find(names.begin(), names.end(), it.name) == names.end())
+            continue;
+        if (options.json)
+            json["sections"][it.name] = to_json(it);
+        else
+            print_section(it);
+    }
+    if (options.json)
+        fmt::print("{}\n", json.dump(2));
+    return command_exit::done;
+}
+
+bool same_fields(const ini_section& a, const ini_section& b)
+{
+    return std::equal(a.fields.begin(), a.fields.end(), b.fields.begin(), b.fields.end(),
+                      [](const ini_field& x, const ini_field& y) {
+                          return x.name == y.name && x.value == y.value;
+                      });
+}
+
+command_exit diff(const words& files, const operator_options& options)
+{
+    const auto given = load_sections(files);
+    if (failed(given))
+        return report(error_of(given));
+    store_client store({.endpoints = options.store});
+    const auto stored = read_config(store);
+    if (failed(stored))
+        return report(error_of(stored));
+    const auto all = read_sections(value_of(stored).texts);
+    if (failed(all))
+        return report(error_of(all));
+    for (const ini_section& it : value_of(given)) {
+        const auto old = std::find_if(value_of(all).begin(), value_of(all).end(),
+                                      [&](const ini_section& a) { return a.name == it.name; });
+        if (old == value_of(all).end())
+            fmt::print("+ [{}]\n", it.name);
+        else if (!same_fields(*old, it))
+            fmt::print("~ [{}]\n", it.name);
+    }
+    return command_exit::done;
+}
+
+// Asks every given node for its state; the commands differ in what they pick from it.
+command_exit ask_nodes(const std::string& path, const operator_options& options)
+{
+    command_exit out = command_exit::done;
+    for (const endpoint& it : options.nodes) {
+        httplib::Client client(it.host, it.port);
+        client.set_connection_timeout(node_timeout);
+        client.set_read_timeout(node_timeout);
+        const auto answer = client.Get(path);
+        if (answer && answer->status == 200) {
+            fmt::print("{}\n", answer->body);
+            continue;
+        }
+        fmt::print(stderr, "{}: {}\n", to_string(it),
+                   answer ? answer->body : std::string("no answer"));
+        out = command_exit::unreachable;
+    }
+    return out;
+}
+
+command_exit usage()
+{
+    fmt::print(stderr, "{}", command_help());
+    return command_exit::usage;
+}
+
+command_exit run_key_command(const words& args, const operator_options& options)
+{
+    if (args.size() != 3)
+        return usage();
+    if (args[0] == "give")
+        return give_key(args[1], args[2], options);
+    if (args[0] == "withdraw")
+        return withdraw_key(args[1], args[2], options);
+    return usage();
+}
+
+} // namespace
+
+std::string command_help()
+{
+    return "commands:\n"
+           "  check FILE...                    read files and report the first thing wrong\n"
+           "  apply FILE...                    put their sections into force\n"
+           "  remove SECTION...                remove sections, as \"route proofs\"\n"
+           "  diff FILE...                     which sections would change\n"
+           "  show [SECTION...]                what is stored\n"
+           "  key give ORGANISATION NAME       make a key and print it once\n"
+           "  key withdraw ORGANISATION NAME   withdraw it\n"
+           "  status                           each node: generation, members, backend servers\n"
+           "  budget ORGANISATION              each node: the organisation's tokens and counts\n";
+}
+
+command_exit run_command(const words& all, const operator_options& options)
+{
+    if (all.empty())
+        return usage();
+    const std::string& name = all.front();
+    const words args(all.begin() + 1, all.end());
+    const bool needs_store = name != "check" && name != "status" && name != "budget";
+    if ((needs_store && options.store.empty()) ||
+        (!needs_store && name != "check" && options.nodes.empty())) {
+        fmt::print(stderr, "{}: --store or --node is missing\n", name);
+        return command_exit::usage;
+    }
+    if (name == "check" && !args.empty())
+        return check(args);
+    if (name == "apply" && !args.empty())
+        return apply(args, options);
+    if (name == "remove" && !args.empty())
+        return remove(args, options);
+    if (name == "diff" && !args.empty())
+        return diff(args, options);
+    if (name == "show")
+        return show(args, options);
+    if (name == "key")
+        return run_key_command(args, options);
+    if (name == "status" && args.empty())
+        return ask_nodes("/status", options);
+    if (name == "budget" && args.size() == 1)
+        return ask_nodes("/budget?organisation=" + args[0], options);
+    return usage();
+}
+
+} // namespace jasminebank
