--- a/src/small_stack_pool.cpp
+++ b/src/small_stack_pool.cpp
@@ -2,7 +2,7 @@
 
 namespace jasminebank {
 
-constexpr std::size_t stack_bytes = 256 * 1024;
+constexpr std::size_t stack_bytes = 256UL * 1024;
 
 small_stack_pool::small_stack_pool(std::size_t threads) : limit_(threads) {}
 
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -26,7 +26,7 @@
     duration idle_timeout = std::chrono::minutes(5);  ///< kept connection without a request
     duration io_timeout = std::chrono::seconds(30);   ///< one read or write
     duration head_timeout = std::chrono::seconds(10); ///< from first byte to the end of the head
-    std::size_t head_bytes = 64 * 1024;               ///< request line and headers together
+    std::size_t head_bytes = 64UL * 1024;               ///< request line and headers together
     std::string refusal{}; ///< whole answer for a connection over the bound
     std::function<void(httplib::Request&)> prepare{}; ///< sees each request before it is routed
 };
--- a/src/worker_pool.cpp
+++ b/src/worker_pool.cpp
@@ -2,7 +2,7 @@
 
 namespace jasminebank {
 
-constexpr std::size_t stack_bytes = 256 * 1024;
+constexpr std::size_t stack_bytes = 256UL * 1024;
 
 worker_pool::worker_pool(worker_pool_options options) : options_(options) {}
 
