Key-value store in memory and its JSON form

The platform's store is met as the published etcd v3 JSON gateway.

Only equality is compared, as nothing needs more, and the failure branch always reads the compared keys, so a loser of a race sees at once what it lost to.

--- /dev/null
+++ b/src/base64.h
@@ -0,0 +1,16 @@
+#pragma once
+
+// Base64 with padding (RFC 4648, section 4), as JSON documents carry bytes.
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jasminebank {
+
+std::string to_base64(std::string_view bytes);
+
+/// Nothing if `text` is not padded base64.
+std::optional<std::string> from_base64(std::string_view text);
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/store_codec.cpp
@@ -0,0 +1,531 @@
+#include "store_codec.h"
+
+#include "base64.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace jasminebank {
+
+using nlohmann::json;
+
+// A member of the wrong type or form; caught in `decode` below and never seen outside this file.
+struct bad_member {};
+
+static std::string dump(const json& it)
+{
+    return it.dump();
+}
+
+// Parses and reads with `read`; anything unexpected gives nothing.
+template <class Read>
+static auto decode(std::string_view text, Read read) -> std::optional<decltype(read(json()))>
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object())
+        return std::nullopt;
+    try {
+        return read(document);
+    }
+    catch (const bad_member&) {
+        return std::nullopt;
+    }
+}
+
+static const json& empty_object()
+{
+    static const json it = json::object();
+    return it;
+}
+
+static const json& empty_array()
+{
+    static const json it = json::array();
+    return it;
+}
+
+static const json& object_at(const json& parent, const char* name)
+{
+    const auto it = parent.find(name);
+    if (it == parent.end())
+        return empty_object();
+    if (!it->is_object())
+        throw bad_member{};
+    return *it;
+}
+
+// The elements of a member that is an array of objects; no member is an empty array.
+static const json& objects_at(const json& parent, const char* name)
+{
+    const auto it = parent.find(name);
+    if (it == parent.end())
+        return empty_array();
+    if (!it->is_array())
+        throw bad_member{};
+    for (const json& element : *it)
+        if (!element.is_object())
+            throw bad_member{};
+    return *it;
+}
+
+// Published as text, but numbers are read too, as the gateway does.
+static std::int64_t integer_at(const json& parent, const char* name)
+{
+    const auto it = parent.find(name);
+    if (it == parent.end())
+        return 0;
+    if (it->is_number_integer())
+        return it->get<std::int64_t>();
+    if (!it->is_string())
+        throw bad_member{};
+    const auto& text = it->get_ref<const std::string&>();
+    std::int64_t out = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    if (ec != std::errc{} || end != text.data() + text.size())
+        throw bad_member{};
+    return out;
+}
+
+static std::string bytes_at(const json& parent, const char* name)
+{
+    const auto it = parent.find(name);
+    if (it == parent.end())
+        return {};
+    if (!it->is_string())
+        throw bad_member{};
+    auto out = from_base64(it->get_ref<const std::string&>());
+    if (!out)
+        throw bad_member{};
+    return *std::move(out);
+}
+
+static bool flag_at(const json& parent, const char* name)
+{
+    const auto it = parent.find(name);
+    if (it == parent.end())
+        return false;
+    if (!it->is_boolean())
+        throw bad_member{};
+    return it->get<bool>();
+}
+
+static std::string word_at(const json& parent, const char* name)
+{
+    const auto it = parent.find(name);
+    if (it == parent.end())
+        return {};
+    if (!it->is_string())
+        throw bad_member{};
+    return it->get<std::string>();
+}
+
+static lease_id lease_at(const json& parent, const char* name)
+{
+    return lease_id{static_cast<std::uint64_t>(integer_at(parent, name))};
+}
+
+static std::string lease_text(lease_id it)
+{
+    return std::to_string(static_cast<std::int64_t>(it.value));
+}
+
+static json keys_to_json(const store_key_range& it)
+{
+    json out{{"key", to_base64(it.key)}};
+    if (!it.range_end.empty())
+        out["range_end"] = to_base64(it.range_end);
+    return out;
+}
+
+static store_key_range keys_from_json(const json& it)
+{
+    store_key_range out{.key = bytes_at(it, "key"), .range_end = bytes_at(it, "range_end")};
+    if (out.key.empty())
+        throw bad_member{};
+    return out;
+}
+
+static json header_to_json(store_revision revision)
+{
+    return {{"cluster_id", "1"},
+            {"member_id", "1"},
+            {"revision", std::to_string(revision)},
+            {"raft_term", "1"}};
+}
+
+// An answer without a revision is not the store's.
+static store_revision revision_of(const json& answer)
+{
+    const store_revision out = integer_at(object_at(answer, "header"), "revision");
+    if (out <= 0)
+        throw bad_member{};
+    return out;
+}
+
+static json entry_to_json(const store_entry& it)
+{
+    json out{{"key", to_base64(it.key)}, {"mod_revision", std::to_string(it.mod_revision)}};
+    if (it.version == 0)
+        return out;
+    out["create_revision"] = std::to_string(it.create_revision);
+    out["version"] = std::to_string(it.version);
+    if (!it.value.empty())
+        out["value"] = to_base64(it.value);
+    if (it.lease != lease_id{})
+        out["lease"] = lease_text(it.lease);
+    return out;
+}
+
+static store_entry entry_from_json(const json& it)
+{
+    store_entry out{.key = bytes_at(it, "key"),
+                    .value = bytes_at(it, "value"),
+                    .create_revision = integer_at(it, "create_revision"),
+                    .mod_revision = integer_at(it, "mod_revision"),
+                    .version = integer_at(it, "version"),
+                    .lease = lease_at(it, "lease")};
+    if (out.key.empty() || out.mod_revision <= 0)
+        throw bad_member{};
+    return out;
+}
+
+static json entries_to_json(const std::vector<store_entry>& entries)
+{
+    json out = json::array();
+    for (const store_entry& it : entries)
+        out.push_back(entry_to_json(it));
+    return out;
+}
+
+static void append_entries(const json& answer, std::vector<store_entry>& out)
+{
+    for (const json& it : objects_at(answer, "kvs"))
+        out.push_back(entry_from_json(it));
+}
+
+static json range_to_json(const store_range& it)
+{
+    json out{{"header", header_to_json(it.revision)}};
+    if (it.entries.empty())
+        return out;
+    out["kvs"] = entries_to_json(it.entries);
+    out["count"] = std::to_string(it.entries.size());
+    return out;
+}
+
+static json compare_to_json(const store_compare& it)
+{
+    json out{{"result", "EQUAL"}, {"key", to_base64(it.key)}};
+    switch (it.target) {
+    case compare_target::mod_revision:
+        out["target"] = "MOD";
+        out["mod_revision"] = std::to_string(it.expected_revision);
+        break;
+    case compare_target::create_revision:
+        out["target"] = "CREATE";
+        out["create_revision"] = std::to_string(it.expected_revision);
+        break;
+    case compare_target::value:
+        out["target"] = "VALUE";
+        out["value"] = to_base64(it.expected_value);
+        break;
+    }
+    return out;
+}
+
+static store_compare compare_from_json(const json& it)
+{
+    store_compare out{.key = bytes_at(it, "key"), .expected_value = {}};
+    const std::string target = word_at(it, "target");
+    if (word_at(it, "result") != "EQUAL" || out.key.empty())
+        throw bad_member{};
+    if (target == "MOD") {
+        out.expected_revision = integer_at(it, "mod_revision");
+    }
+    else if (target == "CREATE") {
+        out.target = compare_target::create_revision;
+        out.expected_revision = integer_at(it, "create_revision");
+    }
+    else if (target == "VALUE") {
+        out.target = compare_target::value;
+        out.expected_value = bytes_at(it, "value");
+    }
+    else {
+        throw bad_member{};
+    }
+    return out;
+}
+
+static json put_to_json(const store_put& it)
+{
+    json out{{"key", to_base64(it.key)}, {"value", to_base64(it.value)}};
+    if (it.lease != lease_id{})
+        out["lease"] = lease_text(it.lease);
+    return out;
+}
+
+static void append_operation(const json& operation, store_txn& out)
+{
+    if (operation.contains("request_put")) {
+        const json& it = object_at(operation, "request_put");
+        out.puts.push_back({.key = bytes_at(it, "key"),
+                            .value = bytes_at(it, "value"),
+                            .lease = lease_at(it, "lease")});
+        return;
+    }
+    if (!operation.contains("request_delete_range"))
+        throw bad_member{};
+    out.deletes.push_back(keys_from_json(object_at(operation, "request_delete_range")));
+}
+
+std::string encode_range_request(const store_key_range& it)
+{
+    return dump(keys_to_json(it));
+}
+
+std::string encode_txn_request(const store_txn& it)
+{
+    json out = json::object();
+    for (const store_compare& compare : it.compares) {
+        out["compare"].push_back(compare_to_json(compare));
+        out["failure"].push_back({{"request_range", {{"key", to_base64(compare.key)}}}});
+    }
+    for (const store_put& put : it.puts)
+        out["success"].push_back({{"request_put", put_to_json(put)}});
+    for (const store_key_range& keys : it.deletes)
+        out["success"].push_back({{"request_delete_range", keys_to_json(keys)}});
+    return dump(out);
+}
+
+std::string encode_grant_request(duration ttl)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(ttl).count();
+    return dump({{"TTL", std::to_string(seconds)}});
+}
+
+std::string encode_lease_request(lease_id lease)
+{
+    return dump({{"ID", lease_text(lease)}});
+}
+
+std::string encode_watch_request(const store_watch_request& it)
+{
+    json create = keys_to_json(it.keys);
+    if (it.from > 0)
+        create["start_revision"] = std::to_string(it.from);
+    if (it.progress_notify)
+        create["progress_notify"] = true;
+    return dump({{"create_request", std::move(create)}});
+}
+
+std::optional<store_key_range> decode_range_request(std::string_view text)
+{
+    return decode(text, keys_from_json);
+}
+
+// A failure branch must read the compared keys; that is all the state can answer.
+std::optional<store_txn> decode_txn_request(std::string_view text)
+{
+    return decode(text, [](const json& it) {
+        store_txn out;
+        for (const json& compare : objects_at(it, "compare"))
+            out.compares.push_back(compare_from_json(compare));
+        for (const json& operation : objects_at(it, "success"))
+            append_operation(operation, out);
+        const json& reads = objects_at(it, "failure");
+        if (reads.size() != out.compares.size())
+            throw bad_member{};
+        for (std::size_t i = 0; i < reads.size(); ++i)
+            if (bytes_at(object_at(reads[i], "request_range"), "key") != out.compares[i].key)
+                throw bad_member{};
+        return out;
+    });
+}
+
+std::optional<duration> decode_grant_request(std::string_view text)
+{
+    return decode(text, [](const json& it) {
+        constexpr std::int64_t max_seconds = 9'000'000;
+        const std::int64_t seconds = integer_at(it, "TTL");
+        if (seconds <= 0 || seconds > max_seconds)
+            throw bad_member{};
+        return duration(std::chrono::seconds(seconds));
+    });
+}
+
+std::optional<lease_id> decode_lease_request(std::string_view text)
+{
+    return decode(text, [](const json& it) { return lease_at(it, "ID"); });
+}
+
+std::optional<store_watch_request> decode_watch_request(std::string_view text)
+{
+    return decode(text, [](const json& it) {
+        const json& create = object_at(it, "create_request");
+        return store_watch_request{.keys = keys_from_json(create),
+                                   .from = integer_at(create, "start_revision"),
+                                   .progress_notify = flag_at(create, "progress_notify")};
+    });
+}
+
+std::string encode_range(const store_range& it)
+{
+    return dump(range_to_json(it));
+}
+
+std::string encode_commit(const store_commit& it, const store_txn& request)
+{
+    json out{{"header", header_to_json(it.revision)}};
+    const json header{{"revision", std::to_string(it.revision)}};
+    json responses = json::array();
+    if (it.succeeded) {
+        out["succeeded"] = true;
+        for (std::size_t i = 0; i < request.puts.size(); ++i)
+            responses.push_back({{"response_put", {{"header", header}}}});
+        for (std::size_t i = 0; i < request.deletes.size(); ++i)
+            responses.push_back({{"response_delete_range", {{"header", header}}}});
+    }
+    for (std::size_t i = 0; !it.succeeded && i < request.compares.size(); ++i) {
+        store_range found{.revision = it.revision, .entries = {}};
+        for (const store_entry& entry : it.found)
+            if (entry.key == request.compares[i].key)
+                found.entries.push_back(entry);
+        responses.push_back({{"response_range", range_to_json(found)}});
+    }
+    if (!responses.empty())
+        out["responses"] = std::move(responses);
+    return dump(out);
+}
+
+static json lease_to_json(const store_lease& it, store_revision revision)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(it.ttl).count();
+    json out{{"header", header_to_json(revision)}, {"ID", lease_text(it.lease)}};
+    if (seconds > 0)
+        out["TTL"] = std::to_string(seconds);
+    return out;
+}
+
+std::string encode_lease(const store_lease& it, store_revision revision)
+{
+    return dump(lease_to_json(it, revision));
+}
+
+std::string encode_kept_lease(const store_lease& it, store_revision revision)
+{
+    return dump({{"result", lease_to_json(it, revision)}}) + "\n";
+}
+
+std::string encode_revoked(store_revision revision)
+{
+    return dump({{"header", header_to_json(revision)}});
+}
+
+std::string encode_watch_message(const store_watch_message& it)
+{
+    json out{{"header", header_to_json(it.batch.revision)}};
+    if (it.created)
+        out["created"] = true;
+    if (it.cancelled)
+        out["canceled"] = true;
+    if (it.compact_revision > 0)
+        out["compact_revision"] = std::to_string(it.compact_revision);
+    for (const store_event& event : it.batch.events) {
+        json change{{"kv", entry_to_json(event.entry)}};
+        if (event.deleted)
+            change["type"] = "DELETE";
+        out["events"].push_back(std::move(change));
+    }
+    return dump({{"result", std::move(out)}}) + "\n";
+}
+
+std::string encode_refusal(const store_refusal& it)
+{
+    return dump({{"error", it.message}, {"message", it.message}, {"code", it.code}});
+}
+
+std::optional<store_range> decode_range(std::string_view text)
+{
+    return decode(text, [](const json& it) {
+        store_range out{.revision = revision_of(it), .entries = {}};
+        append_entries(it, out.entries);
+        return out;
+    });
+}
+
+// A key that two comparisons name comes back twice; it is given to the caller once.
+std::optional<store_commit> decode_commit(std::string_view text)
+{
+    return decode(text, [](const json& it) {
+        store_commit out{
+            .revision = revision_of(it), .succeeded = flag_at(it, "succeeded"), .found = {}};
+        if (out.succeeded)
+            return out;
+        for (const json& response : objects_at(it, "responses"))
+            append_entries(object_at(response, "response_range"), out.found);
+        const auto by_key = [](const store_entry& a, const store_entry& b) {
+            return a.key < b.key;
+        };
+        const auto same_key = [](const store_entry& a, const store_entry& b) {
+            return a.key == b.key;
+        };
+        std::sort(out.found.begin(), out.found.end(), by_key);
+        out.found.erase(std::unique(out.found.begin(), out.found.end(), same_key), out.found.end());
+        return out;
+    });
+}
+
+static store_lease lease_from_json(const json& it)
+{
+    constexpr std::int64_t max_seconds = 9'000'000'000;
+    const std::int64_t seconds = integer_at(it, "TTL");
+    if (seconds > max_seconds)
+        throw bad_member{};
+    revision_of(it);
+    const store_lease out{.lease = lease_at(it, "ID"),
+                          .ttl = std::chrono::seconds(std::max<std::int64_t>(seconds, 0))};
+    if (out.lease == lease_id{})
+        throw bad_member{};
+    return out;
+}
+
+std::optional<store_lease> decode_lease(std::string_view text)
+{
+    return decode(text, lease_from_json);
+}
+
+std::optional<store_lease> decode_kept_lease(std::string_view text)
+{
+    return decode(text, [](const json& it) { return lease_from_json(object_at(it, "result")); });
+}
+
+bool decode_revoked(std::string_view text)
+{
+    return decode(text, revision_of).has_value();
+}
+
+std::optional<store_watch_message> decode_watch_message(std::string_view text)
+{
+    return decode(text, [](const json& it) {
+        const json& message = object_at(it, "result");
+        store_watch_message out{.batch = {.revision = revision_of(message), .events = {}},
+                                .created = flag_at(message, "created"),
+                                .cancelled = flag_at(message, "canceled"),
+                                .compact_revision = integer_at(message, "compact_revision")};
+        for (const json& change : objects_at(message, "events"))
+            out.batch.events.push_back({.deleted = word_at(change, "type") == "DELETE",
+                                        .entry = entry_from_json(object_at(change, "kv"))});
+        return out;
+    });
+}
+
+std::optional<store_refusal> decode_refusal(std::string_view text)
+{
+    return decode(text, [](const json& it) {
+        return store_refusal{.code = static_cast<int>(integer_at(it, "code")),
+                             .message = word_at(it, "message")};
+    });
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/store_codec.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// JSON forms of the store's calls, as the etcd v3 gateway publishes them: bytes in base64, 64-bit
+// numbers as text, members that hold the default left out.
+
+#include "store_messages.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jasminebank {
+
+namespace store_path {
+constexpr const char* range = "/v3/kv/range";
+constexpr const char* txn = "/v3/kv/txn";
+constexpr const char* lease_grant = "/v3/lease/grant";
+constexpr const char* lease_keepalive = "/v3/lease/keepalive";
+constexpr const char* lease_revoke = "/v3/lease/revoke";
+constexpr const char* watch = "/v3/watch";
+} // namespace store_path
+
+/// Asks for changes of `keys` from revision `from` on; 0 means from now on.
+struct store_watch_request {
+    store_key_range keys;
+    store_revision from = 0;
+    bool progress_notify = false; ///< tell the revision now and then when there are no changes
+};
+
+/// One line of a watch's answer.
+struct store_watch_message {
+    store_event_batch batch;
+    bool created = false;                ///< first line
+    bool cancelled = false;              ///< last line
+    store_revision compact_revision = 0; ///< above 0: changes up to this one are lost
+};
+
+/// Refusal in the body of an answer that is not 200. `code` is a gRPC status number.
+struct store_refusal {
+    int code = 0;
+    std::string message;
+};
+
+std::string encode_range_request(const store_key_range& it);
+std::string encode_txn_request(const store_txn& it);
+std::string encode_grant_request(duration ttl);
+std::string encode_lease_request(lease_id lease);
+std::string encode_watch_request(const store_watch_request& it);
+
+// Requests as the stand-in reads them; nothing if the text is not such a request.
+std::optional<store_key_range> decode_range_request(std::string_view text);
+std::optional<store_txn> decode_txn_request(std::string_view text);
+std::optional<duration> decode_grant_request(std::string_view text);
+std::optional<lease_id> decode_lease_request(std::string_view text);
+std::optional<store_watch_request> decode_watch_request(std::string_view text);
+
+std::string encode_range(const store_range& it);
+std::string encode_commit(const store_commit& it, const store_txn& request);
+std::string encode_lease(const store_lease& it, store_revision revision);
+/// One line, as the gateway streams the answer to a keep-alive.
+std::string encode_kept_lease(const store_lease& it, store_revision revision);
+std::string encode_revoked(store_revision revision);
+/// One line with its end.
+std::string encode_watch_message(const store_watch_message& it);
+std::string encode_refusal(const store_refusal& it);
+
+// Answers as the client reads them; nothing if the text is not such an answer.
+std::optional<store_range> decode_range(std::string_view text);
+std::optional<store_commit> decode_commit(std::string_view text);
+std::optional<store_lease> decode_lease(std::string_view text);
+/// A lease that has ended comes back with no time left.
+std::optional<store_lease> decode_kept_lease(std::string_view text);
+bool decode_revoked(std::string_view text);
+std::optional<store_watch_message> decode_watch_message(std::string_view text);
+std::optional<store_refusal> decode_refusal(std::string_view text);
+
+} // namespace jasminebank
