Stand-in for the store with faults switched at run time

fake_store serves store_state over HTTP, as a class and as a daemon, with faults for trials: down (refuse or hang), slow, answers lost after the write, leases lapsed, stale reads, rate limits; and counts of calls.

cpp-httplib's own connection loop was ruled out: it polls an idle kept connection every 11 ms, cannot break a connection in place of an answer, and its stop() waits for idle connections to time out. tracked_server replaces that loop through the library's virtual function.

--- /dev/null
+++ b/src/connection_stream.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// Bytes of one accepted HTTP connection, with buffered reads and bounded waits.
+
+#include "types.h"
+
+#include <httplib.h>
+
+#include <array>
+
+namespace jasminebank {
+
+/// Does not own the socket.
+class connection_stream final : public httplib::Stream {
+public:
+    connection_stream(socket_t fd, duration io_timeout) : fd_(fd), io_timeout_(io_timeout) {}
+
+    /// True once there is something to read within `limit`; false at its end or on an error.
+    bool wait_readable(duration limit) const;
+    /// From now on nothing is written any more.
+    void drop() { dropped_ = true; }
+    bool dropped() const { return dropped_; }
+
+    bool is_readable() const override { return wait_readable(io_timeout_); }
+    bool is_writable() const override;
+    ssize_t read(char* data, size_t size) override;
+    ssize_t write(const char* data, size_t size) override;
+    void get_remote_ip_and_port(std::string& ip, int& port) const override;
+    void get_local_ip_and_port(std::string& ip, int& port) const override;
+    socket_t socket() const override { return fd_; }
+
+private:
+    static constexpr std::size_t buffer_bytes = std::size_t{16} << 10;
+
+    socket_t fd_;
+    duration io_timeout_;
+    bool dropped_ = false;
+    std::array<char, buffer_bytes> buffer_{};
+    std::size_t begin_ = 0;
+    std::size_t end_ = 0;
+};
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/fake_store.h
@@ -0,0 +1,104 @@
+#pragma once
+
+// Stand-in for the platform's key-value store: an HTTP server over `store_state`, with faults that
+// are switched while it runs. `POST /fault` sets them and `GET /calls` gives the counts, also while
+// the store is down.
+
+#include "store_codec.h"
+#include "store_faults.h"
+#include "store_state.h"
+#include "tracked_server.h"
+
+#include <condition_variable>
+#include <list>
+#include <mutex>
+#include <thread>
+
+namespace jasminebank {
+
+struct fake_store_options {
+    endpoint listen{.host = "127.0.0.1", .port = 0};
+    store_state_options state{};
+    duration progress_interval = std::chrono::seconds(5); ///< between lines of an idle watch
+};
+
+/// Calls met so far, also those that a fault refused.
+struct store_calls {
+    std::uint64_t range = 0;
+    std::uint64_t txn = 0;
+    std::uint64_t lease_grant = 0;
+    std::uint64_t lease_keepalive = 0;
+    std::uint64_t lease_revoke = 0;
+    std::uint64_t watch = 0;    ///< opened
+    std::uint64_t watching = 0; ///< open now
+    std::uint64_t limited = 0;  ///< answered 429
+    std::uint64_t lost = 0;     ///< done, but the answer was withheld
+};
+
+/// Thread-safe.
+class fake_store {
+public:
+    explicit fake_store(const fake_store_options& options = {});
+    ~fake_store();
+
+    /// False if the port cannot be bound; true at once if it is started. After `stop` it may be
+    /// started again, with its contents, and then takes the same port.
+    bool start();
+    void stop();
+    /// Where it listens.
+    endpoint address() const;
+
+    void set_faults(const store_faults& faults);
+    /// Ends every lease now.
+    void lapse_leases();
+    store_calls calls() const;
+
+private:
+    struct watcher {
+        store_watch_request request;
+        store_revision next = 0; ///< first revision not told yet
+        time_point told;         ///< when the last line went out
+        bool announced = false;
+        bool pending = true; ///< there may be changes to tell
+        bool ended = false;
+        std::condition_variable changed;
+    };
+    using watcher_list = std::list<watcher>;
+    struct call {
+        std::uint64_t store_calls::*counter;
+        rate_gate fake_store::*gate;
+        std::uint32_t store_faults::*rate;
+    };
+
+    template <class Decode, class Run, class Encode>
+    httplib::Server::Handler handler(call kind, Decode decode, Run run, Encode encode);
+    void add_routes();
+    void add_lease_routes();
+    void add_control_routes();
+    bool admit(std::unique_lock<std::mutex>& lock, const call& kind, httplib::Response& response);
+    bool is_answer_lost(const call& kind);
+    void change_faults(const httplib::Request& request, httplib::Response& response);
+    void open_watch(const httplib::Request& request, httplib::Response& response);
+    bool feed_watch(watcher& it, httplib::DataSink& sink);
+    std::optional<std::string> next_line(watcher& it, time_point now);
+    std::optional<std::string> next_changes(watcher& it);
+    void wake_watchers(store_revision before);
+    void wake_all();
+    void run_clock();
+
+    fake_store_options options_;
+    mutable std::mutex mutex_; ///< guards all below but the server
+    std::condition_variable changed_;
+    store_state state_;
+    store_faults faults_;
+    rate_gate writes_;
+    rate_gate reads_;
+    store_calls calls_;
+    watcher_list watchers_;
+    endpoint address_;
+    bool stopping_ = false;
+    std::thread clock_;
+    std::unique_ptr<tracked_server> server_;
+};
+
+} // namespace jasminebank
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -16,6 +16,7 @@
     event_entry{event::settings_rejected, severity::error, "settings_rejected"},
     event_entry{event::settings_reloaded, severity::info, "settings_reloaded"},
     event_entry{event::standin_started, severity::info, "standin_started"},
+    event_entry{event::fake_store_fault_set, severity::info, "fake_store_fault_set"},
 };
 
 std::span<const event_entry> event_catalogue()
--- a/src/log.h
+++ b/src/log.h
@@ -22,6 +22,7 @@
     settings_rejected = 103,
     settings_reloaded = 104,
     standin_started = 900,
+    fake_store_fault_set = 910,
 };
 
 /// One row of the catalogue.
