--- a/src/fake_store.h
+++ b/src/fake_store.h
@@ -86,7 +86,7 @@
     void wake_all();
     void run_clock();
 
-    const fake_store_options options_;
+    fake_store_options options_;
     mutable std::mutex mutex_; ///< guards all below but the server
     std::condition_variable changed_;
     store_state state_;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -34,6 +34,7 @@
     event_entry{event::backend_draining, severity::info, "backend_draining"},
     event_entry{event::backend_crashed, severity::error, "backend_crashed"},
     event_entry{event::answer_wrong, severity::error, "answer_wrong"},
+    event_entry{event::fake_store_fault_set, severity::info, "fake_store_fault_set"},
 };
 
 std::span<const event_entry> event_catalogue()
--- a/src/log.h
+++ b/src/log.h
@@ -40,6 +40,7 @@
     backend_draining = 922,
     backend_crashed = 923,
     answer_wrong = 924,
+    fake_store_fault_set = 910,
 };
 
 /// One row of the catalogue.
--- a/src/store_state.cpp
+++ b/src/store_state.cpp
@@ -8,13 +8,22 @@
 
 store_state::store_state(const store_state_options& options) : options_(options) {}
 
+template <class Iterator>
+struct iterator_range {
+    Iterator first;
+    Iterator last;
+    Iterator begin() const { return first; }
+    Iterator end() const { return last; }
+};
+
 template <class Map>
 static auto range_of(Map& entries, const store_key_range& keys)
 {
-    auto first = entries.lower_bound(keys.key);
-    auto last = keys.range_end.empty() ? entries.upper_bound(keys.key)
-                                       : entries.lower_bound(std::max(keys.key, keys.range_end));
-    return std::ranges::subrange(first, last);
+    const auto first = entries.lower_bound(keys.key);
+    const auto last = keys.range_end.empty()
+                          ? entries.upper_bound(keys.key)
+                          : entries.lower_bound(std::max(keys.key, keys.range_end));
+    return iterator_range<decltype(first)>{first, last};
 }
 
 void store_state::step(time_point now)
@@ -102,8 +111,8 @@
 {
     if (auto error = check(txn))
         return *std::move(error);
-    const bool succeeded =
-        std::ranges::all_of(txn.compares, [&](const store_compare& it) { return holds(it); });
+    const bool succeeded = std::all_of(txn.compares.begin(), txn.compares.end(),
+                                       [&](const store_compare& it) { return holds(it); });
     store_commit out{.revision = revision_, .succeeded = succeeded, .found = {}};
     if (!succeeded) {
         std::set<std::string> keys;
@@ -115,12 +124,15 @@
         return out;
     }
     for (const store_put& it : txn.puts)
-        if (it.lease != lease_id{} && !leases_.contains(it.lease))
+        if (it.lease != lease_id{} && !leases_.contains(it.lease.value))
             return store_error{.kind = store_error_kind::lease_lost,
                                .detail = "requested lease not found"};
-    const std::size_t deleted = std::ranges::count_if(
-        txn.deletes, [&](const store_key_range& it) { return !range_of(entries_, it).empty(); });
-    if (txn.puts.empty() && deleted == 0)
+    const bool deletes_some =
+        std::any_of(txn.deletes.begin(), txn.deletes.end(), [&](const store_key_range& it) {
+            const auto found = range_of(entries_, it);
+            return found.begin() != found.end();
+        });
+    if (txn.puts.empty() && !deletes_some)
         return out;
     ++revision_;
     for (const store_key_range& it : txn.deletes)
@@ -173,7 +185,7 @@
     const auto whole =
         std::max(std::chrono::ceil<std::chrono::seconds>(ttl), std::chrono::seconds(1));
     const lease_id lease{++last_lease_};
-    leases_.emplace(lease, lease_record{.ttl = whole, .ends = now + whole});
+    leases_.emplace(lease.value, lease_record{.ttl = whole, .ends = now + whole});
     return {.lease = lease, .ttl = whole};
 }
 
@@ -184,7 +196,7 @@
 
 result<store_lease, store_error> store_state::keep_lease_alive(lease_id lease, time_point now)
 {
-    const auto it = leases_.find(lease);
+    const auto it = leases_.find(lease.value);
     if (it == leases_.end())
         return lease_not_found();
     it->second.ends = now + it->second.ttl;
@@ -193,7 +205,7 @@
 
 result<ok, store_error> store_state::revoke_lease(lease_id lease)
 {
-    const auto it = leases_.find(lease);
+    const auto it = leases_.find(lease.value);
     if (it == leases_.end())
         return lease_not_found();
     end_lease(it);
@@ -211,7 +223,7 @@
 {
     std::vector<std::string> doomed;
     for (const auto& [key, entry] : entries_)
-        if (entry.lease == it->first)
+        if (entry.lease.value == it->first)
             doomed.push_back(key);
     leases_.erase(it);
     if (doomed.empty())
--- a/src/store_state.h
+++ b/src/store_state.h
@@ -66,7 +66,7 @@
         std::optional<store_entry> before;
     };
     using entry_map = std::map<std::string, store_entry>;
-    using lease_map = std::map<lease_id, lease_record>;
+    using lease_map = std::map<std::uint64_t, lease_record>; ///< by the value of the id
 
     bool holds(const store_compare& it) const;
     std::optional<store_error> check(const store_txn& txn) const;
--- a/src/thread_queue.h
+++ b/src/thread_queue.h
@@ -30,7 +30,7 @@
     void work();
     void add_thread();
 
-    const std::size_t max_threads_;
+    std::size_t max_threads_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::deque<std::function<void()>> tasks_;
--- a/src/tracked_server.h
+++ b/src/tracked_server.h
@@ -42,7 +42,7 @@
     bool process_and_close_socket(socket_t fd) override;
     void serve(socket_t fd);
 
-    const tracked_server_options options_;
+    tracked_server_options options_;
     socket_t listener_ = INVALID_SOCKET;
     std::thread thread_;
     std::mutex mutex_;
