Sequential detection of gray failure at the gate

A count of consecutive errors at a fixed interval needs seconds and never sees slowness. Two cumulative sums of log likelihood ratios for each backend server, over log service time and over errors, decide after as few requests as the evidence allows; open requests count for the least they can come to, so a hang shows before any timeout. One request can add a bounded amount only, so that one outlier or one bad request decides nothing.

Peers of the service are asked when evidence has begun, not all the time: their figures since then separate one slow backend server from a slow service, cost nothing while all is well, and a gate that hears no peer calls nothing failing. Tried first and ruled out: a figure that every gate publishes at intervals; it is too old by the time the sum passes its threshold.

--- /dev/null
+++ b/src/failure_detector.h
@@ -0,0 +1,172 @@
+#pragma once
+
+// Sequential detection of gray failure. A gate sees every request of its backend servers and keeps
+// two cumulative sums (CUSUM) of log likelihood ratios for each: one over log service time, one
+// over errors. Requests still open count for the least that they can come to. Before a backend
+// server is called failing, the sums are computed again against what other gates of the service
+// saw in the same seconds, so that a slowdown of the whole service blames nobody.
+
+#include "types.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace jasminebank {
+
+/// One dispatch to a backend server; never used twice by a gate.
+using request_id = id<struct request_tag>;
+
+/// How a dispatched request ended, as its gate judged it.
+enum class request_outcome : std::uint8_t {
+    ok,                 ///< whole answer, status below 500
+    error_status,       ///< status 500 or above that is not an honest refusal
+    bad_length,         ///< truncated, or longer than announced
+    hung,               ///< the gate gave up waiting
+    connection_refused, ///< nothing listens
+    shed,               ///< honest refusal under load
+    draining,           ///< honest refusal while leaving
+    cold_start,         ///< the backend server has said that it is warming up
+    deadline_cut,       ///< the caller's deadline passed or the caller cancelled
+    link_fault,         ///< the path broke, not the backend server
+};
+
+/// A request went to a backend server.
+struct request_started {
+    request_id request;
+    backend_server_id server;
+};
+
+/// A dispatched request ended. `suspected_poison`: the crash is counted against its fingerprint.
+struct request_finished {
+    request_id request;
+    request_outcome outcome = request_outcome::ok;
+    bool suspected_poison = false;
+};
+
+/// The health endpoint of a backend server answered, or failed to.
+struct health_reported {
+    backend_server_id server;
+    bool green = true;
+};
+
+/// What one gate saw of one service: long-run figures, and those of the last `window`.
+struct peer_reference {
+    service_id service;
+    vm_id gate;
+    double log_median = 0;  ///< long-run median of ln(service time in seconds)
+    double log_scale = 0;   ///< long-run spread of the same, as a standard deviation
+    double error_share = 0; ///< long-run share of errors
+    std::uint64_t samples = 0;
+    duration window{};            ///< how far back the recent figures go
+    double recent_log_median = 0; ///< over requests finished or overdue in the window
+    std::uint32_t recent_samples = 0;
+    std::uint32_t recent_errors = 0;
+};
+
+enum class verdict : std::uint8_t { healthy, suspect, failing };
+enum class failure_reason : std::uint8_t { none, slow, errors, hanging };
+
+/// The state of the evidence against one backend server. Sums are in nats.
+struct assessment {
+    verdict state = verdict::healthy;
+    failure_reason reason = failure_reason::none;
+    double slow_evidence = 0; ///< finished requests and those still open
+    double open_evidence = 0; ///< the part of it from requests still open
+    double error_evidence = 0;
+    std::uint32_t severity = 0; ///< harm done to callers; orders what comes back first
+};
+
+/// The verdict on `server` changed.
+struct verdict_changed {
+    service_id service;
+    backend_server_id server;
+    assessment evidence;
+};
+
+/// Ask a few other gates of `service` for `figures(service, window)` and pass the answers in.
+struct ask_peers {
+    service_id service;
+    duration window{};
+};
+
+/// The trial of an ejected backend server ended.
+struct trial_ended {
+    service_id service;
+    backend_server_id server;
+    bool passed = false;
+};
+
+using detector_action = std::variant<verdict_changed, ask_peers, trial_ended>;
+using detector_actions = std::vector<detector_action>;
+
+/// Thresholds of the test. Evidence is in nats.
+struct detector_options {
+    double slow_threshold = 21;       ///< sum at which a backend server is called slow
+    double error_threshold = 18;      ///< sum at which it is called wrong
+    double suspect_share = 0.5;       ///< share of a threshold at which peers are asked
+    double slow_factor = 2.2;         ///< slowdown that the test is tuned to find
+    double failing_error_share = 0.4; ///< error share that the test is tuned to find
+    double slow_request_limit = 6;    ///< most that one slow request adds
+    double error_limit = 7;           ///< most that one error adds
+    double least_log_scale = 0.25;    ///< spread assumed at the least
+    double least_error_share = 1e-4;  ///< error share assumed at the least
+    std::uint32_t trial_requests = 5; ///< requests that an ejected backend server must pass
+    duration cold_start_limit = std::chrono::seconds(60); ///< after this, a cold start counts
+};
+
+/// The detector of one gate. Bounded: 64 backend servers, 256 open requests, 128 samples each,
+/// 16 peers a service. Call `tick` every 50 ms or so: open requests age.
+class failure_detector {
+public:
+    explicit failure_detector(const detector_options& options = {});
+    ~failure_detector();
+    failure_detector(failure_detector&&) noexcept;
+    failure_detector& operator=(failure_detector&&) noexcept;
+    failure_detector(const failure_detector&) = delete;
+    failure_detector& operator=(const failure_detector&) = delete;
+
+    /// False when the table is full. A backend server already known starts anew.
+    bool add_server(service_id service, backend_server_id server, time_point now);
+    void remove_server(backend_server_id server);
+
+    detector_actions step(const request_started& event, time_point now);
+    detector_actions step(const request_finished& event, time_point now);
+    detector_actions step(const health_reported& event, time_point now);
+    detector_actions step(const peer_reference& event, time_point now);
+    detector_actions tick(time_point now);
+
+    /// Lets the backend server in for trial requests only, with no evidence against it.
+    void begin_trial(backend_server_id server, time_point now);
+    /// Whether a request may go to it now: on trial only idempotent ones, one at a time.
+    bool admits(backend_server_id server, bool idempotent) const;
+    /// The evidence now. A backend server that is not known is healthy.
+    assessment assess(backend_server_id server, time_point now) const;
+    /// What this gate tells another that asked.
+    peer_reference figures(service_id service, vm_id self, duration window, time_point now) const;
+
+private:
+    struct server_state;
+    struct service_state;
+    struct reference;
+
+    server_state* find(backend_server_id server);
+    const server_state* find(backend_server_id server) const;
+    service_state& service_of(service_id service);
+    reference reference_of(service_id service) const;
+    std::optional<reference> confirmed_reference(const server_state& it, time_point now) const;
+    void record(server_state& it, request_outcome outcome, duration service_time, time_point now);
+    double open_evidence(const server_state& it, const reference& ref, time_point now) const;
+    assessment evidence(const server_state& it, const reference& ref, time_point now) const;
+    bool holds_against_peers(const server_state& it, time_point now) const;
+    void judge(server_state& it, time_point now, detector_actions& out);
+    void judge_trial(server_state& it, double share, detector_actions& out);
+    void ask_if_due(server_state& it, bool crossed, time_point now, detector_actions& out);
+
+    detector_options options_;
+    std::vector<server_state> servers_;
+    std::vector<service_state> services_;
+};
+
+} // namespace jasminebank
