Ejection under the floor of a service

All gates of a service share one record of what is ejected and reserved, changed by compare-and-swap, and every proposal is tried against what was heard lately. A server is held out only after the store confirmed this gate's own write, with a second look at the floor, and gets work again before its entry goes. A lost answer is settled by a later version or by sending the same write again. With the store away a gate ejects only under capacity that it reserved beforehand; the rest is demoted.

No time of another VM is compared. Entries have no `until`: a renewal number that stands still is timed by each reader's own clock. The renewal number is the version of the record that renewed it.

--- /dev/null
+++ b/src/ejector.cpp
@@ -0,0 +1,455 @@
+#include "ejector.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jasminebank {
+
+constexpr std::size_t max_servers = 64;
+constexpr duration store_retry = std::chrono::seconds(1);
+constexpr duration stale_read_retry = std::chrono::milliseconds(100);
+
+static void append(ejector_actions& to, ejector_actions from)
+{
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+}
+
+ejector::ejector(const ejector_options& options) : options_(options)
+{
+    assert(options.floor.entry_ttl >= 2 * options.floor.view_limit);
+}
+
+void ejector::add_server(backend_server_id server, std::uint32_t slots, time_point now)
+{
+    if (find(server) != nullptr || servers_.size() == max_servers)
+        return;
+    servers_.push_back({.server = server, .slots = slots, .until = now, .good_since = now});
+}
+
+void ejector::remove_server(backend_server_id server)
+{
+    std::erase_if(servers_, [&](const server_state& it) { return it.server == server; });
+}
+
+ejector::server_state* ejector::find(backend_server_id server)
+{
+    const auto it = std::find_if(servers_.begin(), servers_.end(),
+                                 [&](const server_state& s) { return s.server == server; });
+    return it == servers_.end() ? nullptr : &*it;
+}
+
+server_standing ejector::standing_of(backend_server_id server) const
+{
+    const server_state* it = const_cast<ejector*>(this)->find(server);
+    return it == nullptr ? server_standing::serving : it->standing;
+}
+
+duration ejector::next_ejection_time(backend_server_id server) const
+{
+    const server_state* it = const_cast<ejector*>(this)->find(server);
+    duration out = options_.first_ejection;
+    for (std::uint32_t n = 0; it != nullptr && n < it->level; ++n)
+        out = std::min(options_.longest_ejection, 2 * out);
+    return out;
+}
+
+bool ejector::is_out(const server_state& it)
+{
+    return it.standing == server_standing::held_out || it.standing == server_standing::on_trial;
+}
+
+// Entries of an earlier run of this process, or of another gate, are not its own: it does not hold
+// those servers out.
+bool ejector::has_entry(backend_server_id server) const
+{
+    const ejection* it = record_ ? find_ejection(*record_, server) : nullptr;
+    return it != nullptr && it->gate == options_.gate &&
+           it->gate_incarnation == options_.gate_incarnation;
+}
+
+ejection ejector::entry_for(const server_state& it) const
+{
+    return {.server = it.server,
+            .gate = options_.gate,
+            .gate_incarnation = options_.gate_incarnation,
+            .slots = it.slots,
+            .severity = it.severity,
+            .renewal = record_->version + 1};
+}
+
+void ejector::give(server_state& it, server_standing standing, ejector_actions& out)
+{
+    if (it.standing == standing)
+        return;
+    it.standing = standing;
+    out.emplace_back(set_standing{it.server, standing});
+}
+
+void ejector::hold_out(server_state& it, bool by_reservation, time_point now, ejector_actions& out)
+{
+    constexpr std::uint32_t most_doublings = 16;
+    it.by_reservation = by_reservation;
+    it.until = now + next_ejection_time(it.server);
+    it.level = std::min(most_doublings, it.level + 1);
+    give(it, server_standing::held_out, out);
+}
+
+// Work again; last in rotation as long as the evidence stands against it.
+void ejector::put_back(server_state& it, ejector_actions& out)
+{
+    it.by_reservation = false;
+    give(it, it.failing ? server_standing::demoted : server_standing::serving, out);
+}
+
+// Takes a record that was read, or that this gate's own write has put there. A server whose entry
+// is gone gets work again.
+void ejector::adopt(const ejection_record& record, time_point now, ejector_actions& out)
+{
+    record_ = record;
+    ages_.observe(record, now);
+    const bool reserved =
+        find_reservation(record, options_.gate, options_.gate_incarnation) != nullptr;
+    for (server_state& it : servers_) {
+        const bool covered = has_entry(it.server) || (it.by_reservation && reserved);
+        if (is_out(it) && !covered)
+            put_back(it, out);
+        if (has_entry(it.server))
+            it.by_reservation = false;
+    }
+}
+
+// The reservation's time starts anew when a confirmed write has raised its renewal number.
+void ejector::note_reservation(const pending_write& done)
+{
+    const ejection_reservation* next =
+        find_reservation(done.record, options_.gate, options_.gate_incarnation);
+    const ejection_reservation* old =
+        record_ ? find_reservation(*record_, options_.gate, options_.gate_incarnation) : nullptr;
+    if (next == nullptr)
+        reservation_renewed_.reset();
+    else if (old == nullptr || old->renewal != next->renewal)
+        reservation_renewed_ = done.issued;
+}
+
+// Only a write that has just been confirmed holds a server out: a read may be stale, and an old
+// entry may have been dropped by gates that did not hear this one. The floor is looked at once
+// more, with the news of this moment.
+void ejector::hold_out_committed(const pending_write& done, const service_view& view,
+                                 time_point now, ejector_actions& out)
+{
+    const bool fresh =
+        now - done.issued <= options_.floor.view_limit && !is_stale(view, options_.floor, now);
+    if (!fresh || healthy_slots(*record_, view, options_.floor, now) < options_.floor.floor_slots)
+        return;
+    for (server_state& it : servers_) {
+        if (it.failing && it.standing == server_standing::demoted && has_entry(it.server))
+            hold_out(it, false, now, out);
+    }
+}
+
+// Others died or drain: ejected servers come back at once, without waiting for the store. The
+// entries go with the next write; until then they count as ejected, which is the stricter.
+void ejector::return_below_floor(const service_view& view, time_point now, ejector_actions& out)
+{
+    if (!record_ || is_stale(view, options_.floor, now))
+        return;
+    const std::int64_t slots = serving_slots(*record_, view, options_.floor, now);
+    if (slots >= options_.floor.floor_slots)
+        return;
+    for (server_state& it : servers_) {
+        if (it.by_reservation)
+            put_back(it, out);
+    }
+    for (backend_server_id server : relieve(*record_, view, options_.floor, now)) {
+        server_state* it = find(server);
+        if (it != nullptr && is_out(*it))
+            put_back(*it, out);
+    }
+}
+
+// Others drop a reservation that stands still for its time to live, counted from when they saw it;
+// this gate counts from before it wrote it, so it always stops first.
+bool ejector::reservation_is_ours(time_point now) const
+{
+    return reservation_renewed_ && now - *reservation_renewed_ <= options_.floor.reservation_ttl;
+}
+
+// With the store away, a failing server is held out only under capacity reserved beforehand. A
+// write whose fate is unknown may have spent the reservation, so it must stand in both versions.
+void ejector::use_reservation(const service_view& view, time_point now, ejector_actions& out)
+{
+    if (!store_away_ || !record_ || is_stale(view, options_.floor, now))
+        return;
+    const ejection_reservation* held =
+        find_reservation(*record_, options_.gate, options_.gate_incarnation);
+    if (held == nullptr || !reservation_is_ours(now))
+        return;
+    if (pending_ &&
+        find_reservation(pending_->record, options_.gate, options_.gate_incarnation) == nullptr)
+        return;
+    const bool used = std::any_of(servers_.begin(), servers_.end(),
+                                  [](const server_state& it) { return it.by_reservation; });
+    if (used || healthy_slots(*record_, view, options_.floor, now) < options_.floor.floor_slots)
+        return;
+    for (server_state& it : servers_) {
+        if (it.failing && it.standing == server_standing::demoted && it.slots <= held->slots)
+            return hold_out(it, true, now, out);
+    }
+}
+
+// An ejection that has lasted its time becomes a trial; good service halves the next one.
+void ejector::age_servers(time_point now, ejector_actions& out)
+{
+    for (server_state& it : servers_) {
+        if (it.by_reservation && !reservation_is_ours(now))
+            put_back(it, out);
+        if (it.standing == server_standing::held_out && now >= it.until)
+            give(it, server_standing::on_trial, out);
+        const bool good = it.standing == server_standing::serving && !it.failing;
+        if (!good)
+            it.good_since = now;
+        if (it.level > 0 && now - it.good_since >= options_.good_time) {
+            --it.level;
+            it.good_since = now;
+        }
+    }
+}
+
+// Renews entries and the reservation after a third of their time, each with its own.
+void ejector::renew_own(ejection_record& record, time_point now) const
+{
+    const auto own = [&](const auto& it) {
+        return it.gate == options_.gate && it.gate_incarnation == options_.gate_incarnation;
+    };
+    for (ejection& it : record.ejected) {
+        if (own(it) && ages_.age_of(it, now) > options_.floor.entry_ttl / 3)
+            it.renewal = record_->version + 1;
+    }
+    for (ejection_reservation& it : record.reserved) {
+        const bool old = ages_.age_of(it, now) > options_.floor.reservation_ttl / 12;
+        if (own(it) && (old || !reservation_renewed_))
+            it.renewal = record_->version + 1;
+    }
+}
+
+void ejector::reserve_capacity(ejection_record& record, const service_view& view,
+                               time_point now) const
+{
+    const bool any_reserved =
+        std::any_of(record.reserved.begin(), record.reserved.end(),
+                    [&](const ejection_reservation& it) { return it.gate == options_.gate; });
+    if (any_reserved &&
+        serving_slots(record, view, options_.floor, now) >= options_.floor.floor_slots &&
+        healthy_slots(record, view, options_.floor, now) < options_.floor.floor_slots) {
+        const bool used = std::any_of(servers_.begin(), servers_.end(),
+                                      [](const server_state& it) { return it.by_reservation; });
+        if (!used)
+            record = propose_release(record, options_.gate);
+        return;
+    }
+    if (any_reserved || !options_.reserve || servers_.empty())
+        return;
+    std::uint32_t slots = 0;
+    for (const server_state& it : servers_)
+        slots = std::max(slots, it.slots);
+    const proposed_record next = propose_reservation(
+        record, view, options_.floor,
+        {.gate = options_.gate, .gate_incarnation = options_.gate_incarnation, .slots = slots},
+        now);
+    if (!failed(next))
+        record = value_of(next);
+}
+
+// One failing server into the record: by the room above the floor or, when there is none, by this
+// gate's own reservation. An entry that stood before is renewed, so that a write confirms it.
+proposed_record ejector::with_ejected(const ejection_record& record, const server_state& it,
+                                      const service_view& view, time_point now) const
+{
+    const ejection entry = entry_for(it);
+    const ejection_reservation* held =
+        find_reservation(record, options_.gate, options_.gate_incarnation);
+    const bool covered = held != nullptr && held->slots >= it.slots;
+    if (it.by_reservation)
+        return covered ? propose_claim(record, entry) : proposed_record(record);
+    proposed_record out = propose_ejection(record, view, options_.floor, entry, now);
+    if (failed(out) && error_of(out) == ejection_refusal::below_floor && covered &&
+        healthy_slots(record, view, options_.floor, now) >= options_.floor.floor_slots)
+        return propose_claim(record, entry);
+    return out;
+}
+
+// The record as this gate wants it: expired entries and those of servers back in rotation go,
+// failing servers come in as far as the floor allows.
+ejection_record ejector::wanted_record(const service_view& view, time_point now)
+{
+    assert(record_);
+    ejection_record out = drop_expired(*record_, view, ages_, options_.floor, now);
+    for (const server_state& it : servers_) {
+        if (!is_out(it) && find_ejection(out, it.server) != nullptr)
+            out = propose_return(out, it.server);
+    }
+    renew_own(out, now);
+    for (const server_state& it : servers_) {
+        const bool wanted =
+            it.by_reservation || (it.failing && it.standing == server_standing::demoted);
+        if (!wanted)
+            continue;
+        const proposed_record next = with_ejected(out, it, view, now);
+        if (failed(next))
+            last_refusal_ = error_of(next);
+        else
+            out = value_of(next);
+    }
+    reserve_capacity(out, view, now);
+    return out;
+}
+
+// One call to the store at a time. A write of unknown fate is settled first: by a read that shows a
+// later version, or by sending the very same compare-and-swap again.
+void ejector::write_or_read(const service_view& view, time_point now, ejector_actions& out)
+{
+    if (reading_ || now < retry_at_)
+        return;
+    if (!record_ || record_is_old_ || (pending_ && pending_->answered)) {
+        reading_ = true;
+        record_is_old_ = false;
+        out.emplace_back(read_record{options_.service});
+        return;
+    }
+    if (pending_)
+        return;
+    ejection_record wanted = wanted_record(view, now);
+    if (wanted == *record_)
+        return;
+    wanted.version = record_->version + 1;
+    pending_ = pending_write{.record = wanted, .expected = record_->version, .issued = now};
+    out.emplace_back(write_record{wanted, record_->version});
+}
+
+ejector_actions ejector::advance(const service_view& view, time_point now)
+{
+    ejector_actions out;
+    return_below_floor(view, now, out);
+    age_servers(now, out);
+    use_reservation(view, now, out);
+    write_or_read(view, now, out);
+    return out;
+}
+
+ejector_actions ejector::on_failing(backend_server_id server, std::uint32_t severity,
+                                    const service_view& view, time_point now)
+{
+    ejector_actions out;
+    server_state* it = find(server);
+    if (it == nullptr)
+        return out;
+    it->failing = true;
+    it->severity = severity;
+    if (it->standing == server_standing::serving)
+        give(*it, server_standing::demoted, out);
+    append(out, advance(view, now));
+    return out;
+}
+
+ejector_actions ejector::on_recovered(backend_server_id server, const service_view& view,
+                                      time_point now)
+{
+    ejector_actions out;
+    server_state* it = find(server);
+    if (it == nullptr)
+        return out;
+    it->failing = false;
+    if (it->standing == server_standing::demoted)
+        give(*it, server_standing::serving, out);
+    append(out, advance(view, now));
+    return out;
+}
+
+// A passed trial gives full service and then frees the entry; a failed one starts a longer
+// ejection under the entry that still stands.
+ejector_actions ejector::on_trial_ended(backend_server_id server, bool passed,
+                                        const service_view& view, time_point now)
+{
+    ejector_actions out;
+    server_state* it = find(server);
+    if (it == nullptr || it->standing != server_standing::on_trial)
+        return out;
+    it->failing = !passed;
+    if (passed)
+        put_back(*it, out);
+    else
+        hold_out(*it, it->by_reservation, now, out);
+    append(out, advance(view, now));
+    return out;
+}
+
+// A record older than one already seen is a stale read and tells nothing. One that shows a later
+// version than a write of unknown fate expected settles it: that write can no longer take effect.
+ejector_actions ejector::on_record(const ejection_record& record, const service_view& view,
+                                   time_point now)
+{
+    ejector_actions out;
+    const bool asked = reading_;
+    reading_ = false;
+    store_away_ = false;
+    if (record_ && record.version < record_->version) {
+        retry_at_ = now + stale_read_retry;
+        return out;
+    }
+    if (pending_ && record.version > pending_->expected && pending_->answered)
+        pending_.reset();
+    if (pending_ && pending_->answered && asked) {
+        pending_->answered = false;
+        out.emplace_back(write_record{pending_->record, pending_->expected});
+        return out;
+    }
+    adopt(record, now, out);
+    append(out, advance(view, now));
+    return out;
+}
+
+ejector_actions ejector::on_read_failed(time_point now)
+{
+    reading_ = false;
+    store_away_ = true;
+    retry_at_ = now + store_retry;
+    return {};
+}
+
+// Once a write may have taken effect, only a later version or its own confirmation settles it.
+ejector_actions ejector::on_write_answered(write_outcome outcome, const service_view& view,
+                                           time_point now)
+{
+    ejector_actions out;
+    if (!pending_)
+        return out;
+    const pending_write done = *pending_;
+    store_away_ = outcome == write_outcome::unknown || outcome == write_outcome::store_away;
+    if (store_away_) {
+        pending_->answered = true;
+        pending_->uncertain = done.uncertain || outcome == write_outcome::unknown;
+        if (!pending_->uncertain)
+            pending_.reset();
+        retry_at_ = now + store_retry;
+    }
+    else {
+        pending_.reset();
+        if (outcome == write_outcome::conflict) {
+            record_is_old_ = true;
+        }
+        else if (!record_ || done.record.version > record_->version) {
+            note_reservation(done);
+            adopt(done.record, now, out);
+            hold_out_committed(done, view, now, out);
+        }
+    }
+    append(out, advance(view, now));
+    return out;
+}
+
+ejector_actions ejector::tick(const service_view& view, time_point now)
+{
+    return advance(view, now);
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/service_floor.cpp
@@ -0,0 +1,259 @@
+#include "service_floor.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jasminebank {
+
+// Bounds of the record: it stays far below a store value of one megabyte.
+constexpr std::size_t max_ejections = 64;
+constexpr std::size_t max_reservations = 64;
+
+std::string_view name_of(ejection_refusal it)
+{
+    switch (it) {
+    case ejection_refusal::view_stale:
+        return "view_stale";
+    case ejection_refusal::below_floor:
+        return "below_floor";
+    case ejection_refusal::already_there:
+        return "already_there";
+    case ejection_refusal::record_full:
+        return "record_full";
+    case ejection_refusal::unknown_server:
+        return "unknown_server";
+    }
+    return "unknown";
+}
+
+const ejection* find_ejection(const ejection_record& record, backend_server_id server)
+{
+    for (const ejection& it : record.ejected) {
+        if (it.server == server)
+            return &it;
+    }
+    return nullptr;
+}
+
+const ejection_reservation* find_reservation(const ejection_record& record, vm_id gate,
+                                             incarnation gate_incarnation)
+{
+    for (const ejection_reservation& it : record.reserved) {
+        if (it.gate == gate && it.gate_incarnation == gate_incarnation)
+            return &it;
+    }
+    return nullptr;
+}
+
+static bool is_live(const heard_server& it, const floor_options& options, time_point now)
+{
+    return now - it.last_heard <= options.view_limit && !it.draining;
+}
+
+std::int64_t serving_slots(const ejection_record& record, const service_view& view,
+                           const floor_options& options, time_point now)
+{
+    std::int64_t slots = 0;
+    for (const heard_server& it : view.servers) {
+        if (is_live(it, options, now) && !it.held_out &&
+            find_ejection(record, it.server) == nullptr)
+            slots += it.slots;
+    }
+    return slots;
+}
+
+std::int64_t healthy_slots(const ejection_record& record, const service_view& view,
+                           const floor_options& options, time_point now)
+{
+    std::int64_t slots = serving_slots(record, view, options, now);
+    for (const ejection_reservation& it : record.reserved)
+        slots -= it.slots;
+    return slots;
+}
+
+bool is_stale(const service_view& view, const floor_options& options, time_point now)
+{
+    return now - view.updated > options.view_limit;
+}
+
+// The new record is tried against the floor as a whole, so that no rule stands twice.
+proposed_record propose_ejection(const ejection_record& record, const service_view& view,
+                                 const floor_options& options, const ejection& candidate,
+                                 time_point now)
+{
+    if (is_stale(view, options, now))
+        return ejection_refusal::view_stale;
+    if (find_ejection(record, candidate.server) != nullptr)
+        return ejection_refusal::already_there;
+    if (record.ejected.size() >= max_ejections)
+        return ejection_refusal::record_full;
+    const bool heard = std::any_of(view.servers.begin(), view.servers.end(), [&](const auto& it) {
+        return it.server == candidate.server && now - it.last_heard <= options.view_limit;
+    });
+    if (!heard)
+        return ejection_refusal::unknown_server;
+    ejection_record out = record;
+    out.ejected.push_back(candidate);
+    if (healthy_slots(out, view, options, now) < options.floor_slots)
+        return ejection_refusal::below_floor;
+    return out;
+}
+
+proposed_record propose_claim(const ejection_record& record, const ejection& candidate)
+{
+    const ejection_reservation* held =
+        find_reservation(record, candidate.gate, candidate.gate_incarnation);
+    assert(held != nullptr && held->slots >= candidate.slots);
+    if (find_ejection(record, candidate.server) != nullptr)
+        return ejection_refusal::already_there;
+    if (record.ejected.size() >= max_ejections)
+        return ejection_refusal::record_full;
+    ejection_record out = record;
+    std::erase(out.reserved, *held);
+    out.ejected.push_back(candidate);
+    return out;
+}
+
+// Reservations take at most a share of the room above the floor: the rest is for ejections that are
+// needed now.
+proposed_record propose_reservation(const ejection_record& record, const service_view& view,
+                                    const floor_options& options,
+                                    const ejection_reservation& wanted, time_point now)
+{
+    if (is_stale(view, options, now))
+        return ejection_refusal::view_stale;
+    std::int64_t reserved = wanted.slots;
+    for (const ejection_reservation& it : record.reserved) {
+        if (it.gate == wanted.gate)
+            return ejection_refusal::already_there;
+        reserved += it.slots;
+    }
+    if (record.reserved.size() >= max_reservations)
+        return ejection_refusal::record_full;
+    ejection_record out = record;
+    out.reserved.push_back(wanted);
+    const auto room = static_cast<double>(serving_slots(record, view, options, now)) -
+                      static_cast<double>(options.floor_slots);
+    if (static_cast<double>(reserved) > options.reservable_share * room)
+        return ejection_refusal::below_floor;
+    if (healthy_slots(out, view, options, now) < options.floor_slots)
+        return ejection_refusal::below_floor;
+    return out;
+}
+
+ejection_record propose_return(const ejection_record& record, backend_server_id server)
+{
+    ejection_record out = record;
+    std::erase_if(out.ejected, [&](const ejection& it) { return it.server == server; });
+    return out;
+}
+
+ejection_record propose_release(const ejection_record& record, vm_id gate)
+{
+    ejection_record out = record;
+    std::erase_if(out.reserved, [&](const auto& it) { return it.gate == gate; });
+    return out;
+}
+
+// Every gate computes the same list from the same news and returns those that are its own. A
+// server that is dead or drains brings nothing back and is passed over.
+std::vector<backend_server_id> relieve(const ejection_record& record, const service_view& view,
+                                       const floor_options& options, time_point now)
+{
+    std::vector<ejection> by_severity = record.ejected;
+    std::sort(by_severity.begin(), by_severity.end(), [](const auto& a, const auto& b) {
+        return a.severity != b.severity ? a.severity < b.severity : a.server.value < b.server.value;
+    });
+    std::int64_t slots = serving_slots(record, view, options, now);
+    std::vector<backend_server_id> out;
+    for (const ejection& it : by_severity) {
+        if (slots >= options.floor_slots)
+            break;
+        const bool live = std::any_of(view.servers.begin(), view.servers.end(), [&](const auto& s) {
+            return s.server == it.server && is_live(s, options, now);
+        });
+        if (!live)
+            continue;
+        out.push_back(it.server);
+        slots += it.slots;
+    }
+    return out;
+}
+
+static std::uint64_t key_of(const ejection& it)
+{
+    return mix(mix(it.server.value, it.gate.value), it.gate_incarnation.value);
+}
+
+static std::uint64_t key_of(const ejection_reservation& it)
+{
+    return mix(it.gate.value, it.gate_incarnation.value);
+}
+
+void entry_ages::observe(const ejection_record& record, time_point now)
+{
+    std::vector<seen> next;
+    const auto keep = [&](std::uint64_t key, std::uint64_t renewal) {
+        const auto it = std::find_if(seen_.begin(), seen_.end(), [&](const seen& s) {
+            return s.key == key && s.renewal == renewal;
+        });
+        next.push_back({key, renewal, it == seen_.end() ? now : it->first_seen});
+    };
+    for (const ejection& it : record.ejected)
+        keep(key_of(it), it.renewal);
+    for (const ejection_reservation& it : record.reserved)
+        keep(key_of(it), it.renewal);
+    seen_ = std::move(next);
+}
+
+duration entry_ages::age_of(std::uint64_t key, std::uint64_t renewal, time_point now) const
+{
+    for (const seen& it : seen_) {
+        if (it.key == key && it.renewal == renewal)
+            return now - it.first_seen;
+    }
+    return duration{};
+}
+
+duration entry_ages::age_of(const ejection& it, time_point now) const
+{
+    return age_of(key_of(it), it.renewal, now);
+}
+
+duration entry_ages::age_of(const ejection_reservation& it, time_point now) const
+{
+    return age_of(key_of(it), it.renewal, now);
+}
+
+// Clocks of two VMs may drift apart a little; a reader waits a hundredth longer than the holder.
+static duration with_drift(duration it)
+{
+    return it + it / 100;
+}
+
+// An unheard server is no capacity to this reader. To a reader that does hear it, it is none
+// either: the entry is older than any news that still counts, and since then its gate has said
+// `held_out`. That needs renewal numbers that are never reused. A reservation may be used by a gate
+// that nobody hears, so only its own time or a new run of the gate's process ends it.
+ejection_record drop_expired(const ejection_record& record, const service_view& view,
+                             const entry_ages& ages, const floor_options& options, time_point now)
+{
+    ejection_record out = record;
+    std::erase_if(out.ejected, [&](const ejection& it) {
+        const bool heard =
+            std::any_of(view.servers.begin(), view.servers.end(), [&](const auto& s) {
+                return s.server == it.server && now - s.last_heard <= with_drift(options.entry_ttl);
+            });
+        return !heard && ages.age_of(it, now) > with_drift(options.entry_ttl);
+    });
+    std::erase_if(out.reserved, [&](const ejection_reservation& it) {
+        const bool restarted =
+            std::any_of(view.servers.begin(), view.servers.end(), [&](const auto& s) {
+                return s.gate == it.gate && s.gate_incarnation.value > it.gate_incarnation.value;
+            });
+        return restarted || ages.age_of(it, now) > with_drift(options.reservation_ttl);
+    });
+    return out;
+}
+
+} // namespace jasminebank
