Fair slots at a gate

By arrival, an organisation at ten times its share fills the queue and moves everyone's latency. The slots of a backend server now go to the waiting organisation that has used the least slot time for its weight. Deficit round robin by requests was ruled out: an organisation with requests ten times as long would hold ten times the slots. What a request is expected to take is charged at the start and corrected at the end.

Queues are bounded for one organisation and in all; a full total pushes out the newest of the longest queue. A request that would miss its deadline by its own organisation's queue and share is refused at once, as not run.

With one organisation sending 500 requests/s to 200 requests/s of slots, three others inside their share wait at most two service times (property).

Seen to fail with the mechanism broken: longest queue first, use not counted or not corrected, idle time credited, weight ignored, deadlines foreseen from the whole queue or not at all, expired requests started, cancelled ones kept, duplicates taken, no push-out; a slot left free stops on an assertion.

--- a/src/failure_detector.h
+++ b/src/failure_detector.h
@@ -6,6 +6,7 @@
 // server is called failing, the sums are computed again against what other gates of the service
 // saw in the same seconds, so that a slowdown of the whole service blames nobody.
 
+#include "request_outcome.h"
 #include "types.h"
 
 #include <cstdint>
@@ -15,23 +16,6 @@
 
 namespace jasminebank {
 
-/// One dispatch to a backend server; never used twice by a gate.
-using request_id = id<struct request_tag>;
-
-/// How a dispatched request ended, as its gate judged it.
-enum class request_outcome : std::uint8_t {
-    ok,                 ///< whole answer, status below 500
-    error_status,       ///< status 500 or above that is not an honest refusal
-    bad_length,         ///< truncated, or longer than announced
-    hung,               ///< the gate gave up waiting
-    connection_refused, ///< nothing listens
-    shed,               ///< honest refusal under load
-    draining,           ///< honest refusal while leaving
-    cold_start,         ///< the backend server has said that it is warming up
-    deadline_cut,       ///< the caller's deadline passed or the caller cancelled
-    link_fault,         ///< the path broke, not the backend server
-};
-
 /// A request went to a backend server.
 struct request_started {
     request_id request;
--- /dev/null
+++ b/src/slot_queue.cpp
@@ -0,0 +1,227 @@
+#include "slot_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jasminebank {
+
+// Organisations remembered for what they used although they are idle.
+constexpr std::size_t max_remembered = 1024;
+
+static double seconds(duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+slot_queue::slot_queue(const slot_queue_options& options) : options_(options)
+{
+    assert(options.max_waiting >= options.max_waiting_for_one);
+}
+
+slot_queue::organisation_state* slot_queue::find(organisation_id organisation)
+{
+    for (organisation_state& it : organisations_) {
+        if (it.organisation == organisation)
+            return &it;
+    }
+    return nullptr;
+}
+
+// An organisation that comes back after idling starts level with those being served: idle time
+// earns nothing.
+slot_queue::organisation_state& slot_queue::join(const slot_request& it)
+{
+    organisation_state* own = find(it.organisation);
+    if (own == nullptr) {
+        organisations_.push_back({.organisation = it.organisation, .waiting = {}});
+        own = &organisations_.back();
+    }
+    if (own->running == 0 && own->waiting.empty())
+        own->used = std::max(own->used, virtual_time_);
+    own->weight = std::max(1U, it.weight);
+    return *own;
+}
+
+bool slot_queue::is_known(request_id request) const
+{
+    const auto same = [&](const auto& it) { return it.request == request; };
+    return std::any_of(running_.begin(), running_.end(), same) ||
+           std::any_of(organisations_.begin(), organisations_.end(), [&](const auto& it) {
+               return std::any_of(it.waiting.begin(), it.waiting.end(), same);
+           });
+}
+
+// The wait is foreseen from the organisation's own queue and its share of the slots. Only a request
+// that would miss its deadline by that is refused before its time.
+bool slot_queue::would_miss(const slot_request& it, const organisation_state& own,
+                            time_point now) const
+{
+    constexpr std::uint64_t least_samples = 8;
+    if (it.deadline <= now)
+        return true;
+    if (samples_ < least_samples || running_.size() < options_.slots)
+        return false;
+    double weights = 0;
+    for (const organisation_state& other : organisations_) {
+        if (other.running > 0 || !other.waiting.empty() || &other == &own)
+            weights += other.weight;
+    }
+    const double share = own.weight / weights * std::max(1U, options_.slots);
+    const double ahead = static_cast<double>(own.waiting.size());
+    return ahead * expected_seconds_ / share > seconds(it.deadline - now);
+}
+
+// The total is full: the newest request of the longest queue gives way, unless that queue is the
+// arriving one's own.
+bool slot_queue::make_room(const organisation_state& own, slot_actions& out)
+{
+    if (own.waiting.size() >= options_.max_waiting_for_one)
+        return false;
+    if (waiting_ < options_.max_waiting)
+        return true;
+    const auto longest = std::max_element(
+        organisations_.begin(), organisations_.end(),
+        [](const auto& a, const auto& b) { return a.waiting.size() < b.waiting.size(); });
+    if (longest->waiting.size() <= own.waiting.size() + 1)
+        return false;
+    out.emplace_back(refuse_request{longest->waiting.back().request, slot_refusal::queue_full});
+    longest->waiting.pop_back();
+    --waiting_;
+    return true;
+}
+
+slot_actions slot_queue::enqueue(const slot_request& it, time_point now)
+{
+    slot_actions out;
+    if (is_known(it.request)) {
+        out.emplace_back(refuse_request{it.request, slot_refusal::duplicate});
+        return out;
+    }
+    drop_passed(now, out);
+    organisation_state& own = join(it);
+    if (would_miss(it, own, now)) {
+        out.emplace_back(refuse_request{it.request, slot_refusal::deadline});
+    }
+    else if (!make_room(own, out)) {
+        out.emplace_back(refuse_request{it.request, slot_refusal::queue_full});
+    }
+    else {
+        own.waiting.push_back(it);
+        ++waiting_;
+    }
+    start_waiting(now, out);
+    forget_idle();
+    return out;
+}
+
+// What a request was expected to take is replaced by what it took, so that long requests cost their
+// organisation what they hold.
+slot_actions slot_queue::finished(request_id request, time_point now)
+{
+    constexpr std::uint64_t averaged_samples = 64;
+    slot_actions out;
+    const auto it = std::find_if(running_.begin(), running_.end(),
+                                 [&](const auto& r) { return r.request == request; });
+    if (it == running_.end())
+        return out;
+    const double took = seconds(now - it->started);
+    ++samples_;
+    expected_seconds_ +=
+        (took - expected_seconds_) / static_cast<double>(std::min(samples_, averaged_samples));
+    organisation_state* own = find(it->organisation);
+    assert(own != nullptr && own->running > 0);
+    --own->running;
+    own->used += took / own->weight - it->charged;
+    running_.erase(it);
+    drop_passed(now, out);
+    start_waiting(now, out);
+    forget_idle();
+    return out;
+}
+
+slot_actions slot_queue::cancel(request_id request, time_point now)
+{
+    for (organisation_state& it : organisations_) {
+        waiting_ -=
+            std::erase_if(it.waiting, [&](const slot_request& r) { return r.request == request; });
+    }
+    return tick(now);
+}
+
+slot_actions slot_queue::tick(time_point now)
+{
+    slot_actions out;
+    drop_passed(now, out);
+    start_waiting(now, out);
+    forget_idle();
+    return out;
+}
+
+slot_actions slot_queue::set_slots(std::uint32_t slots, time_point now)
+{
+    options_.slots = slots;
+    return tick(now);
+}
+
+void slot_queue::drop_passed(time_point now, slot_actions& out)
+{
+    for (organisation_state& it : organisations_) {
+        const auto passed = [&](const slot_request& r) {
+            if (r.deadline > now)
+                return false;
+            out.emplace_back(refuse_request{r.request, slot_refusal::deadline});
+            return true;
+        };
+        waiting_ -= std::erase_if(it.waiting, passed);
+    }
+}
+
+// Each free slot goes to the waiting organisation that has used the least for its weight.
+void slot_queue::start_waiting(time_point now, slot_actions& out)
+{
+    constexpr double least_charge_s = 1e-4;
+    while (running_.size() < options_.slots && waiting_ > 0) {
+        organisation_state* next = nullptr;
+        for (organisation_state& it : organisations_) {
+            if (!it.waiting.empty() && (next == nullptr || it.used < next->used))
+                next = &it;
+        }
+        assert(next != nullptr);
+        const slot_request request = next->waiting.front();
+        next->waiting.pop_front();
+        --waiting_;
+        virtual_time_ = std::max(virtual_time_, next->used);
+        const double charged = std::max(least_charge_s, expected_seconds_) / next->weight;
+        next->used += charged;
+        ++next->running;
+        running_.push_back({request.request, next->organisation, now, charged});
+        out.emplace_back(start_request{request.request});
+    }
+    assert(waiting_ == 0 || running_.size() >= options_.slots);
+    assert(waiting_ <= options_.max_waiting);
+}
+
+// An idle organisation that is not ahead of the others needs no memory: it would start level
+// anyway. Beyond the bound the one least ahead goes.
+void slot_queue::forget_idle()
+{
+    const auto idle = [](const organisation_state& it) {
+        return it.running == 0 && it.waiting.empty();
+    };
+    std::erase_if(organisations_, [&](const organisation_state& it) {
+        return idle(it) && (it.used <= virtual_time_ || running_.empty());
+    });
+    while (organisations_.size() > max_remembered + options_.max_waiting + options_.slots) {
+        organisation_state* least = nullptr;
+        for (organisation_state& it : organisations_) {
+            if (idle(it) && (least == nullptr || it.used < least->used))
+                least = &it;
+        }
+        if (least == nullptr)
+            return;
+        std::swap(*least, organisations_.back());
+        organisations_.pop_back();
+    }
+}
+
+} // namespace jasminebank
