--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -2,7 +2,7 @@
 
 #include "dispatch.h"
 #include "endpoint.h"
-#include "request_outcome.h"
+#include "refusal.h"
 #include "system_clock.h"
 
 #include <fmt/format.h>
--- a/src/caller_head.h
+++ b/src/caller_head.h
@@ -5,7 +5,7 @@
 
 #include "digest.h"
 #include "link_message.h"
-#include "request_outcome.h"
+#include "refusal.h"
 #include "result.h"
 
 #include <string>
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -155,7 +155,9 @@
                                           const std::vector<backend_server_id>& tried)
 {
     const std::lock_guard lock(mutex_);
-    auto out = router_.choose(request.service->id, tried, random_(), boot_now());
+    auto out = router_.choose(
+        {.service = request.service->id, .idempotent = request.idempotent, .tried = tried},
+        random_(), boot_now());
     if (out)
         router_.started(out->server);
     return out;
--- a/src/entry.h
+++ b/src/entry.h
@@ -8,7 +8,7 @@
 #include "dispatch.h"
 #include "fleet_config.h"
 #include "link_hub.h"
-#include "request_outcome.h"
+#include "refusal.h"
 #include "router.h"
 #include "types.h"
 
--- a/src/gate.h
+++ b/src/gate.h
@@ -7,7 +7,7 @@
 #include "backend_call.h"
 #include "dispatch.h"
 #include "link_stream.h"
-#include "request_outcome.h"
+#include "refusal.h"
 #include "types.h"
 #include "worker_pool.h"
 
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -15,9 +15,6 @@
     event_entry{event::node_stopped, severity::info, "node_stopped"},
     event_entry{event::settings_rejected, severity::error, "settings_rejected"},
     event_entry{event::settings_reloaded, severity::info, "settings_reloaded"},
-    event_entry{event::config_in_force, severity::info, "config_in_force"},
-    event_entry{event::config_rejected, severity::error, "config_rejected"},
-    event_entry{event::config_unreadable, severity::warning, "config_unreadable"},
     event_entry{event::link_listening, severity::info, "link_listening"},
     event_entry{event::link_opened, severity::info, "link_opened"},
     event_entry{event::link_closed, severity::info, "link_closed"},
@@ -27,14 +24,16 @@
     event_entry{event::store_watch_connected, severity::info, "store_watch_connected"},
     event_entry{event::store_watch_disconnected, severity::warning, "store_watch_disconnected"},
     event_entry{event::store_watch_history_lost, severity::warning, "store_watch_history_lost"},
-    event_entry{event::fake_store_fault_set, severity::info, "fake_store_fault_set"},
+    event_entry{event::config_in_force, severity::info, "config_in_force"},
+    event_entry{event::config_rejected, severity::error, "config_rejected"},
+    event_entry{event::config_unreadable, severity::warning, "config_unreadable"},
     event_entry{event::standin_started, severity::info, "standin_started"},
+    event_entry{event::fake_store_fault_set, severity::info, "fake_store_fault_set"},
     event_entry{event::backend_announced, severity::info, "backend_announced"},
     event_entry{event::backend_announce_failed, severity::warning, "backend_announce_failed"},
     event_entry{event::backend_draining, severity::info, "backend_draining"},
     event_entry{event::backend_crashed, severity::error, "backend_crashed"},
     event_entry{event::answer_wrong, severity::error, "answer_wrong"},
-    event_entry{event::fake_store_fault_set, severity::info, "fake_store_fault_set"},
 };
 
 std::span<const event_entry> event_catalogue()
--- a/src/log.h
+++ b/src/log.h
@@ -21,9 +21,6 @@
     node_stopped = 102,
     settings_rejected = 103,
     settings_reloaded = 104,
-    config_in_force = 500,
-    config_rejected = 501,
-    config_unreadable = 502,
     link_listening = 200,
     link_opened = 201,
     link_closed = 202,
@@ -33,14 +30,16 @@
     store_watch_connected = 300,
     store_watch_disconnected = 301,
     store_watch_history_lost = 302,
-    fake_store_fault_set = 910,
+    config_in_force = 500,
+    config_rejected = 501,
+    config_unreadable = 502,
     standin_started = 900,
+    fake_store_fault_set = 910,
     backend_announced = 920,
     backend_announce_failed = 921,
     backend_draining = 922,
     backend_crashed = 923,
     answer_wrong = 924,
-    fake_store_fault_set = 910,
 };
 
 /// One row of the catalogue.
--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -9,7 +9,8 @@
 // Records are arrays, not objects: field names would be most of the bytes.
 static json to_json(const server_record& it)
 {
-    return json::array({it.service.value, it.address.host, it.address.port, it.slots, it.draining});
+    return json::array({it.service.value, it.address.host, it.address.port, it.slots, it.draining,
+                        static_cast<unsigned>(it.standing)});
 }
 
 static json to_json(const member_record& it)
@@ -39,6 +40,9 @@
     out.id = id_of<backend_server_id>(to_string(out.address));
     out.slots = in.at(3).get<std::uint32_t>();
     out.draining = in.at(4).get<bool>();
+    const auto standing = in.at(5).get<unsigned>();
+    if (standing <= static_cast<unsigned>(server_standing::on_trial))
+        out.standing = static_cast<server_standing>(standing);
     return out;
 }
 
--- a/src/member_directory.h
+++ b/src/member_directory.h
@@ -5,6 +5,7 @@
 // order, any number of times, to the same state.
 
 #include "endpoint.h"
+#include "server_standing.h"
 #include "types.h"
 
 #include <cstdint>
@@ -20,6 +21,7 @@
     endpoint address;
     std::uint32_t slots = 0;
     bool draining = false; ///< gets no new work
+    server_standing standing = server_standing::serving;
     bool operator==(const server_record&) const = default;
 };
 
--- a/src/request_outcome.cpp
+++ b/src/refusal.cpp
@@ -1,4 +1,4 @@
-#include "request_outcome.h"
+#include "refusal.h"
 
 #include <fmt/format.h>
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -22,11 +22,12 @@
         for (const server_record& it : member.servers) {
             const auto known = servers_.find(it.id);
             servers[it.id] = known == servers_.end() ? server_state{} : known->second;
-            if (member.leaving || it.draining)
+            if (member.leaving || it.draining || it.standing == server_standing::held_out)
                 continue;
             services[it.service].push_back({.choice = {it.id, member.vm, member.run, member.link},
                                             .domain = member.domain,
-                                            .slots = std::max<std::uint32_t>(it.slots, 1)});
+                                            .slots = std::max<std::uint32_t>(it.slots, 1),
+                                            .standing = it.standing});
         }
     }
     for (auto& [service, candidates] : services)
@@ -62,19 +63,6 @@
     candidates.resize(std::min(candidates.size(), options_.subset));
 }
 
-void router::set_standing(backend_server_id server, server_standing standing)
-{
-    const auto it = servers_.find(server);
-    if (it != servers_.end())
-        it->second.standing = standing;
-}
-
-server_standing router::standing(backend_server_id server) const
-{
-    const auto it = servers_.find(server);
-    return it == servers_.end() ? server_standing::full : it->second.standing;
-}
-
 // Expected busyness: what this node has in flight itself, and what the last answer told.
 double router::score(const candidate& it) const
 {
@@ -82,17 +70,17 @@
     double out = state.load + (state.in_flight + 1.0) / it.slots;
     if (it.domain != options_.domain)
         out += other_domain_penalty;
-    if (state.standing == server_standing::demoted)
+    if (it.standing == server_standing::demoted)
         out += demoted_penalty;
     return out;
 }
 
-bool router::is_usable(const candidate& it, std::span<const backend_server_id> tried,
-                       time_point now) const
+// A server on trial takes idempotent requests only, and few: its penalty keeps most of them away.
+bool router::is_usable(const candidate& it, const route_request& wanted, time_point now) const
 {
-    if (std::find(tried.begin(), tried.end(), it.choice.server) != tried.end())
+    if (std::find(wanted.tried.begin(), wanted.tried.end(), it.choice.server) != wanted.tried.end())
         return false;
-    if (standing(it.choice.server) == server_standing::ejected)
+    if (it.standing == server_standing::on_trial && !wanted.idempotent)
         return false;
     const auto paused = paused_gates_.find(it.choice.gate);
     return paused == paused_gates_.end() || paused->second <= now;
@@ -100,17 +88,16 @@
 
 // Picks two of the usable servers at random, own domain and full standing preferred by their score,
 // and takes the less busy one: near the balance of a full search, without herding.
-std::optional<route_choice> router::choose(service_id service,
-                                           std::span<const backend_server_id> tried,
-                                           std::uint64_t random, time_point now) const
+std::optional<route_choice> router::choose(const route_request& wanted, std::uint64_t random,
+                                           time_point now) const
 {
-    const auto found = services_.find(service);
+    const auto found = services_.find(wanted.service);
     if (found == services_.end())
         return std::nullopt;
     std::vector<const candidate*> own;
     std::vector<const candidate*> all;
     for (const candidate& it : found->second) {
-        if (!is_usable(it, tried, now))
+        if (!is_usable(it, wanted, now))
             continue;
         all.push_back(&it);
         if (it.domain == options_.domain && score(it) < other_domain_penalty + 1)
--- a/src/router.h
+++ b/src/router.h
@@ -20,6 +20,13 @@
     duration gate_pause = std::chrono::seconds(1); ///< a gate that failed is left alone this long
 };
 
+/// What a request needs.
+struct route_request {
+    service_id service;
+    bool idempotent = false;                    ///< may serve as a trial request
+    std::span<const backend_server_id> tried{}; ///< backend servers that are not to be asked again
+};
+
 /// Where a request goes.
 struct route_choice {
     backend_server_id server;
@@ -28,13 +35,6 @@
     endpoint gate_link;
 };
 
-/// How a backend server may be used, as its ejection record says.
-enum class server_standing : std::uint8_t {
-    full,    ///< in rotation
-    demoted, ///< in rotation, picked last
-    ejected, ///< out of rotation
-};
-
 /// One node's view of the backend servers. Not thread-safe.
 class router {
 public:
@@ -42,12 +42,9 @@
 
     /// Takes over who stands where. Loads of servers that stay are kept.
     void update(const member_directory& directory);
-    void set_standing(backend_server_id server, server_standing standing);
-    server_standing standing(backend_server_id server) const;
-
-    /// A server of `service` that is not in `tried`, or nothing. `random` is any random word.
-    std::optional<route_choice> choose(service_id service, std::span<const backend_server_id> tried,
-                                       std::uint64_t random, time_point now) const;
+    /// A server for `wanted`, or nothing. `random` is any random word.
+    std::optional<route_choice> choose(const route_request& wanted, std::uint64_t random,
+                                       time_point now) const;
     /// Counts a request sent to a server.
     void started(backend_server_id server);
     /// The request ended; `load` is the share of busy slots that the answer told, 0 if it told
@@ -61,16 +58,15 @@
         route_choice choice;
         failure_domain_id domain;
         std::uint32_t slots = 1;
+        server_standing standing = server_standing::serving;
     };
     struct server_state {
         std::uint32_t in_flight = 0;
         double load = 0;
-        server_standing standing = server_standing::full;
     };
 
     double score(const candidate& it) const;
-    bool is_usable(const candidate& it, std::span<const backend_server_id> tried,
-                   time_point now) const;
+    bool is_usable(const candidate& it, const route_request& wanted, time_point now) const;
     void keep_subset(std::vector<candidate>& candidates) const;
 
     router_options options_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -63,12 +63,23 @@
     router it({.self = {1}, .domain = {1}});
     it.update(directory);
     for (std::uint64_t n = 0; n < 50; ++n)
-        EXPECT_EQ(it.choose({7}, {}, mix(n, 5), start)->server.value, 11U);
+        EXPECT_EQ(it.choose({.service = {7}}, mix(n, 5), start)->server.value, 11U);
     const std::vector<backend_server_id> tried{{11}};
-    EXPECT_EQ(it.choose({7}, tried, 1, start)->server.value, 20U);
-    it.set_standing({20}, server_standing::ejected);
-    EXPECT_FALSE(it.choose({7}, tried, 1, start).has_value());
-    EXPECT_FALSE(it.choose({8}, {}, 1, start).has_value());
+    EXPECT_EQ(it.choose({.service = {7}, .tried = tried}, 1, start)->server.value, 20U);
+    member_record other = member(2, 2, {server(20)});
+    other.version = 2;
+    other.servers[0].standing = server_standing::on_trial;
+    directory.merge(other);
+    it.update(directory);
+    EXPECT_FALSE(it.choose({.service = {7}, .tried = tried}, 1, start).has_value());
+    EXPECT_TRUE(
+        it.choose({.service = {7}, .idempotent = true, .tried = tried}, 1, start).has_value());
+    other.version = 3;
+    other.servers[0].standing = server_standing::held_out;
+    directory.merge(other);
+    it.update(directory);
+    EXPECT_FALSE(it.choose({.service = {7}, .tried = tried}, 1, start).has_value());
+    EXPECT_FALSE(it.choose({.service = {8}}, 1, start).has_value());
 }
 
 TEST(router, leaves_a_failed_gate_alone_for_a_while)
@@ -78,8 +89,8 @@
     router it({.self = {1}, .domain = {1}});
     it.update(directory);
     it.gate_failed({1}, start);
-    EXPECT_FALSE(it.choose({7}, {}, 1, start).has_value());
-    EXPECT_TRUE(it.choose({7}, {}, 1, start + std::chrono::seconds(1)).has_value());
+    EXPECT_FALSE(it.choose({.service = {7}}, 1, start).has_value());
+    EXPECT_TRUE(it.choose({.service = {7}}, 1, start + std::chrono::seconds(1)).has_value());
 }
 
 TEST(router, subset_is_bounded_and_reaches_other_domains)
@@ -91,7 +102,7 @@
     it.update(directory);
     std::set<std::uint64_t> seen;
     std::vector<backend_server_id> tried;
-    while (const auto choice = it.choose({7}, tried, 1, start)) {
+    while (const auto choice = it.choose({.service = {7}, .tried = tried}, 1, start)) {
         seen.insert(choice->gate.value % 2);
         tried.push_back(choice->server);
     }
