Membership: pings in rounds, suspicions, freshness of the store

Design: records and suspicions spread by datagrams; how long ago the store was heard travels on acks, where the round trip bounds its age. A node serves when the store was heard within 5 s, directly or through others, or when half of the members answer.

Found by the property of overlapping parts (, 8 nodes, one cut off): with removal after a suspicion of 1.5 s the isolated node removed the others before its hearing window of 5 s had run out, so its own count of members shrank to itself and it went on serving. Ruled out: a longer suspicion alone, since with 490 members the window is only a sample. Now a member goes only when all members have been asked since it fell silent and half of them answered.

--- /dev/null
+++ b/src/heartbeat.cpp
@@ -0,0 +1,102 @@
+#include "heartbeat.h"
+
+#include "digest.h"
+#include "member_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace jasminebank {
+
+using json = nlohmann::json;
+
+// Part of the keyed digest that goes with a datagram.
+constexpr std::size_t proof_bytes = 16;
+constexpr std::size_t most_suspects = 32;
+
+static std::string proof_of(std::string_view body, std::string_view fleet_key)
+{
+    const digest full = keyed_digest(fleet_key, body);
+    return {full.bytes.begin(), full.bytes.begin() + proof_bytes};
+}
+
+static json to_json(const record_stamp& it)
+{
+    return json::array({it.vm.value, it.run.value, it.version});
+}
+
+static record_stamp stamp_from(const json& in)
+{
+    return {.vm = vm_id{in.at(0).get<std::uint64_t>()},
+            .run = incarnation{in.at(1).get<std::uint64_t>()},
+            .version = in.at(2).get<std::uint64_t>()};
+}
+
+std::string encode_heartbeat(const heartbeat& it, std::string_view fleet_key)
+{
+    json suspects = json::array();
+    for (const record_stamp& suspect : it.suspects)
+        suspects.push_back(to_json(suspect));
+    json age = nullptr;
+    if (it.store_age)
+        age = std::chrono::ceil<std::chrono::milliseconds>(*it.store_age).count();
+    const json out =
+        json::array({static_cast<unsigned>(it.kind), it.number, it.name, it.from.run.value,
+                     it.from.version, it.target.host, it.target.port, it.directory_digest,
+                     it.generation, std::move(age), std::move(suspects), json::binary([&] {
+                         const std::string records = encode_members(it.records);
+                         return std::vector<std::uint8_t>(records.begin(), records.end());
+                     }())});
+    const std::vector<std::uint8_t> bytes = json::to_cbor(out);
+    const std::string body(bytes.begin(), bytes.end());
+    return proof_of(body, fleet_key) + body;
+}
+
+// Throws nlohmann's exceptions on a wrong type or place; decode_heartbeat turns them.
+static heartbeat heartbeat_from(const json& in)
+{
+    heartbeat out;
+    out.kind = static_cast<heartbeat_kind>(std::min(in.at(0).get<unsigned>(), 3U));
+    out.number = in.at(1).get<std::uint64_t>();
+    out.name = in.at(2).get<std::string>();
+    out.from = {.vm = id_of<vm_id>(out.name),
+                .run = incarnation{in.at(3).get<std::uint64_t>()},
+                .version = in.at(4).get<std::uint64_t>()};
+    out.target = {.host = in.at(5).get<std::string>(), .port = in.at(6).get<std::uint16_t>()};
+    out.directory_digest = in.at(7).get<std::uint64_t>();
+    out.generation = in.at(8).get<std::uint64_t>();
+    if (!in.at(9).is_null())
+        out.store_age = std::chrono::milliseconds(in.at(9).get<std::uint32_t>());
+    for (const json& it : in.at(10)) {
+        if (out.suspects.size() < most_suspects)
+            out.suspects.push_back(stamp_from(it));
+    }
+    const auto& records = in.at(11).get_binary();
+    out.records = decode_members({reinterpret_cast<const char*>(records.data()), records.size()})
+                      .value_or(std::vector<member_record>{});
+    return out;
+}
+
+std::optional<heartbeat> decode_heartbeat(std::string_view bytes, std::string_view fleet_key)
+{
+    if (bytes.size() <= proof_bytes || bytes.size() > longest_heartbeat_bytes)
+        return std::nullopt;
+    const std::string_view body = bytes.substr(proof_bytes);
+    digest shown;
+    digest proved;
+    const std::string proof = proof_of(body, fleet_key);
+    std::copy_n(bytes.begin(), proof_bytes, shown.bytes.begin());
+    std::copy_n(proof.begin(), proof_bytes, proved.bytes.begin());
+    if (!same_digest(shown, proved))
+        return std::nullopt;
+    const json in = json::from_cbor(body.begin(), body.end(), true, false);
+    try {
+        return heartbeat_from(in);
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace jasminebank
--- a/src/member_directory.h
+++ b/src/member_directory.h
@@ -38,16 +38,31 @@
     bool operator==(const member_record&) const = default;
 };
 
-/// True when `a` tells newer news of the same node than `b`.
-bool is_newer(const member_record& a, const member_record& b);
+/// Which edition of a node's record somebody knows.
+struct record_stamp {
+    vm_id vm;
+    incarnation run;
+    std::uint64_t version = 0;
+    bool operator==(const record_stamp&) const = default;
+};
+
+record_stamp stamp_of(const member_record& it);
+
+/// True when `a` is a newer edition than `b` of the same node's record.
+bool is_newer(const record_stamp& a, const record_stamp& b);
 
 /// All records, sorted by node.
 class member_directory {
 public:
-    /// Takes a record if it is news; tells whether it was.
+    /// Takes a record if it is news; tells whether it was. A removed node comes back only with a
+    /// newer edition than the one that was removed.
     bool merge(const member_record& it);
-    /// Forgets a node, unless a newer run than `run` is known.
-    bool remove(vm_id vm, incarnation run);
+    /// Forgets a node, unless a newer edition than `stamp` is known.
+    bool remove(const record_stamp& stamp);
+    /// The edition of a node that was removed lately, if it was.
+    const record_stamp* find_removed(vm_id vm) const;
+    /// The same for two directories that know the same editions.
+    std::uint64_t digest() const { return digest_; }
 
     const member_record* find(vm_id vm) const;
     const std::vector<member_record>& members() const { return members_; }
@@ -56,6 +71,8 @@
 
 private:
     std::vector<member_record> members_;
+    std::vector<record_stamp> removed_; // oldest first
+    std::uint64_t digest_ = 0;
     std::uint64_t changes_ = 0;
 };
 
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,229 @@
+#include "membership.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <set>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration step = 25ms;
+constexpr std::string_view fleet_key = "fleet-key-of-tests";
+
+// A few nodes and the datagrams between them. A cut is one-way.
+class small_fleet {
+public:
+    explicit small_fleet(std::size_t size, std::uint64_t seed = 1)
+    {
+        for (std::size_t n = 0; n < size; ++n)
+            nodes_.push_back(start(n, seed + n));
+        alive_.assign(size, true);
+    }
+
+    membership start(std::size_t n, std::uint64_t seed) const
+    {
+        const std::string name = "vm" + std::to_string(n);
+        return membership({.self = {.vm = id_of<vm_id>(name),
+                                    .name = name,
+                                    .run = {seed},
+                                    .version = 1,
+                                    .link = link(n),
+                                    .domain = {n % 3},
+                                    .servers = {}},
+                           .seeds = {link(0), link(1)},
+                           .random_seed = seed},
+                          now);
+    }
+
+    static endpoint link(std::size_t n) { return {"127.0.0.1", static_cast<std::uint16_t>(n + 1)}; }
+    static std::size_t index(const endpoint& it) { return it.port - 1U; }
+
+    void run(duration time)
+    {
+        for (const time_point end = now + time; now < end; now += step) {
+            for (std::size_t n = 0; n < nodes_.size(); ++n) {
+                if (alive_[n])
+                    take(n, nodes_[n].tick(now));
+            }
+            deliver();
+        }
+    }
+
+    void take(std::size_t from, const membership_actions& actions)
+    {
+        for (const membership_action& action : actions) {
+            if (const auto* it = std::get_if<send_heartbeat>(&action))
+                queue_.push_back({from, index(it->to), encode_heartbeat(it->body, fleet_key)});
+            else if (const auto* swap = std::get_if<exchange_members>(&action))
+                exchange(from, index(swap->link));
+            else if (const auto* fetch = std::get_if<fetch_config>(&action))
+                fetches.insert({from, fetch->generation});
+        }
+    }
+
+    bool is_cut(std::size_t from, std::size_t to) const
+    {
+        return !alive_[from] || !alive_[to] || cuts.contains({from, to});
+    }
+
+    void exchange(std::size_t a, std::size_t b)
+    {
+        if (is_cut(a, b) || is_cut(b, a))
+            return;
+        take(b, nodes_[b].merge(nodes_[a].directory().members(), now));
+        take(a, nodes_[a].merge(nodes_[b].directory().members(), now));
+    }
+
+    void deliver()
+    {
+        for (int rounds = 0; rounds < 4; ++rounds) {
+            const auto sent = std::exchange(queue_, {});
+            for (const datagram& it : sent) {
+                if (is_cut(it.from, it.to))
+                    continue;
+                const auto body = decode_heartbeat(it.bytes, fleet_key);
+                RC_ASSERT(body.has_value());
+                take(it.to, nodes_[it.to].receive(link(it.from), *body, now));
+            }
+        }
+    }
+
+    void cut_between(std::size_t a, std::size_t b)
+    {
+        cuts.insert({a, b});
+        cuts.insert({b, a});
+    }
+
+    bool knows(std::size_t a, std::size_t b) const
+    {
+        return nodes_[a].directory().find(nodes_[b].self().vm) != nullptr;
+    }
+
+    struct datagram {
+        std::size_t from;
+        std::size_t to;
+        std::string bytes;
+    };
+    std::vector<membership> nodes_;
+    std::vector<bool> alive_;
+    std::deque<datagram> queue_;
+    std::set<std::pair<std::size_t, std::size_t>> cuts;
+    std::set<std::pair<std::size_t, std::uint64_t>> fetches;
+    time_point now = time_point(1h);
+};
+
+} // namespace
+
+TEST(membership, all_learn_of_all_and_of_a_killed_one)
+{
+    small_fleet fleet(9);
+    fleet.run(5s);
+    for (const membership& it : fleet.nodes_)
+        ASSERT_EQ(it.directory().members().size(), 9U);
+    fleet.alive_[4] = false;
+    fleet.run(6s);
+    for (std::size_t n = 0; n < 9; ++n) {
+        if (n != 4) {
+            EXPECT_FALSE(fleet.knows(n, 4)) << n;
+        }
+    }
+}
+
+// Two nodes that cannot hear each other, in one direction or both, are vouched for by the others.
+RC_GTEST_PROP(membership, cuts_between_few_remove_nobody, ())
+{
+    small_fleet fleet(7, *rc::gen::inRange<std::uint64_t>(1, 1000));
+    fleet.run(5s);
+    const auto a = *rc::gen::inRange<std::size_t>(0, 7);
+    const auto b = (a + *rc::gen::inRange<std::size_t>(1, 7)) % 7;
+    fleet.cuts.insert({a, b});
+    if (*rc::gen::arbitrary<bool>())
+        fleet.cuts.insert({b, a});
+    fleet.run(15s);
+    for (std::size_t n = 0; n < 7; ++n) {
+        RC_ASSERT(fleet.knows(n, a));
+        RC_ASSERT(fleet.knows(n, b));
+        RC_ASSERT(fleet.nodes_[n].may_serve(fleet.now));
+    }
+}
+
+// Whatever way the fleet is parted, no two parts both may take changes, and a part that may not
+// hear of a change does not serve. Also with one-way cuts.
+RC_GTEST_PROP(membership, parts_that_serve_overlap_with_the_part_that_takes_changes, ())
+{
+    small_fleet fleet(8, *rc::gen::inRange<std::uint64_t>(1, 1000));
+    fleet.run(5s);
+    const auto part = *rc::gen::container<std::vector<int>>(8, rc::gen::inRange(0, 3));
+    const bool one_way = *rc::gen::arbitrary<bool>();
+    for (std::size_t a = 0; a < 8; ++a) {
+        for (std::size_t b = 0; b < 8; ++b) {
+            const auto k = part[a];
+            const auto m = part[b];
+            if (k != m && (!one_way || k < m))
+                fleet.cuts.insert({a, b});
+        }
+    }
+    fleet.run(20s);
+    for (std::size_t a = 0; a < 8; ++a) {
+        for (std::size_t b = 0; b < 8; ++b) {
+            if (part[a] != part[b] && fleet.nodes_[a].hears_majority(fleet.now))
+                RC_ASSERT(!fleet.nodes_[b].may_serve(fleet.now));
+        }
+    }
+    fleet.cuts.clear();
+    fleet.run(20s);
+    for (std::size_t a = 0; a < 8; ++a) {
+        RC_ASSERT(fleet.nodes_[a].may_serve(fleet.now));
+        RC_ASSERT(fleet.nodes_[a].directory().members().size() == 8U);
+    }
+}
+
+TEST(membership, freshness_of_the_store_reaches_those_cut_off_from_it_and_ends_with_it)
+{
+    small_fleet fleet(9);
+    for (int n = 0; n < 40; ++n) {
+        fleet.nodes_[3].store_heard(fleet.now);
+        fleet.run(250ms);
+    }
+    for (const membership& it : fleet.nodes_)
+        EXPECT_LT(*it.store_age(fleet.now), 5s);
+    fleet.run(10s);
+    for (const membership& it : fleet.nodes_)
+        EXPECT_GE(*it.store_age(fleet.now), 10s);
+}
+
+TEST(membership, a_new_generation_is_told_to_all_and_a_stale_one_makes_nothing_fresh)
+{
+    small_fleet fleet(9);
+    fleet.run(5s);
+    fleet.take(2, fleet.nodes_[2].set_generation(7, fleet.now));
+    fleet.run(1s);
+    for (std::size_t n = 0; n < 9; ++n) {
+        if (n != 2) {
+            EXPECT_TRUE(fleet.fetches.contains({n, 7})) << n;
+        }
+    }
+    fleet.nodes_[2].store_heard(fleet.now);
+    fleet.run(1s);
+    EXPECT_FALSE(fleet.nodes_[5].store_age(fleet.now).has_value());
+}
+
+TEST(heartbeat, refuses_altered_foreign_and_malformed_datagrams)
+{
+    small_fleet fleet(2);
+    heartbeat body;
+    body.name = "vm0";
+    const std::string good = encode_heartbeat(body, fleet_key);
+    EXPECT_TRUE(decode_heartbeat(good, fleet_key).has_value());
+    EXPECT_FALSE(decode_heartbeat(good, "another-fleet-key").has_value());
+    for (std::size_t n = 0; n < good.size(); ++n) {
+        std::string bad = good;
+        bad[n] = static_cast<char>(bad[n] ^ 1);
+        EXPECT_FALSE(decode_heartbeat(bad, fleet_key).has_value());
+        EXPECT_FALSE(decode_heartbeat(good.substr(0, n), fleet_key).has_value());
+    }
+}
