--- a/src/link_control.cpp
+++ b/src/link_control.cpp
@@ -19,12 +19,6 @@
     return send(std::move(payload));
 }
 
-void control_reply::revoke()
-{
-    const std::lock_guard lock(mutex_);
-    send_ = nullptr;
-}
-
 // The sender is taken out first, so that a second answer finds none.
 bool control_reply::send(std::optional<std::string> payload)
 {
--- a/src/link_control.h
+++ b/src/link_control.h
@@ -35,8 +35,6 @@
 
     /// False when it has been answered before or the hub takes nothing more.
     bool answer(std::string payload);
-    /// Takes the right to answer back, without a reset.
-    void revoke();
 
 private:
     bool send(std::optional<std::string> payload);
@@ -51,13 +49,13 @@
     link_identity peer; ///< proved by the fleet key
     std::string path;
     std::string payload;
-    /// To answer later: keep this handle and return nothing.
-    std::shared_ptr<control_reply> reply;
+    /// Makes a handle to answer later. Only inside the handler, which then returns nothing.
+    std::function<std::shared_ptr<control_reply>()> defer;
 };
 
-/// Answers at once with a text, or returns nothing: then the reply handle answers, or, if nobody
-/// kept it, the peer is told that the message was refused. Runs on the hub's thread; must not
-/// block.
+/// Answers at once with a text, or returns nothing: then the handle from `defer` answers, or, if
+/// `defer` was not called, the peer is told that the message was refused and not acted on. Runs on
+/// the hub's thread; must not block.
 using control_handler = std::function<std::optional<std::string>(const control_request&)>;
 
 /// A control message on its way out.
--- a/src/link_head_fields.cpp
+++ b/src/link_head_fields.cpp
@@ -8,15 +8,7 @@
 
 static std::string_view scheme_of(stream_kind it)
 {
-    switch (it) {
-    case stream_kind::request:
-        return "http";
-    case stream_kind::control:
-        return "control";
-    case stream_kind::proof:
-        return "proof";
-    }
-    return "http";
+    return it == stream_kind::control ? "control" : "http";
 }
 
 static nghttp2_nv field_of(std::string_view name, std::string_view value)
@@ -61,7 +53,7 @@
 
 static bool set_kind(incoming_head& it, std::string_view scheme)
 {
-    for (stream_kind kind : {stream_kind::request, stream_kind::control, stream_kind::proof}) {
+    for (stream_kind kind : {stream_kind::request, stream_kind::control}) {
         if (scheme == scheme_of(kind)) {
             it.kind = kind;
             return true;
--- a/src/link_head_fields.h
+++ b/src/link_head_fields.h
@@ -14,7 +14,7 @@
 namespace jasminebank {
 
 /// What a stream carries. It travels as `:scheme`, which no caller of ours can set.
-enum class stream_kind : std::uint8_t { request, control, proof };
+enum class stream_kind : std::uint8_t { request, control };
 
 /// The fields of one head. The object owns the texts; `fields` points into them and into the head.
 struct nghttp2_head {
--- a/src/link_hub.cpp
+++ b/src/link_hub.cpp
@@ -22,8 +22,7 @@
 }
 
 link_hub::link_hub(link_options options, int listen_fd, endpoint local)
-    : local_(std::move(local)), limits_{.buffer_bytes = options.stream_buffer_bytes,
-                                        .head_bytes = options.max_head_bytes},
+    : local_(std::move(local)), limits_(limits_of(options)),
       max_control_bytes_(options.max_control_bytes),
       queue_(std::make_shared<link_queue>(options.max_commands)),
       counters_(std::make_shared<link_counters>()),
@@ -45,7 +44,9 @@
         state->finish_link(link_error{.kind = link_failure::not_sent,
                                       .reason = "a request that a link cannot carry"});
     }
-    else if (!queue_->post([loop = loop_.get(), peer, state] { loop->open(peer, state); })) {
+    else if (!queue_->post([loop = loop_.get(), peer, state] {
+                 loop->open(peer, {.state = state, .call = std::nullopt});
+             })) {
         state->finish_link(
             link_error{.kind = link_failure::not_sent, .reason = "too much waits for the links"});
     }
@@ -64,7 +65,7 @@
                     .deadline = boot_now() + timeout,
                     .done = std::move(done)};
     return queue_->post([loop = loop_.get(), peer, it = std::move(it)]() mutable {
-        loop->call(peer, std::move(it));
+        loop->open(peer, {.state = nullptr, .call = std::move(it)});
     });
 }
 
--- a/src/link_hub.h
+++ b/src/link_hub.h
@@ -49,7 +49,8 @@
     /// from peers. What runs goes on, and this side may still open streams and send control
     /// messages.
     void drain();
-    /// True once no stream of any kind is open, waiting for it until `deadline`.
+    /// True once no stream of any kind is open and, after `drain`, every peer has closed its link
+    /// to this side, which shows that it has all its answers. Waits until `deadline`.
     bool wait_idle(time_point deadline);
     /// Ends all links at once; every open stream and call ends with an error. May be called again;
     /// not from the hub's thread.
--- a/src/link_loop.cpp
+++ b/src/link_loop.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <cerrno>
 #include <utility>
 
 namespace jasminebank {
@@ -30,10 +31,10 @@
     context_.options = std::move(options);
     context_.queue = std::move(queue);
     context_.counters = std::move(counters);
-    for (int fd : {listen_fd_, context_.queue->wake_fd()}) {
-        epoll_event it{.events = EPOLLIN, .data = {.fd = fd}};
-        epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &it);
-    }
+    const int wake_fd = context_.queue->wake_fd();
+    epoll_event it{.events = EPOLLIN, .data = {.fd = wake_fd}};
+    epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, wake_fd, &it);
+    watch_listener(true);
 }
 
 link_loop::~link_loop()
@@ -84,7 +85,7 @@
         return;
     const std::shared_ptr<link_session> session = it->second;
     session->on_events(events, now);
-    touch(session);
+    context_.touched.push_back(session);
 }
 
 void link_loop::run_commands()
@@ -93,16 +94,11 @@
     for (const link_queue::command& it : batch.commands)
         it();
     for (const std::shared_ptr<stream_state>& it : batch.streams) {
-        if (const auto session = it->session.lock()) {
+        if (const auto session = it->session.lock())
             session->serve(*it);
-            touch(session);
-        }
-        else {
+        else
             it->take_work();
-        }
     }
-    if (!batch.commands.empty())
-        next_tick_ = std::min(next_tick_, boot_now() + busy_tick);
 }
 
 // Handlers run here, outside of every session, and may answer on the spot; what they add runs in
@@ -117,11 +113,12 @@
 
 void link_loop::run_timers(time_point now)
 {
+    watch_listener(true);
     bool is_busy = context_.is_draining;
     for (const auto& [fd, session] : sessions_) {
         session->on_tick(now);
         is_busy = is_busy || session->is_busy();
-        touch(session);
+        context_.touched.push_back(session);
     }
     if (context_.is_draining && !is_drain_final_ && now >= drain_final_at_) {
         is_drain_final_ = true;
@@ -146,8 +143,11 @@
         socklen_t n = sizeof from;
         const int fd = accept4(listen_fd_, reinterpret_cast<sockaddr*>(&from), &n,
                                SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0)
+        if (fd < 0) {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+                watch_listener(false);
             return;
+        }
         const link_options& options = context_.options;
         if (sessions_.size() >= options.max_links ||
             unproven_links() >= options.max_unproven_links) {
@@ -164,6 +164,17 @@
     }
 }
 
+// Without a socket to spare the listener would wake the loop without end; the next timer watches
+// it again.
+void link_loop::watch_listener(bool is_watched)
+{
+    if (listen_fd_ < 0 || is_watched == is_listener_watched_)
+        return;
+    epoll_event it{.events = EPOLLIN, .data = {.fd = listen_fd_}};
+    epoll_ctl(epoll_fd_, is_watched ? EPOLL_CTL_ADD : EPOLL_CTL_DEL, listen_fd_, &it);
+    is_listener_watched_ = is_watched;
+}
+
 // One outgoing link for each endpoint. One that is ending is left to finish its streams.
 std::shared_ptr<link_session> link_loop::session_to(const endpoint& peer, time_point now)
 {
@@ -176,51 +187,32 @@
     place = it;
     if (it)
         add(it);
+    else
+        outgoing_.erase(to_string(peer));
     return it;
 }
 
-void link_loop::open(const endpoint& peer, const std::shared_ptr<stream_state>& state)
-{
-    const time_point now = boot_now();
-    const auto session = session_to(peer, now);
-    if (!session) {
-        state->finish_link(
-            link_error{.kind = link_failure::not_sent, .reason = "no link to be had"});
-        return;
-    }
-    session->open(state, now);
-    touch(session);
-}
-
-void link_loop::call(const endpoint& peer, control_call it)
+void link_loop::open(const endpoint& peer, outgoing_stream it)
 {
     const time_point now = boot_now();
     const auto session = session_to(peer, now);
-    if (!session) {
-        it.done(link_error{.kind = link_failure::not_sent, .reason = "no link to be had"});
-        return;
-    }
-    session->call(std::move(it), now);
-    touch(session);
+    if (session)
+        session->open(std::move(it), now);
+    else
+        give_up(context_, it, {.kind = link_failure::not_sent, .reason = "no link to be had"});
 }
 
 void link_loop::add(const std::shared_ptr<link_session>& it)
 {
     sessions_[it->fd()] = it;
-    next_tick_ = std::min(next_tick_, boot_now() + busy_tick);
-    touch(it);
-}
-
-void link_loop::touch(const std::shared_ptr<link_session>& it)
-{
-    touched_.push_back(it);
+    context_.touched.push_back(it);
 }
 
 // Sends and then drops what is closed. Ending a session may call handlers, which may touch others.
 void link_loop::finish_touched(time_point now)
 {
-    while (!touched_.empty()) {
-        std::vector<std::shared_ptr<link_session>> batch = std::exchange(touched_, {});
+    while (!context_.touched.empty()) {
+        std::vector<std::shared_ptr<link_session>> batch = std::exchange(context_.touched, {});
         std::sort(batch.begin(), batch.end());
         batch.erase(std::unique(batch.begin(), batch.end()), batch.end());
         for (const std::shared_ptr<link_session>& it : batch) {
@@ -229,6 +221,8 @@
                 remove(it);
             else
                 watch(*it);
+            if (it->is_busy())
+                next_tick_ = std::min(next_tick_, now + busy_tick);
         }
         run_deferred();
     }
@@ -283,7 +277,6 @@
     drain_final_at_ = now + context_.options.drain_notice;
     for (const auto& [fd, session] : sessions_) {
         session->announce_drain(false);
-        touch(session);
     }
     next_tick_ = now;
 }
@@ -296,7 +289,7 @@
         context_.cuts[peer] = direction;
     for (const auto& [fd, session] : sessions_) {
         session->refresh_cut();
-        touch(session);
+        context_.touched.push_back(session);
     }
     if (context_.cuts.empty()) {
         for (int fd : std::exchange(held_sockets_, {}))
@@ -304,10 +297,15 @@
     }
 }
 
+// A draining node is idle once its peers have closed their links to it, which shows that they have
+// read every answer.
 bool link_loop::is_idle() const
 {
-    return std::none_of(sessions_.begin(), sessions_.end(),
-                        [](const auto& it) { return it.second->has_streams(); });
+    return std::none_of(sessions_.begin(), sessions_.end(), [&](const auto& it) {
+        const link_session& session = *it.second;
+        const bool is_open = context_.is_draining && !session.is_caller();
+        return is_open || session.is_busy();
+    });
 }
 
 // Whatever still waits gets its error, commands included, before the thread ends.
@@ -317,7 +315,6 @@
     const auto sessions = sessions_;
     for (const auto& [fd, session] : sessions) {
         session->fail("the hub stops");
-        touch(session);
     }
     run_deferred();
     finish_touched(boot_now());
--- a/src/link_loop.h
+++ b/src/link_loop.h
@@ -26,11 +26,10 @@
     void run();
     void request_stop() { is_stopping_ = true; }
 
-    void open(const endpoint& peer, const std::shared_ptr<stream_state>& state);
-    void call(const endpoint& peer, control_call it);
+    void open(const endpoint& peer, outgoing_stream it);
     void drain();
     void set_cut(const std::string& peer, cut_direction direction);
-    /// True when no session has a stream.
+    /// True when nothing runs; while draining, also when no peer has a link to this side.
     bool is_idle() const;
 
 private:
@@ -42,24 +41,24 @@
     void accept_all(time_point now);
     std::shared_ptr<link_session> session_to(const endpoint& peer, time_point now);
     void add(const std::shared_ptr<link_session>& it);
-    void touch(const std::shared_ptr<link_session>& it);
     void finish_touched(time_point now);
     void watch(link_session& it);
     void remove(const std::shared_ptr<link_session>& it);
     void finish_all();
     void stop_listening();
+    void watch_listener(bool is_watched);
     std::size_t unproven_links() const;
 
     link_context context_;
     int epoll_fd_ = -1;
     int listen_fd_ = -1;
+    bool is_listener_watched_ = false;
     bool is_stopping_ = false;
     bool is_drain_final_ = false;
     time_point drain_final_at_;
     time_point next_tick_;
     std::unordered_map<int, std::shared_ptr<link_session>> sessions_; ///< by socket
     std::map<std::string, std::weak_ptr<link_session>> outgoing_;     ///< by "host:port"
-    std::vector<std::shared_ptr<link_session>> touched_;
     std::vector<int> held_sockets_; ///< of closed sessions under an outbound cut
 };
 
--- a/src/link_options.h
+++ b/src/link_options.h
@@ -6,6 +6,7 @@
 #include "link_control.h"
 #include "link_message.h"
 #include "link_stream.h"
+#include "stream_state.h"
 
 #include <atomic>
 #include <functional>
@@ -44,6 +45,14 @@
     control_handler on_control = {};
 };
 
+/// The bounds of each stream. Window goes back in quarters of the first one.
+inline stream_limits limits_of(const link_options& it)
+{
+    return {.buffer_bytes = it.stream_buffer_bytes,
+            .window_step = it.first_window_bytes / 4,
+            .head_bytes = it.max_head_bytes};
+}
+
 /// Bytes and frames of HTTP/2, frame heads included.
 struct traffic_counter {
     std::atomic<std::uint64_t> frames_in{0};
@@ -75,6 +84,10 @@
     std::vector<std::function<void()>> deferred;
     /// Cuts of a trial, by VM name or "host:port".
     std::map<std::string, cut_direction> cuts;
+    /// Sessions with something to send or to end, looked at once at the end of the turn.
+    std::vector<std::shared_ptr<class link_session>> touched;
+    time_point next_refusal_log;
+    std::uint64_t unlogged_refusals = 0;
     bool is_draining = false;
 };
 
--- a/src/link_stream.cpp
+++ b/src/link_stream.cpp
@@ -130,7 +130,7 @@
     const std::size_t n = it.in_.pop(buf);
     if (n > 0) {
         it.taken_bytes_ += n;
-        if (!it.is_in_ended_)
+        if (!it.is_in_ended_ && it.taken_bytes_ >= it.limits_.window_step)
             it.mark_locked();
         return n;
     }
@@ -160,7 +160,7 @@
         return it.error_.value_or(already_ended);
     it.is_responded_ = true;
     it.is_out_ended_ = ends;
-    it.is_out_taken_ = false;
+    it.is_out_taken_ = ends;
     it.response_ = std::move(head);
     it.response_ends_ = ends;
     it.mark_locked();
--- a/src/link_stream.h
+++ b/src/link_stream.h
@@ -32,6 +32,8 @@
 
     /// Queues all of `bytes` for the peer, waiting while the stream's buffer is full.
     result<ok, link_error> write(std::span<const char> bytes, time_point deadline);
+    /// A literal would be sent with its final zero byte; pass a std::string_view.
+    result<ok, link_error> write(const char* text, time_point deadline) = delete;
     /// Ends this side's body.
     void finish();
     /// Ends the stream at once, both ways. True when the request was still waiting for its link,
--- a/src/stream_state.h
+++ b/src/stream_state.h
@@ -19,6 +19,7 @@
 /// Bounds of one stream.
 struct stream_limits {
     std::size_t buffer_bytes = 0; ///< written bytes that may wait for the link
+    std::size_t window_step = 0;  ///< bytes read before the link gives window back
     std::size_t head_bytes = 0;   ///< size of a head, as `size_of` counts
 };
 
--- a/tests/link_hub_test.cpp
+++ b/tests/link_hub_test.cpp
@@ -5,14 +5,19 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <array>
 #include <atomic>
 #include <future>
-#include <mutex>
 #include <thread>
 
 using namespace jasminebank;
 using namespace std::chrono_literals;
+using namespace std::string_view_literals;
 
 namespace {
 
@@ -125,6 +130,87 @@
     std::unique_ptr<link_hub> a;
 };
 
+// Calls and waits for the answer.
+body_result call(link_hub& hub, const endpoint& peer, const std::string& payload,
+                 duration timeout = long_time)
+{
+    std::promise<body_result> got;
+    if (!hub.call(peer, "/control/x", payload, timeout,
+                  [&](body_result it) { got.set_value(std::move(it)); }))
+        return link_error{.reason = "not taken"};
+    return got.get_future().get();
+}
+
+// A stranger's TCP connection.
+class raw_connection {
+public:
+    explicit raw_connection(const endpoint& peer) : fd_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in it{};
+        it.sin_family = AF_INET;
+        it.sin_port = htons(peer.port);
+        inet_pton(AF_INET, peer.host.c_str(), &it.sin_addr);
+        EXPECT_EQ(connect(fd_, reinterpret_cast<const sockaddr*>(&it), sizeof it), 0);
+        const timeval limit{.tv_sec = 20, .tv_usec = 0};
+        setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+    ~raw_connection() { close(fd_); }
+    raw_connection(const raw_connection&) = delete;
+    raw_connection& operator=(const raw_connection&) = delete;
+
+    void send(std::string_view bytes) { ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+    // True if the peer closes before the limit.
+    bool is_closed_by_peer()
+    {
+        std::array<char, 4096> buf{};
+        for (;;) {
+            const ssize_t n = recv(fd_, buf.data(), buf.size(), 0);
+            if (n == 0 || (n < 0 && errno == ECONNRESET))
+                return true;
+            if (n < 0)
+                return false;
+        }
+    }
+
+private:
+    int fd_;
+};
+
+constexpr std::string_view client_preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+constexpr char headers_frame = 1;
+constexpr char settings_frame = 4;
+constexpr char end_of_headers = 4;
+constexpr char end_of_stream = 1;
+
+std::string frame(char type, int flags, char stream, std::string_view payload)
+{
+    std::string out{'\0',
+                    static_cast<char>(payload.size() >> 8U),
+                    static_cast<char>(payload.size()),
+                    type,
+                    static_cast<char>(flags),
+                    '\0',
+                    '\0',
+                    '\0',
+                    stream};
+    return out.append(payload);
+}
+
+// One field as HPACK, literal and without index.
+std::string field(std::string_view name, std::string_view value)
+{
+    std::string out{'\0', static_cast<char>(name.size())};
+    out.append(name);
+    out += static_cast<char>(value.size());
+    return out.append(value);
+}
+
+std::string request_line(std::string_view scheme)
+{
+    return field(":method", "POST") + field(":scheme", scheme) + field(":authority", "link") +
+           field(":path", "/x");
+}
+
 } // namespace
 
 TEST(link_hub, echoes)
@@ -135,21 +221,6 @@
     EXPECT_EQ(value_of(got), "hello");
 }
 
-TEST(link_hub, control_round_trip)
-{
-    link_options accepting = options_of("b");
-    accepting.on_control = [](const control_request& it) -> std::optional<std::string> {
-        return it.peer.vm_name + it.path + it.payload;
-    };
-    const auto a = link_hub::start(options_of("a"));
-    const auto b = link_hub::start(accepting);
-    std::promise<result<std::string, link_error>> got;
-    ASSERT_TRUE(a->call(b->local(), "/control/x", "!", 5s, [&](auto it) { got.set_value(it); }));
-    const auto answer = got.get_future().get();
-    ASSERT_FALSE(failed(answer)) << describe(error_of(answer));
-    EXPECT_EQ(value_of(answer), "a/control/x!");
-}
-
 TEST(link_hub, large_body_passes_a_small_window)
 {
     constexpr std::size_t total = 64UL * 1024 * 1024;
@@ -221,7 +292,7 @@
     std::promise<void> half_sent;
     fixture it([&](link_stream& stream) {
         ASSERT_FALSE(failed(stream.respond({.status = 200}, false)));
-        ASSERT_FALSE(failed(stream.write("half", in(long_time))));
+        ASSERT_FALSE(failed(stream.write("half"sv, in(long_time))));
         half_sent.set_value();
         char c = 0;
         static_cast<void>(stream.read(std::span(&c, 1), in(long_time)));
@@ -249,3 +320,402 @@
     started.get_future().wait();
     EXPECT_FALSE(stream->reset(reset_reason::cancelled));
 }
+
+TEST(link_hub, peer_killed_in_the_request_is_no_whole_request)
+{
+    std::promise<void> begun;
+    std::promise<bool> is_error;
+    fixture it([&](link_stream& stream) {
+        std::array<char, 4> buf{};
+        static_cast<void>(stream.read(buf, in(long_time)));
+        begun.set_value();
+        is_error.set_value(failed(read_all(stream)) && stream.is_cancelled());
+    });
+    const auto stream = it.a->open(it.b->local(), {.method = "POST", .path = "/x"}, false);
+    ASSERT_FALSE(failed(stream->write("half"sv, in(long_time))));
+    begun.get_future().wait();
+    it.a->stop();
+    EXPECT_TRUE(is_error.get_future().get());
+}
+
+TEST(link_hub, malformed_bytes_close_only_their_connection)
+{
+    fixture it(echo);
+    for (const std::string& bytes :
+         {std::string(100, '\xff'), std::string("GET / HTTP/1.1\r\n\r\n"),
+          std::string(client_preface) + std::string(100, '\x7f')}) {
+        raw_connection stranger(it.b->local());
+        stranger.send(bytes);
+        EXPECT_TRUE(stranger.is_closed_by_peer());
+    }
+    EXPECT_FALSE(failed(exchange(*it.a, it.b->local(), "still there")));
+}
+
+TEST(link_hub, silent_stranger_is_closed)
+{
+    link_options to = options_of("b");
+    to.connect_timeout = 100ms;
+    fixture it(echo, options_of("a"), to);
+    raw_connection stranger(it.b->local());
+    EXPECT_TRUE(stranger.is_closed_by_peer());
+}
+
+// A stranger introduces itself well, and then sends requests with a made-up proof or with none.
+TEST(link_hub, nothing_runs_without_a_proof)
+{
+    link_options to = options_of("b");
+    to.connect_timeout = 200ms;
+    fixture it(echo, options_of("a"), to);
+    const std::string introduction = request_line("http") + field("vm", "a") +
+                                     field("incarnation", "1") +
+                                     field("nonce", std::string(64, '1'));
+    const std::string hello = std::string(client_preface) + frame(settings_frame, 0, 0, "") +
+                              frame(headers_frame, end_of_headers, 1, introduction);
+    const int whole = end_of_headers | end_of_stream;
+    const std::string request = frame(headers_frame, whole, 3, request_line("http"));
+    const std::string made_up = frame(0, end_of_stream, 1, std::string(64, '2'));
+    const std::string empty = frame(0, end_of_stream, 1, "");
+    for (const std::string& proof : {made_up, request, empty}) {
+        raw_connection stranger(it.b->local());
+        stranger.send(hello);
+        stranger.send(proof);
+        stranger.send(request);
+        EXPECT_TRUE(stranger.is_closed_by_peer());
+    }
+    EXPECT_EQ(it.pool.count(), 0);
+}
+
+TEST(link_hub, a_request_cannot_pass_for_a_control_message)
+{
+    link_options to = options_of("b");
+    std::atomic<int> control{0};
+    to.on_control = [&](const control_request&) -> std::optional<std::string> {
+        ++control;
+        return "";
+    };
+    fixture it(echo, options_of("a"), to);
+    const auto stream = it.a->open(it.b->local(), {.method = "POST", .path = "/control/x"}, true);
+    EXPECT_FALSE(failed(read_all(*stream)));
+    EXPECT_EQ(control, 0);
+    EXPECT_EQ(it.pool.count(), 1);
+}
+
+TEST(link_hub, heads_that_cannot_travel_are_refused)
+{
+    fixture it(echo);
+    const std::vector<message_head> heads{
+        {.method = "POST", .path = "no slash"},
+        {.method = "POST", .path = "/a b"},
+        {.method = "CONNECT", .path = "/"},
+        {.method = "GET", .path = "/", .fields = {{":path", "/other"}}},
+        {.method = "GET", .path = "/", .fields = {{"x", "a\r\nb: c"}}},
+        {.method = "GET", .path = "/", .fields = {{"x y", "a"}}},
+        {.method = "GET", .path = "/", .fields = {{"x", std::string(40000, 'a')}}},
+    };
+    for (const message_head& head : heads) {
+        const auto got = it.a->open(it.b->local(), head, true)->read_head(in(long_time));
+        ASSERT_TRUE(failed(got)) << head.path;
+        EXPECT_EQ(error_of(got).kind, link_failure::not_sent);
+    }
+    EXPECT_EQ(it.pool.count(), 0);
+}
+
+TEST(link_hub, refusal_is_not_sent_and_a_failure_may_have_run)
+{
+    for (const reset_reason reason : {reset_reason::refused, reset_reason::internal_error}) {
+        fixture it([&](link_stream& stream) { stream.reset(reason); });
+        const auto got = exchange(*it.a, it.b->local(), "hello");
+        ASSERT_TRUE(failed(got));
+        EXPECT_EQ(error_of(got).kind, reason == reset_reason::refused ? link_failure::not_sent
+                                                                      : link_failure::peer_reset);
+    }
+}
+
+TEST(link_hub, refusal_after_the_answer_began_is_not_believed)
+{
+    fixture it([](link_stream& stream) {
+        ASSERT_FALSE(failed(stream.respond({.status = 200}, false)));
+        stream.reset(reset_reason::refused);
+    });
+    const auto got = exchange(*it.a, it.b->local(), "hello");
+    ASSERT_TRUE(failed(got));
+    EXPECT_EQ(error_of(got).kind, link_failure::peer_reset) << describe(error_of(got));
+}
+
+TEST(link_hub, more_streams_than_the_link_takes_are_not_sent)
+{
+    link_options from = options_of("a");
+    from.max_streams = 2;
+    fixture it(echo, from);
+    std::vector<std::shared_ptr<link_stream>> open;
+    open.reserve(3);
+    for (int n = 0; n < 3; ++n)
+        open.push_back(it.a->open(it.b->local(), {.method = "POST", .path = "/x"}, false));
+    const auto got = open.back()->read_head(in(long_time));
+    ASSERT_TRUE(failed(got));
+    EXPECT_EQ(error_of(got).kind, link_failure::not_sent);
+    EXPECT_FALSE(failed(open.front()->read_head(in(long_time))));
+}
+
+namespace {
+
+// Short times, so that tests of silence are quick.
+link_options impatient(const std::string& vm_name)
+{
+    link_options out = options_of(vm_name);
+    out.connect_timeout = 200ms;
+    out.ping_after = 50ms;
+    out.ping_timeout = 100ms;
+    return out;
+}
+
+} // namespace
+
+TEST(link_hub, no_connection_through_a_cut_is_not_sent)
+{
+    fixture it(echo, impatient("a"));
+    it.a->set_cut(to_string(it.b->local()), cut_direction::inbound);
+    const auto got = exchange(*it.a, it.b->local(), "hello");
+    ASSERT_TRUE(failed(got));
+    EXPECT_EQ(error_of(got).kind, link_failure::not_sent) << describe(error_of(got));
+}
+
+TEST(link_hub, deadline_before_the_link_is_ready_is_not_sent)
+{
+    fixture it(echo);
+    it.a->set_cut(to_string(it.b->local()), cut_direction::both);
+    const auto stream = it.a->open(it.b->local(), {.method = "POST", .path = "/x"}, true);
+    const auto got = stream->read_head(in(50ms));
+    ASSERT_TRUE(failed(got));
+    EXPECT_EQ(error_of(got).kind, link_failure::not_sent);
+    it.a->set_cut(to_string(it.b->local()), cut_direction::none);
+    EXPECT_FALSE(failed(exchange(*it.a, it.b->local(), "after")));
+    EXPECT_EQ(it.pool.count(), 1) << "the withdrawn request ran";
+}
+
+// Whichever direction fails on a standing link, the caller is told by its deadline, then the link
+// is found dead; the request may have run, and the accepting side stops waiting too.
+TEST(link_hub, cut_link_ends_for_both_sides)
+{
+    for (const cut_direction cut :
+         {cut_direction::inbound, cut_direction::outbound, cut_direction::both}) {
+        fixture it(echo, impatient("a"), impatient("b"));
+        const auto stream = it.a->open(it.b->local(), {.method = "POST", .path = "/x"}, false);
+        ASSERT_FALSE(failed(stream->read_head(in(long_time))));
+        it.a->set_cut("b", cut);
+        const auto late = it.a->open(it.b->local(), {.method = "POST", .path = "/x"}, true);
+        std::array<char, 8> buf{};
+        const auto soon = stream->read(buf, in(1ms));
+        ASSERT_TRUE(failed(soon));
+        EXPECT_EQ(error_of(soon).kind, link_failure::timed_out);
+        const auto end = stream->read(buf, in(long_time));
+        ASSERT_TRUE(failed(end));
+        EXPECT_EQ(error_of(end).kind, link_failure::maybe_sent);
+        const auto second = late->read_head(in(long_time));
+        ASSERT_TRUE(failed(second));
+        EXPECT_EQ(error_of(second).kind, link_failure::maybe_sent);
+    }
+}
+
+TEST(link_hub, cut_that_heals_in_time_loses_nothing)
+{
+    fixture it(echo);
+    ASSERT_FALSE(failed(exchange(*it.a, it.b->local(), "before")));
+    it.a->set_cut("b", cut_direction::both);
+    const auto stream = it.a->open(it.b->local(), {.method = "POST", .path = "/x"}, false);
+    ASSERT_FALSE(failed(stream->write("through"sv, in(long_time))));
+    stream->finish();
+    EXPECT_TRUE(failed(stream->read_head(in(100ms))));
+    it.a->set_cut("b", cut_direction::none);
+    const auto got = read_all(*stream);
+    ASSERT_FALSE(failed(got)) << describe(error_of(got));
+    EXPECT_EQ(value_of(got), "through");
+}
+
+// What a stream holds for a reader that does not read is bounded, and other streams go on.
+TEST(link_hub, slow_reader_stops_its_writer_and_nobody_else)
+{
+    std::promise<void> release;
+    const std::shared_future<void> released = release.get_future().share();
+    fixture it([&](link_stream& stream) {
+        if (stream.head().path == "/slow") {
+            released.wait_for(long_time);
+            return;
+        }
+        echo(stream);
+    });
+    const auto slow = it.a->open(it.b->local(), {.method = "POST", .path = "/slow"}, false);
+    const std::string piece(10000, 'x');
+    std::size_t taken = 0;
+    while (!failed(slow->write(piece, in(200ms))))
+        taken += piece.size();
+    const link_options defaults;
+    EXPECT_LE(taken, defaults.stream_buffer_bytes + defaults.first_window_bytes);
+    EXPECT_FALSE(failed(exchange(*it.a, it.b->local(), std::string(200000, 'y'))));
+    release.set_value();
+}
+
+TEST(link_hub, many_cancels_leave_the_link_standing)
+{
+    fixture it([](link_stream& stream) {
+        if (stream.head().path == "/x")
+            echo(stream);
+    });
+    for (int n = 0; n < 3000; ++n) {
+        const auto stream = it.a->open(it.b->local(), {.method = "POST", .path = "/wait"}, false);
+        while (stream->peer().vm_name.empty())
+            std::this_thread::yield();
+        stream->reset(reset_reason::cancelled);
+    }
+    EXPECT_FALSE(failed(exchange(*it.a, it.b->local(), "hello")));
+    EXPECT_EQ(it.a->counters().connects, 1U);
+}
+
+// Requests run while the accepting side drains: those that it took up get their whole answer, the
+// others are known not to have run.
+TEST(link_hub, drain_cuts_nothing)
+{
+    link_options to = options_of("b");
+    to.drain_notice = 50ms;
+    fixture it(echo, options_of("a"), to);
+    std::atomic<int> answered{0};
+    std::atomic<int> not_sent{0};
+    std::atomic<int> other{0};
+    std::vector<std::thread> callers;
+    callers.reserve(8);
+    for (int n = 0; n < 8; ++n) {
+        callers.emplace_back([&] {
+            const std::string body(50000, 'x');
+            for (;;) {
+                const auto got = exchange(*it.a, it.b->local(), body);
+                if (!failed(got) && value_of(got) == body) {
+                    ++answered;
+                    continue;
+                }
+                ++(failed(got) && !may_have_run(error_of(got)) ? not_sent : other);
+                return;
+            }
+        });
+    }
+    while (answered < 20)
+        std::this_thread::yield();
+    it.b->drain();
+    for (std::thread& caller : callers)
+        caller.join();
+    EXPECT_TRUE(it.b->wait_idle(in(long_time)));
+    EXPECT_EQ(not_sent, 8);
+    EXPECT_EQ(other, 0);
+    EXPECT_EQ(it.pool.count(), answered);
+}
+
+TEST(link_hub, idle_link_is_closed_and_opened_again)
+{
+    link_options from = options_of("a");
+    from.idle_timeout = 1ms;
+    fixture it(echo, from);
+    ASSERT_FALSE(failed(exchange(*it.a, it.b->local(), "one")));
+    const time_point deadline = in(long_time);
+    while (it.b->counters().links > 0 && boot_now() < deadline)
+        std::this_thread::sleep_for(5ms);
+    ASSERT_EQ(it.b->counters().links, 0U);
+    EXPECT_FALSE(failed(exchange(*it.a, it.b->local(), "two")));
+    EXPECT_EQ(it.a->counters().connects, 2U);
+}
+
+// Random bodies, many at once and answered in whatever order: each gets its own answer.
+RC_GTEST_PROP(link_hub, answers_never_cross, ())
+{
+    const auto sizes =
+        *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange(0U, 60000U));
+    fixture it(echo);
+    std::vector<std::future<bool>> results;
+    for (std::size_t n = 0; n < sizes.size(); ++n) {
+        results.push_back(std::async(std::launch::async, [&, n] {
+            std::string body = std::to_string(n) + ":";
+            body.resize(body.size() + sizes[n], static_cast<char>('a' + n % 26));
+            const auto got = exchange(*it.a, it.b->local(), body);
+            return !failed(got) && value_of(got) == body;
+        }));
+    }
+    for (std::future<bool>& result : results)
+        RC_ASSERT(result.get());
+    RC_ASSERT(it.pool.count() == static_cast<int>(sizes.size()));
+}
+
+TEST(link_hub, control_answers_now_later_never_or_not_at_all)
+{
+    link_options to = options_of("b");
+    std::vector<std::shared_ptr<control_reply>> kept;
+    to.on_control = [&](const control_request& it) -> std::optional<std::string> {
+        if (it.payload == "now")
+            return it.peer.vm_name + it.path;
+        if (it.payload == "later")
+            std::thread([reply = it.defer()] { reply->answer("late answer"); }).detach();
+        else if (it.payload == "never")
+            kept.push_back(it.defer());
+        else if (it.payload == "dropped")
+            std::thread([reply = it.defer()] {}).detach();
+        return std::nullopt;
+    };
+    fixture it(echo, options_of("a"), to);
+    const endpoint peer = it.b->local();
+    const auto now = call(*it.a, peer, "now");
+    ASSERT_FALSE(failed(now)) << describe(error_of(now));
+    EXPECT_EQ(value_of(now), "a/control/x");
+    for (int n = 0; n < 300; ++n) {
+        const auto later = call(*it.a, peer, "later");
+        ASSERT_FALSE(failed(later)) << describe(error_of(later));
+        EXPECT_EQ(value_of(later), "late answer");
+    }
+    const auto never = call(*it.a, peer, "never", 100ms);
+    ASSERT_TRUE(failed(never));
+    EXPECT_EQ(error_of(never).kind, link_failure::timed_out);
+    const auto dropped = call(*it.a, peer, "dropped");
+    ASSERT_TRUE(failed(dropped));
+    EXPECT_EQ(error_of(dropped).kind, link_failure::peer_reset);
+    const auto refused = call(*it.a, peer, "unknown");
+    ASSERT_TRUE(failed(refused));
+    EXPECT_EQ(error_of(refused).kind, link_failure::not_sent);
+}
+
+TEST(link_hub, control_messages_are_bounded)
+{
+    link_options to = options_of("b");
+    to.on_control = [](const control_request& it) -> std::optional<std::string> {
+        return it.payload + it.payload;
+    };
+    fixture it(echo, options_of("a"), to);
+    const std::size_t limit = to.max_control_bytes;
+    const auto half = call(*it.a, it.b->local(), std::string(limit / 2, 'x'));
+    ASSERT_FALSE(failed(half)) << describe(error_of(half));
+    EXPECT_EQ(value_of(half).size(), limit);
+    const auto whole = call(*it.a, it.b->local(), std::string(limit, 'x'));
+    ASSERT_TRUE(failed(whole));
+    EXPECT_EQ(error_of(whole).kind, link_failure::peer_reset);
+    EXPECT_FALSE(it.a->call(it.b->local(), "/control/x", std::string(limit + 1, 'x'), 1s,
+                            [](const body_result&) {}));
+}
+
+TEST(link_hub, stop_ends_every_call_and_stream)
+{
+    link_options to = options_of("b");
+    std::vector<std::shared_ptr<control_reply>> kept;
+    to.on_control = [&](const control_request& it) -> std::optional<std::string> {
+        kept.push_back(it.defer());
+        return std::nullopt;
+    };
+    std::atomic<int> ended{0};
+    fixture it(echo, options_of("a"), to);
+    const auto stream = it.a->open(it.b->local(), {.method = "POST", .path = "/x"}, false);
+    for (int n = 0; n < 100; ++n)
+        ASSERT_TRUE(it.a->call(it.b->local(), "/control/x", "x", long_time,
+                               [&](const body_result&) { ++ended; }));
+    it.a->stop();
+    EXPECT_EQ(ended, 100);
+    EXPECT_TRUE(failed(stream->read_head(in(long_time))));
+    EXPECT_FALSE(it.a->call(it.b->local(), "/control/x", "", 1s, [](const body_result&) {}));
+    const auto after = it.a->open(it.b->local(), {.method = "POST", .path = "/x"}, true);
+    const auto got = after->read_head(in(long_time));
+    ASSERT_TRUE(failed(got));
+    EXPECT_EQ(error_of(got).kind, link_failure::not_sent);
+}
