Client and watch of the key-value store

store_client makes bounded, thread-safe calls over kept connections. store_watch goes on over broken connections and outages from the first revision not told, with exponential backoff and jitter.

--- /dev/null
+++ b/src/http_pool.cpp
@@ -0,0 +1,92 @@
+#include "http_pool.h"
+
+#include "system_clock.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace jasminebank {
+
+using namespace std::chrono_literals;
+
+http_pool::http_pool(const http_pool_options& options) : options_(options) {}
+
+// "identity" keeps the answer's size what it says: no compression to unfold.
+httplib::Request json_post(const std::string& path, const std::string& body,
+                           httplib::ContentReceiverWithProgress receiver)
+{
+    httplib::Request out;
+    out.method = "POST";
+    out.path = path;
+    out.headers = {{"Content-Type", "application/json"}, {"Accept-Encoding", "identity"}};
+    out.body = body;
+    out.content_receiver = std::move(receiver);
+    return out;
+}
+
+std::unique_ptr<httplib::Client> http_pool::take()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (!idle_.empty()) {
+            auto client = std::move(idle_.back());
+            idle_.pop_back();
+            return client;
+        }
+    }
+    auto client = std::make_unique<httplib::Client>(options_.server.host, options_.server.port);
+    client->set_keep_alive(true);
+    client->set_tcp_nodelay(true);
+    client->set_decompress(false);
+    return client;
+}
+
+void http_pool::give_back(std::unique_ptr<httplib::Client> client)
+{
+    const std::lock_guard lock(mutex_);
+    if (idle_.size() < options_.max_idle_connections)
+        idle_.push_back(std::move(client));
+}
+
+static http_failure failure_of(httplib::Error error, bool too_large, bool late)
+{
+    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout)
+        return http_failure::not_sent;
+    if (too_large)
+        return http_failure::too_large;
+    return late ? http_failure::late : http_failure::broken;
+}
+
+// The library's read timeout is for each read; the receiver holds the whole to the deadline. A
+// client that failed is thrown away, and with it a connection whose answer was not read to its end.
+result<http_answer, http_failure> http_pool::post(const std::string& path, const std::string& body,
+                                                  time_point deadline)
+{
+    const auto left = std::max(std::chrono::ceil<std::chrono::milliseconds>(deadline - boot_now()),
+                               std::chrono::milliseconds(1));
+    auto client = take();
+    client->set_connection_timeout(std::min<duration>(left, options_.connect_timeout));
+    client->set_read_timeout(left);
+    client->set_write_timeout(left);
+
+    http_answer answer;
+    bool too_large = false;
+    bool late = false;
+    httplib::Request request =
+        json_post(path, body, [&](const char* data, size_t n, uint64_t, uint64_t) {
+            too_large = answer.body.size() + n > options_.max_answer_bytes;
+            late = boot_now() >= deadline;
+            if (!too_large)
+                answer.body.append(data, n);
+            return !too_large && !late;
+        });
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    if (!client->send(request, response, error))
+        return failure_of(error, too_large, late || boot_now() >= deadline);
+    give_back(std::move(client));
+    answer.status = response.status;
+    return answer;
+}
+
+} // namespace jasminebank
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -15,6 +15,9 @@
     event_entry{event::node_stopped, severity::info, "node_stopped"},
     event_entry{event::settings_rejected, severity::error, "settings_rejected"},
     event_entry{event::settings_reloaded, severity::info, "settings_reloaded"},
+    event_entry{event::store_watch_connected, severity::info, "store_watch_connected"},
+    event_entry{event::store_watch_disconnected, severity::warning, "store_watch_disconnected"},
+    event_entry{event::store_watch_history_lost, severity::warning, "store_watch_history_lost"},
     event_entry{event::standin_started, severity::info, "standin_started"},
     event_entry{event::fake_store_fault_set, severity::info, "fake_store_fault_set"},
 };
--- a/src/log.h
+++ b/src/log.h
@@ -21,6 +21,9 @@
     node_stopped = 102,
     settings_rejected = 103,
     settings_reloaded = 104,
+    store_watch_connected = 300,
+    store_watch_disconnected = 301,
+    store_watch_history_lost = 302,
     standin_started = 900,
     fake_store_fault_set = 910,
 };
--- /dev/null
+++ b/src/store_watch.cpp
@@ -0,0 +1,187 @@
+#include "store_watch.h"
+
+#include "http_pool.h"
+#include "log.h"
+#include "system_clock.h"
+
+#include <cassert>
+
+namespace jasminebank {
+
+using namespace std::chrono_literals;
+
+store_watch::store_watch(store_watch_options options, store_watch_handlers handlers)
+    : options_(std::move(options)), handlers_(std::move(handlers)), next_(options_.from)
+{
+    assert(!options_.endpoints.empty());
+    thread_ = std::thread([this] { run(); });
+}
+
+store_watch::~store_watch()
+{
+    stop();
+}
+
+// Asks again and again: a connection being made just now does not notice the first time.
+void store_watch::stop()
+{
+    constexpr duration ask_again = 5ms;
+    if (!thread_.joinable())
+        return;
+    assert(thread_.get_id() != std::this_thread::get_id());
+    {
+        std::unique_lock lock(mutex_);
+        stopping_ = true;
+        changed_.notify_all();
+        while (!ended_) {
+            if (client_)
+                client_->stop();
+            changed_.wait_for(lock, ask_again);
+        }
+    }
+    thread_.join();
+}
+
+// The delay is short again only after a connection that lasted, so that a store which accepts and
+// breaks is not called at full speed. A connection that was merely silent is made anew at once.
+void store_watch::run()
+{
+    constexpr duration lasting = 1s;
+    jitter_backoff backoff(options_.backoff);
+    std::size_t at = 0;
+    for (;;) {
+        listen_once(options_.endpoints[at]);
+        if (opened_ != time_point{} && boot_now() - opened_ >= lasting)
+            backoff.reset();
+        std::unique_lock lock(mutex_);
+        if (!connected_) {
+            at = (at + 1) % options_.endpoints.size();
+            changed_.wait_for(lock, backoff.next(), [&] { return stopping_; });
+        }
+        if (stopping_)
+            break;
+    }
+    const std::lock_guard lock(mutex_);
+    ended_ = true;
+    changed_.notify_all();
+}
+
+// One connection, from the request to its end. `connected_` stays set if it was only silent.
+void store_watch::listen_once(const endpoint& at)
+{
+    const auto client = std::make_shared<httplib::Client>(at.host, at.port);
+    client->set_connection_timeout(options_.connect_timeout);
+    client->set_read_timeout(options_.idle_limit);
+    client->set_write_timeout(options_.idle_limit);
+    client->set_decompress(false);
+    client->set_tcp_nodelay(true);
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_)
+            return;
+        client_ = client;
+    }
+    line_.clear();
+    line_refused_ = false;
+    opened_ = {};
+    heard_ = boot_now();
+    const std::string body =
+        encode_watch_request({.keys = options_.keys, .from = next_, .progress_notify = true});
+    httplib::Request request =
+        json_post(store_path::watch, body, [this](const char* data, size_t n, uint64_t, uint64_t) {
+            return take_bytes({data, n});
+        });
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    client->send(request, response, error);
+    bool stopped = false;
+    {
+        const std::lock_guard lock(mutex_);
+        client_.reset();
+        stopped = stopping_;
+    }
+    const bool silent = opened_ != time_point{} && boot_now() - heard_ >= options_.idle_limit;
+    if (connected_ && !silent && !stopped)
+        tell(watch_status_kind::disconnected, next_ - 1, reason_of_end(error));
+    connected_ = connected_ && silent;
+}
+
+std::string store_watch::reason_of_end(httplib::Error error) const
+{
+    return line_refused_ ? "line is not the store's or too long" : httplib::to_string(error);
+}
+
+bool store_watch::take_bytes(std::string_view bytes)
+{
+    heard_ = boot_now();
+    while (!bytes.empty()) {
+        const std::size_t end = bytes.find('\n');
+        line_.append(bytes.substr(0, end));
+        if (line_.size() > options_.max_line_bytes) {
+            line_refused_ = true;
+            return false;
+        }
+        if (end == std::string_view::npos)
+            return true;
+        bytes.remove_prefix(end + 1);
+        const std::string line = std::exchange(line_, {});
+        if (!take_line(line))
+            return false;
+    }
+    return true;
+}
+
+// The first line's revision is where a watch "from now on" begins. Later lines without changes tell
+// that all up to their revision has been sent.
+bool store_watch::take_line(std::string_view line)
+{
+    auto message = decode_watch_message(line);
+    line_refused_ = !message;
+    if (!message)
+        return false;
+    const store_revision revision = message->batch.revision;
+    if (message->compact_revision > 0) {
+        next_ = message->compact_revision + 1;
+        tell(watch_status_kind::history_lost, message->compact_revision, "compacted");
+        return false;
+    }
+    if (message->cancelled)
+        return false;
+    if (message->created) {
+        opened_ = boot_now();
+        if (next_ == 0)
+            next_ = revision + 1;
+        if (!connected_)
+            tell(watch_status_kind::connected, revision, "created");
+        connected_ = true;
+    }
+    if (!message->batch.events.empty())
+        take_events(std::move(message->batch));
+    else if (!message->created)
+        next_ = std::max(next_, revision + 1);
+    return true;
+}
+
+// Drops what has been told before the connection was made anew.
+void store_watch::take_events(store_event_batch batch)
+{
+    std::erase_if(batch.events,
+                  [&](const store_event& it) { return it.entry.mod_revision < next_; });
+    if (batch.events.empty())
+        return;
+    next_ = batch.events.back().entry.mod_revision + 1;
+    handlers_.on_events(batch);
+}
+
+void store_watch::tell(watch_status_kind kind, store_revision revision, const std::string& detail)
+{
+    event number = event::store_watch_connected;
+    if (kind == watch_status_kind::disconnected)
+        number = event::store_watch_disconnected;
+    if (kind == watch_status_kind::history_lost)
+        number = event::store_watch_history_lost;
+    log_event(number, "revision {}: {}", revision, detail);
+    handlers_.on_status({.kind = kind, .revision = revision, .detail = detail});
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/store_watch.h
@@ -0,0 +1,88 @@
+#pragma once
+
+// A watch on keys of the store that goes on over broken connections and outages and misses no
+// change.
+
+#include "endpoint.h"
+#include "jitter_backoff.h"
+#include "store_codec.h"
+
+#include <httplib.h>
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace jasminebank {
+
+struct store_watch_options {
+    std::vector<endpoint> endpoints; ///< of one store, at least one
+    store_key_range keys;
+    store_revision from = 0; ///< first revision to tell; 0 is from now on
+    duration connect_timeout = std::chrono::milliseconds(300);
+    duration idle_limit = std::chrono::seconds(10); ///< a silent connection is made anew
+    std::size_t max_line_bytes = std::size_t{32} << 20;
+    jitter_backoff_options backoff{};
+};
+
+enum class watch_status_kind : std::uint8_t {
+    connected,
+    disconnected,
+    history_lost, ///< changes up to `revision` are no longer kept: read the keys anew
+};
+
+struct store_watch_status {
+    watch_status_kind kind = watch_status_kind::disconnected;
+    store_revision revision = 0;
+    std::string detail; ///< for the log
+};
+
+/// Called on the watch's own thread, one at a time; they must not throw and not stop the watch.
+struct store_watch_handlers {
+    std::function<void(const store_event_batch&)> on_events; ///< each change once, in order
+    std::function<void(const store_watch_status&)> on_status;
+};
+
+/// Watches from construction to `stop` or destruction.
+class store_watch {
+public:
+    store_watch(store_watch_options options, store_watch_handlers handlers);
+    store_watch(const store_watch&) = delete;
+    store_watch& operator=(const store_watch&) = delete;
+    ~store_watch();
+
+    /// Ends the connection and the thread, within the connect timeout.
+    void stop();
+
+private:
+    void run();
+    void listen_once(const endpoint& at);
+    bool take_bytes(std::string_view bytes);
+    bool take_line(std::string_view line);
+    void take_events(store_event_batch batch);
+    void tell(watch_status_kind kind, store_revision revision, const std::string& detail);
+    std::string reason_of_end(httplib::Error error) const;
+
+    store_watch_options options_;
+    store_watch_handlers handlers_;
+
+    // Of the thread alone.
+    store_revision next_ = 0; ///< first revision not told yet; 0 before the first answer
+    std::string line_;        ///< beginning of a line whose end has not come
+    bool connected_ = false;
+    bool line_refused_ = false;
+    time_point opened_;
+    time_point heard_;
+
+    std::mutex mutex_; ///< guards those below
+    std::condition_variable changed_;
+    std::shared_ptr<httplib::Client> client_;
+    bool stopping_ = false;
+    bool ended_ = false;
+    std::thread thread_;
+};
+
+} // namespace jasminebank
