--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -48,7 +48,7 @@
     std::unique_ptr<httplib::Client> take();
     void give_back(std::unique_ptr<httplib::Client> client);
 
-    const http_pool_options options_;
+    http_pool_options options_;
     std::mutex mutex_;
     std::vector<std::unique_ptr<httplib::Client>> idle_;
 };
--- a/src/store_client.h
+++ b/src/store_client.h
@@ -45,7 +45,7 @@
     result<http_answer, http_failure> send(const char* path, const std::string& body, sending how);
     result<std::string, store_error> call(const char* path, const std::string& body, sending how);
 
-    const store_client_options options_;
+    store_client_options options_;
     std::vector<std::unique_ptr<http_pool>> pools_;
     std::atomic<std::size_t> preferred_ = 0; ///< endpoint that answered last
 };
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -66,8 +66,8 @@
     void tell(watch_status_kind kind, store_revision revision, const std::string& detail);
     std::string reason_of_end(httplib::Error error) const;
 
-    const store_watch_options options_;
-    const store_watch_handlers handlers_;
+    store_watch_options options_;
+    store_watch_handlers handlers_;
 
     // Of the thread alone.
     store_revision next_ = 0; ///< first revision not told yet; 0 before the first answer
