Nodes follow membership and spread the configuration

Two nodes of each failure domain watch the store; the others learn of a newer generation from datagrams and fetch only the documents that they lack over a link.

--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -1,25 +1,21 @@
 #include "config_follower.h"
 
+#include "config_store.h"
 #include "log.h"
 #include "system_clock.h"
 
 namespace jasminebank {
 
 constexpr duration retry_interval = std::chrono::milliseconds(500);
+constexpr duration idle_interval = std::chrono::seconds(5);
+constexpr duration fetch_timeout = std::chrono::seconds(2);
+// Documents that go into one answer, together.
+constexpr std::size_t offer_bytes = 1024UL * 1024;
+constexpr std::size_t most_offers_waiting = 4;
 
-config_follower::config_follower(config_follower_options options)
-    : options_(std::move(options)), store_({.endpoints = options_.store})
+config_follower::config_follower(config_follower_options options, link_hub& links)
+    : options_(std::move(options)), links_(links), store_({.endpoints = options_.store})
 {
-    store_watch_options watch{.endpoints = options_.store,
-                              .keys = {.key = std::string(config_head_key), .range_end = {}}};
-    watch_ = std::make_unique<store_watch>(
-        watch, store_watch_handlers{
-                   .on_events = [this](const store_event_batch&) { wake(true); },
-                   .on_status =
-                       [this](const store_watch_status& it) {
-                           wake(it.kind != watch_status_kind::disconnected);
-                       },
-               });
     thread_ = std::thread([this] { run(); });
 }
 
@@ -31,97 +27,161 @@
     }
     changed_.notify_all();
     thread_.join();
-    watch_->stop();
 }
 
-time_point config_follower::store_heard() const
+void config_follower::watch_store(bool watching)
 {
     const std::lock_guard lock(mutex_);
-    return store_heard_;
+    if (options_.store.empty() || watching_ == watching)
+        return;
+    watching_ = watching;
+    head_changed_ = watching;
+    changed_.notify_all();
 }
 
-void config_follower::wake(bool heard)
+void config_follower::notice(bool head_changed)
 {
     const std::lock_guard lock(mutex_);
-    if (heard) {
-        store_heard_ = boot_now();
-        head_changed_ = true;
-    }
+    head_changed_ |= head_changed;
     changed_.notify_all();
 }
 
+std::string config_follower::answer(std::string_view request) const
+{
+    const auto it = decode_config_request(request);
+    const std::lock_guard lock(keeper_mutex_);
+    return encode_config_offer(keeper_.offer(it.value_or(config_request{}), offer_bytes));
+}
+
+void config_follower::fetch_from(const endpoint& peer)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (asking_)
+            return;
+        asking_ = true;
+    }
+    ask(peer);
+}
+
+// The answer comes on the thread of the links and is only put aside there.
+void config_follower::ask(const endpoint& peer)
+{
+    std::string payload;
+    {
+        const std::lock_guard lock(keeper_mutex_);
+        payload = encode_config_request(keeper_.request());
+    }
+    const auto done = [this, peer](const result<std::string, link_error>& answer) {
+        const auto offer = failed(answer) ? std::nullopt : decode_config_offer(value_of(answer));
+        const std::lock_guard lock(mutex_);
+        asking_ = false;
+        if (offer && offers_.size() < most_offers_waiting)
+            offers_.push_back({.peer = peer, .offer = *offer});
+        changed_.notify_all();
+    };
+    if (!links_.call(peer, std::string(config_path), std::move(payload), fetch_timeout, done)) {
+        const std::lock_guard lock(mutex_);
+        asking_ = false;
+    }
+}
+
 void config_follower::run()
 {
     std::unique_lock lock(mutex_);
+    time_point next_read{};
     while (!stopping_) {
+        const bool watching = watching_;
+        const bool due = watching && (head_changed_ || boot_now() >= next_read);
         head_changed_ = false;
+        auto offers = std::exchange(offers_, {});
         lock.unlock();
-        const bool done = follow();
+        for (const offer_from& it : offers)
+            take_offer(it);
+        if (watching && watch_ == nullptr) {
+            watch_ = std::make_unique<store_watch>(
+                store_watch_options{.endpoints = options_.store,
+                                    .keys = {.key = std::string(config_head_key), .range_end = {}}},
+                store_watch_handlers{.on_events = [this](const auto&) { notice(true); },
+                                     .on_status = [](const auto&) {}});
+        }
+        if (!watching)
+            watch_.reset();
+        if (due)
+            next_read = boot_now() + (follow_store() ? options_.reread_interval : retry_interval);
         lock.lock();
-        const duration wait = done ? options_.reread_interval : retry_interval;
-        changed_.wait_for(lock, wait, [this] { return stopping_ || (head_changed_); });
+        const duration wait = watching ? next_read - boot_now() : idle_interval;
+        changed_.wait_for(lock, wait, [&] {
+            return stopping_ || head_changed_ || !offers_.empty() || watching_ != watching;
+        });
     }
+    lock.unlock();
+    watch_.reset();
 }
 
-// Unchanged documents are taken from the generation in force; only the others are read.
-bool config_follower::fetch_documents(const config_head& head, config_texts& texts)
+void config_follower::take_offer(const offer_from& it)
 {
-    std::unordered_map<std::string, const std::string*> known;
-    if (current_ != nullptr) {
-        for (std::size_t n = 0; n < document_count; ++n)
-            known.emplace(current_->head.documents[n], &current_->texts[n]);
+    bool again = false;
+    {
+        const std::lock_guard lock(keeper_mutex_);
+        keeper_.take_head(it.offer.head);
+        for (const std::string& text : it.offer.documents)
+            keeper_.take_document(text);
+        again = !it.offer.documents.empty() && !keeper_.missing().empty();
     }
-    const std::string empty_name = document_name("");
-    texts.resize(document_count);
-    for (std::size_t n = 0; n < document_count; ++n) {
-        const std::string& name = head.documents[n];
-        const auto it = known.find(name);
-        if (it != known.end()) {
-            texts[n] = *it->second;
-            continue;
-        }
-        if (name == empty_name)
-            continue;
-        auto text = read_document(store_, name);
-        if (failed(text)) {
-            log_event(event::config_unreadable, "generation {}: {}", head.generation,
-                      error_of(text).detail);
-            return false;
+    finish();
+    if (again)
+        fetch_from(it.peer);
+}
+
+void config_follower::finish()
+{
+    std::shared_ptr<const config_generation> fresh;
+    {
+        const std::lock_guard lock(keeper_mutex_);
+        auto out = keeper_.finish();
+        if (failed(out)) {
+            log_event(event::config_rejected, "{}", describe(error_of(out)));
+            return;
         }
-        texts[n] = std::move(value_of(text));
+        fresh = value_of(out);
     }
-    return true;
+    if (fresh == nullptr)
+        return;
+    log_event(event::config_in_force, "generation {}", fresh->head.generation);
+    options_.on_generation(fresh);
 }
 
-// False when it must be tried again soon.
-bool config_follower::follow()
+// Reads the head, and the documents that it names and that are not here. True when the store was
+// heard and nothing newer than what is in force is left to read.
+bool config_follower::follow_store()
 {
+    const time_point asked = boot_now();
     const auto read = read_head(store_);
     if (failed(read)) {
         log_event(event::config_unreadable, "{}", error_of(read).detail);
         return false;
     }
+    std::vector<std::string> missing;
     {
-        const std::lock_guard lock(mutex_);
-        store_heard_ = boot_now();
+        const std::lock_guard lock(keeper_mutex_);
+        keeper_.take_head(value_of(read).head);
+        missing = keeper_.missing();
     }
-    const config_head& head = value_of(read).head;
-    if (head.generation == 0 || (current_ && head.generation <= current_->head.generation))
-        return true;
-    auto next = std::make_shared<config_generation>();
-    next->head = head;
-    if (!fetch_documents(head, next->texts))
-        return false;
-    auto config = build_generation(head, next->texts);
-    if (failed(config)) {
-        log_event(event::config_rejected, "generation {}: {}", head.generation,
-                  describe(error_of(config)));
-        return true;
+    for (const std::string& name : missing) {
+        auto text = read_document(store_, name);
+        if (failed(text)) {
+            log_event(event::config_unreadable, "{}", error_of(text).detail);
+            return false;
+        }
+        const std::lock_guard lock(keeper_mutex_);
+        keeper_.take_document(std::move(value_of(text)));
     }
-    next->config = std::move(value_of(config));
-    current_ = next;
-    log_event(event::config_in_force, "generation {}", head.generation);
-    options_.on_generation(next);
+    finish();
+    const std::lock_guard lock(keeper_mutex_);
+    const std::uint64_t in_force = keeper_.current() ? keeper_.current()->head.generation : 0;
+    if (in_force >= value_of(read).head.generation)
+        options_.on_store_heard(asked);
     return true;
 }
 
--- a/src/config_follower.h
+++ b/src/config_follower.h
@@ -1,62 +1,76 @@
 #pragma once
 
-// Keeps a node at the newest generation that it can learn of. A generation never goes back,
-// whatever a stale read says; a configuration that does not parse leaves the old one in force.
+// Collects the newest configuration for a node: from the store when the node is one of those that
+// watch it, from other nodes otherwise. One thread; the decisions are the keeper's.
 
-#include "config_store.h"
+#include "config_keeper.h"
+#include "link_hub.h"
 #include "store_client.h"
 #include "store_watch.h"
 #include "types.h"
 
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <thread>
-#include <unordered_map>
 
 namespace jasminebank {
 
-/// The configuration of one generation with the documents that it was built from.
-struct config_generation {
-    config_head head;
-    config_texts texts;
-    std::shared_ptr<const fleet_config> config;
-};
+/// Path of the control message that asks for a configuration.
+constexpr std::string_view config_path = "/control/config";
 
 struct config_follower_options {
     std::vector<endpoint> store;
-    /// How often the head is read although no change was told.
-    duration reread_interval = std::chrono::seconds(30);
+    /// How often a watching node reads the head although no change was told.
+    duration reread_interval = std::chrono::seconds(1);
     /// Gets each new generation, on the follower's thread.
     std::function<void(std::shared_ptr<const config_generation>)> on_generation;
+    /// The store was read at this time, and nothing newer than what is in force was there.
+    std::function<void(time_point)> on_store_heard;
 };
 
 class config_follower {
 public:
-    explicit config_follower(config_follower_options options);
+    config_follower(config_follower_options options, link_hub& links);
     ~config_follower();
     config_follower(const config_follower&) = delete;
     config_follower& operator=(const config_follower&) = delete;
 
-    /// When the store was last heard.
-    time_point store_heard() const;
+    /// Whether to watch the store.
+    void watch_store(bool watching);
+    /// Fetches what is missing from the node at `peer`. Does not block.
+    void fetch_from(const endpoint& peer);
+    /// Answers another node's request.
+    std::string answer(std::string_view request) const;
 
 private:
+    struct offer_from {
+        endpoint peer;
+        config_offer offer;
+    };
+
     void run();
-    bool follow();
-    bool fetch_documents(const config_head& head, config_texts& texts);
-    void wake(bool heard);
+    bool follow_store();
+    void take_offer(const offer_from& it);
+    void finish();
+    void ask(const endpoint& peer);
+    void notice(bool head_changed);
 
     const config_follower_options options_;
+    link_hub& links_;
     store_client store_;
-    std::shared_ptr<const config_generation> current_; // of the thread alone
-    mutable std::mutex mutex_;
+    mutable std::mutex keeper_mutex_;
+    config_keeper keeper_;
+    std::mutex mutex_; ///< guards those below
     std::condition_variable changed_;
-    bool head_changed_ = true;
+    bool watching_ = false;
+    bool head_changed_ = false;
+    bool asking_ = false;
     bool stopping_ = false;
-    time_point store_heard_{};
-    std::unique_ptr<store_watch> watch_;
+    std::deque<offer_from> offers_;
+    std::unique_ptr<store_watch> watch_; // of the thread alone
     std::thread thread_;
 };
 
--- /dev/null
+++ b/src/config_keeper.cpp
@@ -0,0 +1,159 @@
+#include "config_keeper.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace jasminebank {
+
+using json = nlohmann::json;
+
+static std::string to_cbor_text(const json& it)
+{
+    const std::vector<std::uint8_t> bytes = json::to_cbor(it);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::string encode_config_request(const config_request& it)
+{
+    return to_cbor_text(json::array({it.generation, it.documents}));
+}
+
+std::optional<config_request> decode_config_request(std::string_view text)
+{
+    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    try {
+        return config_request{.generation = in.at(0).get<std::uint64_t>(),
+                              .documents = in.at(1).get<std::vector<std::string>>()};
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode_config_offer(const config_offer& it)
+{
+    return to_cbor_text(json::array({encode_head(it.head), it.documents}));
+}
+
+std::optional<config_offer> decode_config_offer(std::string_view text)
+{
+    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    try {
+        const auto head = decode_head(in.at(0).get<std::string>());
+        if (!head)
+            return std::nullopt;
+        return config_offer{.head = *head, .documents = in.at(1).get<std::vector<std::string>>()};
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+// Documents that the new head shares with the generation in force are taken over at once.
+bool config_keeper::take_head(const config_head& head)
+{
+    const std::uint64_t newest =
+        std::max({current_ ? current_->head.generation : 0, next_ ? next_->head.generation : 0,
+                  refused_generation_});
+    if (head.generation <= newest || head.documents.size() != document_count)
+        return false;
+    std::unordered_map<std::string, const std::string*> known;
+    const std::string empty;
+    known.emplace(document_name(empty), &empty);
+    for (std::size_t n = 0; current_ && n < document_count; ++n)
+        known.emplace(current_->head.documents[n], &current_->texts[n]);
+    collection fresh{.head = head,
+                     .texts = config_texts(document_count),
+                     .here = std::vector<bool>(document_count, false)};
+    for (std::size_t n = 0; n < document_count; ++n) {
+        const auto it = known.find(head.documents[n]);
+        if (it == known.end())
+            continue;
+        fresh.texts[n] = *it->second;
+        fresh.here[n] = true;
+    }
+    next_ = std::move(fresh);
+    return true;
+}
+
+std::vector<std::string> config_keeper::missing() const
+{
+    std::vector<std::string> out;
+    for (std::size_t n = 0; next_ && n < document_count; ++n) {
+        if (!next_->here[n])
+            out.push_back(next_->head.documents[n]);
+    }
+    return out;
+}
+
+void config_keeper::take_document(std::string text)
+{
+    if (!next_)
+        return;
+    const std::string name = document_name(text);
+    for (std::size_t n = 0; n < document_count; ++n) {
+        if (next_->here[n] || next_->head.documents[n] != name)
+            continue;
+        next_->texts[n] = text;
+        next_->here[n] = true;
+    }
+}
+
+// A generation that does not parse is remembered, so that it is not fetched again and again.
+result<std::shared_ptr<const config_generation>, ini_error> config_keeper::finish()
+{
+    if (!next_ || !missing().empty())
+        return std::shared_ptr<const config_generation>();
+    auto config = build_generation(next_->head, next_->texts);
+    if (failed(config)) {
+        refused_generation_ = next_->head.generation;
+        next_.reset();
+        return error_of(config);
+    }
+    current_ = std::make_shared<const config_generation>(
+        config_generation{.head = std::move(next_->head),
+                          .texts = std::move(next_->texts),
+                          .config = std::move(value_of(config))});
+    next_.reset();
+    return current_;
+}
+
+config_request config_keeper::request() const
+{
+    config_request out{.generation = current_ ? current_->head.generation : 0, .documents = {}};
+    if (next_) {
+        for (std::size_t n = 0; n < document_count; ++n) {
+            if (next_->here[n])
+                out.documents.push_back(next_->head.documents[n]);
+        }
+    }
+    else if (current_) {
+        out.documents = current_->head.documents;
+    }
+    return out;
+}
+
+config_offer config_keeper::offer(const config_request& request, std::size_t limit) const
+{
+    config_offer out;
+    if (!current_ || current_->head.generation <= request.generation)
+        return out;
+    out.head = current_->head;
+    const std::unordered_set<std::string> known(request.documents.begin(), request.documents.end());
+    std::size_t bytes = 0;
+    for (std::size_t n = 0; n < document_count; ++n) {
+        const std::string& text = current_->texts[n];
+        if (text.empty() || known.contains(current_->head.documents[n]))
+            continue;
+        if (!out.documents.empty() && bytes + text.size() > limit)
+            break;
+        bytes += text.size();
+        out.documents.push_back(text);
+    }
+    return out;
+}
+
+} // namespace jasminebank
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -86,7 +86,7 @@
 };
 
 entry::entry(entry_options options, link_hub& links, router_options routing)
-    : options_(options), links_(links), router_(routing)
+    : options_(std::move(options)), links_(links), router_(routing)
 {
 }
 
@@ -116,6 +116,8 @@
     admitted_request out{.config = config(), .deadline = now};
     if (out.config == nullptr)
         return refusal_answer{.reason = refusal::no_configuration};
+    if (!options_.may_serve())
+        return refusal_answer{.reason = refusal::cut_off};
     out.organisation = find_key(*out.config, head.key);
     if (out.organisation == nullptr)
         return refusal_answer{.reason = refusal::unknown_key};
--- a/src/entry.h
+++ b/src/entry.h
@@ -24,7 +24,8 @@
 
 struct entry_options {
     std::size_t buffered_body_bytes = 0;
-    std::size_t attempts = 3; ///< backend servers tried for one request, at most
+    std::size_t attempts = 3;        ///< backend servers tried for one request, at most
+    std::function<bool()> may_serve; ///< false while this node may be cut off from news
 };
 
 /// A request that may run: whose it is, where it goes.
--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace jasminebank {
 
 using json = nlohmann::json;
@@ -22,15 +24,25 @@
                         it.domain.value, it.leaving, std::move(servers)});
 }
 
-std::string encode_members(std::span<const member_record> members)
+static json to_json(std::span<const member_record> members)
 {
     json out = json::array();
     for (const member_record& it : members)
         out.push_back(to_json(it));
-    const std::vector<std::uint8_t> bytes = json::to_cbor(out);
+    return out;
+}
+
+static std::string to_cbor_text(const json& it)
+{
+    const std::vector<std::uint8_t> bytes = json::to_cbor(it);
     return {bytes.begin(), bytes.end()};
 }
 
+std::string encode_members(std::span<const member_record> members)
+{
+    return to_cbor_text(to_json(members));
+}
+
 // Throws nlohmann's exceptions on a wrong type or place; decode_members turns them.
 static server_record server_from(const json& in)
 {
@@ -61,19 +73,90 @@
     return out;
 }
 
+static std::vector<member_record> members_from(const json& in)
+{
+    std::vector<member_record> out;
+    for (const json& it : in)
+        out.push_back(member_from(it));
+    return out;
+}
+
 std::optional<std::vector<member_record>> decode_members(std::string_view text)
 {
     const json in = json::from_cbor(text.begin(), text.end(), true, false);
     if (!in.is_array())
         return std::nullopt;
-    std::vector<member_record> out;
     try {
-        for (const json& it : in)
-            out.push_back(member_from(it));
+        return members_from(in);
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string encode_exchange(const member_exchange& it)
+{
+    json known = json::array();
+    for (const record_stamp& stamp : it.known)
+        known.push_back(json::array({stamp.vm.value, stamp.run.value, stamp.version}));
+    json wanted = json::array();
+    for (const vm_id vm : it.wanted)
+        wanted.push_back(vm.value);
+    return to_cbor_text(json::array({std::move(known), to_json(it.records), std::move(wanted)}));
+}
+
+std::optional<member_exchange> decode_exchange(std::string_view text)
+{
+    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    member_exchange out;
+    try {
+        for (const json& it : in.at(0)) {
+            out.known.push_back({.vm = vm_id{it.at(0).get<std::uint64_t>()},
+                                 .run = incarnation{it.at(1).get<std::uint64_t>()},
+                                 .version = it.at(2).get<std::uint64_t>()});
+        }
+        out.records = members_from(in.at(1));
+        for (const json& it : in.at(2))
+            out.wanted.push_back(vm_id{it.get<std::uint64_t>()});
+        return out;
     }
     catch (const json::exception&) {
         return std::nullopt;
     }
+}
+
+std::vector<record_stamp> known_stamps(const member_directory& directory)
+{
+    std::vector<record_stamp> out;
+    out.reserve(directory.members().size());
+    for (const member_record& it : directory.members())
+        out.push_back(stamp_of(it));
+    return out;
+}
+
+// Both lists are sorted by node, but the other side's is not trusted to be, so it is searched.
+member_exchange answer_exchange(const member_directory& directory, const member_exchange& asked)
+{
+    member_exchange out;
+    for (const vm_id vm : asked.wanted) {
+        if (const member_record* it = directory.find(vm))
+            out.records.push_back(*it);
+    }
+    if (asked.known.empty())
+        return out;
+    for (const record_stamp& theirs : asked.known) {
+        const member_record* ours = directory.find(theirs.vm);
+        if (ours == nullptr || is_newer(theirs, stamp_of(*ours)))
+            out.wanted.push_back(theirs.vm);
+        else if (is_newer(stamp_of(*ours), theirs))
+            out.records.push_back(*ours);
+    }
+    for (const member_record& it : directory.members()) {
+        const bool known = std::any_of(asked.known.begin(), asked.known.end(),
+                                       [&](const record_stamp& a) { return a.vm == it.vm; });
+        if (!known)
+            out.records.push_back(it);
+    }
     return out;
 }
 
--- /dev/null
+++ b/src/member_service.cpp
@@ -0,0 +1,217 @@
+#include "member_service.h"
+
+#include "log.h"
+#include "system_clock.h"
+
+namespace jasminebank {
+
+constexpr duration tick_interval = std::chrono::milliseconds(25);
+constexpr duration exchange_timeout = std::chrono::seconds(1);
+
+member_service::member_service(member_service_options options, link_hub& links)
+    : options_(std::move(options)), links_(links), membership_(options_.membership, boot_now())
+{
+}
+
+bool member_service::start()
+{
+    const std::lock_guard lock(mutex_);
+    socket_ = datagram_socket::open(
+        links_.local(), [this](const endpoint& from, auto bytes) { receive(from, bytes); });
+    if (socket_ == nullptr)
+        return false;
+    thread_ = std::thread([this] { run_ticks(); });
+    return true;
+}
+
+member_service::~member_service()
+{
+    stop();
+}
+
+void member_service::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_)
+            return;
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    if (thread_.joinable())
+        thread_.join();
+    socket_.reset();
+}
+
+// Decides under the lock and acts without it.
+template <class Step>
+void member_service::step(Step step)
+{
+    membership_actions actions;
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_ || socket_ == nullptr)
+            return;
+        actions = step(membership_);
+    }
+    perform(actions);
+}
+
+void member_service::perform(const membership_actions& actions)
+{
+    bool changed = false;
+    for (const membership_action& action : actions) {
+        if (const auto* send = std::get_if<send_heartbeat>(&action)) {
+            const std::string bytes = encode_heartbeat(send->body, options_.fleet_key);
+            if (bytes.size() <= longest_heartbeat_bytes)
+                socket_->send(send->to, bytes);
+        }
+        else if (const auto* swap = std::get_if<exchange_members>(&action)) {
+            member_exchange part;
+            {
+                const std::lock_guard lock(mutex_);
+                part.known = known_stamps(membership_.directory());
+            }
+            exchange_with(swap->link, part);
+        }
+        else if (const auto* fetch = std::get_if<fetch_config>(&action)) {
+            options_.on_newer_config(fetch->link);
+        }
+        else {
+            changed = true;
+        }
+    }
+    if (changed)
+        tell_directory();
+}
+
+void member_service::tell_directory()
+{
+    const std::lock_guard order(directory_mutex_);
+    member_directory copy;
+    {
+        const std::lock_guard lock(mutex_);
+        copy = membership_.directory();
+    }
+    options_.on_directory(copy);
+}
+
+void member_service::exchange_with(const endpoint& peer, const member_exchange& part)
+{
+    const bool sent =
+        links_.call(peer, std::string(members_path), encode_exchange(part), exchange_timeout,
+                    [this, peer](const result<std::string, link_error>& answer) {
+                        if (failed(answer))
+                            return;
+                        if (const auto it = decode_exchange(value_of(answer)))
+                            take_exchange(peer, *it);
+                    });
+    static_cast<void>(sent); // a full queue: the next differing digest tries again
+}
+
+void member_service::take_exchange(const endpoint& peer, const member_exchange& it)
+{
+    step([&](membership& m) { return m.merge(it.records, boot_now()); });
+    if (it.wanted.empty())
+        return;
+    member_exchange part;
+    {
+        const std::lock_guard lock(mutex_);
+        part = answer_exchange(membership_.directory(),
+                               {.known = {}, .records = {}, .wanted = it.wanted});
+    }
+    if (!part.records.empty())
+        exchange_with(peer, part);
+}
+
+std::string member_service::answer(std::string_view request)
+{
+    const auto asked = decode_exchange(request);
+    if (!asked)
+        return encode_exchange({});
+    step([&](membership& m) { return m.merge(asked->records, boot_now()); });
+    const std::lock_guard lock(mutex_);
+    return encode_exchange(answer_exchange(membership_.directory(), *asked));
+}
+
+void member_service::receive(const endpoint& from, std::string_view bytes)
+{
+    const auto it = decode_heartbeat(bytes, options_.fleet_key);
+    if (it)
+        step([&](membership& m) { return m.receive(from, *it, boot_now()); });
+}
+
+void member_service::announce(std::vector<server_record> servers, bool leaving)
+{
+    step([&](membership& m) { return m.announce(std::move(servers), leaving, boot_now()); });
+}
+
+void member_service::set_generation(std::uint64_t generation)
+{
+    step([&](membership& m) { return m.set_generation(generation, boot_now()); });
+}
+
+void member_service::store_heard(time_point at)
+{
+    const std::lock_guard lock(mutex_);
+    membership_.store_heard(at);
+}
+
+bool member_service::may_serve() const
+{
+    const std::lock_guard lock(mutex_);
+    return membership_.may_serve(boot_now());
+}
+
+member_status member_service::status() const
+{
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    return {.lately = membership_.heard_lately(now),
+            .in_all = membership_.heard_in_all(),
+            .store_age = membership_.store_age(now),
+            .may_serve = membership_.may_serve(now),
+            .hears_majority = membership_.hears_majority(now),
+            .datagram_bytes = socket_ == nullptr ? 0 : socket_->bytes_out()};
+}
+
+std::vector<member_record> member_service::members() const
+{
+    const std::lock_guard lock(mutex_);
+    return membership_.directory().members();
+}
+
+void member_service::note_standing()
+{
+    bool watcher = false;
+    bool serves = false;
+    {
+        const std::lock_guard lock(mutex_);
+        watcher = membership_.is_watcher(options_.watchers);
+        serves = membership_.may_serve(boot_now());
+    }
+    if (watcher != is_watcher_) {
+        is_watcher_ = watcher;
+        options_.on_watcher(watcher);
+    }
+    if (serves != may_serve_) {
+        may_serve_ = serves;
+        log_event(serves ? event::cut_off_ended : event::cut_off_began, "{}",
+                  serves ? "hears the store or half of the members again"
+                         : "hears neither the store nor half of the members");
+    }
+}
+
+void member_service::run_ticks()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        lock.unlock();
+        step([](membership& m) { return m.tick(boot_now()); });
+        note_standing();
+        lock.lock();
+        wake_.wait_for(lock, tick_interval);
+    }
+}
+
+} // namespace jasminebank
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -264,17 +264,23 @@
 }
 
 // The sender's edition of its own record, its digest and its generation tell whether there is
-// something to fetch from it.
+// something to fetch from it. A difference of digests that lasts is no news on its way, but news
+// that was missed.
 void membership::note_differences(const endpoint& from, const heartbeat& it, time_point now,
                                   membership_actions& out)
 {
     if (it.generation > generation_)
         out.emplace_back(fetch_config{.link = from, .generation = it.generation});
-    const bool differs = it.directory_digest != directory_.digest();
-    if (differs && now >= next_exchange_) {
-        next_exchange_ = now + options_.exchange_interval;
-        out.emplace_back(exchange_members{.link = from});
+    if (it.directory_digest == directory_.digest()) {
+        differs_since_.reset();
+        return;
     }
+    if (!differs_since_)
+        differs_since_ = now;
+    if (now - *differs_since_ < options_.difference_time || now < next_exchange_)
+        return;
+    next_exchange_ = now + options_.exchange_interval;
+    out.emplace_back(exchange_members{.link = from});
 }
 
 membership_actions membership::receive(const endpoint& from, const heartbeat& it, time_point now)
--- a/src/membership.h
+++ b/src/membership.h
@@ -30,6 +30,7 @@
     duration hearing_window = std::chrono::seconds(5);
     duration store_age_limit = std::chrono::seconds(5);
     duration exchange_interval = std::chrono::milliseconds(500); ///< at least, between exchanges
+    duration difference_time = std::chrono::milliseconds(300);   ///< news that spreads ends sooner
     std::size_t relays = 3; ///< nodes asked to ping a silent one
     std::size_t fanout = 3; ///< nodes that news is passed on to at once
 };
@@ -160,6 +161,7 @@
     time_point next_ping_;
     time_point next_seed_ping_;
     time_point next_exchange_;
+    std::optional<time_point> differs_since_;
     std::mt19937_64 random_;
 };
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1,7 +1,6 @@
 #include "node.h"
 
 #include "log.h"
-#include "member_codec.h"
 #include "system_clock.h"
 
 #include <fmt/format.h>
@@ -12,12 +11,10 @@
 namespace jasminebank {
 
 constexpr duration tick_interval = std::chrono::milliseconds(200);
-constexpr duration exchange_timeout = std::chrono::seconds(1);
 constexpr std::size_t control_connections = 128;
 constexpr duration caller_idle_timeout = std::chrono::minutes(1);
 constexpr duration caller_io_timeout = std::chrono::seconds(30);
 constexpr duration closing_grace = std::chrono::seconds(1);
-constexpr std::string_view members_path = "/control/members";
 
 // What a caller over the bound on connections gets, at once.
 static std::string over_bound_answer()
@@ -32,9 +29,8 @@
 std::unique_ptr<node> node::start(const node_settings& settings, incarnation run)
 {
     std::unique_ptr<node> out(new node(settings, run));
-    if (!out->open_doors())
+    if (!out->open_links() || !out->open_members() || !out->open_doors())
         return nullptr;
-    out->follow_config();
     out->ticks_ = std::thread([it = out.get()] { it->run_ticks(); });
     return out;
 }
@@ -44,7 +40,7 @@
     stop();
 }
 
-bool node::open_doors()
+bool node::open_links()
 {
     gate_ = std::make_unique<gate>(gate_options{.run = run_,
                                                 .announcement_ttl = settings_.announcement_ttl,
@@ -61,17 +57,55 @@
                   to_string(settings_.links));
         return false;
     }
-    self_ = {.vm = id_of<vm_id>(settings_.vm_name),
-             .name = settings_.vm_name,
-             .run = run_,
-             .version = 1,
-             .link = links_->local(),
-             .domain = id_of<failure_domain_id>(settings_.failure_domain),
-             .servers = {}};
-    directory_.merge(self_);
-    entry_ =
-        std::make_unique<entry>(entry_options{.buffered_body_bytes = settings_.buffered_body_bytes},
-                                *links_, router_options{.self = self_.vm, .domain = self_.domain});
+    entry_ = std::make_unique<entry>(
+        entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
+                      .may_serve =
+                          [this] {
+                              return settings_.when_cut_off == cut_off_policy::serve ||
+                                     members_->may_serve();
+                          }},
+        *links_,
+        router_options{.self = id_of<vm_id>(settings_.vm_name),
+                       .domain = id_of<failure_domain_id>(settings_.failure_domain)});
+    follower_ = std::make_unique<config_follower>(
+        config_follower_options{
+            .store = settings_.store,
+            .on_generation =
+                [this](const std::shared_ptr<const config_generation>& it) {
+                    entry_->set_config(it->config);
+                    members_->set_generation(it->head.generation);
+                },
+            .on_store_heard = [this](time_point at) { members_->store_heard(at); }},
+        *links_);
+    return true;
+}
+
+bool node::open_members()
+{
+    const member_record self{.vm = id_of<vm_id>(settings_.vm_name),
+                             .name = settings_.vm_name,
+                             .run = run_,
+                             .version = 1,
+                             .link = links_->local(),
+                             .domain = id_of<failure_domain_id>(settings_.failure_domain),
+                             .servers = {}};
+    members_ = std::make_unique<member_service>(
+        member_service_options{
+            .membership = {.self = self, .seeds = settings_.peers, .random_seed = run_.value},
+            .fleet_key = settings_.fleet_key,
+            .on_directory = [this](const member_directory& it) { entry_->set_directory(it); },
+            .on_newer_config = [this](const endpoint& it) { follower_->fetch_from(it); },
+            .on_watcher = [this](bool watching) { follower_->watch_store(watching); }},
+        *links_);
+    ready_ = true;
+    if (members_->start())
+        return true;
+    log_event(event::settings_rejected, "links: no datagrams on {}", to_string(links_->local()));
+    return false;
+}
+
+bool node::open_doors()
+{
     callers_ = std::make_unique<socket_server>(
         socket_server_options{.listen = settings_.callers,
                               .connections = settings_.connections,
@@ -93,17 +127,6 @@
     return true;
 }
 
-void node::follow_config()
-{
-    if (settings_.store.empty())
-        return;
-    follower_ = std::make_unique<config_follower>(config_follower_options{
-        .store = settings_.store,
-        .on_generation = [this](const std::shared_ptr<const config_generation>& it) {
-            entry_->set_config(it->config);
-        }});
-}
-
 // Every path is served by the same handler; the library's own routing is not used.
 void node::add_caller_routes()
 {
@@ -135,19 +158,25 @@
 void node::answer_status(httplib::Response& res)
 {
     const auto config = entry_->config();
+    const member_status standing = members_->status();
     nlohmann::json members = nlohmann::json::array();
-    const std::lock_guard lock(mutex_);
-    for (const member_record& it : directory_.members()) {
+    for (const member_record& it : members_->members()) {
         members.push_back({{"vm", it.name},
                            {"run", it.run.value},
                            {"link", to_string(it.link)},
                            {"leaving", it.leaving},
                            {"backend_servers", it.servers.size()}});
     }
-    const nlohmann::json out{{"vm", settings_.vm_name},
-                             {"failure_domain", settings_.failure_domain},
-                             {"generation", config == nullptr ? 0 : config->generation},
-                             {"members", std::move(members)}};
+    nlohmann::json out{{"vm", settings_.vm_name},
+                       {"failure_domain", settings_.failure_domain},
+                       {"generation", config == nullptr ? 0 : config->generation},
+                       {"may_serve", standing.may_serve},
+                       {"hears_majority", standing.hears_majority},
+                       {"members", std::move(members)}};
+    if (standing.store_age) {
+        out["store_age_ms"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(*standing.store_age).count();
+    }
     res.set_content(out.dump(), "application/json");
 }
 
@@ -166,65 +195,25 @@
     res.set_content("{}\n", "application/json");
 }
 
-// The own record changes only here; the new version makes it win over what peers still tell.
 void node::publish_servers()
 {
-    const std::lock_guard lock(mutex_);
-    self_.servers = gate_->servers();
-    self_.leaving = stopping_;
-    ++self_.version;
-    directory_.merge(self_);
-    entry_->set_directory(directory_);
-    wake_.notify_all();
-}
-
-void node::merge_members(std::string_view payload)
-{
-    const auto members = decode_members(payload);
-    if (!members)
-        return;
-    const std::lock_guard lock(mutex_);
-    bool changed = false;
-    for (const member_record& it : *members) {
-        if (it.vm != self_.vm)
-            changed |= directory_.merge(it);
+    bool leaving = false;
+    {
+        const std::lock_guard lock(mutex_);
+        leaving = stopping_;
     }
-    if (changed)
-        entry_->set_directory(directory_);
+    members_->announce(gate_->servers(), leaving);
 }
 
 std::optional<std::string> node::answer_control(const control_request& request)
 {
-    if (request.path != members_path)
+    if (!ready_)
         return std::nullopt;
-    merge_members(request.payload);
-    const std::lock_guard lock(mutex_);
-    return encode_members(directory_.members());
-}
-
-void node::exchange_members()
-{
-    std::vector<endpoint> peers = settings_.peers;
-    std::string payload;
-    {
-        const std::lock_guard lock(mutex_);
-        payload = encode_members(directory_.members());
-        for (const member_record& it : directory_.members()) {
-            if (it.vm != self_.vm)
-                peers.push_back(it.link);
-        }
-    }
-    std::sort(peers.begin(), peers.end());
-    peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
-    for (const endpoint& it : peers) {
-        const bool sent = links_->call(it, std::string(members_path), payload, exchange_timeout,
-                                       [this](const result<std::string, link_error>& answer) {
-                                           if (!failed(answer))
-                                               merge_members(value_of(answer));
-                                       });
-        if (!sent)
-            return;
-    }
+    if (request.path == members_path)
+        return members_->answer(request.payload);
+    if (request.path == config_path)
+        return follower_->answer(request.payload);
+    return std::nullopt;
 }
 
 void node::run_ticks()
@@ -234,7 +223,6 @@
         lock.unlock();
         if (gate_->expire(boot_now()))
             publish_servers();
-        exchange_members();
         lock.lock();
         wake_.wait_for(lock, tick_interval);
     }
@@ -259,15 +247,17 @@
     wake_.notify_all();
     if (ticks_.joinable())
         ticks_.join();
-    follower_.reset();
-    publish_servers();
-    exchange_members();
+    if (members_ != nullptr)
+        publish_servers();
     if (callers_ != nullptr)
         callers_->stop_gently(closing_grace);
     links_->drain();
     links_->wait_idle(boot_now() + settings_.stop_grace);
     gate_->stop();
+    if (members_ != nullptr)
+        members_->stop();
     links_->stop();
+    follower_.reset();
     if (control_ != nullptr)
         control_->stop_gently();
 }
--- a/src/node.h
+++ b/src/node.h
@@ -7,10 +7,11 @@
 #include "entry.h"
 #include "gate.h"
 #include "link_hub.h"
-#include "member_directory.h"
+#include "member_service.h"
 #include "node_settings.h"
 #include "socket_server.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -42,6 +43,8 @@
 private:
     node(node_settings settings, incarnation run);
 
+    bool open_links();
+    bool open_members();
     bool open_doors();
     void follow_config();
     void add_caller_routes();
@@ -49,9 +52,7 @@
     void answer_status(httplib::Response& res);
     void answer_announcement(const httplib::Request& req, httplib::Response& res);
     std::optional<std::string> answer_control(const control_request& request);
-    void merge_members(std::string_view payload);
     void publish_servers();
-    void exchange_members();
     void run_ticks();
 
     const node_settings settings_;
@@ -61,12 +62,12 @@
     std::unique_ptr<entry> entry_;
     std::unique_ptr<socket_server> callers_;
     std::unique_ptr<socket_server> control_;
+    std::unique_ptr<member_service> members_;
     std::unique_ptr<config_follower> follower_;
 
+    std::atomic<bool> ready_ = false; ///< control messages may be answered
     std::mutex mutex_;
     std::condition_variable wake_;
-    member_directory directory_;
-    member_record self_;
     bool stopping_ = false;
     std::thread ticks_;
 };
--- /dev/null
+++ b/tests/config_keeper_test.cpp
@@ -0,0 +1,89 @@
+#include "config_keeper.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace jasminebank;
+
+namespace {
+
+// Generation `n` of a configuration; a few documents differ between generations.
+std::vector<ini_section> sections_of(std::uint64_t n)
+{
+    std::vector<ini_section> out;
+    for (std::uint64_t k = 0; k < 20; ++k) {
+        out.push_back({"organisation o" + std::to_string(k),
+                       0,
+                       {{"rate", std::to_string(k == n % 20 ? n : 1), 0}, {"burst", "2", 0}}});
+    }
+    return out;
+}
+
+void adopt(config_keeper& it, std::uint64_t generation)
+{
+    const config_texts texts = split_documents(sections_of(generation));
+    if (!it.take_head(make_head(texts, generation, "c")))
+        return;
+    for (const std::string& text : texts)
+        it.take_document(text);
+    RC_ASSERT(!failed(it.finish()));
+}
+
+} // namespace
+
+// Heads old and new come in any order, from a stale store or late peers; documents come from peers
+// in small parts. The generation in force never goes back, and what is in force is one generation.
+RC_GTEST_PROP(config_keeper, generations_only_go_up_and_are_never_mixed, ())
+{
+    std::vector<config_keeper> nodes(4);
+    std::vector<std::uint64_t> before(nodes.size(), 0);
+    for (int n = 0; n < 60; ++n) {
+        config_keeper& it = nodes[*rc::gen::inRange<std::size_t>(0, nodes.size())];
+        const config_keeper& peer = nodes[*rc::gen::inRange<std::size_t>(0, nodes.size())];
+        if (*rc::gen::inRange(0, 4) == 0) {
+            adopt(it, *rc::gen::inRange<std::uint64_t>(1, 30));
+        }
+        else {
+            const auto request = decode_config_request(encode_config_request(it.request()));
+            const auto offer = decode_config_offer(encode_config_offer(peer.offer(*request, 40)));
+            if (offer) {
+                it.take_head(offer->head);
+                for (const std::string& text : offer->documents)
+                    it.take_document(text);
+                RC_ASSERT(!failed(it.finish()));
+            }
+        }
+        for (std::size_t k = 0; k < nodes.size(); ++k) {
+            const auto& current = nodes[k].current();
+            if (!current)
+                continue;
+            const std::uint64_t now = current->head.generation;
+            RC_ASSERT(now >= before[k]);
+            RC_ASSERT(current->texts == split_documents(sections_of(now)));
+            RC_ASSERT(current->config->generation == now);
+            before[k] = now;
+        }
+    }
+}
+
+TEST(config_keeper, what_does_not_parse_leaves_the_old_generation)
+{
+    config_keeper it;
+    adopt(it, 1);
+    config_texts texts(document_count);
+    texts[0] = "[service web]\nfloor_slots = many\n";
+    EXPECT_TRUE(it.take_head(make_head(texts, 2, "bad")));
+    it.take_document(texts[0]);
+    EXPECT_TRUE(failed(it.finish()));
+    EXPECT_EQ(it.current()->head.generation, 1U);
+    EXPECT_FALSE(it.take_head(make_head(texts, 2, "bad")));
+    adopt(it, 3);
+    EXPECT_EQ(it.current()->head.generation, 3U);
+}
+
+TEST(config_keeper, refuses_malformed_messages)
+{
+    EXPECT_FALSE(decode_config_request("\x01").has_value());
+    EXPECT_FALSE(decode_config_offer("").has_value());
+    EXPECT_FALSE(decode_config_offer(encode_config_request({})).has_value());
+}
