Store within the process for tests of code above it

Code written against key_value_store needs a store that fails on demand and whose time a test moves. memory_store joins store_state and the stand-in's fault settings without a socket. A second set of fault types was ruled out: what a test learns here then holds over the network too.

--- a/tests/store_state_test.cpp
+++ b/tests/store_state_test.cpp
@@ -1,3 +1,4 @@
+#include "memory_store.h"
 #include "store_codec.h"
 #include "store_state.h"
 
@@ -130,6 +131,28 @@
     EXPECT_EQ(state.revision(), 1);
 }
 
+TEST(memory_store, has_the_faults_of_the_store)
+{
+    memory_store store;
+    const lease_id lease = value_of(store.grant_lease(1s)).lease;
+    ASSERT_FALSE(failed(store.commit(put_txn("a", "1", lease))));
+    store.set_faults({.down = outage::refuse});
+    EXPECT_EQ(error_of(store.commit(put_txn("a", "2"))).kind, store_error_kind::unreachable);
+    store.set_faults({.down = outage::hang});
+    EXPECT_EQ(error_of(store.commit(put_txn("a", "2"))).kind, store_error_kind::outcome_unknown);
+    EXPECT_EQ(error_of(store.range(everything)).kind, store_error_kind::timed_out);
+    store.set_faults({.lose_answers = 1});
+    EXPECT_EQ(error_of(store.commit(put_txn("b", "1"))).kind, store_error_kind::outcome_unknown);
+    EXPECT_EQ(value_of(store.range(everything)).entries.size(), 2U);
+    store.set_faults({.stale_revisions = 1});
+    EXPECT_EQ(value_of(store.range(everything)).entries.size(), 1U);
+    store.set_faults({.writes_per_second = 10});
+    store.advance(1s);
+    EXPECT_EQ(store.state().range(everything).entries.size(), 1U);
+    EXPECT_FALSE(failed(store.grant_lease(1s)));
+    EXPECT_EQ(error_of(store.grant_lease(1s)).kind, store_error_kind::overloaded);
+}
+
 RC_GTEST_PROP(store_codec, any_bytes_come_back, (const std::string& value))
 {
     const std::string key = "k" + value;
