Store calls end at their deadline, whatever the answer's pace

The HTTP library's read timeout is for each read, so a server that sends a byte now and then held a call as long as it liked; a check in the body's receiver left the header open. A thread per endpoint now breaks off calls that are past their deadline. Its wake-ups were weighed against timers in the kernel for each call; it only wakes while calls are under way.

Seen to fail: with the breaking off taken out, store_client_odd_server.trickling_answer_is_timed_out did not end in 15 s.

--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -57,7 +57,7 @@
     return late ? http_failure::late : http_failure::broken;
 }
 
-// The library's read timeout is for each read; the receiver holds the whole to the deadline. A
+// The library's read timeout is for each read; `call_deadlines` holds the whole to the deadline. A
 // client that failed is thrown away, and with it a connection whose answer was not read to its end.
 result<http_answer, http_failure> http_pool::post(const std::string& path, const std::string& body,
                                                   time_point deadline)
@@ -71,19 +71,22 @@
 
     http_answer answer;
     bool too_large = false;
-    bool late = false;
     httplib::Request request =
         json_post(path, body, [&](const char* data, size_t n, uint64_t, uint64_t) {
             too_large = answer.body.size() + n > options_.max_answer_bytes;
-            late = boot_now() >= deadline;
             if (!too_large)
                 answer.body.append(data, n);
-            return !too_large && !late;
+            return !too_large;
         });
     httplib::Response response;
     httplib::Error error = httplib::Error::Success;
-    if (!client->send(request, response, error))
-        return failure_of(error, too_large, late || boot_now() >= deadline);
+    bool answered = false;
+    {
+        const call_deadlines::guard guard(deadlines_, *client, deadline);
+        answered = client->send(request, response, error);
+    }
+    if (!answered)
+        return failure_of(error, too_large, boot_now() >= deadline);
     give_back(std::move(client));
     answer.status = response.status;
     return answer;
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -3,6 +3,7 @@
 // Kept HTTP connections to one server, for short calls from many threads. A request is sent at most
 // once; whether a failed one may have been received is told.
 
+#include "call_deadlines.h"
 #include "endpoint.h"
 #include "result.h"
 #include "types.h"
@@ -49,6 +50,7 @@
     void give_back(std::unique_ptr<httplib::Client> client);
 
     http_pool_options options_;
+    call_deadlines deadlines_;
     std::mutex mutex_;
     std::vector<std::unique_ptr<httplib::Client>> idle_;
 };
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -247,6 +247,23 @@
     }
 }
 
+// An answer that never ends, a byte at a time, must not hold a call beyond its timeout.
+TEST(store_client_odd_server, trickling_answer_is_timed_out)
+{
+    tracked_server server;
+    server.Post(".*", [](const httplib::Request&, httplib::Response& response) {
+        response.set_chunked_content_provider("application/json",
+                                              [](std::size_t, httplib::DataSink& sink) {
+                                                  std::this_thread::sleep_for(5ms);
+                                                  return sink.write(" ", 1);
+                                              });
+    });
+    const endpoint at{.host = "127.0.0.1", .port = server.start({.host = "127.0.0.1", .port = 0})};
+    store_client it({.endpoints = {at}, .timeout = 100ms});
+    EXPECT_EQ(error_of(it.range("a")).kind, store_error_kind::timed_out);
+    EXPECT_EQ(error_of(it.commit(put_txn("a", "1"))).kind, store_error_kind::outcome_unknown);
+}
+
 // Keeps all that a watch told.
 struct watch_record {
     std::mutex mutex;
