--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -8,7 +8,9 @@
 
 namespace jasminebank {
 
-// Tells the entry node that this gate did not run the request.
+constexpr int first_error_status = 500;
+
+// Tells the entry node that this gate did not run the request, or does not know.
 static void refuse(link_stream& stream, const refusal_answer& it)
 {
     message_head head{.method = {}, .path = {}, .status = status_of(it.reason), .fields = {}};
@@ -16,8 +18,9 @@
     stream.respond(std::move(head), true);
 }
 
-gate::gate(gate_options options)
-    : options_(options), workers_({.threads = options.threads, .waiting = options.waiting_requests})
+gate::gate(gate_options options, health_service& health)
+    : options_(options), health_(health),
+      workers_({.threads = options.threads, .waiting = options.waiting_requests})
 {
 }
 
@@ -26,31 +29,65 @@
     stop();
 }
 
+// Another incarnation of a backend server inherits nothing but the address.
 bool gate::announce(const announcement& it, time_point now)
 {
-    const std::lock_guard lock(mutex_);
-    auto [place, fresh] = servers_.try_emplace(it.server.id);
-    backend_server& server = place->second;
-    const bool changed = fresh || server.record != it.server;
-    if (server.run != it.run)
-        server.idle.clear();
-    server.record = it.server;
-    server.run = it.run;
-    server.last_heard = now;
+    bool changed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        auto [place, fresh] = servers_.try_emplace(it.server.id);
+        backend_server& server = place->second;
+        server_record record = it.server;
+        record.standing = server.record.standing;
+        changed = fresh || server.record != record;
+        if (fresh) {
+            server.slots = slot_queue({.slots = record.slots,
+                                       .max_waiting = options_.waiting_requests,
+                                       .max_waiting_for_one = options_.waiting_requests / 4 + 1});
+        }
+        if (server.run != it.run)
+            server.idle.clear();
+        server.record = record;
+        server.run = it.run;
+        server.last_heard = now;
+    }
+    if (changed)
+        health_.set_servers(servers());
     return changed;
 }
 
-bool gate::expire(time_point now)
+bool gate::tick(time_point now)
 {
-    const std::lock_guard lock(mutex_);
-    for (auto& [id, server] : servers_) {
-        std::erase_if(server.idle, [&](const idle_connection& it) {
-            return now - it.since > options_.backend_idle;
-        });
+    outcome out;
+    bool changed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto& [id, server] : servers_) {
+            sort_actions(server.slots.tick(now), out);
+            std::erase_if(server.idle, [&](const idle_connection& it) {
+                return now - it.since > options_.backend_idle;
+            });
+        }
+        changed = std::erase_if(servers_, [&](const auto& it) {
+                      const backend_server& server = it.second;
+                      return server.slots.running() + server.slots.waiting() == 0 &&
+                             now - server.last_heard > options_.announcement_ttl;
+                  }) > 0;
     }
-    return std::erase_if(servers_, [&](const auto& it) {
-               return it.second.busy == 0 && now - it.second.last_heard > options_.announcement_ttl;
-           }) > 0;
+    perform(out);
+    if (changed)
+        health_.set_servers(servers());
+    return changed;
+}
+
+bool gate::set_standing(backend_server_id server, server_standing standing)
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = servers_.find(server);
+    if (it == servers_.end())
+        return false;
+    it->second.record.standing = standing;
+    return true;
 }
 
 std::vector<server_record> gate::servers() const
@@ -64,31 +101,60 @@
     return out;
 }
 
-double gate::load_of(backend_server_id id) const
+// Everything that keeps a request from a backend server is looked at here, at the door: the news of
+// it may not have reached the entry node yet.
+std::optional<refusal> gate::check(const dispatch& request) const
 {
-    const std::lock_guard lock(mutex_);
-    const auto it = servers_.find(id);
-    return it == servers_.end() ? 0
-                                : static_cast<double>(it->second.busy) / it->second.record.slots;
-}
-
-// A slot is taken before a thread is, so a full backend server costs no thread.
-std::optional<refusal> gate::take_slot(const dispatch& request)
-{
-    const std::lock_guard lock(mutex_);
     const auto it = servers_.find(request.server);
     if (stopping_ || request.gate_run != options_.run)
         return refusal::stopping;
     if (it == servers_.end())
         return refusal::no_backend_server;
-    if (it->second.record.draining)
+    const server_record& record = it->second.record;
+    if (record.draining)
         return refusal::stopping;
-    if (it->second.busy >= it->second.record.slots)
+    if (record.standing == server_standing::held_out)
+        return refusal::no_backend_server;
+    if (!health_.admits(request.server, request.idempotent))
         return refusal::overloaded;
-    ++it->second.busy;
     return std::nullopt;
 }
 
+void gate::sort_actions(const slot_actions& actions, outcome& out)
+{
+    for (const slot_action& action : actions) {
+        if (const auto* start = std::get_if<start_request>(&action)) {
+            out.started.push_back(start->request);
+            continue;
+        }
+        const auto& refused = std::get<refuse_request>(action);
+        const auto it = pending_.find(refused.request);
+        if (it == pending_.end())
+            continue;
+        out.refused.push_back(std::move(it->second.stream));
+        if (refused.reason == slot_refusal::deadline)
+            out.reason = refusal::deadline;
+        pending_.erase(it);
+    }
+}
+
+// A waiting request that was refused has sent nothing, so the refusal is honest.
+void gate::perform(const outcome& it)
+{
+    for (const auto& stream : it.refused)
+        refuse(*stream, {.reason = it.reason});
+    for (const request_id id : it.started) {
+        if (workers_.submit([this, id] { run(id); }))
+            continue;
+        pending_request dropped;
+        {
+            const std::lock_guard lock(mutex_);
+            dropped = pending_.at(id);
+        }
+        finish(id, dropped, nullptr, {.end = call_end::shed});
+    }
+}
+
 void gate::accept(const std::shared_ptr<link_stream>& stream)
 {
     const auto request = read_dispatch(stream->head());
@@ -96,23 +162,57 @@
         refuse(*stream, {.reason = refusal::bad_request});
         return;
     }
-    if (const auto reason = take_slot(*request)) {
+    const time_point now = boot_now();
+    outcome out;
+    std::optional<refusal> reason;
+    request_id id;
+    {
+        const std::lock_guard lock(mutex_);
+        reason = check(*request);
+        if (!reason) {
+            id = request_id{next_request_++};
+            const time_point deadline = now + request->time_left;
+            pending_.emplace(
+                id, pending_request{.stream = stream, .request = *request, .deadline = deadline});
+            slot_queue& slots = servers_.at(request->server).slots;
+            sort_actions(
+                slots.enqueue({.request = id,
+                               .organisation = id_of<organisation_id>(request->organisation),
+                               .deadline = deadline},
+                              now),
+                out);
+        }
+    }
+    if (reason) {
         refuse(*stream, {.reason = *reason});
         return;
     }
-    const time_point deadline = boot_now() + request->time_left;
-    const bool taken =
-        workers_.submit([this, stream, it = *request, deadline] { run(stream, it, deadline); });
-    if (!taken) {
-        give_back(request->server, nullptr, {});
-        refuse(*stream, {.reason = refusal::overloaded});
+    const bool waits = out.started.empty() && out.refused.empty();
+    perform(out);
+    if (waits)
+        stream->on_cancel([this, id] { cancel(id); });
+}
+
+// The caller of a waiting request left. One that has got its slot meanwhile is ended by its worker.
+void gate::cancel(request_id id)
+{
+    outcome out;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto it = pending_.find(id);
+        if (it == pending_.end())
+            return;
+        const auto server = servers_.find(it->second.request.server);
+        const std::size_t before = server->second.slots.waiting();
+        sort_actions(server->second.slots.cancel(id, boot_now()), out);
+        if (server->second.slots.waiting() < before)
+            pending_.erase(id);
     }
+    perform(out);
 }
 
-std::shared_ptr<httplib::Client> gate::take_connection(backend_server_id id)
+std::shared_ptr<httplib::Client> gate::take_connection(backend_server& server)
 {
-    const std::lock_guard lock(mutex_);
-    backend_server& server = servers_.at(id);
     if (server.idle.empty())
         return connect_backend(server.record.address);
     std::shared_ptr<httplib::Client> out = std::move(server.idle.back().client);
@@ -120,48 +220,96 @@
     return out;
 }
 
-// A connection whose answer was not read to its end is dropped: what is left of that answer must
-// never reach another caller.
-void gate::give_back(backend_server_id id, std::shared_ptr<httplib::Client> client,
-                     const call_result& result)
+static request_outcome outcome_of(const call_result& it, bool past_deadline)
 {
-    const std::lock_guard lock(mutex_);
-    backend_server& server = servers_.at(id);
-    --server.busy;
-    if (result.may_reuse && client != nullptr && server.idle.size() < server.record.slots)
-        server.idle.push_back({.client = std::move(client), .since = boot_now()});
+    switch (it.end) {
+    case call_end::whole_answer:
+        return it.status >= first_error_status ? request_outcome::error_status
+                                               : request_outcome::ok;
+    case call_end::not_connected:
+        return request_outcome::connection_refused;
+    case call_end::shed:
+        return request_outcome::shed;
+    case call_end::cut_answer:
+        return request_outcome::bad_length;
+    case call_end::no_answer:
+        return past_deadline ? request_outcome::hung : request_outcome::bad_length;
+    case call_end::caller_left:
+        break;
+    }
+    return request_outcome::deadline_cut;
 }
 
 // Only a failed connection and an honest shed prove that the request did not run.
-void gate::run(const std::shared_ptr<link_stream>& stream, const dispatch& request,
-               time_point deadline)
+static void answer_for(link_stream& stream, const call_result& result, bool past_deadline)
 {
-    std::shared_ptr<httplib::Client> client = take_connection(request.server);
-    const call_result result =
-        call_backend(client, stream, {.deadline = deadline, .load = load_of(request.server)});
-    give_back(request.server, std::move(client), result);
     switch (result.end) {
     case call_end::whole_answer:
         break;
     case call_end::not_connected:
-        refuse(*stream, {.reason = refusal::no_backend_server});
+        refuse(stream, {.reason = refusal::no_backend_server});
         break;
     case call_end::shed:
-        refuse(*stream, {.reason = refusal::overloaded});
+        refuse(stream, {.reason = refusal::overloaded});
         break;
     case call_end::caller_left:
     case call_end::cut_answer:
     case call_end::no_answer:
         if (result.answered)
-            stream->reset(reset_reason::internal_error);
+            stream.reset(reset_reason::internal_error);
         else
-            refuse(*stream, {.reason = boot_now() >= deadline ? refusal::deadline
-                                                              : refusal::backend_server_error,
-                             .state = run_state::unknown});
+            refuse(stream,
+                   {.reason = past_deadline ? refusal::deadline : refusal::backend_server_error,
+                    .state = run_state::unknown});
         break;
     }
 }
 
+void gate::run(request_id id)
+{
+    pending_request it;
+    std::shared_ptr<httplib::Client> client;
+    double load = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        it = pending_.at(id);
+        backend_server& server = servers_.at(it.request.server);
+        client = take_connection(server);
+        load = static_cast<double>(server.slots.running() + server.slots.waiting()) /
+               server.record.slots;
+    }
+    it.stream->on_cancel({});
+    if (it.stream->is_cancelled()) {
+        finish(id, it, nullptr, {.end = call_end::shed});
+        return;
+    }
+    health_.started(id, it.request.server);
+    const call_result result =
+        call_backend(client, it.stream, {.deadline = it.deadline, .load = load});
+    const bool past_deadline = boot_now() >= it.deadline;
+    health_.finished({.request = id, .outcome = outcome_of(result, past_deadline)});
+    finish(id, it, std::move(client), result);
+}
+
+// A connection whose answer was not read to its end is dropped: what is left of that answer must
+// never reach another caller.
+void gate::finish(request_id id, const pending_request& it, std::shared_ptr<httplib::Client> client,
+                  const call_result& result)
+{
+    answer_for(*it.stream, result, boot_now() >= it.deadline);
+    outcome out;
+    {
+        const std::lock_guard lock(mutex_);
+        const time_point now = boot_now();
+        backend_server& server = servers_.at(it.request.server);
+        if (result.may_reuse && client != nullptr && server.idle.size() < server.record.slots)
+            server.idle.push_back({.client = std::move(client), .since = now});
+        pending_.erase(id);
+        sort_actions(server.slots.finished(id, now), out);
+    }
+    perform(out);
+}
+
 void gate::stop()
 {
     {
--- a/src/gate.h
+++ b/src/gate.h
@@ -1,17 +1,19 @@
 #pragma once
 
-// The only door to the backend servers that announced themselves to this node: it holds their
-// slots and connections, runs requests on them, and sees every service time.
+// The only door to the backend servers that announced themselves to this node: it holds their slots
+// and connections, shares the slots between organisations, runs requests, and reports how each one
+// ended to the health service.
 
 #include "announcement.h"
 #include "backend_call.h"
 #include "dispatch.h"
+#include "health_service.h"
 #include "link_stream.h"
 #include "refusal.h"
+#include "slot_queue.h"
 #include "types.h"
 #include "worker_pool.h"
 
-#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -24,19 +26,22 @@
     duration announcement_ttl{};
     duration backend_idle{};
     std::size_t threads = 400;
-    std::size_t waiting_requests = 256;
+    std::size_t waiting_requests = 256; ///< of one backend server
 };
 
 /// Thread-safe.
 class gate {
 public:
-    explicit gate(gate_options options);
+    gate(gate_options options, health_service& health);
     ~gate();
 
     /// Takes an announcement; true when the records of the backend servers changed.
     bool announce(const announcement& it, time_point now);
-    /// Forgets backend servers that were not heard lately; true when any was forgotten.
-    bool expire(time_point now);
+    /// Forgets backend servers that were not heard lately, refuses requests that waited too long;
+    /// true when the records changed.
+    bool tick(time_point now);
+    /// A backend server gets another standing; true when it is known here.
+    bool set_standing(backend_server_id server, server_standing standing);
     /// Records of all backend servers that this node is the gate of.
     std::vector<server_record> servers() const;
     /// Takes a request from a link. Never blocks.
@@ -53,21 +58,37 @@
         server_record record;
         incarnation run;
         time_point last_heard;
-        std::uint32_t busy = 0;
+        slot_queue slots;
         std::vector<idle_connection> idle;
     };
+    // A request that waits for a slot or runs.
+    struct pending_request {
+        std::shared_ptr<link_stream> stream;
+        dispatch request;
+        time_point deadline;
+    };
+    // What is to be done once the lock is free.
+    struct outcome {
+        std::vector<request_id> started;
+        std::vector<std::shared_ptr<link_stream>> refused;
+        refusal reason = refusal::overloaded;
+    };
 
-    void run(const std::shared_ptr<link_stream>& stream, const dispatch& request,
-             time_point deadline);
-    std::shared_ptr<httplib::Client> take_connection(backend_server_id id);
-    void give_back(backend_server_id id, std::shared_ptr<httplib::Client> client,
-                   const call_result& result);
-    std::optional<refusal> take_slot(const dispatch& request);
-    double load_of(backend_server_id id) const;
+    std::optional<refusal> check(const dispatch& request) const;
+    void sort_actions(const slot_actions& actions, outcome& out);
+    void perform(const outcome& it);
+    void cancel(request_id id);
+    void run(request_id id);
+    std::shared_ptr<httplib::Client> take_connection(backend_server& server);
+    void finish(request_id id, const pending_request& it, std::shared_ptr<httplib::Client> client,
+                const call_result& result);
 
     const gate_options options_;
+    health_service& health_;
     mutable std::mutex mutex_;
     std::unordered_map<backend_server_id, backend_server> servers_;
+    std::unordered_map<request_id, pending_request> pending_;
+    std::uint64_t next_request_ = 1;
     bool stopping_ = false;
     worker_pool workers_;
 };
--- /dev/null
+++ b/src/health_service.cpp
@@ -0,0 +1,420 @@
+#include "health_service.h"
+
+#include "log.h"
+#include "system_clock.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace jasminebank {
+
+constexpr duration tick_interval = std::chrono::milliseconds(50);
+// While something is wrong with a service, its gates are asked this often.
+constexpr duration poll_interval = std::chrono::milliseconds(500);
+constexpr duration poll_timeout = std::chrono::seconds(1);
+constexpr std::size_t most_gates_asked = 64;
+
+health_service::health_service(health_options options, link_hub& links)
+    : options_(std::move(options)), links_(links), store_({.endpoints = options_.store})
+{
+    ticks_ = std::thread([this] { run_ticks(); });
+    store_thread_ = std::thread([this] { run_store(); });
+}
+
+health_service::~health_service()
+{
+    stop();
+}
+
+void health_service::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    if (ticks_.joinable())
+        ticks_.join();
+    if (store_thread_.joinable())
+        store_thread_.join();
+}
+
+ejector_options health_service::options_for(service_id service) const
+{
+    const service_config* it = config_ == nullptr ? nullptr : find_service(*config_, service);
+    ejector_options out{
+        .service = service, .gate = options_.self, .gate_incarnation = options_.run, .floor = {}};
+    // A service that the configuration does not know has no spare capacity.
+    out.floor.floor_slots = it == nullptr ? UINT32_MAX : it->floor_slots;
+    return out;
+}
+
+health_service::service_state* health_service::find(service_id service)
+{
+    const auto it = services_.find(service);
+    return it == services_.end() ? nullptr : &it->second;
+}
+
+// A changed floor makes a new ejector; what it held out it learns again from the detector.
+void health_service::set_config(std::shared_ptr<const fleet_config> config)
+{
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    std::unordered_map<service_id, std::uint32_t> floors;
+    for (const auto& [service, state] : services_)
+        floors[service] = options_for(service).floor.floor_slots;
+    config_ = std::move(config);
+    for (auto& [service, state] : services_) {
+        const ejector_options options = options_for(service);
+        if (options.floor.floor_slots == floors[service])
+            continue;
+        state.floor_keeper = ejector(options);
+        for (const auto& [id, record] : servers_) {
+            if (record.service != service)
+                continue;
+            state.floor_keeper.add_server(id, record.slots, now);
+            detector_.add_server(service, id, now);
+            notices_.push_back(
+                [this, id = id] { options_.on_standing(id, server_standing::serving); });
+        }
+    }
+}
+
+void health_service::set_directory(const member_directory& directory)
+{
+    const std::lock_guard lock(mutex_);
+    members_ = directory.members();
+    for (auto& [service, state] : services_) {
+        state.gates.clear();
+        for (const member_record& it : members_) {
+            const bool serves =
+                std::any_of(it.servers.begin(), it.servers.end(),
+                            [service = service](const auto& s) { return s.service == service; });
+            if (serves && it.vm != options_.self && state.gates.size() < most_gates_asked)
+                state.gates.push_back({.vm = it.vm, .link = it.link});
+        }
+    }
+}
+
+void health_service::set_servers(const std::vector<server_record>& servers)
+{
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    std::erase_if(servers_, [&](const auto& known) {
+        const bool gone = std::none_of(servers.begin(), servers.end(),
+                                       [&](const server_record& a) { return a.id == known.first; });
+        if (gone) {
+            detector_.remove_server(known.first);
+            if (service_state* state = find(known.second.service))
+                state->floor_keeper.remove_server(known.first);
+        }
+        return gone;
+    });
+    for (const server_record& it : servers) {
+        const bool fresh = !servers_.contains(it.id);
+        servers_[it.id] = it;
+        if (!fresh)
+            continue;
+        detector_.add_server(it.service, it.id, now);
+        const auto [place, is_new] = services_.try_emplace(
+            it.service, service_state{.floor_keeper = ejector(options_for(it.service)),
+                                      .view = {},
+                                      .gates = {}});
+        place->second.floor_keeper.add_server(it.id, it.slots, now);
+    }
+}
+
+void health_service::started(request_id request, backend_server_id server)
+{
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    take(detector_.step(request_started{.request = request, .server = server}, now), now);
+}
+
+void health_service::finished(const request_finished& event)
+{
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    take(detector_.step(event, now), now);
+}
+
+bool health_service::admits(backend_server_id server, bool idempotent) const
+{
+    const std::lock_guard lock(mutex_);
+    return detector_.admits(server, idempotent);
+}
+
+std::string health_service::answer(std::string_view question)
+{
+    const auto asked = decode_question(question);
+    if (!asked)
+        return {};
+    const std::lock_guard lock(mutex_);
+    service_answer out{
+        .figures = detector_.figures(asked->service, options_.self, asked->window, boot_now()),
+        .gate_run = options_.run,
+        .servers = {}};
+    const service_state* state = find(asked->service);
+    for (const auto& [id, record] : servers_) {
+        if (record.service != asked->service)
+            continue;
+        out.servers.push_back(record);
+        if (state != nullptr)
+            out.servers.back().standing = state->floor_keeper.standing_of(id);
+    }
+    return encode_answer(out);
+}
+
+// What this gate knows of its own servers is always fresh.
+void health_service::refresh_own(service_id service, service_state& state, time_point now)
+{
+    std::erase_if(state.view.servers,
+                  [&](const heard_server& it) { return it.gate == options_.self; });
+    for (const auto& [id, record] : servers_) {
+        if (record.service != service)
+            continue;
+        const server_standing standing = state.floor_keeper.standing_of(id);
+        state.view.servers.push_back({.server = id,
+                                      .gate = options_.self,
+                                      .gate_incarnation = options_.run,
+                                      .slots = record.slots,
+                                      .draining = record.draining,
+                                      .held_out = standing == server_standing::held_out ||
+                                                  standing == server_standing::on_trial,
+                                      .last_heard = now});
+    }
+    if (state.gates.empty())
+        state.view.updated = now;
+}
+
+// Asks all gates of the service at once; the answers make the view and serve the detector.
+void health_service::poll(service_id service, service_state& state, duration window, time_point now)
+{
+    state.next_poll = now + poll_interval;
+    const std::string question = encode_question({.service = service, .window = window});
+    for (const gate_address& gate : state.gates) {
+        const bool sent =
+            links_.call(gate.link, std::string(service_path), question, poll_timeout,
+                        [this, service, gate, now](const result<std::string, link_error>& reply) {
+                            if (failed(reply))
+                                return;
+                            if (const auto it = decode_answer(value_of(reply)))
+                                take_answer(service, gate, now, *it);
+                        });
+        if (!sent)
+            return;
+    }
+}
+
+void health_service::take_answer(service_id service, const gate_address& gate, time_point asked,
+                                 const service_answer& it)
+{
+    const std::lock_guard lock(mutex_);
+    service_state* state = find(service);
+    if (state == nullptr || stopping_)
+        return;
+    const time_point now = boot_now();
+    std::erase_if(state->view.servers,
+                  [&](const heard_server& known) { return known.gate == gate.vm; });
+    for (const server_record& record : it.servers) {
+        state->view.servers.push_back({.server = record.id,
+                                       .gate = gate.vm,
+                                       .gate_incarnation = it.gate_run,
+                                       .slots = record.slots,
+                                       .draining = record.draining,
+                                       .held_out = record.standing == server_standing::held_out ||
+                                                   record.standing == server_standing::on_trial,
+                                       .last_heard = asked});
+    }
+    state->view.updated = now;
+    take(detector_.step(it.figures, now), now);
+}
+
+health_service::service_state* health_service::service_of(backend_server_id server,
+                                                          service_id& service)
+{
+    const auto it = servers_.find(server);
+    if (it == servers_.end())
+        return nullptr;
+    service = it->second.service;
+    return find(service);
+}
+
+void health_service::take(const detector_actions& actions, time_point now)
+{
+    for (const detector_action& action : actions) {
+        if (const auto* ask = std::get_if<ask_peers>(&action)) {
+            if (service_state* state = find(ask->service))
+                poll(ask->service, *state, ask->window, now);
+        }
+        else if (const auto* changed = std::get_if<verdict_changed>(&action)) {
+            service_state* state = find(changed->service);
+            if (state == nullptr)
+                continue;
+            refresh_own(changed->service, *state, now);
+            const assessment& it = changed->evidence;
+            log_event(event::health_changed, "backend server {:016x}: {}, evidence {:.1f}/{:.1f}",
+                      changed->server.value,
+                      it.state == verdict::failing
+                          ? "failing"
+                          : (it.state == verdict::suspect ? "suspect" : "healthy"),
+                      it.slow_evidence, it.error_evidence);
+            if (it.state == verdict::failing)
+                take(changed->service, state->floor_keeper.on_failing(changed->server, it.severity,
+                                                                      state->view, now));
+            else if (it.state == verdict::healthy)
+                take(changed->service,
+                     state->floor_keeper.on_recovered(changed->server, state->view, now));
+        }
+        else if (const auto* trial = std::get_if<trial_ended>(&action)) {
+            if (service_state* state = find(trial->service)) {
+                refresh_own(trial->service, *state, now);
+                take(trial->service, state->floor_keeper.on_trial_ended(
+                                         trial->server, trial->passed, state->view, now));
+            }
+        }
+    }
+}
+
+void health_service::take(service_id service, const ejector_actions& actions)
+{
+    for (const ejector_action& action : actions) {
+        if (const auto* set = std::get_if<set_standing>(&action)) {
+            if (set->standing == server_standing::on_trial)
+                detector_.begin_trial(set->server, boot_now());
+            log_event(event::standing_changed, "backend server {:016x}: {}", set->server.value,
+                      static_cast<unsigned>(set->standing));
+            notices_.push_back([this, it = *set] { options_.on_standing(it.server, it.standing); });
+        }
+        else if (const auto* write = std::get_if<write_record>(&action)) {
+            jobs_.push_back({.service = service, .write = *write});
+        }
+        else {
+            jobs_.push_back({.service = service, .write = {}});
+        }
+    }
+    wake_.notify_all();
+}
+
+static std::string key_of(service_id service)
+{
+    return fmt::format("{}{:016x}", ejection_prefix, service.value);
+}
+
+void health_service::do_read(service_id service)
+{
+    const std::string key = key_of(service);
+    const auto read = store_.range(store_key_range{.key = key, .range_end = {}});
+    const std::lock_guard lock(mutex_);
+    service_state* state = find(service);
+    if (state == nullptr)
+        return;
+    const time_point now = boot_now();
+    if (failed(read)) {
+        take(service, state->floor_keeper.on_read_failed(now));
+        return;
+    }
+    ejection_record record{.service = service, .version = 0, .ejected = {}, .reserved = {}};
+    state->record_revision = 0;
+    if (!value_of(read).entries.empty()) {
+        const store_entry& entry = value_of(read).entries.front();
+        if (const auto it = decode_record(entry.value))
+            record = *it;
+        state->record_revision = entry.mod_revision;
+    }
+    state->record_version = record.version;
+    refresh_own(service, *state, now);
+    take(service, state->floor_keeper.on_record(record, state->view, now));
+}
+
+static write_outcome outcome_of(const result<store_commit, store_error>& answer)
+{
+    if (!failed(answer))
+        return value_of(answer).succeeded ? write_outcome::committed : write_outcome::conflict;
+    return error_of(answer).kind == store_error_kind::outcome_unknown ? write_outcome::unknown
+                                                                      : write_outcome::store_away;
+}
+
+void health_service::do_write(service_id service, const write_record& write)
+{
+    const std::string key = key_of(service);
+    store_revision expected = 0;
+    bool current = false;
+    {
+        const std::lock_guard lock(mutex_);
+        const service_state* state = find(service);
+        if (state == nullptr)
+            return;
+        expected = state->record_revision;
+        current = state->record_version == write.expected;
+    }
+    write_outcome outcome = write_outcome::conflict;
+    store_revision written = 0;
+    if (current) {
+        const auto answer = store_.commit(
+            {.compares = {unchanged_since(key, expected)},
+             .puts = {{.key = key, .value = encode_record(write.record), .lease = {}}},
+             .deletes = {}});
+        outcome = outcome_of(answer);
+        written = failed(answer) ? 0 : value_of(answer).revision;
+    }
+    const std::lock_guard lock(mutex_);
+    service_state* state = find(service);
+    if (state == nullptr)
+        return;
+    if (outcome == write_outcome::committed) {
+        state->record_revision = written;
+        state->record_version = write.record.version;
+    }
+    const time_point now = boot_now();
+    refresh_own(service, *state, now);
+    take(service, state->floor_keeper.on_write_answered(outcome, state->view, now));
+}
+
+void health_service::run_store()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        wake_.wait(lock, [this] { return stopping_ || !jobs_.empty(); });
+        if (stopping_)
+            return;
+        const store_job job = jobs_.front();
+        jobs_.pop_front();
+        lock.unlock();
+        if (job.write)
+            do_write(job.service, *job.write);
+        else
+            do_read(job.service);
+        lock.lock();
+    }
+}
+
+// Services with a server that is not in full rotation are watched closely.
+void health_service::run_ticks()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        const time_point now = boot_now();
+        take(detector_.tick(now), now);
+        for (auto& [service, state] : services_) {
+            const bool troubled =
+                std::any_of(servers_.begin(), servers_.end(), [&, id = service](const auto& it) {
+                    return it.second.service == id &&
+                           state.floor_keeper.standing_of(it.first) != server_standing::serving;
+                });
+            if (troubled && now >= state.next_poll)
+                poll(service, state, poll_interval, now);
+            refresh_own(service, state, now);
+            take(service, state.floor_keeper.tick(state.view, now));
+        }
+        const auto notices = std::exchange(notices_, {});
+        lock.unlock();
+        for (const auto& it : notices)
+            it();
+        lock.lock();
+        wake_.wait_for(lock, tick_interval, [this] { return stopping_ || !notices_.empty(); });
+    }
+}
+
+} // namespace jasminebank
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -10,7 +10,7 @@
 
 namespace jasminebank {
 
-constexpr duration tick_interval = std::chrono::milliseconds(200);
+constexpr duration tick_interval = std::chrono::milliseconds(50);
 constexpr std::size_t control_connections = 128;
 constexpr duration caller_idle_timeout = std::chrono::minutes(1);
 constexpr duration caller_io_timeout = std::chrono::seconds(30);
@@ -42,21 +42,32 @@
 
 bool node::open_links()
 {
-    gate_ = std::make_unique<gate>(gate_options{.run = run_,
-                                                .announcement_ttl = settings_.announcement_ttl,
-                                                .backend_idle = settings_.backend_idle,
-                                                .waiting_requests = settings_.waiting_requests});
     links_ = link_hub::start(
         {.listen = settings_.links,
          .self = {.vm_name = settings_.vm_name, .run = run_},
          .fleet_key = settings_.fleet_key,
-         .on_stream = [this](std::shared_ptr<link_stream> it) { gate_->accept(it); },
+         .on_stream = [this](std::shared_ptr<link_stream> it) { accept(it); },
          .on_control = [this](const control_request& it) { return answer_control(it); }});
     if (links_ == nullptr) {
         log_event(event::settings_rejected, "links: cannot listen on {}",
                   to_string(settings_.links));
         return false;
     }
+    health_ = std::make_unique<health_service>(
+        health_options{.self = id_of<vm_id>(settings_.vm_name),
+                       .run = run_,
+                       .store = settings_.store,
+                       .on_standing =
+                           [this](backend_server_id server, server_standing standing) {
+                               if (gate_->set_standing(server, standing))
+                                   publish_servers();
+                           }},
+        *links_);
+    gate_ = std::make_unique<gate>(gate_options{.run = run_,
+                                                .announcement_ttl = settings_.announcement_ttl,
+                                                .backend_idle = settings_.backend_idle,
+                                                .waiting_requests = settings_.waiting_requests},
+                                   *health_);
     entry_ = std::make_unique<entry>(
         entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
                       .may_serve =
@@ -73,6 +84,7 @@
             .on_generation =
                 [this](const std::shared_ptr<const config_generation>& it) {
                     entry_->set_config(it->config);
+                    health_->set_config(it->config);
                     members_->set_generation(it->head.generation);
                 },
             .on_store_heard = [this](time_point at) { members_->store_heard(at); }},
@@ -93,7 +105,11 @@
         member_service_options{
             .membership = {.self = self, .seeds = settings_.peers, .random_seed = run_.value},
             .fleet_key = settings_.fleet_key,
-            .on_directory = [this](const member_directory& it) { entry_->set_directory(it); },
+            .on_directory =
+                [this](const member_directory& it) {
+                    entry_->set_directory(it);
+                    health_->set_directory(it);
+                },
             .on_newer_config = [this](const endpoint& it) { follower_->fetch_from(it); },
             .on_watcher = [this](bool watching) { follower_->watch_store(watching); }},
         *links_);
@@ -205,6 +221,15 @@
     members_->announce(gate_->servers(), leaving);
 }
 
+// Streams may come before all parts of the node stand.
+void node::accept(const std::shared_ptr<link_stream>& stream)
+{
+    if (ready_)
+        gate_->accept(stream);
+    else
+        stream->reset(reset_reason::refused);
+}
+
 std::optional<std::string> node::answer_control(const control_request& request)
 {
     if (!ready_)
@@ -213,6 +238,8 @@
         return members_->answer(request.payload);
     if (request.path == config_path)
         return follower_->answer(request.payload);
+    if (request.path == service_path)
+        return health_->answer(request.payload);
     return std::nullopt;
 }
 
@@ -221,7 +248,7 @@
     std::unique_lock lock(mutex_);
     while (!stopping_) {
         lock.unlock();
-        if (gate_->expire(boot_now()))
+        if (gate_->tick(boot_now()))
             publish_servers();
         lock.lock();
         wake_.wait_for(lock, tick_interval);
@@ -256,6 +283,7 @@
     gate_->stop();
     if (members_ != nullptr)
         members_->stop();
+    health_->stop();
     links_->stop();
     follower_.reset();
     if (control_ != nullptr)
--- a/src/node.h
+++ b/src/node.h
@@ -6,6 +6,7 @@
 #include "config_follower.h"
 #include "entry.h"
 #include "gate.h"
+#include "health_service.h"
 #include "link_hub.h"
 #include "member_service.h"
 #include "node_settings.h"
@@ -51,14 +52,16 @@
     void add_control_routes();
     void answer_status(httplib::Response& res);
     void answer_announcement(const httplib::Request& req, httplib::Response& res);
+    void accept(const std::shared_ptr<link_stream>& stream);
     std::optional<std::string> answer_control(const control_request& request);
     void publish_servers();
     void run_ticks();
 
     const node_settings settings_;
     const incarnation run_;
-    std::unique_ptr<gate> gate_;
     std::unique_ptr<link_hub> links_;
+    std::unique_ptr<health_service> health_;
+    std::unique_ptr<gate> gate_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<socket_server> callers_;
     std::unique_ptr<socket_server> control_;
