Checked reading of JSON members in a module of its own

store_codec had grown to 531 lines, a quarter of them about types of JSON members and none about the store.

--- a/src/store_codec.cpp
+++ b/src/store_codec.cpp
@@ -1,125 +1,14 @@
 #include "store_codec.h"
 
 #include "base64.h"
+#include "json_reader.h"
 
-#include <nlohmann/json.hpp>
-
-#include <charconv>
+#include <algorithm>
 
 namespace jasminebank {
 
 using nlohmann::json;
 
-// A member of the wrong type or form; caught in `decode` below and never seen outside this file.
-struct bad_member {};
-
-static std::string dump(const json& it)
-{
-    return it.dump();
-}
-
-// Parses and reads with `read`; anything unexpected gives nothing.
-template <class Read>
-static auto decode(std::string_view text, Read read) -> std::optional<decltype(read(json()))>
-{
-    const json document = json::parse(text, nullptr, false);
-    if (!document.is_object())
-        return std::nullopt;
-    try {
-        return read(document);
-    }
-    catch (const bad_member&) {
-        return std::nullopt;
-    }
-}
-
-static const json& empty_object()
-{
-    static const json it = json::object();
-    return it;
-}
-
-static const json& empty_array()
-{
-    static const json it = json::array();
-    return it;
-}
-
-static const json& object_at(const json& parent, const char* name)
-{
-    const auto it = parent.find(name);
-    if (it == parent.end())
-        return empty_object();
-    if (!it->is_object())
-        throw bad_member{};
-    return *it;
-}
-
-// The elements of a member that is an array of objects; no member is an empty array.
-static const json& objects_at(const json& parent, const char* name)
-{
-    const auto it = parent.find(name);
-    if (it == parent.end())
-        return empty_array();
-    if (!it->is_array())
-        throw bad_member{};
-    for (const json& element : *it)
-        if (!element.is_object())
-            throw bad_member{};
-    return *it;
-}
-
-// Published as text, but numbers are read too, as the gateway does.
-static std::int64_t integer_at(const json& parent, const char* name)
-{
-    const auto it = parent.find(name);
-    if (it == parent.end())
-        return 0;
-    if (it->is_number_integer())
-        return it->get<std::int64_t>();
-    if (!it->is_string())
-        throw bad_member{};
-    const auto& text = it->get_ref<const std::string&>();
-    std::int64_t out = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
-    if (ec != std::errc{} || end != text.data() + text.size())
-        throw bad_member{};
-    return out;
-}
-
-static std::string bytes_at(const json& parent, const char* name)
-{
-    const auto it = parent.find(name);
-    if (it == parent.end())
-        return {};
-    if (!it->is_string())
-        throw bad_member{};
-    auto out = from_base64(it->get_ref<const std::string&>());
-    if (!out)
-        throw bad_member{};
-    return *std::move(out);
-}
-
-static bool flag_at(const json& parent, const char* name)
-{
-    const auto it = parent.find(name);
-    if (it == parent.end())
-        return false;
-    if (!it->is_boolean())
-        throw bad_member{};
-    return it->get<bool>();
-}
-
-static std::string word_at(const json& parent, const char* name)
-{
-    const auto it = parent.find(name);
-    if (it == parent.end())
-        return {};
-    if (!it->is_string())
-        throw bad_member{};
-    return it->get<std::string>();
-}
-
 static lease_id lease_at(const json& parent, const char* name)
 {
     return lease_id{static_cast<std::uint64_t>(integer_at(parent, name))};
@@ -237,8 +126,8 @@
 static store_compare compare_from_json(const json& it)
 {
     store_compare out{.key = bytes_at(it, "key"), .expected_value = {}};
-    const std::string target = word_at(it, "target");
-    if (word_at(it, "result") != "EQUAL" || out.key.empty())
+    const std::string target = text_at(it, "target");
+    if (text_at(it, "result") != "EQUAL" || out.key.empty())
         throw bad_member{};
     if (target == "MOD") {
         out.expected_revision = integer_at(it, "mod_revision");
@@ -281,7 +170,7 @@
 
 std::string encode_range_request(const store_key_range& it)
 {
-    return dump(keys_to_json(it));
+    return keys_to_json(it).dump();
 }
 
 std::string encode_txn_request(const store_txn& it)
@@ -295,18 +184,18 @@
         out["success"].push_back({{"request_put", put_to_json(put)}});
     for (const store_key_range& keys : it.deletes)
         out["success"].push_back({{"request_delete_range", keys_to_json(keys)}});
-    return dump(out);
+    return out.dump();
 }
 
 std::string encode_grant_request(duration ttl)
 {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(ttl).count();
-    return dump({{"TTL", std::to_string(seconds)}});
+    return json{{"TTL", std::to_string(seconds)}}.dump();
 }
 
 std::string encode_lease_request(lease_id lease)
 {
-    return dump({{"ID", lease_text(lease)}});
+    return json{{"ID", lease_text(lease)}}.dump();
 }
 
 std::string encode_watch_request(const store_watch_request& it)
@@ -316,18 +205,18 @@
         create["start_revision"] = std::to_string(it.from);
     if (it.progress_notify)
         create["progress_notify"] = true;
-    return dump({{"create_request", std::move(create)}});
+    return json{{"create_request", std::move(create)}}.dump();
 }
 
 std::optional<store_key_range> decode_range_request(std::string_view text)
 {
-    return decode(text, keys_from_json);
+    return read_json(text, keys_from_json);
 }
 
 // A failure branch must read the compared keys; that is all the state can answer.
 std::optional<store_txn> decode_txn_request(std::string_view text)
 {
-    return decode(text, [](const json& it) {
+    return read_json(text, [](const json& it) {
         store_txn out;
         for (const json& compare : objects_at(it, "compare"))
             out.compares.push_back(compare_from_json(compare));
@@ -345,7 +234,7 @@
 
 std::optional<duration> decode_grant_request(std::string_view text)
 {
-    return decode(text, [](const json& it) {
+    return read_json(text, [](const json& it) {
         constexpr std::int64_t max_seconds = 9'000'000;
         const std::int64_t seconds = integer_at(it, "TTL");
         if (seconds <= 0 || seconds > max_seconds)
@@ -356,12 +245,12 @@
 
 std::optional<lease_id> decode_lease_request(std::string_view text)
 {
-    return decode(text, [](const json& it) { return lease_at(it, "ID"); });
+    return read_json(text, [](const json& it) { return lease_at(it, "ID"); });
 }
 
 std::optional<store_watch_request> decode_watch_request(std::string_view text)
 {
-    return decode(text, [](const json& it) {
+    return read_json(text, [](const json& it) {
         const json& create = object_at(it, "create_request");
         return store_watch_request{.keys = keys_from_json(create),
                                    .from = integer_at(create, "start_revision"),
@@ -371,7 +260,7 @@
 
 std::string encode_range(const store_range& it)
 {
-    return dump(range_to_json(it));
+    return range_to_json(it).dump();
 }
 
 std::string encode_commit(const store_commit& it, const store_txn& request)
@@ -395,7 +284,7 @@
     }
     if (!responses.empty())
         out["responses"] = std::move(responses);
-    return dump(out);
+    return out.dump();
 }
 
 static json lease_to_json(const store_lease& it, store_revision revision)
@@ -409,17 +298,17 @@
 
 std::string encode_lease(const store_lease& it, store_revision revision)
 {
-    return dump(lease_to_json(it, revision));
+    return lease_to_json(it, revision).dump();
 }
 
 std::string encode_kept_lease(const store_lease& it, store_revision revision)
 {
-    return dump({{"result", lease_to_json(it, revision)}}) + "\n";
+    return json{{"result", lease_to_json(it, revision)}}.dump() + "\n";
 }
 
 std::string encode_revoked(store_revision revision)
 {
-    return dump({{"header", header_to_json(revision)}});
+    return json{{"header", header_to_json(revision)}}.dump();
 }
 
 std::string encode_watch_message(const store_watch_message& it)
@@ -437,17 +326,17 @@
             change["type"] = "DELETE";
         out["events"].push_back(std::move(change));
     }
-    return dump({{"result", std::move(out)}}) + "\n";
+    return json{{"result", std::move(out)}}.dump() + "\n";
 }
 
 std::string encode_refusal(const store_refusal& it)
 {
-    return dump({{"error", it.message}, {"message", it.message}, {"code", it.code}});
+    return json{{"error", it.message}, {"message", it.message}, {"code", it.code}}.dump();
 }
 
 std::optional<store_range> decode_range(std::string_view text)
 {
-    return decode(text, [](const json& it) {
+    return read_json(text, [](const json& it) {
         store_range out{.revision = revision_of(it), .entries = {}};
         append_entries(it, out.entries);
         return out;
@@ -457,7 +346,7 @@
 // A key that two comparisons name comes back twice; it is given to the caller once.
 std::optional<store_commit> decode_commit(std::string_view text)
 {
-    return decode(text, [](const json& it) {
+    return read_json(text, [](const json& it) {
         store_commit out{
             .revision = revision_of(it), .succeeded = flag_at(it, "succeeded"), .found = {}};
         if (out.succeeded)
@@ -492,29 +381,29 @@
 
 std::optional<store_lease> decode_lease(std::string_view text)
 {
-    return decode(text, lease_from_json);
+    return read_json(text, lease_from_json);
 }
 
 std::optional<store_lease> decode_kept_lease(std::string_view text)
 {
-    return decode(text, [](const json& it) { return lease_from_json(object_at(it, "result")); });
+    return read_json(text, [](const json& it) { return lease_from_json(object_at(it, "result")); });
 }
 
 bool decode_revoked(std::string_view text)
 {
-    return decode(text, revision_of).has_value();
+    return read_json(text, revision_of).has_value();
 }
 
 std::optional<store_watch_message> decode_watch_message(std::string_view text)
 {
-    return decode(text, [](const json& it) {
+    return read_json(text, [](const json& it) {
         const json& message = object_at(it, "result");
         store_watch_message out{.batch = {.revision = revision_of(message), .events = {}},
                                 .created = flag_at(message, "created"),
                                 .cancelled = flag_at(message, "canceled"),
                                 .compact_revision = integer_at(message, "compact_revision")};
         for (const json& change : objects_at(message, "events"))
-            out.batch.events.push_back({.deleted = word_at(change, "type") == "DELETE",
+            out.batch.events.push_back({.deleted = text_at(change, "type") == "DELETE",
                                         .entry = entry_from_json(object_at(change, "kv"))});
         return out;
     });
@@ -522,9 +411,9 @@
 
 std::optional<store_refusal> decode_refusal(std::string_view text)
 {
-    return decode(text, [](const json& it) {
+    return read_json(text, [](const json& it) {
         return store_refusal{.code = static_cast<int>(integer_at(it, "code")),
-                             .message = word_at(it, "message")};
+                             .message = text_at(it, "message")};
     });
 }
 
