Limits: token buckets, holders, entry side, mandates (first version)

Rate and burst of an organisation are split exactly over the failure domains. A bucket counts what left it and may be unspent, so tokens + outstanding never exceed its part, and the window bound holds whatever is lost, late or repeated. Not yet proved: the properties follow.

--- /dev/null
+++ b/src/limit_entry.cpp
@@ -0,0 +1,427 @@
+#include "limit_entry.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jasminebank {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t max_unanswered_each = 8; // requests of one organisation on their way
+constexpr std::size_t max_pending_each = 32;   // with those whose answer is late
+constexpr duration return_margin = 60ms;       // unspent tokens go back this long before their end
+constexpr duration retry_without_holder = 1s;
+constexpr duration sweep_interval = 1s;
+constexpr double least_demand = 0.05; // requests a second; below it an organisation is idle
+constexpr std::uint32_t max_ahead = 1000;
+
+double seconds_of(duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+} // namespace
+
+limit_entry::limit_entry(const limit_entry_options& options)
+    : options_(options), holders_(options.shards)
+{
+    assert(options.shards > 0 && options.ahead_life <= max_token_life);
+}
+
+std::uint32_t limit_entry::active::covered() const
+{
+    std::uint32_t sum = 0;
+    for (const pending_request& it : pending) {
+        if (!it.is_timed_out)
+            sum += it.need + it.ahead;
+    }
+    return sum;
+}
+
+std::size_t limit_entry::active::unanswered() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count(pending, false, &pending_request::is_timed_out));
+}
+
+std::uint32_t limit_entry::active::left(time_point now) const
+{
+    std::uint32_t sum = 0;
+    for (const stock& it : stocks) {
+        if (now < it.until)
+            sum += it.left();
+    }
+    return sum;
+}
+
+// A holder that is known already keeps its mark as silent.
+void limit_entry::set_holders(std::uint32_t shard, std::span<const vm_id> holders)
+{
+    std::vector<holder_view> views;
+    for (vm_id vm : holders) {
+        const auto old = std::ranges::find(holders_.at(shard), vm, &holder_view::vm);
+        views.push_back(
+            {.vm = vm,
+             .avoid_until = old == holders_[shard].end() ? time_point{} : old->avoid_until});
+    }
+    holders_[shard] = std::move(views);
+}
+
+// The table is bounded: when full, an organisation without waiting callers or tokens makes room.
+limit_entry::active* limit_entry::activate(organisation_id organisation, time_point now)
+{
+    const auto found = active_.find(organisation);
+    if (found != active_.end())
+        return &found->second;
+    if (active_.size() >= options_.max_active) {
+        const auto idle = std::ranges::find_if(active_, [&](const auto& entry) {
+            return !entry.second.is_busy() && entry.second.refused_until <= now;
+        });
+        if (idle == active_.end())
+            return nullptr;
+        active_.erase(idle);
+    }
+    return &active_[organisation];
+}
+
+// ---- requests of callers ----
+
+limit_verdict limit_entry::admit(organisation_id organisation, time_point now, limit_outbox& out)
+{
+    active* state = activate(organisation, now);
+    if (state == nullptr) {
+        ++counts_.refused;
+        return limit_refused{.retry_after = sweep_interval};
+    }
+    context at{.organisation = organisation, .state = *state, .now = now, .out = out};
+    if (state->waiting.empty() && spend(*state, now)) {
+        state->demand.add(1, now);
+        request_if_short(at);
+        finish(at);
+        ++counts_.admitted;
+        return limit_admitted{};
+    }
+    if (now < state->refused_until) {
+        ++counts_.refused;
+        return limit_refused{.retry_after = state->refused_until - now};
+    }
+    if (state->waiting.size() >= options_.max_waiting_each ||
+        tickets_.size() >= options_.max_waiting) {
+        ++counts_.refused;
+        return limit_refused{.retry_after = options_.max_wait};
+    }
+    state->demand.add(1, now);
+    const std::uint64_t ticket = next_ticket_++;
+    state->waiting.push_back({.ticket = ticket, .until = now + options_.max_wait});
+    tickets_.emplace(ticket, organisation);
+    request_if_short(at);
+    finish(at);
+    if (state->pending.empty()) {
+        cancel(ticket);
+        ++counts_.no_holder;
+        return limit_refused{.retry_after = retry_without_holder, .no_holder = true};
+    }
+    ++counts_.waited;
+    return limit_waiting{ticket};
+}
+
+// The moment of spending is the moment of the check.
+bool limit_entry::spend(active& it, time_point now)
+{
+    for (stock& from : it.stocks) {
+        if (now < from.until && from.left() > 0) {
+            ++from.spent;
+            return true;
+        }
+    }
+    return false;
+}
+
+// Demand that is too small to use up a token within its life is not asked ahead.
+std::uint32_t limit_entry::ahead_of(const context& at) const
+{
+    if (at.now < at.state.no_ahead_until)
+        return 0;
+    const double demand = at.state.demand.per_second(at.now);
+    const auto ahead = static_cast<std::uint32_t>(
+        std::min<double>(max_ahead, demand * seconds_of(options_.ahead_span)));
+    return ahead;
+}
+
+// Asks when callers wait for more than is on its way, or when tokens run out soon.
+void limit_entry::request_if_short(context& at)
+{
+    active& it = at.state;
+    if (it.unanswered() >= max_unanswered_each || it.pending.size() >= max_pending_each)
+        return;
+    const auto waiting = static_cast<std::uint32_t>(it.waiting.size());
+    const std::uint32_t covered = it.covered();
+    const std::uint32_t need = waiting > covered ? waiting - covered : 0;
+    std::uint32_t ahead = 0;
+    if (covered == 0 || need > 0) {
+        const double soon = it.demand.per_second(at.now) * seconds_of(options_.refill_span);
+        if (it.left(at.now) <= soon)
+            ahead = ahead_of(at);
+    }
+    if (need + ahead == 0)
+        return;
+    if (const vm_id* holder = choose_holder(at.organisation, at.now))
+        send(at, *holder, need, ahead);
+}
+
+// A grant that is used up is reported once; else the one in use, as far as it is spent.
+limit_entry::spending limit_entry::spending_to_report(const active& it, vm_id holder)
+{
+    if (it.used_up.number != 0 && it.used_up.holder == holder)
+        return it.used_up;
+    for (const stock& held : it.stocks) {
+        if (held.holder == holder && held.spent > 0)
+            return {.number = held.number, .holder = holder, .spent = held.spent};
+    }
+    return {};
+}
+
+// Spending of an earlier grant is reported with the request, at no message of its own.
+void limit_entry::send(context& at, vm_id holder, std::uint32_t need, std::uint32_t ahead)
+{
+    active& it = at.state;
+    const std::uint64_t number = next_number_++;
+    grant_request request{.number = number,
+                          .organisation = at.organisation,
+                          .need = need,
+                          .ahead = ahead,
+                          .patience = options_.patience,
+                          .life = ahead > 0 ? options_.ahead_life : options_.at_once_life};
+    const spending report = spending_to_report(it, holder);
+    request.settled = report.number;
+    request.spent = report.spent;
+    if (report.number == it.used_up.number)
+        it.used_up = {};
+    it.pending.push_back({.number = number,
+                          .holder = holder,
+                          .need = need,
+                          .ahead = ahead,
+                          .sent = at.now,
+                          .life = request.life});
+    asked_.emplace(number, at.organisation);
+    at.out.push_back({holder, request});
+    ++counts_.requests;
+}
+
+// The nearest one that is not known to be silent; if all are, the one that was silent first.
+vm_id* limit_entry::choose_holder(organisation_id organisation, time_point now)
+{
+    std::vector<holder_view>& views = holders_[shard_of(organisation, options_.shards)];
+    const auto it = std::ranges::find_if(
+        views, [&](const holder_view& view) { return view.avoid_until <= now; });
+    if (it != views.end())
+        return &it->vm;
+    const auto first = std::ranges::min_element(views, {}, &holder_view::avoid_until);
+    return first == views.end() ? nullptr : &first->vm;
+}
+
+void limit_entry::avoid(organisation_id organisation, vm_id holder, time_point until)
+{
+    for (holder_view& it : holders_[shard_of(organisation, options_.shards)]) {
+        if (it.vm == holder)
+            it.avoid_until = std::max(it.avoid_until, until);
+    }
+}
+
+// ---- answers ----
+
+// An answer counts once: its number leaves the table of requests. Tokens that come after their
+// life, counted from the request, are dropped; the holder has written them off or soon will.
+void limit_entry::receive(limit_peer from, const grant& message, time_point now, limit_outbox& out,
+                          limit_outcomes& ended)
+{
+    const auto asked = asked_.find(message.number);
+    if (asked == asked_.end())
+        return;
+    active& state = active_.at(asked->second);
+    const auto found = std::ranges::find(state.pending, message.number, &pending_request::number);
+    if (found->holder != from.vm)
+        return;
+    const pending_request request = *found;
+    context at{.organisation = asked->second, .state = state, .now = now, .out = out};
+    state.pending.erase(found);
+    asked_.erase(asked);
+    if (message.status == grant_status::not_holder) {
+        avoid(at.organisation, from.vm, now + options_.avoid_silent);
+        request_if_short(at);
+        finish(at);
+        return;
+    }
+    avoid(at.organisation, from.vm, time_point{});
+    const duration life = std::min(message.life, request.life);
+    const std::uint32_t tokens = std::min(message.tokens, request.need + request.ahead);
+    if (tokens > 0 && now < request.sent + life)
+        state.stocks.push_back({.number = message.number,
+                                .holder = from.vm,
+                                .tokens = tokens,
+                                .until = request.sent + life});
+    serve(at, ended);
+    if (tokens < request.need + request.ahead)
+        state.no_ahead_until = now + options_.refill_span;
+    if (message.retry_after > duration::zero() && request.need > 0) {
+        state.refused_until = now + message.retry_after;
+        refuse_waiting(at, state.covered(), {.retry_after = message.retry_after}, ended);
+    }
+    request_if_short(at);
+    finish(at);
+}
+
+void limit_entry::serve(context& at, limit_outcomes& ended)
+{
+    while (!at.state.waiting.empty() && spend(at.state, at.now)) {
+        const std::uint64_t ticket = at.state.waiting.front().ticket;
+        ended.push_back({ticket, limit_admitted{}});
+        tickets_.erase(ticket);
+        at.state.waiting.pop_front();
+        ++counts_.admitted;
+    }
+}
+
+// Refuses all waiting callers but the first ones, for whom other requests are still on their way.
+void limit_entry::refuse_waiting(context& at, std::size_t first, limit_refused why,
+                                 limit_outcomes& ended)
+{
+    while (at.state.waiting.size() > first) {
+        const std::uint64_t ticket = at.state.waiting.back().ticket;
+        ended.push_back({ticket, why});
+        tickets_.erase(ticket);
+        at.state.waiting.pop_back();
+        ++(why.no_holder ? counts_.no_holder : counts_.refused);
+    }
+}
+
+void limit_entry::lost(vm_id holder, time_point now, limit_outbox& out, limit_outcomes& ended)
+{
+    const std::vector<organisation_id> busy(busy_.begin(), busy_.end());
+    for (std::vector<holder_view>& views : holders_) {
+        for (holder_view& it : views) {
+            if (it.vm == holder)
+                it.avoid_until = now + options_.avoid_silent;
+        }
+    }
+    for (organisation_id organisation : busy) {
+        context at{.organisation = organisation,
+                   .state = active_.at(organisation),
+                   .now = now,
+                   .out = out};
+        for (pending_request& it : at.state.pending) {
+            if (it.holder == holder)
+                it.is_timed_out = true;
+        }
+        expire(at, ended);
+        request_if_short(at);
+        finish(at);
+    }
+}
+
+void limit_entry::cancel(std::uint64_t ticket)
+{
+    const auto found = tickets_.find(ticket);
+    if (found == tickets_.end())
+        return;
+    std::erase_if(active_.at(found->second).waiting,
+                  [&](const waiting_caller& it) { return it.ticket == ticket; });
+    tickets_.erase(found);
+}
+
+// ---- time ----
+
+// A request without answer marks its holder as silent, and the waiting callers are asked for
+// elsewhere; an answer that still comes within the life of its tokens is used.
+void limit_entry::expire(context& at, limit_outcomes& ended)
+{
+    active& it = at.state;
+    for (pending_request& request : it.pending) {
+        if (!request.is_timed_out && at.now >= request.sent + options_.answer_timeout) {
+            request.is_timed_out = true;
+            avoid(at.organisation, request.holder, at.now + options_.avoid_silent);
+        }
+    }
+    std::erase_if(it.pending, [&](const pending_request& request) {
+        if (at.now < request.sent + request.life)
+            return false;
+        asked_.erase(request.number);
+        return true;
+    });
+    while (!it.waiting.empty() && it.waiting.front().until <= at.now) {
+        const std::uint64_t ticket = it.waiting.front().ticket;
+        ended.push_back(
+            {ticket, limit_refused{.retry_after = retry_without_holder, .no_holder = true}});
+        tickets_.erase(ticket);
+        it.waiting.pop_front();
+        ++counts_.no_holder;
+    }
+}
+
+// Used-up and ended stocks are dropped. Unspent tokens go back while the return can still count.
+void limit_entry::return_old_stocks(context& at)
+{
+    std::erase_if(at.state.stocks, [&](const stock& it) {
+        if (it.left() == 0)
+            at.state.used_up = {.number = it.number, .holder = it.holder, .spent = it.spent};
+        if (it.left() == 0 || at.now >= it.until)
+            return true;
+        if (at.now + return_margin < it.until || !at.state.waiting.empty())
+            return false;
+        at.out.push_back({it.holder, grant_return{.number = it.number,
+                                                  .organisation = at.organisation,
+                                                  .spent = it.spent}});
+        return true;
+    });
+}
+
+void limit_entry::finish(context& at)
+{
+    return_old_stocks(at);
+    if (at.state.is_busy())
+        busy_.insert(at.organisation);
+    else
+        busy_.erase(at.organisation);
+}
+
+void limit_entry::tick(time_point now, limit_outbox& out, limit_outcomes& ended)
+{
+    const std::vector<organisation_id> busy(busy_.begin(), busy_.end());
+    for (organisation_id organisation : busy) {
+        context at{.organisation = organisation,
+                   .state = active_.at(organisation),
+                   .now = now,
+                   .out = out};
+        expire(at, ended);
+        if (!at.state.waiting.empty())
+            request_if_short(at);
+        finish(at);
+    }
+    if (now < next_sweep_)
+        return;
+    next_sweep_ = now + sweep_interval;
+    std::erase_if(active_, [&](const auto& entry) {
+        const active& it = entry.second;
+        return !it.is_busy() && it.refused_until <= now && it.demand.per_second(now) < least_demand;
+    });
+}
+
+time_point limit_entry::next_deadline() const
+{
+    time_point next = time_point::max();
+    for (organisation_id organisation : busy_) {
+        const active& it = active_.at(organisation);
+        if (!it.waiting.empty())
+            next = std::min(next, it.waiting.front().until);
+        for (const pending_request& request : it.pending)
+            next = std::min(next, request.sent + (request.is_timed_out ? request.life
+                                                                       : options_.answer_timeout));
+        for (const stock& held : it.stocks)
+            next = std::min(next, held.until - return_margin);
+    }
+    return next;
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/limit_entry.h
@@ -0,0 +1,173 @@
+#pragma once
+
+// The entry side of the limits: decides for each request whether its organisation is within its
+// rate, by tokens that holders granted. Small organisations ask for one token at a time; larger
+// demand is asked for ahead. An organisation without tokens is refused here, without messages,
+// until its holder expects the next one.
+
+#include "demand_estimate.h"
+#include "limit_messages.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <span>
+
+namespace jasminebank {
+
+/// Request admitted.
+struct limit_admitted {};
+/// The request waits; a limit_outcome with this ticket follows, at the latest after max_wait.
+struct limit_waiting {
+    std::uint64_t ticket = 0;
+};
+/// Over the limit, or no holder answers. `retry_after` goes to the caller.
+struct limit_refused {
+    duration retry_after{};
+    bool no_holder = false; ///< not the organisation's excess: nobody could grant
+};
+
+using limit_verdict = std::variant<limit_admitted, limit_waiting, limit_refused>;
+
+/// End of a wait: limit_admitted or limit_refused.
+struct limit_outcome {
+    std::uint64_t ticket = 0;
+    limit_verdict verdict;
+};
+
+using limit_outcomes = std::vector<limit_outcome>;
+
+struct limit_entry_options {
+    std::uint32_t shards = 16;
+    std::size_t max_active = 4096;     ///< organisations with demand here
+    std::size_t max_waiting = 1024;    ///< requests that wait, of all organisations
+    std::size_t max_waiting_each = 64; ///< of one organisation
+    duration max_wait = std::chrono::milliseconds(45);
+    duration patience = std::chrono::milliseconds(18); ///< how long a holder may look for tokens
+    duration answer_timeout = std::chrono::milliseconds(22);
+    duration at_once_life = std::chrono::milliseconds(60); ///< of tokens for waiting callers only
+    duration ahead_life = max_token_life;                  ///< of tokens asked ahead
+    duration ahead_span = std::chrono::milliseconds(250);  ///< demand that is asked ahead
+    duration refill_span = std::chrono::milliseconds(30);  ///< demand left when more is asked for
+    duration avoid_silent = std::chrono::seconds(1); ///< a holder that didn't answer is asked last
+};
+
+/// Counters since the start.
+struct limit_entry_counts {
+    std::uint64_t admitted = 0;
+    std::uint64_t waited = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t no_holder = 0;
+    std::uint64_t requests = 0;
+};
+
+class limit_entry {
+public:
+    explicit limit_entry(const limit_entry_options& options);
+
+    /// Holders of a shard, own domain first, then the others by distance.
+    void set_holders(std::uint32_t shard, std::span<const vm_id> holders);
+
+    /// Decides for one request of `organisation`, which the configuration must know.
+    limit_verdict admit(organisation_id organisation, time_point now, limit_outbox& out);
+    void receive(limit_peer from, const grant& message, time_point now, limit_outbox& out,
+                 limit_outcomes& ended);
+    /// The link to this node broke: what was asked of it is asked of another.
+    void lost(vm_id holder, time_point now, limit_outbox& out, limit_outcomes& ended);
+    /// The caller of a waiting request went away.
+    void cancel(std::uint64_t ticket);
+    /// Ends waits and returns unspent tokens; call when next_deadline() has come.
+    void tick(time_point now, limit_outbox& out, limit_outcomes& ended);
+    /// When tick() has something to do; time_point::max() if nothing waits.
+    time_point next_deadline() const;
+
+    const limit_entry_counts& counts() const { return counts_; }
+
+private:
+    // Tokens granted. They are spent only before `until`, checked at each request.
+    struct stock {
+        std::uint64_t number = 0;
+        vm_id holder;
+        std::uint32_t tokens = 0;
+        std::uint32_t spent = 0;
+        time_point until;
+        std::uint32_t left() const { return tokens - spent; }
+    };
+
+    struct pending_request {
+        std::uint64_t number = 0;
+        vm_id holder;
+        std::uint32_t need = 0;
+        std::uint32_t ahead = 0;
+        time_point sent;
+        duration life{};
+        bool is_timed_out = false;
+    };
+
+    // Spending of a grant that is used up and not reported yet.
+    struct spending {
+        std::uint64_t number = 0;
+        vm_id holder;
+        std::uint32_t spent = 0;
+    };
+
+    struct waiting_caller {
+        std::uint64_t ticket = 0;
+        time_point until;
+    };
+
+    struct active {
+        demand_estimate demand;
+        std::vector<stock> stocks; // oldest first
+        std::vector<pending_request> pending;
+        std::deque<waiting_caller> waiting;
+        spending used_up;
+        time_point refused_until{};
+        time_point no_ahead_until{};
+
+        std::uint32_t covered() const;
+        std::size_t unanswered() const;
+        std::uint32_t left(time_point now) const;
+        bool is_busy() const { return !waiting.empty() || !pending.empty() || !stocks.empty(); }
+    };
+
+    struct holder_view {
+        vm_id vm;
+        time_point avoid_until{};
+    };
+
+    // One organisation in one call.
+    struct context {
+        organisation_id organisation;
+        active& state;
+        time_point now;
+        limit_outbox& out;
+    };
+
+    active* activate(organisation_id organisation, time_point now);
+    static bool spend(active& it, time_point now);
+    void request_if_short(context& at);
+    void send(context& at, vm_id holder, std::uint32_t need, std::uint32_t ahead);
+    std::uint32_t ahead_of(const context& at) const;
+    vm_id* choose_holder(organisation_id organisation, time_point now);
+    void avoid(organisation_id organisation, vm_id holder, time_point until);
+    void serve(context& at, limit_outcomes& ended);
+    void refuse_waiting(context& at, std::size_t first, limit_refused why, limit_outcomes& ended);
+    void expire(context& at, limit_outcomes& ended);
+    static void return_old_stocks(context& at);
+    static spending spending_to_report(const active& it, vm_id holder);
+    void finish(context& at);
+
+    limit_entry_options options_;
+    std::vector<std::vector<holder_view>> holders_; // by shard
+    std::map<organisation_id, active> active_;
+    std::set<organisation_id> busy_;
+    std::map<std::uint64_t, organisation_id> asked_;   // by request number
+    std::map<std::uint64_t, organisation_id> tickets_; // of waiting callers
+    std::uint64_t next_number_ = 1;
+    std::uint64_t next_ticket_ = 1;
+    time_point next_sweep_{};
+    limit_entry_counts counts_;
+};
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/limit_holder.h
@@ -0,0 +1,196 @@
+#pragma once
+
+// The holder of one shard in one failure domain: it owns this domain's part of the rate and burst
+// of each organisation of the shard, grants tokens to entry nodes and lends to other holders.
+//
+// The holder checks its mandate at the moment of each grant and loan; none outlives the mandate.
+
+#include "demand_estimate.h"
+#include "limit_messages.h"
+#include "token_bucket.h"
+
+#include <deque>
+#include <map>
+#include <queue>
+#include <set>
+#include <span>
+
+namespace jasminebank {
+
+/// What the mandate allows: `share` of the part until `until`, then, if the mandate could not be
+/// renewed, `reserve_share` until `reserve_until`, then nothing. Shares in 256ths.
+struct mandate_terms {
+    std::uint32_t share = 0;
+    time_point until{};
+    std::uint32_t reserve_share = 0;
+    time_point reserve_until{};
+    bool operator==(const mandate_terms&) const = default;
+};
+
+struct limit_holder_options {
+    vm_id self;
+    std::uint32_t domain = 0;  ///< index of the own failure domain
+    std::uint32_t domains = 1; ///< number of failure domains that share the contracts
+    std::uint64_t epoch = 0;   ///< fencing token; keeps loan numbers of successive mandates apart
+    duration loan_life = std::chrono::milliseconds(100);
+    std::size_t max_waiting = 4096;      ///< requests that wait for tokens
+    std::size_t max_outstanding = 65536; ///< grants and loans not yet settled
+};
+
+/// Counters since the start.
+struct limit_holder_counts {
+    std::uint64_t grants = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t loans_asked = 0;
+    std::uint64_t loans_given = 0;
+};
+
+class limit_holder {
+public:
+    limit_holder(const limit_holder_options& options, time_point now);
+
+    /// Contracts of this shard, sorted by organisation. Shrinking holds at once; growth and new
+    /// organisations start without tokens.
+    void set_contracts(std::span<const rate_contract> contracts, time_point now);
+    void set_terms(const mandate_terms& terms, time_point now);
+    /// Holders of this shard in the other domains.
+    void set_lenders(std::span<const vm_id> lenders);
+
+    void receive(limit_peer from, const grant_request& request, time_point now, limit_outbox& out);
+    void receive(limit_peer from, const grant_return& message, time_point now);
+    void receive(limit_peer from, const loan_request& request, time_point now, limit_outbox& out);
+    void receive(limit_peer from, const loan& message, time_point now, limit_outbox& out);
+    void receive(limit_peer from, const loan_return& message, time_point now);
+    /// Serves or refuses what waited long enough; call when next_deadline() has come.
+    void tick(time_point now, limit_outbox& out);
+    /// When tick() has something to do; time_point::max() if nothing waits.
+    time_point next_deadline(time_point now) const;
+
+    /// True once nothing that this holder gave can still be spent.
+    bool is_settled(time_point now);
+    const limit_holder_counts& counts() const { return counts_; }
+    /// Tokens here and outstanding of one organisation; for metrics and tests.
+    micro_tokens held(organisation_id organisation) const;
+
+private:
+    struct slot {
+        rate_contract contract;
+        token_bucket bucket;
+    };
+
+    struct given_key {
+        limit_peer to;
+        std::uint64_t number = 0;
+        bool is_loan = false;
+        auto operator<=>(const given_key&) const = default;
+    };
+
+    // A grant or loan that may be unspent. `own` came from the own bucket and is outstanding there.
+    struct given {
+        organisation_id organisation;
+        micro_tokens own = 0;
+        std::uint32_t tokens = 0; // of a grant
+        bool is_closed = false;   // of a loan: what was not used has come back
+        time_point write_off{};
+    };
+
+    struct expiry {
+        time_point at;
+        given_key key;
+        bool operator>(const expiry& other) const { return at > other.at; }
+    };
+
+    struct waiting_request {
+        limit_peer from;
+        grant_request request;
+        time_point until;
+    };
+
+    struct borrowing {
+        std::uint64_t number = 0;
+        vm_id lender;
+        micro_tokens wanted = 0;
+        time_point sent;
+    };
+
+    struct borrowed_tokens {
+        vm_id lender;
+        std::uint64_t number = 0;
+        micro_tokens amount = 0;
+        time_point until;
+    };
+
+    struct lender_view {
+        vm_id vm;
+        time_point ask_again_at{};
+        micro_tokens left = -1; // unknown
+    };
+
+    // What is kept for an organisation only while it has demand.
+    struct active {
+        demand_estimate demand;
+        std::deque<waiting_request> waiting;
+        std::vector<borrowing> asked;
+        std::vector<borrowed_tokens> borrowed;
+        std::vector<lender_view> lenders;
+        time_point promised_until{};
+
+        micro_tokens pool() const;
+        micro_tokens expected() const;
+        micro_tokens needed() const;
+        bool is_busy() const { return !waiting.empty() || !asked.empty() || !borrowed.empty(); }
+    };
+
+    // One organisation in one call.
+    struct context {
+        slot& owner;
+        active& state;
+        time_point now;
+        limit_outbox& out;
+    };
+
+    slot* find(organisation_id organisation);
+    active& activate(organisation_id organisation);
+    std::uint32_t share_at(time_point now) const;
+    time_point share_end(time_point now) const;
+    void refresh(time_point now);
+    void apply_share(std::uint32_t share, time_point at);
+    void write_off(time_point now);
+    void remember(const given_key& key, const given& it);
+    void settle_spent(const given_key& key, std::uint32_t spent);
+    void finish(context& at);
+    void sweep(time_point now);
+
+    duration grant_life(const context& at, const grant_request& request, bool uses_borrowed) const;
+    bool give(context& at, const waiting_request& waiting, std::uint32_t tokens,
+              duration retry_after);
+    void serve(context& at);
+    void end_wait(context& at, const waiting_request& waiting);
+    void end_hopeless_waits(context& at);
+    static duration retry_time(context& at, std::uint32_t need);
+
+    void borrow_for_waiting(context& at);
+    void borrow_ahead(context& at);
+    void ask(context& at, lender_view& lender, micro_tokens wanted, bool urgent);
+    void forget_unanswered(context& at);
+    void take_in(context& at);
+    void return_unused(context& at);
+    micro_tokens lendable(const slot& owner, bool urgent, time_point now) const;
+    duration lender_retry(const slot& owner, micro_tokens missing, time_point now) const;
+
+    limit_holder_options options_;
+    mandate_terms terms_;
+    std::uint32_t applied_share_ = 0;
+    std::vector<slot> slots_; // sorted by organisation
+    std::vector<vm_id> lenders_;
+    std::map<organisation_id, active> active_;
+    std::set<organisation_id> busy_; // those that wait for something
+    std::map<given_key, given> given_;
+    std::priority_queue<expiry, std::vector<expiry>, std::greater<>> expiries_;
+    std::size_t waiting_count_ = 0;
+    std::uint64_t next_loan_;
+    time_point next_sweep_{};
+    limit_holder_counts counts_;
+};
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/rate_contract.h
@@ -0,0 +1,60 @@
+#pragma once
+
+// The contract of an organisation: rate and burst over the whole fleet, and its exact split into
+// parts, one for each failure domain.
+
+#include "types.h"
+
+#include <cstdint>
+
+namespace jasminebank {
+
+/// Millionths of a token; one token admits one request. Integers keep every bound exact.
+using micro_tokens = std::int64_t;
+constexpr micro_tokens one_token = 1'000'000;
+
+/// Rate and burst of one organisation over all nodes together.
+struct rate_contract {
+    organisation_id organisation;
+    std::uint32_t rate = 0;  ///< requests a second
+    std::uint32_t burst = 0; ///< requests at once
+    bool operator==(const rate_contract&) const = default;
+};
+
+/// What one bucket may hold and accrue.
+struct rate_part {
+    micro_tokens rate = 0;  ///< micro-tokens a second
+    micro_tokens burst = 0; ///< micro-tokens
+    bool operator==(const rate_part&) const = default;
+};
+
+/// `index`-th of `count` parts of `whole`; the parts add up to `whole` exactly.
+constexpr micro_tokens split(micro_tokens whole, std::uint32_t index, std::uint32_t count)
+{
+    return whole / count + (index < whole % count ? 1 : 0);
+}
+
+/// Part of the contract that the domain with this index owns, of `domains` domains.
+constexpr rate_part part_of(const rate_contract& contract, std::uint32_t domain,
+                            std::uint32_t domains)
+{
+    return {.rate = split(contract.rate * one_token, domain, domains),
+            .burst = split(contract.burst * one_token, domain, domains)};
+}
+
+/// A share is counted in 256ths of a part.
+constexpr std::uint32_t whole_share = 256;
+
+/// `share` 256ths of a part, rounded down, so that shares that add up to one never exceed it.
+constexpr rate_part share_of(rate_part part, std::uint32_t share)
+{
+    return {.rate = part.rate * share / whole_share, .burst = part.burst * share / whole_share};
+}
+
+/// Shard of an organisation.
+constexpr std::uint32_t shard_of(organisation_id organisation, std::uint32_t shards)
+{
+    return static_cast<std::uint32_t>(mix(organisation.value, 0) % shards);
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/token_bucket.cpp
@@ -0,0 +1,104 @@
+#include "token_bucket.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jasminebank {
+
+namespace {
+
+__extension__ using wide = __int128;
+
+constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
+
+} // namespace
+
+// Right after a burst was cut, tokens that left under the old contract may exceed the new one; then
+// nothing may be here.
+void token_bucket::check() const
+{
+    assert(tokens_ >= 0 && outstanding_ >= 0);
+    assert(tokens_ == 0 || tokens_ + outstanding_ <= part_.burst);
+}
+
+micro_tokens token_bucket::room() const
+{
+    return std::max<micro_tokens>(0, part_.burst - tokens_ - outstanding_);
+}
+
+// Accrual stops at the cap, and with it the fraction carried over: the carried fraction always fits
+// under the cap, so even a window of one nanosecond can't exceed its bound.
+void token_bucket::accrue(time_point now)
+{
+    if (now <= accrued_until_)
+        return;
+    const wide gain = wide(part_.rate) * (now - accrued_until_).count() + carry_;
+    accrued_until_ = now;
+    const wide whole = gain / nanoseconds_per_second;
+    if (whole >= room()) {
+        tokens_ += room();
+        carry_ = 0;
+    }
+    else {
+        tokens_ += static_cast<micro_tokens>(whole);
+        carry_ = static_cast<std::int64_t>(gain % nanoseconds_per_second);
+    }
+    check();
+}
+
+void token_bucket::take_out(micro_tokens amount)
+{
+    assert(amount >= 0 && amount <= tokens_);
+    tokens_ -= amount;
+    outstanding_ += amount;
+    check();
+}
+
+void token_bucket::settle(micro_tokens amount)
+{
+    assert(amount >= 0 && amount <= outstanding_);
+    outstanding_ -= amount;
+    check();
+}
+
+// Tokens that came back to a bucket that was cut meanwhile are dropped beyond the cap.
+void token_bucket::put_back(micro_tokens amount)
+{
+    settle(amount);
+    absorb(amount);
+}
+
+micro_tokens token_bucket::absorb(micro_tokens amount)
+{
+    assert(amount >= 0);
+    const micro_tokens taken = std::min(amount, room());
+    tokens_ += taken;
+    if (room() == 0)
+        carry_ = 0;
+    check();
+    return taken;
+}
+
+void token_bucket::change_part(rate_part part, time_point now)
+{
+    accrue(now);
+    part_ = part;
+    tokens_ = std::clamp<micro_tokens>(part.burst - outstanding_, 0, tokens_);
+    carry_ = 0;
+    check();
+}
+
+// Outstanding tokens may block accrual; they come free within a grant's life, so the answer is an
+// estimate from the rate alone.
+duration token_bucket::time_until(micro_tokens amount) const
+{
+    if (amount <= tokens_)
+        return duration::zero();
+    if (part_.rate == 0 || amount > part_.burst)
+        return duration::max();
+    const wide missing = wide(amount - tokens_) * nanoseconds_per_second - carry_;
+    const wide wait = (missing + part_.rate - 1) / part_.rate;
+    return duration(static_cast<std::int64_t>(wait));
+}
+
+} // namespace jasminebank
