Limits: the window bound as a property over a faulty fleet

A small fleet of holders, entries and a store with lost, repeated and late messages, one-way cuts, killed, frozen and restarted nodes, store away, lost answers and contract changes; all windows are checked in integers.

The property found a fault of the first version: a bucket whose outstanding tokens were settled accrued afterwards for the time during which they had left no room (4 admitted in 558 ms at rate 3, burst 2). Settling now accrues first. A late answer to a write given up as unknown counted for the next write; the answer now names its write.

--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -170,14 +170,14 @@
         if (it == given_.end() || it->second.write_off != at)
             continue;
         if (slot* owner = find(it->second.organisation))
-            owner->bucket.settle(it->second.own);
+            owner->bucket.settle(it->second.own, at);
         given_.erase(it);
     }
 }
 
 // The report is cumulative, so a repeated or late one changes nothing. Spent tokens count as
 // borrowed ones first: of n unspent, up to n may be of the own bucket.
-void limit_holder::settle_spent(const given_key& key, std::uint32_t spent)
+void limit_holder::settle_spent(const given_key& key, std::uint32_t spent, time_point now)
 {
     const auto it = given_.find(key);
     if (it == given_.end())
@@ -186,7 +186,7 @@
     const micro_tokens unspent = (grant.tokens - std::min(spent, grant.tokens)) * one_token;
     const micro_tokens settled = grant.own - std::min(grant.own, unspent);
     if (slot* owner = find(grant.organisation))
-        owner->bucket.settle(settled);
+        owner->bucket.settle(settled, now);
     grant.own -= settled;
 }
 
@@ -229,7 +229,7 @@
 {
     refresh(now);
     write_off(now);
-    settle_spent({.to = from, .number = request.settled}, request.spent);
+    settle_spent({.to = from, .number = request.settled}, request.spent, now);
     slot* owner = find(request.organisation);
     if (owner == nullptr || share_at(now) == 0) {
         out.push_back({from.vm, grant{.number = request.number,
@@ -264,12 +264,12 @@
     refresh(now);
     write_off(now);
     const given_key key{.to = from, .number = message.number};
-    settle_spent(key, message.spent);
+    settle_spent(key, message.spent, now);
     const auto it = given_.find(key);
     if (it == given_.end())
         return;
     if (slot* owner = find(it->second.organisation))
-        owner->bucket.put_back(it->second.own);
+        owner->bucket.put_back(it->second.own, now);
     given_.erase(it);
 }
 
@@ -608,7 +608,7 @@
     it->second.is_closed = true;
     it->second.own -= amount;
     if (slot* owner = find(it->second.organisation))
-        owner->bucket.put_back(amount);
+        owner->bucket.put_back(amount, now);
 }
 
 // ---- time ----
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -157,7 +157,7 @@
     void apply_share(std::uint32_t share, time_point at);
     void write_off(time_point now);
     void remember(const given_key& key, const given& it);
-    void settle_spent(const given_key& key, std::uint32_t spent);
+    void settle_spent(const given_key& key, std::uint32_t spent, time_point now);
     void finish(context& at);
     void sweep(time_point now);
 
--- a/src/limit_mandate.cpp
+++ b/src/limit_mandate.cpp
@@ -55,9 +55,11 @@
         adopt(sent_write(*own));
 }
 
-void limit_mandate::answered(write_outcome outcome, std::uint64_t version, time_point now)
+// A late answer to a write that was given up as unknown is ignored: a read tells the same.
+void limit_mandate::answered(std::uint64_t renewal, write_outcome outcome, std::uint64_t version,
+                             time_point now)
 {
-    if (!in_flight_)
+    if (!in_flight_ || in_flight_->renewal != renewal)
         return;
     const sent_write it = *in_flight_;
     in_flight_.reset();
@@ -212,7 +214,7 @@
 {
     tell_retirement(now, out);
     if (in_flight_ && now >= in_flight_->sent + options_.retry_every)
-        answered(write_outcome::unknown, 0, now);
+        answered(in_flight_->renewal, write_outcome::unknown, 0, now);
     prune(unproven_, now);
     if (in_flight_ || now < next_attempt_)
         return;
--- a/src/limit_mandate.h
+++ b/src/limit_mandate.h
@@ -70,8 +70,9 @@
 
     /// The record as read or watched; no record is version 0. Older versions are ignored.
     void observe(const mandate_record& record, std::uint64_t version, time_point now);
-    /// Answer to the last mandate_write. `version` counts only if written.
-    void answered(write_outcome outcome, std::uint64_t version, time_point now);
+    /// Answer to the mandate_write whose record has this renewal. `version` counts only if written.
+    void answered(std::uint64_t renewal, write_outcome outcome, std::uint64_t version,
+                  time_point now);
     /// A run of a node was heard of: all earlier runs on the same VM are gone.
     void seen(limit_peer member, time_point now);
     /// It is certain that this run has ended, for example as its address refuses connections.
--- a/src/token_bucket.cpp
+++ b/src/token_bucket.cpp
@@ -54,17 +54,19 @@
     check();
 }
 
-void token_bucket::settle(micro_tokens amount)
+// Accrues under the old cap first: tokens that were outstanding until now left no room before.
+void token_bucket::settle(micro_tokens amount, time_point now)
 {
+    accrue(now);
     assert(amount >= 0 && amount <= outstanding_);
     outstanding_ -= amount;
     check();
 }
 
 // Tokens that came back to a bucket that was cut meanwhile are dropped beyond the cap.
-void token_bucket::put_back(micro_tokens amount)
+void token_bucket::put_back(micro_tokens amount, time_point now)
 {
-    settle(amount);
+    settle(amount, now);
     absorb(amount);
 }
 
--- a/src/token_bucket.h
+++ b/src/token_bucket.h
@@ -20,10 +20,11 @@
 
     /// Moves tokens out: they are outstanding until spent, returned or written off.
     void take_out(micro_tokens amount);
-    /// Outstanding tokens that are known to be spent, or can't be spent any more.
-    void settle(micro_tokens amount);
+    /// Outstanding tokens that are known at `now` to be spent, or can't be spent any more. What
+    /// they kept the bucket from accruing before `now` is gone.
+    void settle(micro_tokens amount, time_point now);
     /// Outstanding tokens that came back unspent.
-    void put_back(micro_tokens amount);
+    void put_back(micro_tokens amount, time_point now);
     /// Takes in tokens counted by another bucket, as far as the cap allows; returns how many.
     micro_tokens absorb(micro_tokens amount);
 
--- /dev/null
+++ b/tests/limit_bound_test.cpp
@@ -0,0 +1,121 @@
+// The bound of the limits: in every window, admitted <= burst + rate * length, whatever fails.
+
+#include "limit_fleet.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace jasminebank;
+using namespace jasminebank::test;
+
+namespace {
+
+fleet_shape any_shape()
+{
+    fleet_shape shape;
+    shape.domains = *rc::gen::inRange<std::uint32_t>(1, 5);
+    shape.entries = *rc::gen::inRange<std::uint32_t>(1, 4);
+    shape.contract.rate = *rc::gen::inRange<std::uint32_t>(1, 120);
+    shape.contract.burst = *rc::gen::inRange<std::uint32_t>(1, 60);
+    shape.contract.organisation = id_of<organisation_id>("lids");
+    shape.demand = *rc::gen::element(0.5, 1.0, 3.0, 10.0);
+    shape.length = 12s;
+    return shape;
+}
+
+double any_share(double most)
+{
+    return *rc::gen::element(0.0, most / 4, most);
+}
+
+fleet_faults any_faults()
+{
+    return {.lost = any_share(0.1),
+            .repeated = any_share(0.3),
+            .late = any_share(0.2),
+            .cut = any_share(0.2),
+            .kill = any_share(2),
+            .freeze = any_share(1),
+            .store_away = any_share(0.4),
+            .answer_lost = any_share(0.3),
+            .release = any_share(1),
+            .skewed_clocks = *rc::gen::arbitrary<bool>()};
+}
+
+} // namespace
+
+RC_GTEST_PROP(limit_bound, holds_in_every_window_whatever_fails, ())
+{
+    fleet_shape shape = any_shape();
+    shape.faults = any_faults();
+    limit_fleet fleet(shape, *rc::gen::arbitrary<std::uint64_t>());
+    fleet.run();
+    RC_ASSERT(fleet.worst_excess(shape.contract, 0s, shape.length) <= 0);
+}
+
+// Between two changes the contract in force binds, from when the last grant of the earlier one has
+// ended; over all, the larger rate and burst bind.
+RC_GTEST_PROP(limit_bound, holds_through_changes_of_the_contract, ())
+{
+    fleet_shape shape = any_shape();
+    shape.faults = any_faults();
+    shape.faults.freeze = 0;
+    shape.faults.change = 0.3;
+    limit_fleet fleet(shape, *rc::gen::arbitrary<std::uint64_t>());
+    fleet.run();
+    rate_contract most = shape.contract;
+    constexpr duration settle = 300ms + guarded(max_token_life) + 10ms;
+    for (std::size_t n = 0; n < fleet.changes.size(); ++n) {
+        const auto& [at, contract] = fleet.changes[n];
+        const duration end =
+            n + 1 < fleet.changes.size() ? fleet.changes[n + 1].first : shape.length;
+        most.rate = std::max(most.rate, contract.rate);
+        most.burst = std::max(most.burst, contract.burst);
+        RC_ASSERT(fleet.worst_excess(contract, at + settle, end) <= 0);
+    }
+    RC_ASSERT(fleet.worst_excess(most, 0s, shape.length) <= 0);
+}
+
+// Nothing fails, demand is under the rate: hardly anything is refused.
+TEST(limit_service, serves_demand_under_the_rate)
+{
+    for (std::uint32_t rate : {2U, 20U, 200U}) {
+        fleet_shape shape;
+        shape.contract = {
+            .organisation = id_of<organisation_id>("lids"), .rate = rate, .burst = 2 * rate + 8};
+        shape.demand = 0.7;
+        shape.length = 120s;
+        limit_fleet fleet(shape, rate);
+        fleet.count_from = 10s;
+        fleet.run();
+        EXPECT_GT(fleet.asked, rate * 60) << rate;
+        EXPECT_LE(fleet.refused * 1000, fleet.asked) << rate << ": " << fleet.refused;
+    }
+}
+
+// Ten times the rate: what is admitted comes near the bound, the rest is refused.
+TEST(limit_service, excess_is_cut_to_the_rate)
+{
+    fleet_shape shape;
+    shape.contract = {.organisation = id_of<organisation_id>("lids"), .rate = 50, .burst = 50};
+    shape.demand = 10;
+    shape.length = 60s;
+    limit_fleet fleet(shape, 1);
+    fleet.run();
+    EXPECT_LE(fleet.worst_excess(shape.contract, 0s, shape.length), 0);
+    EXPECT_GE(fleet.admitted.size(), 50U * 60 * 9 / 10);
+}
+
+// Killed, frozen and cut holders are replaced, and their successors serve again.
+TEST(limit_service, recovers_from_loss_of_holders)
+{
+    fleet_shape shape;
+    shape.contract = {.organisation = id_of<organisation_id>("lids"), .rate = 50, .burst = 50};
+    shape.demand = 0.5;
+    shape.length = 60s;
+    shape.faults.kill = 0.2;
+    limit_fleet fleet(shape, 1);
+    fleet.run();
+    EXPECT_GT(fleet.takeovers, 3U); // the first of each domain, and successors
+    EXPECT_LE(fleet.refused * 20, fleet.asked);
+}
--- /dev/null
+++ b/tests/limit_fleet.cpp
@@ -0,0 +1,372 @@
+#include "limit_fleet.h"
+
+#include <algorithm>
+
+namespace jasminebank::test {
+
+namespace {
+
+constexpr duration step_length = 2ms;
+constexpr std::uint32_t shards = 1;
+
+limit_mandate_options mandate_options(limit_peer self)
+{
+    return {.self = self,
+            .lasts = 2s,
+            .renew_every = 600ms,
+            .retry_every = 200ms,
+            .reserve_share = 128,
+            .reserve_for = 5s,
+            .rank_step = 100ms};
+}
+
+} // namespace
+
+limit_fleet::limit_fleet(const fleet_shape& shape, std::uint64_t seed)
+    : shape_(shape), random_(seed), store_(shape.domains)
+{
+    std::uint64_t vm = 1;
+    for (std::uint32_t domain = 0; domain < shape.domains; ++domain) {
+        for (std::uint32_t n = 0; n < shape.candidates; ++n)
+            nodes_.push_back(make_candidate({vm++}, domain, 1));
+        for (std::uint32_t n = 0; n < shape.entries; ++n) {
+            node it;
+            it.peer = {.vm = {vm++}, .run = {1}};
+            it.domain = domain;
+            it.entry.emplace(limit_entry_options{.shards = shards});
+            nodes_.push_back(std::move(it));
+        }
+    }
+    for (node& it : nodes_) {
+        it.offset = std::chrono::seconds(pick(1000));
+        it.slow = shape.faults.skewed_clocks ? static_cast<std::int64_t>(pick(2000)) : 0;
+        if (it.mandate)
+            it.mandate.emplace(mandate_options(it.peer), clock_of(it));
+    }
+    changes.emplace_back(duration::zero(), shape.contract);
+}
+
+limit_fleet::node limit_fleet::make_candidate(vm_id vm, std::uint32_t domain,
+                                              std::uint64_t run) const
+{
+    node it;
+    it.peer = {.vm = vm, .run = {run}};
+    it.domain = domain;
+    it.mandate.emplace(mandate_options(it.peer), time_point{});
+    it.contract = it.next_contract = changes.empty() ? shape_.contract : changes.back().second;
+    return it;
+}
+
+// Clocks run from different starts, and up to 0.2 % slower than true time, never faster: the bound
+// on the rate is checked against true time.
+time_point limit_fleet::clock_of(const node& it) const
+{
+    return time_point(it.offset + now_ - now_ / 1'000'000 * it.slow);
+}
+
+void limit_fleet::run()
+{
+    while (now_ < shape_.length)
+        step();
+    std::ranges::sort(admitted);
+}
+
+void limit_fleet::step()
+{
+    now_ += step_length;
+    inject_faults();
+    while (!soup_.empty() && soup_.begin()->first <= now_) {
+        const delivery it = soup_.begin()->second;
+        soup_.erase(soup_.begin());
+        deliver(it);
+    }
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        if (is_running(nodes_[n]))
+            tick_node(n);
+    }
+}
+
+// ---- messages ----
+
+void limit_fleet::post(delivery it)
+{
+    const bool is_store = it.is_to_store || std::holds_alternative<store_answer>(it.body);
+    if (!is_store && chance(shape_.faults.lost))
+        return;
+    const int copies = !is_store && chance(shape_.faults.repeated) ? 2 : 1;
+    for (int n = 0; n < copies; ++n) {
+        delivery copy = it;
+        copy.at = now_ + 1ms + std::chrono::microseconds(pick(9000));
+        if (chance(shape_.faults.late))
+            copy.at += std::chrono::milliseconds(pick(1000));
+        soup_.emplace(copy.at, copy);
+    }
+}
+
+void limit_fleet::send(std::size_t from, const limit_outbox& out)
+{
+    for (const limit_outgoing& it : out) {
+        const std::size_t to = index_of(it.to);
+        if (cuts_.contains({from, to}))
+            continue;
+        post({.from = nodes_[from].peer,
+              .to = to,
+              .to_peer = nodes_[to].peer,
+              .body = limit_message(it.body)});
+    }
+}
+
+void limit_fleet::deliver(const delivery& it)
+{
+    if (it.is_to_store) {
+        deliver_to_store(it);
+        return;
+    }
+    node& to = nodes_[it.to];
+    if (to.is_dead || to.peer != it.to_peer)
+        return;
+    if (now_ < to.frozen_until) {
+        soup_.emplace(to.frozen_until, it);
+        return;
+    }
+    limit_outbox out;
+    deliver_to_node(to, it, out);
+    send(it.to, out);
+}
+
+void limit_fleet::deliver_to_node(node& it, const delivery& message, limit_outbox& out)
+{
+    const time_point now = clock_of(it);
+    if (const auto* answer = std::get_if<store_answer>(&message.body)) {
+        if (answer->is_read)
+            it.mandate->observe(answer->record, answer->version, now);
+        else
+            it.mandate->answered(answer->renewal, answer->outcome, answer->version, now);
+    }
+    if (const auto* past = std::get_if<mandate_retired>(&message.body))
+        it.mandate->retired(past->past);
+    const auto* body = std::get_if<limit_message>(&message.body);
+    if (body == nullptr)
+        return;
+    if (const auto* granted = std::get_if<grant>(body)) {
+        limit_outcomes ended;
+        if (it.entry)
+            it.entry->receive(message.from, *granted, now, out, ended);
+        settle(ended);
+        return;
+    }
+    if (!it.holder)
+        return;
+    if (const auto* m = std::get_if<grant_request>(body))
+        it.holder->receive(message.from, *m, now, out);
+    if (const auto* m = std::get_if<grant_return>(body))
+        it.holder->receive(message.from, *m, now);
+    if (const auto* m = std::get_if<loan_request>(body))
+        it.holder->receive(message.from, *m, now, out);
+    if (const auto* m = std::get_if<loan>(body))
+        it.holder->receive(message.from, *m, now, out);
+    if (const auto* m = std::get_if<loan_return>(body))
+        it.holder->receive(message.from, *m, now);
+}
+
+// The write takes effect before its answer may be lost.
+void limit_fleet::deliver_to_store(const delivery& it)
+{
+    if (now_ < store_back_)
+        return;
+    const store_call& call = std::get<store_call>(it.body);
+    store_entry& entry = store_[nodes_[it.to_store_from].domain];
+    store_answer answer;
+    answer.is_read = !call.write;
+    answer.renewal = call.write ? call.write->record.renewal : 0;
+    if (call.write && call.write->expected == entry.version) {
+        takeovers += call.write->record.epoch > entry.record.epoch ? 1 : 0;
+        entry = {.version = entry.version + 1, .record = call.write->record};
+        answer.outcome = write_outcome::written;
+    }
+    else if (call.write) {
+        answer.outcome = write_outcome::conflict;
+    }
+    answer.version = entry.version;
+    answer.record = entry.record;
+    if (!chance(shape_.faults.answer_lost))
+        post({.from = {}, .to = it.to_store_from, .to_peer = it.from, .body = answer});
+}
+
+// ---- nodes ----
+
+std::vector<vm_id> limit_fleet::holders_from(std::uint32_t domain, bool with_own) const
+{
+    std::vector<vm_id> out;
+    for (std::uint32_t n = with_own ? 0 : 1; n < shape_.domains; ++n) {
+        const mandate_record& record = store_[(domain + n) % shape_.domains].record;
+        if (record.epoch != 0)
+            out.push_back(record.holder.vm);
+    }
+    return out;
+}
+
+void limit_fleet::tick_node(std::size_t index)
+{
+    node& it = nodes_[index];
+    limit_outbox out;
+    if (it.mandate) {
+        tick_candidate(index, out);
+    }
+    else {
+        limit_outcomes ended;
+        it.entry->set_holders(0, holders_from(it.domain, true));
+        it.entry->tick(clock_of(it), out, ended);
+        settle(ended);
+        offer_demand(index);
+    }
+    send(index, out);
+}
+
+void limit_fleet::tick_candidate(std::size_t index, limit_outbox& out)
+{
+    node& it = nodes_[index];
+    const time_point now = clock_of(it);
+    mandate_actions actions;
+    if (chance(0.01) && now_ >= store_back_)
+        it.mandate->observe(store_[it.domain].record, store_[it.domain].version, now);
+    it.mandate->tick(static_cast<std::uint32_t>(index % 2), now, actions);
+    for (const mandate_action& action : actions) {
+        if (const auto* told = std::get_if<mandate_retired>(&action)) {
+            const std::size_t to = index_of(told->to);
+            post({.from = it.peer, .to = to, .to_peer = nodes_[to].peer, .body = *told});
+            continue;
+        }
+        store_call call;
+        if (const auto* write = std::get_if<mandate_write>(&action))
+            call.write = *write;
+        post({.from = it.peer,
+              .to_store_from = index,
+              .is_to_store = true,
+              .to_peer = {},
+              .body = call});
+    }
+    if (now_ >= it.contract_at && it.contract != it.next_contract) {
+        it.contract = it.next_contract;
+        if (it.holder)
+            it.holder->set_contracts({&it.contract, 1}, now);
+    }
+    if (it.mandate->is_holder() && (!it.holder || it.holder_epoch != it.mandate->epoch())) {
+        it.holder_epoch = it.mandate->epoch();
+        it.holder.emplace(limit_holder_options{.self = it.peer.vm,
+                                               .domain = it.domain,
+                                               .domains = shape_.domains,
+                                               .epoch = it.holder_epoch},
+                          now);
+        it.holder->set_contracts({&it.contract, 1}, now);
+    }
+    if (it.holder) {
+        it.holder->set_terms(it.mandate->terms(), now);
+        it.holder->set_lenders(holders_from(it.domain, false));
+        it.holder->tick(now, out);
+    }
+}
+
+void limit_fleet::offer_demand(std::size_t index)
+{
+    node& it = nodes_[index];
+    const double each = shape_.contract.rate * shape_.demand / (shape_.domains * shape_.entries);
+    std::poisson_distribution<int> arrivals(each *
+                                            std::chrono::duration<double>(step_length).count());
+    limit_outbox out;
+    for (int n = arrivals(random_); n > 0; --n) {
+        asked += now_ >= count_from ? 1 : 0;
+        const limit_verdict verdict =
+            it.entry->admit(shape_.contract.organisation, clock_of(it), out);
+        if (std::holds_alternative<limit_admitted>(verdict))
+            admitted.push_back(now_);
+        else if (std::holds_alternative<limit_refused>(verdict))
+            refused += now_ >= count_from ? 1 : 0;
+    }
+    send(index, out);
+}
+
+void limit_fleet::settle(const limit_outcomes& ended)
+{
+    for (const limit_outcome& it : ended) {
+        if (std::holds_alternative<limit_admitted>(it.verdict))
+            admitted.push_back(now_);
+        else
+            refused += now_ >= count_from ? 1 : 0;
+    }
+}
+
+// ---- faults ----
+
+void limit_fleet::inject_faults()
+{
+    const fleet_faults& faults = shape_.faults;
+    const double step_seconds = std::chrono::duration<double>(step_length).count();
+    if (now_ % 1s == 0ns) {
+        cuts_.clear();
+        for (std::size_t a = 0; a < nodes_.size(); ++a) {
+            for (std::size_t b = 0; b < nodes_.size(); ++b) {
+                if (chance(faults.cut))
+                    cuts_.emplace(a, b);
+            }
+        }
+    }
+    if (now_ >= store_back_ && chance(faults.store_away * step_seconds / 2.5))
+        store_back_ = now_ + std::chrono::milliseconds(pick(5000));
+    if (chance(faults.freeze * step_seconds))
+        nodes_[pick(nodes_.size())].frozen_until = now_ + std::chrono::milliseconds(pick(5000));
+    node& victim = nodes_[pick(nodes_.size())];
+    if (victim.mandate && chance(faults.release * step_seconds) && is_running(victim))
+        victim.mandate->release(clock_of(victim));
+    if (victim.mandate && chance(faults.kill * step_seconds)) {
+        const node old = std::move(victim);
+        victim = make_candidate(old.peer.vm, old.domain, old.peer.run.value + 1);
+        victim.offset = old.offset;
+        victim.slow = old.slow;
+        victim.frozen_until = now_ + std::chrono::milliseconds(pick(4000));
+        victim.mandate.emplace(mandate_options(victim.peer), clock_of(victim));
+        for (node& it : nodes_) {
+            if (it.mandate && chance(0.5))
+                it.mandate->seen(victim.peer, clock_of(it));
+        }
+    }
+    if (chance(faults.change * step_seconds))
+        change_contract();
+}
+
+// Holders apply a change up to 300 ms apart; frozen ones when they wake, before anything else.
+void limit_fleet::change_contract()
+{
+    rate_contract next = shape_.contract;
+    next.rate = static_cast<std::uint32_t>(1 + pick(2 * shape_.contract.rate));
+    next.burst = static_cast<std::uint32_t>(1 + pick(2 * shape_.contract.burst));
+    changes.emplace_back(now_, next);
+    for (node& it : nodes_) {
+        it.next_contract = next;
+        it.contract_at = now_ + std::chrono::milliseconds(pick(300));
+    }
+}
+
+// One pass over all pairs: for each end, the best start so far.
+micro_tokens limit_fleet::worst_excess(const rate_contract& bound, duration from, duration to) const
+{
+    __extension__ using wide = __int128;
+    constexpr std::int64_t second = 1'000'000'000;
+    wide lowest = 0;
+    wide worst = -wide(bound.burst) * one_token * second;
+    bool is_first = true;
+    wide n = 0;
+    for (duration at : admitted) {
+        if (at < from || at >= to)
+            continue;
+        const wide line = n * one_token * second - wide(bound.rate) * one_token * at.count();
+        lowest = is_first ? line : std::min(lowest, line);
+        is_first = false;
+        worst = std::max(worst, line - lowest + wide(one_token) * second -
+                                    wide(bound.burst) * one_token * second);
+        ++n;
+    }
+    return static_cast<micro_tokens>(worst > 0 ? worst / second + 1 : worst / second);
+}
+
+} // namespace jasminebank::test
--- /dev/null
+++ b/tests/limit_fleet.h
@@ -0,0 +1,132 @@
+#pragma once
+
+// A small fleet for the limits' properties: holders, entries and a store, with a message soup
+// between them that loses, repeats and delays messages, cuts links one way, and stops nodes.
+
+#include "limit_entry.h"
+#include "limit_mandate.h"
+
+#include <random>
+
+namespace jasminebank::test {
+
+using namespace std::chrono_literals;
+
+struct fleet_faults {
+    double lost = 0;        ///< share of messages
+    double repeated = 0;    ///< share of messages
+    double late = 0;        ///< share of messages that come up to a second late
+    double cut = 0;         ///< share of one-way pairs, redrawn each second
+    double kill = 0;        ///< candidates killed a second
+    double freeze = 0;      ///< nodes frozen a second, for up to 5 s
+    double store_away = 0;  ///< share of time, in stretches of up to 5 s
+    double answer_lost = 0; ///< share of the store's answers
+    double release = 0;     ///< planned stops a second
+    double change = 0;      ///< contract changes a second
+    bool skewed_clocks = false;
+};
+
+struct fleet_shape {
+    std::uint32_t domains = 3;
+    std::uint32_t entries = 2;    ///< of each domain
+    std::uint32_t candidates = 2; ///< of each domain, for the mandate
+    rate_contract contract;
+    double demand = 1; ///< in rates of the contract
+    duration length = 20s;
+    fleet_faults faults;
+};
+
+class limit_fleet {
+public:
+    limit_fleet(const fleet_shape& shape, std::uint64_t seed);
+    void run();
+
+    /// Largest excess over burst + rate * length of all windows of [from, to), in micro-tokens;
+    /// at most 0 if the bound holds.
+    micro_tokens worst_excess(const rate_contract& bound, duration from, duration to) const;
+
+    std::uint64_t asked = 0;
+    std::uint64_t refused = 0;
+    duration count_from{};          ///< asked and refused count from here on
+    std::vector<duration> admitted; ///< sorted by time
+    std::vector<std::pair<duration, rate_contract>> changes; ///< when the last holder applied it
+    std::uint64_t takeovers = 0;
+
+private:
+    struct node {
+        limit_peer peer;
+        std::uint32_t domain = 0;
+        duration offset{};
+        std::int64_t slow = 0; // parts per million
+        duration frozen_until{};
+        bool is_dead = false;
+        std::optional<limit_entry> entry;
+        std::optional<limit_mandate> mandate;
+        std::optional<limit_holder> holder;
+        std::uint64_t holder_epoch = 0;
+        rate_contract contract;
+        duration contract_at{};
+        rate_contract next_contract;
+    };
+
+    struct store_answer {
+        write_outcome outcome = write_outcome::unknown;
+        std::uint64_t version = 0;
+        std::uint64_t renewal = 0;
+        bool is_read = false;
+        mandate_record record;
+    };
+
+    struct store_call {
+        std::optional<mandate_write> write;
+    };
+
+    using payload = std::variant<limit_message, mandate_retired, store_call, store_answer>;
+
+    struct delivery {
+        duration at{};
+        limit_peer from;
+        std::size_t to = 0;
+        std::size_t to_store_from = 0;
+        bool is_to_store = false;
+        limit_peer to_peer;
+        payload body;
+    };
+
+    struct store_entry {
+        std::uint64_t version = 0;
+        mandate_record record;
+    };
+
+    bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(random_) < p; }
+    std::uint64_t pick(std::uint64_t n) { return random_() % n; }
+    time_point clock_of(const node& it) const;
+    bool is_running(const node& it) const { return !it.is_dead && now_ >= it.frozen_until; }
+    node make_candidate(vm_id vm, std::uint32_t domain, std::uint64_t run) const;
+    void send(std::size_t from, const limit_outbox& out);
+    void post(delivery it);
+    void step();
+    void deliver(const delivery& it);
+    void deliver_to_node(node& it, const delivery& message, limit_outbox& out);
+    void deliver_to_store(const delivery& it);
+    void inject_faults();
+    void change_contract();
+    void tick_node(std::size_t index);
+    void tick_candidate(std::size_t index, limit_outbox& out);
+    void offer_demand(std::size_t index);
+    void settle(const limit_outcomes& ended);
+    std::vector<vm_id> holders_from(std::uint32_t domain, bool with_own) const;
+    std::size_t index_of(vm_id vm) const { return static_cast<std::size_t>(vm.value - 1); }
+
+    fleet_shape shape_;
+    std::mt19937_64 random_;
+    duration now_{};
+    std::vector<node> nodes_;
+    std::multimap<duration, delivery> soup_;
+    std::vector<store_entry> store_; // by domain
+    duration store_back_{};
+    std::set<std::pair<std::size_t, std::size_t>> cuts_;
+    std::map<std::uint64_t, bool> waiting_;
+};
+
+} // namespace jasminebank::test
