Limits: a bound test that sees tokens nobody asked for, and mandate tests

Now demand comes in bursts after silences, nodes learn of new holders late, some lose only the store, and what all nodes could admit at once counts at the end of each window.

--- a/src/limit_entry.cpp
+++ b/src/limit_entry.cpp
@@ -50,8 +50,7 @@
 {
     std::uint32_t sum = 0;
     for (const stock& it : stocks) {
-        if (now < it.until)
-            sum += it.left();
+        sum += it.usable(now);
     }
     return sum;
 }
@@ -86,6 +85,12 @@
     return &active_[organisation];
 }
 
+std::uint32_t limit_entry::spendable(organisation_id organisation, time_point now) const
+{
+    const auto it = active_.find(organisation);
+    return it == active_.end() ? 0 : it->second.left(now);
+}
+
 // ---- requests of callers ----
 
 limit_verdict limit_entry::admit(organisation_id organisation, time_point now, limit_outbox& out)
@@ -131,7 +136,7 @@
 bool limit_entry::spend(active& it, time_point now)
 {
     for (stock& from : it.stocks) {
-        if (now < from.until && from.left() > 0) {
+        if (from.usable(now) > 0) {
             ++from.spent;
             return true;
         }
--- a/src/limit_entry.h
+++ b/src/limit_entry.h
@@ -81,6 +81,8 @@
     /// When tick() has something to do; time_point::max() if nothing waits.
     time_point next_deadline() const;
 
+    /// Tokens of one organisation that could be spent at `now`; for metrics and tests.
+    std::uint32_t spendable(organisation_id organisation, time_point now) const;
     const limit_entry_counts& counts() const { return counts_; }
 
 private:
@@ -92,6 +94,7 @@
         std::uint32_t spent = 0;
         time_point until;
         std::uint32_t left() const { return tokens - spent; }
+        std::uint32_t usable(time_point now) const { return now < until ? left() : 0; }
     };
 
     struct pending_request {
--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -196,13 +196,16 @@
     return given_.empty();
 }
 
-micro_tokens limit_holder::held(organisation_id organisation) const
+micro_tokens limit_holder::spendable(organisation_id organisation, time_point now)
 {
-    const auto it = std::ranges::lower_bound(slots_, organisation, {},
-                                             [](const slot& s) { return s.contract.organisation; });
-    if (it == slots_.end() || it->contract.organisation != organisation)
+    refresh(now);
+    write_off(now);
+    slot* owner = find(organisation);
+    if (owner == nullptr || share_at(now) == 0)
         return 0;
-    return it->bucket.tokens() + it->bucket.outstanding();
+    owner->bucket.accrue(now);
+    const auto it = active_.find(organisation);
+    return owner->bucket.tokens() + (it == active_.end() ? 0 : it->second.pool());
 }
 
 limit_holder::slot* limit_holder::find(organisation_id organisation)
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -69,8 +69,8 @@
     /// True once nothing that this holder gave can still be spent.
     bool is_settled(time_point now);
     const limit_holder_counts& counts() const { return counts_; }
-    /// Tokens here and outstanding of one organisation; for metrics and tests.
-    micro_tokens held(organisation_id organisation) const;
+    /// Tokens of one organisation that could be granted at `now`; for metrics and tests.
+    micro_tokens spendable(organisation_id organisation, time_point now);
 
 private:
     struct slot {
--- a/tests/limit_bound_test.cpp
+++ b/tests/limit_bound_test.cpp
@@ -13,12 +13,13 @@
 fleet_shape any_shape()
 {
     fleet_shape shape;
-    shape.domains = *rc::gen::inRange<std::uint32_t>(1, 5);
-    shape.entries = *rc::gen::inRange<std::uint32_t>(1, 4);
-    shape.contract.rate = *rc::gen::inRange<std::uint32_t>(1, 120);
-    shape.contract.burst = *rc::gen::inRange<std::uint32_t>(1, 60);
+    shape.domains = *rc::gen::element(1U, 2U, 3U, 4U);
+    shape.entries = *rc::gen::element(1U, 2U, 4U);
+    shape.contract.rate = *rc::gen::element(2U, 20U, 50U, 200U);
+    shape.contract.burst = *rc::gen::element(3U, 20U, 50U, 150U);
     shape.contract.organisation = id_of<organisation_id>("lids");
-    shape.demand = *rc::gen::element(0.5, 1.0, 3.0, 10.0);
+    shape.demand = *rc::gen::element(1.0, 3.0, 10.0);
+    shape.is_bursting = true;
     shape.length = 12s;
     return shape;
 }
@@ -34,8 +35,9 @@
             .repeated = any_share(0.3),
             .late = any_share(0.2),
             .cut = any_share(0.2),
-            .kill = any_share(2),
+            .kill = any_share(0.8),
             .freeze = any_share(1),
+            .store_cut = any_share(1),
             .store_away = any_share(0.4),
             .answer_lost = any_share(0.3),
             .release = any_share(1),
@@ -103,7 +105,7 @@
     limit_fleet fleet(shape, 1);
     fleet.run();
     EXPECT_LE(fleet.worst_excess(shape.contract, 0s, shape.length), 0);
-    EXPECT_GE(fleet.admitted.size(), 50U * 60 * 9 / 10);
+    EXPECT_GE(fleet.admitted, 50U * 60 * 9 / 10);
 }
 
 // Killed, frozen and cut holders are replaced, and their successors serve again.
--- a/tests/limit_fleet.cpp
+++ b/tests/limit_fleet.cpp
@@ -1,6 +1,7 @@
 #include "limit_fleet.h"
 
 #include <algorithm>
+#include <array>
 
 namespace jasminebank::test {
 
@@ -68,13 +69,13 @@
 {
     while (now_ < shape_.length)
         step();
-    std::ranges::sort(admitted);
 }
 
 void limit_fleet::step()
 {
     now_ += step_length;
     inject_faults();
+    choose_demand();
     while (!soup_.empty() && soup_.begin()->first <= now_) {
         const delivery it = soup_.begin()->second;
         soup_.erase(soup_.begin());
@@ -84,6 +85,42 @@
         if (is_running(nodes_[n]))
             tick_node(n);
     }
+    if (now_ % 20ms == 0ns)
+        probe();
+}
+
+void limit_fleet::admit_one()
+{
+    ++admitted;
+    samples_.push_back({.at = now_, .amount = one_token});
+}
+
+// Asks copies, so that a stopped node stays as it is; it would look at its clock when it wakes.
+void limit_fleet::probe()
+{
+    micro_tokens sum = 0;
+    const organisation_id organisation = shape_.contract.organisation;
+    for (const node& it : nodes_) {
+        if (it.holder)
+            sum += limit_holder(*it.holder).spendable(organisation, clock_of(it));
+        if (it.entry)
+            sum += it.entry->spendable(organisation, clock_of(it)) * one_token;
+    }
+    samples_.push_back({.at = now_, .amount = sum, .is_probe = true});
+}
+
+// A silence fills the buckets, so that the burst after it comes near the bound.
+void limit_fleet::choose_demand()
+{
+    if (!shape_.is_bursting) {
+        phase_demand_ = shape_.demand;
+        return;
+    }
+    if (now_ < phase_end_)
+        return;
+    phase_end_ = now_ + std::chrono::milliseconds(50 + pick(1500));
+    constexpr std::array<double, 4> levels{0, 0, 0.5, 1};
+    phase_demand_ = levels.at(pick(levels.size())) * shape_.demand;
 }
 
 // ---- messages ----
@@ -172,7 +209,7 @@
 // The write takes effect before its answer may be lost.
 void limit_fleet::deliver_to_store(const delivery& it)
 {
-    if (now_ < store_back_)
+    if (now_ < store_back_ || now_ < nodes_[it.to_store_from].store_cut_until)
         return;
     const store_call& call = std::get<store_call>(it.body);
     store_entry& entry = store_[nodes_[it.to_store_from].domain];
@@ -195,13 +232,23 @@
 
 // ---- nodes ----
 
-std::vector<vm_id> limit_fleet::holders_from(std::uint32_t domain, bool with_own) const
+// News of a mandate comes late, and to each node at its own time.
+void limit_fleet::learn_holders(node& it)
+{
+    it.holders.resize(shape_.domains);
+    for (std::uint32_t n = 0; n < shape_.domains; ++n) {
+        if (it.holders[n].value == 0 || chance(0.003))
+            it.holders[n] = store_[n].record.holder.vm;
+    }
+}
+
+std::vector<vm_id> limit_fleet::holders_from(const node& it, bool with_own) const
 {
     std::vector<vm_id> out;
     for (std::uint32_t n = with_own ? 0 : 1; n < shape_.domains; ++n) {
-        const mandate_record& record = store_[(domain + n) % shape_.domains].record;
-        if (record.epoch != 0)
-            out.push_back(record.holder.vm);
+        const vm_id vm = it.holders[(it.domain + n) % shape_.domains];
+        if (vm.value != 0)
+            out.push_back(vm);
     }
     return out;
 }
@@ -210,12 +257,13 @@
 {
     node& it = nodes_[index];
     limit_outbox out;
+    learn_holders(it);
     if (it.mandate) {
         tick_candidate(index, out);
     }
     else {
         limit_outcomes ended;
-        it.entry->set_holders(0, holders_from(it.domain, true));
+        it.entry->set_holders(0, holders_from(it, true));
         it.entry->tick(clock_of(it), out, ended);
         settle(ended);
         offer_demand(index);
@@ -228,7 +276,7 @@
     node& it = nodes_[index];
     const time_point now = clock_of(it);
     mandate_actions actions;
-    if (chance(0.01) && now_ >= store_back_)
+    if (chance(0.01) && now_ >= std::max(store_back_, it.store_cut_until))
         it.mandate->observe(store_[it.domain].record, store_[it.domain].version, now);
     it.mandate->tick(static_cast<std::uint32_t>(index % 2), now, actions);
     for (const mandate_action& action : actions) {
@@ -262,7 +310,7 @@
     }
     if (it.holder) {
         it.holder->set_terms(it.mandate->terms(), now);
-        it.holder->set_lenders(holders_from(it.domain, false));
+        it.holder->set_lenders(holders_from(it, false));
         it.holder->tick(now, out);
     }
 }
@@ -270,7 +318,7 @@
 void limit_fleet::offer_demand(std::size_t index)
 {
     node& it = nodes_[index];
-    const double each = shape_.contract.rate * shape_.demand / (shape_.domains * shape_.entries);
+    const double each = shape_.contract.rate * phase_demand_ / (shape_.domains * shape_.entries);
     std::poisson_distribution<int> arrivals(each *
                                             std::chrono::duration<double>(step_length).count());
     limit_outbox out;
@@ -279,7 +327,7 @@
         const limit_verdict verdict =
             it.entry->admit(shape_.contract.organisation, clock_of(it), out);
         if (std::holds_alternative<limit_admitted>(verdict))
-            admitted.push_back(now_);
+            admit_one();
         else if (std::holds_alternative<limit_refused>(verdict))
             refused += now_ >= count_from ? 1 : 0;
     }
@@ -290,7 +338,7 @@
 {
     for (const limit_outcome& it : ended) {
         if (std::holds_alternative<limit_admitted>(it.verdict))
-            admitted.push_back(now_);
+            admit_one();
         else
             refused += now_ >= count_from ? 1 : 0;
     }
@@ -315,6 +363,8 @@
         store_back_ = now_ + std::chrono::milliseconds(pick(5000));
     if (chance(faults.freeze * step_seconds))
         nodes_[pick(nodes_.size())].frozen_until = now_ + std::chrono::milliseconds(pick(5000));
+    if (chance(faults.store_cut * step_seconds))
+        nodes_[pick(nodes_.size())].store_cut_until = now_ + std::chrono::milliseconds(pick(8000));
     node& victim = nodes_[pick(nodes_.size())];
     if (victim.mandate && chance(faults.release * step_seconds) && is_running(victim))
         victim.mandate->release(clock_of(victim));
@@ -352,19 +402,20 @@
 {
     __extension__ using wide = __int128;
     constexpr std::int64_t second = 1'000'000'000;
+    const wide burst = wide(bound.burst) * one_token * second;
+    wide spent = 0;
     wide lowest = 0;
-    wide worst = -wide(bound.burst) * one_token * second;
+    wide worst = -burst;
     bool is_first = true;
-    wide n = 0;
-    for (duration at : admitted) {
-        if (at < from || at >= to)
+    for (const sample& it : samples_) {
+        if (it.at < from || it.at >= to)
             continue;
-        const wide line = n * one_token * second - wide(bound.rate) * one_token * at.count();
+        const wide line = spent - wide(bound.rate) * one_token * it.at.count();
+        const wide amount = wide(it.amount) * second;
         lowest = is_first ? line : std::min(lowest, line);
         is_first = false;
-        worst = std::max(worst, line - lowest + wide(one_token) * second -
-                                    wide(bound.burst) * one_token * second);
-        ++n;
+        worst = std::max(worst, line - lowest + amount - burst);
+        spent += it.is_probe ? 0 : amount;
     }
     return static_cast<micro_tokens>(worst > 0 ? worst / second + 1 : worst / second);
 }
--- a/tests/limit_fleet.h
+++ b/tests/limit_fleet.h
@@ -19,6 +19,7 @@
     double cut = 0;         ///< share of one-way pairs, redrawn each second
     double kill = 0;        ///< candidates killed a second
     double freeze = 0;      ///< nodes frozen a second, for up to 5 s
+    double store_cut = 0;   ///< nodes a second that lose only the store, for up to 8 s
     double store_away = 0;  ///< share of time, in stretches of up to 5 s
     double answer_lost = 0; ///< share of the store's answers
     double release = 0;     ///< planned stops a second
@@ -32,6 +33,8 @@
     std::uint32_t candidates = 2; ///< of each domain, for the mandate
     rate_contract contract;
     double demand = 1; ///< in rates of the contract
+    bool is_bursting =
+        false; ///< demand changes between none, half of and whole `demand` all the time
     duration length = 20s;
     fleet_faults faults;
 };
@@ -42,13 +45,14 @@
     void run();
 
     /// Largest excess over burst + rate * length of all windows of [from, to), in micro-tokens;
-    /// at most 0 if the bound holds.
+    /// at most 0 if the bound holds. What could be admitted at once at the end of a window counts
+    /// as admitted, so that a token too many shows even if nobody asks for it.
     micro_tokens worst_excess(const rate_contract& bound, duration from, duration to) const;
 
     std::uint64_t asked = 0;
     std::uint64_t refused = 0;
-    duration count_from{};          ///< asked and refused count from here on
-    std::vector<duration> admitted; ///< sorted by time
+    duration count_from{}; ///< asked and refused count from here on
+    std::uint64_t admitted = 0;
     std::vector<std::pair<duration, rate_contract>> changes; ///< when the last holder applied it
     std::uint64_t takeovers = 0;
 
@@ -59,6 +63,8 @@
         duration offset{};
         std::int64_t slow = 0; // parts per million
         duration frozen_until{};
+        duration store_cut_until{};
+        std::vector<vm_id> holders; // as the node believes, by domain
         bool is_dead = false;
         std::optional<limit_entry> entry;
         std::optional<limit_mandate> mandate;
@@ -69,6 +75,13 @@
         rate_contract next_contract;
     };
 
+    // Requests admitted, or, as a probe, what all nodes could admit at once.
+    struct sample {
+        duration at{};
+        micro_tokens amount = 0;
+        bool is_probe = false;
+    };
+
     struct store_answer {
         write_outcome outcome = write_outcome::unknown;
         std::uint64_t version = 0;
@@ -110,23 +123,29 @@
     void deliver_to_node(node& it, const delivery& message, limit_outbox& out);
     void deliver_to_store(const delivery& it);
     void inject_faults();
+    void choose_demand();
     void change_contract();
     void tick_node(std::size_t index);
     void tick_candidate(std::size_t index, limit_outbox& out);
     void offer_demand(std::size_t index);
     void settle(const limit_outcomes& ended);
-    std::vector<vm_id> holders_from(std::uint32_t domain, bool with_own) const;
+    void admit_one();
+    void probe();
+    void learn_holders(node& it);
+    std::vector<vm_id> holders_from(const node& it, bool with_own) const;
     std::size_t index_of(vm_id vm) const { return static_cast<std::size_t>(vm.value - 1); }
 
     fleet_shape shape_;
     std::mt19937_64 random_;
     duration now_{};
     std::vector<node> nodes_;
+    std::vector<sample> samples_; // in order of time
     std::multimap<duration, delivery> soup_;
     std::vector<store_entry> store_; // by domain
     duration store_back_{};
+    double phase_demand_ = 0;
+    duration phase_end_{};
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
-    std::map<std::uint64_t, bool> waiting_;
 };
 
 } // namespace jasminebank::test
--- /dev/null
+++ b/tests/limit_holder_test.cpp
@@ -0,0 +1,100 @@
+#include "limit_entry.h"
+#include "limit_holder.h"
+
+#include <gtest/gtest.h>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr limit_peer entry_peer{.vm = {9}, .run = {1}};
+constexpr vm_id holder_vm{1};
+constexpr organisation_id lids = id_of<organisation_id>("lids");
+constexpr time_point start{1000s};
+
+limit_holder full_holder(time_point until)
+{
+    limit_holder it({.self = holder_vm}, start - 10s);
+    const rate_contract contract{.organisation = lids, .rate = 100, .burst = 100};
+    it.set_contracts({&contract, 1}, start - 10s);
+    it.set_terms({.share = whole_share, .until = until}, start - 10s);
+    return it;
+}
+
+grant ask(limit_holder& it, const grant_request& request, time_point now)
+{
+    limit_outbox out;
+    it.receive(entry_peer, request, now, out);
+    return out.empty() ? grant{} : std::get<grant>(out.front().body);
+}
+
+} // namespace
+
+TEST(limit_holder, grant_ends_before_the_mandate_on_any_clock)
+{
+    limit_holder it = full_holder(start + 200ms);
+    const grant_request request{.number = 1, .organisation = lids, .need = 1, .life = 500ms};
+    const grant given = ask(it, request, start);
+    EXPECT_EQ(given.tokens, 1U);
+    EXPECT_LT(given.life + given.life / 256, 200ms);
+    const grant late = ask(it, {.number = 2, .organisation = lids, .need = 1}, start + 200ms);
+    EXPECT_EQ(late.status, grant_status::not_holder);
+}
+
+TEST(limit_holder, repeated_messages_change_nothing)
+{
+    limit_holder it = full_holder(start + 1h);
+    const grant_request request{.number = 1, .organisation = lids, .need = 10, .life = 500ms};
+    EXPECT_EQ(ask(it, request, start).tokens, 10U);
+    EXPECT_EQ(ask(it, request, start).tokens, 0U);
+    EXPECT_EQ(it.spendable(lids, start), 90 * one_token);
+    it.receive(entry_peer, grant_return{.number = 1, .organisation = lids, .spent = 4}, start);
+    it.receive(entry_peer, grant_return{.number = 1, .organisation = lids, .spent = 4}, start);
+    EXPECT_EQ(it.spendable(lids, start), 96 * one_token);
+}
+
+// The entry's clock may run faster or slower than the holder's by the guard.
+TEST(limit_holder, guard_covers_clock_drift)
+{
+    for (const duration life : {1ms, 60ms, 500ms, 10'000ms}) {
+        EXPECT_GE(guarded(life), life + life / 256);
+        EXPECT_LE(guarded(fitting_life(life)), life);
+    }
+}
+
+// After "none until T" the entry refuses by itself, without messages.
+TEST(limit_entry, refuses_locally_until_the_next_token)
+{
+    limit_entry it({.shards = 1});
+    it.set_holders(0, std::array{holder_vm});
+    limit_outbox out;
+    limit_outcomes ended;
+    EXPECT_TRUE(std::holds_alternative<limit_waiting>(it.admit(lids, start, out)));
+    const auto request = std::get<grant_request>(out.at(0).body);
+    const grant empty{
+        .number = request.number, .status = grant_status::empty, .retry_after = 300ms};
+    it.receive({.vm = holder_vm, .run = {1}}, empty, start + 1ms, out, ended);
+    EXPECT_EQ(std::get<limit_refused>(ended.at(0).verdict).retry_after, 300ms);
+    out.clear();
+    const auto verdict = it.admit(lids, start + 100ms, out);
+    EXPECT_EQ(std::get<limit_refused>(verdict).retry_after, 201ms);
+    EXPECT_TRUE(out.empty());
+}
+
+// A silent holder delays a request by its timeout once; the next domain's holder is asked.
+TEST(limit_entry, asks_the_next_holder_when_one_is_silent)
+{
+    limit_entry it({.shards = 1});
+    it.set_holders(0, std::array{holder_vm, vm_id{2}});
+    limit_outbox out;
+    limit_outcomes ended;
+    it.admit(lids, start, out);
+    it.tick(start + 22ms, out, ended);
+    ASSERT_EQ(out.size(), 2U);
+    EXPECT_EQ(out.at(1).to, vm_id{2});
+    it.admit(lids, start + 30ms, out);
+    EXPECT_EQ(out.back().to, vm_id{2});
+    it.tick(start + 80ms, out, ended);
+    EXPECT_EQ(ended.size(), 2U);
+}
