--- a/tests/limit_fleet.cpp
+++ b/tests/limit_fleet.cpp
@@ -125,7 +125,7 @@
 
 // ---- messages ----
 
-void limit_fleet::post(delivery it)
+void limit_fleet::post(const delivery& it)
 {
     const bool is_store = it.is_to_store || std::holds_alternative<store_answer>(it.body);
     if (!is_store && chance(shape_.faults.lost))
@@ -388,8 +388,8 @@
 void limit_fleet::change_contract()
 {
     rate_contract next = shape_.contract;
-    next.rate = static_cast<std::uint32_t>(1 + pick(2 * shape_.contract.rate));
-    next.burst = static_cast<std::uint32_t>(1 + pick(2 * shape_.contract.burst));
+    next.rate = static_cast<std::uint32_t>(1 + pick(std::uint64_t{2} * shape_.contract.rate));
+    next.burst = static_cast<std::uint32_t>(1 + pick(std::uint64_t{2} * shape_.contract.burst));
     changes.emplace_back(now_, next);
     for (node& it : nodes_) {
         it.next_contract = next;
--- a/tests/limit_fleet.h
+++ b/tests/limit_fleet.h
@@ -117,7 +117,7 @@
     bool is_running(const node& it) const { return !it.is_dead && now_ >= it.frozen_until; }
     node make_candidate(vm_id vm, std::uint32_t domain, std::uint64_t run) const;
     void send(std::size_t from, const limit_outbox& out);
-    void post(delivery it);
+    void post(const delivery& it);
     void step();
     void deliver(const delivery& it);
     void deliver_to_node(node& it, const delivery& message, limit_outbox& out);
