--- /dev/null
+++ b/src/link_session.cpp
@@ -0,0 +1,580 @@
+#include "link_session.h"
+
+#include "log.h"
+#include "session_callbacks.h"
+
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace jasminebank {
+
+/// Output gathered before one send.
+constexpr std::size_t output_chunk_bytes = 256UL * 1024;
+/// Input taken by one receive, and how many of them one turn gives a session.
+constexpr std::size_t input_chunk_bytes = 64UL * 1024;
+constexpr int receives_per_turn = 4;
+/// Window of the whole connection. It is given back at once; the windows of the streams bound what
+/// a link holds, so that one slow reader does not stop the others.
+constexpr std::int32_t connection_window_bytes = 64 * 1024 * 1024;
+/// How long a link that has said all waits for the peer to close.
+constexpr duration linger_time = std::chrono::seconds(1);
+/// The fixed part of an HTTP/2 frame.
+constexpr std::size_t frame_head_bytes = 9;
+/// Control frames a stream can have waiting: its head, an end, windows. More on the whole link
+/// means a peer that asks without reading.
+constexpr std::size_t waiting_frames_per_stream = 4;
+constexpr std::size_t waiting_frames_besides = 1000;
+/// The first stream of a connection; it carries the proof.
+constexpr std::int32_t proof_stream = 1;
+
+link_session::link_session(link_context& context, int fd, link_end end, std::string address,
+                           time_point now)
+    : context_(context), wire_(fd), end_(end), address_(std::move(address)),
+      phase_(end == link_end::connecting ? link_phase::connecting : link_phase::proving),
+      streams_(context, wire_, end == link_end::connecting),
+      handshake_(end, context.options.self, context.options.fleet_key),
+      phase_deadline_(now + context.options.connect_timeout), last_heard_(now), busy_since_(now)
+{
+    ++context_.counters->links;
+    refresh_cut();
+}
+
+link_session::~link_session()
+{
+    assert(!has_streams());
+    nghttp2_session_del(session_);
+    --context_.counters->links;
+}
+
+std::shared_ptr<link_session> link_session::connect(link_context& context, const endpoint& peer,
+                                                    time_point now)
+{
+    const int fd = start_connect(peer);
+    if (fd < 0)
+        return nullptr;
+    ++context.counters->connects;
+    return std::shared_ptr<link_session>(
+        new link_session(context, fd, link_end::connecting, to_string(peer), now));
+}
+
+std::shared_ptr<link_session> link_session::accept(link_context& context, int fd,
+                                                   std::string address, time_point now)
+{
+    ++context.counters->accepts;
+    std::shared_ptr<link_session> it(
+        new link_session(context, fd, link_end::accepting, std::move(address), now));
+    it->start();
+    return it;
+}
+
+// The first window is small so that many streams fit the bound of a link; a stream that is read
+// gets a larger one.
+void link_session::start()
+{
+    const auto* callbacks = session_callbacks::table();
+    const auto* option = session_callbacks::options();
+    if (is_caller())
+        nghttp2_session_client_new2(&session_, callbacks, this, option);
+    else
+        nghttp2_session_server_new2(&session_, callbacks, this, option);
+    streams_.attach(session_, weak_from_this());
+    const link_options& options = context_.options;
+    const auto streams =
+        static_cast<std::uint32_t>(options.max_streams + options.max_control_streams);
+    const auto window = static_cast<std::uint32_t>(options.first_window_bytes);
+    const std::array<nghttp2_settings_entry, 3> settings{
+        {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, streams},
+         {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, window},
+         {NGHTTP2_SETTINGS_ENABLE_PUSH, 0}}};
+    const std::size_t n = is_caller() ? settings.size() : settings.size() - 1;
+    nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(), n);
+    nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, connection_window_bytes);
+}
+
+bool link_session::takes_streams() const
+{
+    return is_caller() && phase_ < link_phase::lingering && !is_leaving_;
+}
+
+bool link_session::is_busy() const
+{
+    return has_streams() || phase_ != link_phase::ready || wire_.waiting_bytes() > 0;
+}
+
+std::uint32_t link_session::wanted_events() const
+{
+    std::uint32_t out = 0;
+    if (phase_ == link_phase::connecting) {
+        if (!is_cut())
+            out |= EPOLLOUT;
+        return out;
+    }
+    if (!cuts_inbound(wire_.cut()))
+        out |= EPOLLIN;
+    if (is_output_blocked_ && !cuts_outbound(wire_.cut()))
+        out |= EPOLLOUT;
+    return out;
+}
+
+void link_session::refresh_cut()
+{
+    wire_.set_cut(cut_of(context_, peer_.vm_name, address_));
+}
+
+void link_session::touch()
+{
+    context_.touched.push_back(shared_from_this());
+}
+
+// ---- input -----------------------------------------------------------------------------------
+
+void link_session::on_events(std::uint32_t events, time_point now)
+{
+    if (phase_ == link_phase::connecting) {
+        on_connected(now);
+        return;
+    }
+    if ((events & EPOLLOUT) != 0)
+        is_output_blocked_ = false;
+    const bool is_readable = (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0;
+    if (is_readable && !cuts_inbound(wire_.cut()))
+        on_readable(now);
+}
+
+void link_session::on_connected(time_point now)
+{
+    if (is_cut())
+        return;
+    if (wire_.connect_error() != 0) {
+        fail("connection refused");
+        return;
+    }
+    phase_ = link_phase::proving;
+    last_heard_ = now;
+    start();
+    start_proof();
+}
+
+void link_session::on_readable(time_point now)
+{
+    static thread_local std::array<std::uint8_t, input_chunk_bytes> buf;
+    for (int n = 0; n < receives_per_turn && phase_ != link_phase::closed; ++n) {
+        std::size_t got = 0;
+        const receive_state state = wire_.receive(buf, got);
+        if (state == receive_state::nothing_yet)
+            return;
+        if (state != receive_state::some) {
+            fail("connection closed by the peer");
+            return;
+        }
+        last_heard_ = now;
+        pinged_at_.reset();
+        if (phase_ != link_phase::lingering)
+            receive(std::span(buf).first(got));
+        if (got < buf.size())
+            return;
+    }
+}
+
+void link_session::receive(std::span<const std::uint8_t> bytes)
+{
+    if (nghttp2_session_mem_recv(session_, bytes.data(), bytes.size()) < 0)
+        fail("malformed bytes");
+    else if (failure_)
+        fail(*failure_);
+}
+
+// ---- the proof -------------------------------------------------------------------------------
+
+void link_session::start_proof()
+{
+    const message_head head = handshake_.introduce();
+    const nghttp2_head fields = request_fields(head, stream_kind::control);
+    const nghttp2_data_provider body = session_callbacks::body();
+    const std::int32_t id = nghttp2_submit_request(session_, nullptr, fields.fields.data(),
+                                                   fields.fields.size(), &body, nullptr);
+    assert(id == proof_stream);
+    static_cast<void>(id);
+}
+
+// The introduction at the accepting end, the answer to it at the connecting end. Under a cut, the
+// accepting end learns only here whom it speaks to.
+void link_session::on_proof_head()
+{
+    if (is_caller()) {
+        const auto proof = handshake_.prove(proof_head_.head);
+        if (!proof) {
+            failure_ = "wrong fleet key";
+            return;
+        }
+        proof_out_ = *proof;
+        nghttp2_session_resume_data(session_, proof_stream);
+        return;
+    }
+    const auto answer = handshake_.answer(proof_head_.head);
+    if (!answer) {
+        failure_ = "malformed introduction";
+        return;
+    }
+    wire_.set_cut(cut_of(context_, handshake_.peer().vm_name, address_));
+    const nghttp2_head fields = answer_fields(*answer);
+    nghttp2_submit_response(session_, proof_stream, fields.fields.data(), fields.fields.size(),
+                            nullptr);
+}
+
+void link_session::on_proof_ended()
+{
+    if (is_caller())
+        return;
+    if (handshake_.accepts(proof_in_))
+        become_ready();
+    else
+        failure_ = "wrong fleet key";
+}
+
+ssize_t link_session::take_proof(std::span<char> buf, std::uint32_t& flags)
+{
+    if (proof_out_.empty())
+        return NGHTTP2_ERR_DEFERRED;
+    const std::size_t n = proof_out_.copy(buf.data(), buf.size());
+    proof_out_.erase(0, n);
+    if (proof_out_.empty())
+        flags |= NGHTTP2_DATA_FLAG_EOF;
+    return static_cast<ssize_t>(n);
+}
+
+void link_session::become_ready()
+{
+    phase_ = link_phase::ready;
+    peer_ = handshake_.peer();
+    refresh_cut();
+    streams_.set_peer(peer_);
+    log_event(event::link_opened, "{} {} run {} at {}", is_caller() ? "to" : "from", peer_.vm_name,
+              peer_.run.value, address_);
+    for (outgoing_stream& it : std::exchange(waiting_, {}))
+        streams_.submit(std::move(it));
+    if (context_.is_draining)
+        announce_drain(false);
+}
+
+// ---- streams ---------------------------------------------------------------------------------
+
+void link_session::open(outgoing_stream it, time_point now)
+{
+    const link_options& options = context_.options;
+    if (!has_streams())
+        busy_since_ = now;
+    if (it.state)
+        it.state->session = weak_from_this();
+    if (phase_ == link_phase::ready)
+        streams_.submit(std::move(it));
+    else if (waiting_.size() < options.max_streams + options.max_control_streams)
+        waiting_.push_back(std::move(it));
+    else
+        give_up(context_, it,
+                {.kind = link_failure::not_sent, .reason = "too much waits for the link"});
+    touch();
+}
+
+void link_session::serve(stream_state& state)
+{
+    if (phase_ == link_phase::ready)
+        streams_.serve(state);
+    else
+        state.take_work();
+    touch();
+}
+
+void link_session::answer_late(std::int32_t stream_id, std::optional<std::string> payload)
+{
+    if (phase_ != link_phase::ready)
+        return;
+    streams_.answer(stream_id, std::move(payload), NGHTTP2_INTERNAL_ERROR);
+    touch();
+}
+
+void link_session::on_stream_begun(const nghttp2_frame& frame)
+{
+    const std::int32_t id = frame.hd.stream_id;
+    const bool is_request =
+        frame.hd.type == NGHTTP2_HEADERS && frame.headers.cat == NGHTTP2_HCAT_REQUEST;
+    if (!is_request || id == proof_stream)
+        return;
+    if (phase_ == link_phase::ready) {
+        if (!has_streams())
+            busy_since_ = last_heard_;
+        streams_.on_begun(id);
+    }
+    else {
+        nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
+    }
+}
+
+int link_session::on_field(const nghttp2_frame& frame, std::string_view name,
+                           std::string_view value)
+{
+    if (frame.hd.type != NGHTTP2_HEADERS)
+        return 0;
+    if (frame.hd.stream_id != proof_stream)
+        return streams_.on_field(frame.hd.stream_id, name, value);
+    const bool is_fine =
+        add_field(proof_head_, name, value) && proof_head_.bytes <= context_.options.max_head_bytes;
+    return is_fine ? 0 : NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+}
+
+void link_session::on_data(std::int32_t stream_id, std::span<const char> bytes)
+{
+    nghttp2_session_consume_connection(session_, bytes.size());
+    if (stream_id != proof_stream)
+        streams_.on_data(stream_id, bytes);
+    else if (proof_in_.size() + bytes.size() <= proof_bytes)
+        proof_in_.append(bytes.data(), bytes.size());
+    else
+        failure_ = "malformed proof";
+}
+
+traffic_counter& link_session::counter_of(std::int32_t stream_id) const
+{
+    const bool is_request = streams_.is_request(stream_id);
+    return is_request ? context_.counters->requests : context_.counters->control;
+}
+
+// The kind of a stream is known after its head, so the frame is counted after that.
+void link_session::on_frame(const nghttp2_frame& frame)
+{
+    const std::int32_t id = frame.hd.stream_id;
+    const bool ends = (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+    const bool is_head = frame.hd.type == NGHTTP2_HEADERS;
+    if (is_head && id == proof_stream)
+        on_proof_head();
+    else if (is_head)
+        streams_.on_head(id, ends);
+    traffic_counter& counter = counter_of(id);
+    ++counter.frames_in;
+    counter.bytes_in += frame.hd.length + frame_head_bytes;
+    if (frame.hd.type == NGHTTP2_GOAWAY)
+        is_leaving_ = true;
+    if (!ends || (!is_head && frame.hd.type != NGHTTP2_DATA))
+        return;
+    if (id == proof_stream)
+        on_proof_ended();
+    else
+        streams_.on_in_ended(id);
+}
+
+// Nothing of the frame is in the output yet, so the output's length is the place of its first byte.
+void link_session::on_frame_begun(const nghttp2_frame& frame)
+{
+    if (frame.hd.type == NGHTTP2_HEADERS)
+        streams_.on_head_begun(frame.hd.stream_id, wire_.queued_total());
+}
+
+void link_session::on_frame_sent(const nghttp2_frame& frame)
+{
+    const std::int32_t id = frame.hd.stream_id;
+    traffic_counter& counter = counter_of(id);
+    ++counter.frames_out;
+    counter.bytes_out += frame.hd.length + frame_head_bytes;
+    const bool can_end = frame.hd.type == NGHTTP2_HEADERS || frame.hd.type == NGHTTP2_DATA;
+    if (!can_end || (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
+        return;
+    if (id == proof_stream)
+        is_proof_sent_ = true;
+    else
+        streams_.on_out_ended(id);
+}
+
+void link_session::on_stream_closed(std::int32_t stream_id, std::uint32_t code)
+{
+    if (stream_id != proof_stream)
+        streams_.on_closed(stream_id, code);
+    else if (code != NGHTTP2_NO_ERROR && phase_ == link_phase::proving && !failure_)
+        failure_ = "the peer ended the proof";
+}
+
+ssize_t link_session::take_output(std::int32_t stream_id, std::span<char> buf, std::uint32_t& flags)
+{
+    if (stream_id == proof_stream)
+        return take_proof(buf, flags);
+    return streams_.take_output(stream_id, buf, flags);
+}
+
+// ---- time ------------------------------------------------------------------------------------
+
+static void expire_waiting(link_context& context, std::vector<outgoing_stream>& waiting,
+                           time_point now)
+{
+    constexpr link_error late{.kind = link_failure::not_sent,
+                              .reason = "deadline passed before the link was ready"};
+    for (outgoing_stream& it : std::exchange(waiting, {})) {
+        if (it.call && now >= it.call->deadline)
+            give_up(context, it, late);
+        else
+            waiting.push_back(std::move(it));
+    }
+}
+
+void link_session::on_tick(time_point now)
+{
+    const bool is_due = now >= phase_deadline_;
+    if (phase_ == link_phase::lingering && is_due)
+        phase_ = link_phase::closed;
+    if (phase_ < link_phase::ready && is_due)
+        fail("timeout before the link was ready");
+    expire_waiting(context_, waiting_, now);
+    if (phase_ != link_phase::ready)
+        return;
+    streams_.expire_calls(now);
+    if (has_streams())
+        check_silence(now);
+    else
+        check_idle(now);
+}
+
+// A silent peer is asked while streams wait; without an answer the link is dead.
+void link_session::check_silence(time_point now)
+{
+    const link_options& options = context_.options;
+    if (!pinged_at_ && now - std::max(last_heard_, busy_since_) >= options.ping_after) {
+        pinged_at_ = now;
+        nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+    }
+    if (!pinged_at_ || now - *pinged_at_ < options.ping_timeout)
+        return;
+    log_event(event::link_dead, "no answer from {} at {}", peer_.vm_name, address_);
+    ++context_.counters->dead_links;
+    fail("no answer from the peer");
+}
+
+// An idle link is closed by the end that opened it; the other end waits twice as long.
+void link_session::check_idle(time_point now)
+{
+    pinged_at_.reset();
+    const duration limit = context_.options.idle_timeout * (is_caller() ? 1 : 2);
+    if (is_leaving_ || now - std::max(last_heard_, busy_since_) < limit)
+        return;
+    is_leaving_ = true;
+    nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
+                          nghttp2_session_get_last_proc_stream_id(session_), NGHTTP2_NO_ERROR,
+                          nullptr, 0);
+}
+
+// ---- output and the end ----------------------------------------------------------------------
+
+// Requests that wait for the link follow this end's proof.
+void link_session::fill_output()
+{
+    while (wire_.waiting_bytes() < output_chunk_bytes) {
+        const std::uint8_t* data = nullptr;
+        const ssize_t n = nghttp2_session_mem_send(session_, &data);
+        if (n < 0) {
+            failure_ = "internal error of the session";
+            return;
+        }
+        if (n > 0)
+            wire_.push({data, static_cast<std::size_t>(n)});
+        else if (is_caller() && is_proof_sent_ && phase_ == link_phase::proving)
+            become_ready();
+        else
+            return;
+    }
+}
+
+void link_session::flush(time_point now)
+{
+    while (phase_ == link_phase::proving || phase_ == link_phase::ready) {
+        fill_output();
+        if (failure_) {
+            fail(*failure_);
+            return;
+        }
+        if (wire_.waiting_bytes() == 0)
+            break;
+        if (!wire_.send()) {
+            fail("connection broken");
+            return;
+        }
+        is_output_blocked_ = wire_.waiting_bytes() > 0;
+        if (is_output_blocked_)
+            break;
+    }
+    end_if_done(now);
+}
+
+void link_session::end_if_done(time_point now)
+{
+    if (phase_ != link_phase::proving && phase_ != link_phase::ready)
+        return;
+    const link_options& options = context_.options;
+    const std::size_t limit =
+        waiting_frames_besides +
+        waiting_frames_per_stream * (options.max_streams + options.max_control_streams);
+    if (nghttp2_session_get_outbound_queue_size(session_) > limit)
+        fail("the peer asks without reading");
+    else if (nghttp2_session_want_read(session_) == 0 &&
+             nghttp2_session_want_write(session_) == 0 && wire_.waiting_bytes() == 0)
+        linger(now);
+}
+
+// The peer must read the last bytes before it sees the end: closing with unread input would reset
+// the connection and destroy them.
+void link_session::linger(time_point now)
+{
+    if (has_streams() || phase_ == link_phase::proving) {
+        fail("ended by the peer");
+        return;
+    }
+    log_event(event::link_closed, "{} at {}: idle or drained", peer_.vm_name, address_);
+    wire_.shut_output();
+    phase_ = link_phase::lingering;
+    phase_deadline_ = now + linger_time;
+}
+
+void link_session::announce_drain(bool is_final)
+{
+    if (is_caller() || phase_ != link_phase::ready)
+        return;
+    if (is_final)
+        nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
+                              nghttp2_session_get_last_proc_stream_id(session_), NGHTTP2_NO_ERROR,
+                              nullptr, 0);
+    else
+        nghttp2_submit_shutdown_notice(session_);
+    touch();
+}
+
+// One line a second at most: strangers must not fill the log.
+static void log_refusal(link_context& context, const std::string& address, std::string_view reason,
+                        time_point now)
+{
+    constexpr duration log_interval = std::chrono::seconds(1);
+    ++context.counters->refused_links;
+    if (now < context.next_refusal_log) {
+        ++context.unlogged_refusals;
+        return;
+    }
+    context.next_refusal_log = now + log_interval;
+    log_event(event::link_refused, "{}: {} ({} more before)", address, reason,
+              std::exchange(context.unlogged_refusals, 0));
+}
+
+void link_session::fail(std::string_view reason)
+{
+    if (phase_ == link_phase::closed)
+        return;
+    const link_phase before = std::exchange(phase_, link_phase::closed);
+    streams_.fail_all(reason);
+    for (outgoing_stream& it : std::exchange(waiting_, {}))
+        give_up(context_, it, {.kind = link_failure::not_sent, .reason = reason});
+    if (before == link_phase::ready)
+        log_event(event::link_closed, "{} at {}: {}", peer_.vm_name, address_, reason);
+    else if (before == link_phase::proving)
+        log_refusal(context_, address_, reason, last_heard_);
+    touch();
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/router.h
@@ -0,0 +1,78 @@
+#pragma once
+
+// Chooses the backend server for a request: among a bounded subset of its service, the node's own
+// failure domain first, the less loaded of two picked at random.
+
+#include "member_directory.h"
+#include "types.h"
+
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace jasminebank {
+
+struct router_options {
+    vm_id self;
+    failure_domain_id domain;
+    std::size_t subset = 24; ///< backend servers of one service that this node uses
+    duration gate_pause = std::chrono::seconds(1); ///< a gate that failed is left alone this long
+};
+
+/// What a request needs.
+struct route_request {
+    service_id service;
+    bool idempotent = false;                    ///< may serve as a trial request
+    std::span<const backend_server_id> tried{}; ///< backend servers that are not to be asked again
+};
+
+/// Where a request goes.
+struct route_choice {
+    backend_server_id server;
+    vm_id gate;
+    incarnation gate_run;
+    endpoint gate_link;
+};
+
+/// One node's view of the backend servers. Not thread-safe.
+class router {
+public:
+    explicit router(router_options options);
+
+    /// Takes over who stands where. Loads of servers that stay are kept.
+    void update(const member_directory& directory);
+    /// A server for `wanted`, or nothing. `random` is any random word.
+    std::optional<route_choice> choose(const route_request& wanted, std::uint64_t random,
+                                       time_point now) const;
+    /// Counts a request sent to a server.
+    void started(backend_server_id server);
+    /// The request ended; `load` is the share of busy slots that the answer told, 0 if it told
+    /// none.
+    void finished(backend_server_id server, double load);
+    /// The link to a gate failed: its servers are left alone for a while.
+    void gate_failed(vm_id gate, time_point now);
+
+private:
+    struct candidate {
+        route_choice choice;
+        failure_domain_id domain;
+        std::uint32_t slots = 1;
+        server_standing standing = server_standing::serving;
+    };
+    struct server_state {
+        std::uint32_t in_flight = 0;
+        double load = 0;
+    };
+
+    double score(const candidate& it) const;
+    bool is_usable(const candidate& it, const route_request& wanted, time_point now) const;
+    void keep_subset(std::vector<candidate>& candidates) const;
+
+    router_options options_;
+    std::unordered_map<service_id, std::vector<candidate>> services_;
+    std::unordered_map<backend_server_id, server_state> servers_;
+    std::unordered_map<vm_id, time_point> paused_gates_;
+};
+
+} // namespace jasminebank
