--- /dev/null
+++ b/src/limit_codec.cpp
@@ -0,0 +1,173 @@
+#include "limit_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <initializer_list>
+#include <limits>
+
+namespace jasminebank {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t max_fields = 10;
+constexpr std::uint64_t max_amount = std::numeric_limits<micro_tokens>::max() / 4;
+constexpr std::uint64_t max_milliseconds = 3'600'000;
+
+std::uint64_t milliseconds_of(duration it)
+{
+    const auto n = std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+    return n < 0 ? 0 : static_cast<std::uint64_t>(n);
+}
+
+// Index of the alternative first, then the fields in the order of the struct.
+json to_json(const grant_request& it)
+{
+    json out = json::array({0, it.number, it.organisation.value, it.need, it.ahead,
+                            milliseconds_of(it.patience), milliseconds_of(it.life)});
+    if (it.settled != 0) {
+        out.push_back(it.settled);
+        out.push_back(it.spent);
+    }
+    return out;
+}
+
+json to_json(const grant& it)
+{
+    json out = json::array(
+        {1, it.number, static_cast<unsigned>(it.status), it.tokens, milliseconds_of(it.life)});
+    if (it.retry_after > duration::zero())
+        out.push_back(milliseconds_of(it.retry_after) + 1);
+    return out;
+}
+
+json to_json(const grant_return& it)
+{
+    return json::array({2, it.number, it.organisation.value, it.spent});
+}
+
+json to_json(const loan_request& it)
+{
+    return json::array({3, it.number, it.organisation.value, it.wanted, milliseconds_of(it.life),
+                        it.urgent ? 1 : 0});
+}
+
+json to_json(const loan& it)
+{
+    return json::array({4, it.number, it.organisation.value, it.amount, it.left,
+                        milliseconds_of(it.life), milliseconds_of(it.retry_after)});
+}
+
+json to_json(const loan_return& it)
+{
+    return json::array({5, it.number, it.organisation.value, it.amount});
+}
+
+// Fields of one message in turn; any that is absent or too large makes the whole bad.
+class field_source {
+public:
+    explicit field_source(const json& in) : in_(in) {}
+
+    std::uint64_t next(std::uint64_t most)
+    {
+        if (at_ >= in_.size() || !in_[at_].is_number_unsigned()) {
+            is_bad_ = true;
+            return 0;
+        }
+        const auto value = in_[at_++].get<std::uint64_t>();
+        is_bad_ = is_bad_ || value > most;
+        return value;
+    }
+    std::uint64_t number() { return next(std::numeric_limits<std::uint64_t>::max()); }
+    std::uint32_t count()
+    {
+        return static_cast<std::uint32_t>(next(std::numeric_limits<std::uint32_t>::max()));
+    }
+    micro_tokens amount() { return static_cast<micro_tokens>(next(max_amount)); }
+    duration time() { return std::chrono::milliseconds(next(max_milliseconds)); }
+    bool has_more() const { return at_ < in_.size(); }
+    bool is_good() const { return !is_bad_ && !has_more(); }
+
+private:
+    const json& in_;
+    std::size_t at_ = 0;
+    bool is_bad_ = false;
+};
+
+// Braced initialisers are evaluated in order, so the fields are read in the order of the struct.
+grant_request read_grant_request(field_source& in)
+{
+    grant_request it{.number = in.number(),
+                     .organisation = {in.number()},
+                     .need = in.count(),
+                     .ahead = in.count(),
+                     .patience = in.time(),
+                     .life = in.time()};
+    if (in.has_more()) {
+        it.settled = in.number();
+        it.spent = in.count();
+    }
+    return it;
+}
+
+grant read_grant(field_source& in)
+{
+    constexpr auto last = static_cast<std::uint64_t>(grant_status::not_holder);
+    grant it{.number = in.number(),
+             .status = static_cast<grant_status>(in.next(last)),
+             .tokens = in.count(),
+             .life = in.time()};
+    if (in.has_more())
+        it.retry_after = in.time();
+    return it;
+}
+
+limit_message read_other(std::uint64_t kind, field_source& in)
+{
+    if (kind == 2)
+        return grant_return{
+            .number = in.number(), .organisation = {in.number()}, .spent = in.count()};
+    if (kind == 3)
+        return loan_request{.number = in.number(),
+                            .organisation = {in.number()},
+                            .wanted = in.amount(),
+                            .life = in.time(),
+                            .urgent = in.next(1) == 1};
+    if (kind == 4)
+        return loan{.number = in.number(),
+                    .organisation = {in.number()},
+                    .amount = in.amount(),
+                    .left = in.amount(),
+                    .life = in.time(),
+                    .retry_after = in.time()};
+    return loan_return{.number = in.number(), .organisation = {in.number()}, .amount = in.amount()};
+}
+
+} // namespace
+
+std::string encode_limit(const limit_message& it)
+{
+    const json out = std::visit([](const auto& message) { return to_json(message); }, it);
+    const std::vector<std::uint8_t> bytes = json::to_msgpack(out);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<limit_message> decode_limit(std::string_view text)
+{
+    const json parsed = json::from_msgpack(text.begin(), text.end(), true, false);
+    if (!parsed.is_array() || parsed.size() > max_fields)
+        return std::nullopt;
+    field_source in(parsed);
+    const std::uint64_t kind = in.next(std::variant_size_v<limit_message> - 1);
+    limit_message it;
+    if (kind == 0)
+        it = read_grant_request(in);
+    else if (kind == 1)
+        it = read_grant(in);
+    else
+        it = read_other(kind, in);
+    return in.is_good() ? std::optional(it) : std::nullopt;
+}
+
+} // namespace jasminebank
--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -379,7 +379,7 @@
 // demand asks about as often as there are tokens.
 duration limit_holder::retry_time(context& at, std::uint32_t need)
 {
-    const double rate = at.owner.contract.rate;
+    const double rate = static_cast<double>(at.owner.contract.rate) / one_token;
     const micro_tokens missing =
         std::max<micro_tokens>(0, one_token - at.owner.bucket.tokens() % one_token);
     const time_point first = at.now + time_for(missing, rate);
--- a/src/rate_contract.h
+++ b/src/rate_contract.h
@@ -16,8 +16,8 @@
 /// Rate and burst of one organisation over all nodes together.
 struct rate_contract {
     organisation_id organisation;
-    std::uint32_t rate = 0;  ///< requests a second
-    std::uint32_t burst = 0; ///< requests at once
+    micro_tokens rate = 0;  ///< micro-tokens a second
+    micro_tokens burst = 0; ///< micro-tokens at once
     bool operator==(const rate_contract&) const = default;
 };
 
@@ -28,6 +28,14 @@
     bool operator==(const rate_part&) const = default;
 };
 
+/// Contract of `rate` requests a second and `burst` requests at once.
+constexpr rate_contract contract_of(organisation_id organisation, double rate, double burst)
+{
+    return {.organisation = organisation,
+            .rate = static_cast<micro_tokens>(rate * one_token),
+            .burst = static_cast<micro_tokens>(burst * one_token)};
+}
+
 /// `index`-th of `count` parts of `whole`; the parts add up to `whole` exactly.
 constexpr micro_tokens split(micro_tokens whole, std::uint32_t index, std::uint32_t count)
 {
@@ -38,8 +46,8 @@
 constexpr rate_part part_of(const rate_contract& contract, std::uint32_t domain,
                             std::uint32_t domains)
 {
-    return {.rate = split(contract.rate * one_token, domain, domains),
-            .burst = split(contract.burst * one_token, domain, domains)};
+    return {.rate = split(contract.rate, domain, domains),
+            .burst = split(contract.burst, domain, domains)};
 }
 
 /// A share is counted in 256ths of a part.
--- a/tests/limit_bound_test.cpp
+++ b/tests/limit_bound_test.cpp
@@ -10,14 +10,16 @@
 
 namespace {
 
+constexpr organisation_id lids = id_of<organisation_id>("lids");
+
 fleet_shape any_shape()
 {
     fleet_shape shape;
     shape.domains = *rc::gen::element(1U, 2U, 3U, 4U);
     shape.entries = *rc::gen::element(1U, 2U, 4U);
-    shape.contract.rate = *rc::gen::element(2U, 20U, 50U, 200U);
-    shape.contract.burst = *rc::gen::element(3U, 20U, 50U, 150U);
-    shape.contract.organisation = id_of<organisation_id>("lids");
+    const double rate = *rc::gen::element(0.7, 2.0, 20.0, 50.0, 200.0);
+    const double burst = *rc::gen::element(1.5, 3.0, 20.0, 50.0, 150.0);
+    shape.contract = contract_of(lids, rate, burst);
     shape.demand = *rc::gen::element(1.0, 3.0, 10.0);
     shape.is_bursting = true;
     shape.length = 12s;
@@ -83,8 +85,7 @@
 {
     for (std::uint32_t rate : {2U, 20U, 200U}) {
         fleet_shape shape;
-        shape.contract = {
-            .organisation = id_of<organisation_id>("lids"), .rate = rate, .burst = 2 * rate + 8};
+        shape.contract = contract_of(lids, rate, 2 * rate + 8);
         shape.demand = 0.7;
         shape.length = 120s;
         limit_fleet fleet(shape, rate);
@@ -99,7 +100,7 @@
 TEST(limit_service, excess_is_cut_to_the_rate)
 {
     fleet_shape shape;
-    shape.contract = {.organisation = id_of<organisation_id>("lids"), .rate = 50, .burst = 50};
+    shape.contract = contract_of(lids, 50, 50);
     shape.demand = 10;
     shape.length = 60s;
     limit_fleet fleet(shape, 1);
@@ -112,7 +113,7 @@
 TEST(limit_service, recovers_from_loss_of_holders)
 {
     fleet_shape shape;
-    shape.contract = {.organisation = id_of<organisation_id>("lids"), .rate = 50, .burst = 50};
+    shape.contract = contract_of(lids, 50, 50);
     shape.demand = 0.5;
     shape.length = 60s;
     shape.faults.kill = 0.2;
--- /dev/null
+++ b/tests/limit_codec_test.cpp
@@ -0,0 +1,44 @@
+#include "limit_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+TEST(limit_codec, every_message_comes_back)
+{
+    const std::vector<limit_message> messages{
+        grant_request{.number = 7, .organisation = {~0ULL}, .need = 2, .ahead = 9, .life = 60ms},
+        grant_request{.number = 8, .organisation = {1}, .need = 1, .settled = 7, .spent = 2},
+        grant{.number = 7, .tokens = 11, .life = 59ms},
+        grant{.number = 7, .status = grant_status::empty, .retry_after = 20ms},
+        grant_return{.number = 7, .organisation = {1}, .spent = 3},
+        loan_request{.number = 1ULL << 40, .organisation = {1}, .wanted = 5, .urgent = true},
+        loan{.number = 1, .organisation = {1}, .amount = 5, .left = 6, .life = 99ms},
+        loan_return{.number = 1, .organisation = {1}, .amount = 5}};
+    for (const limit_message& it : messages) {
+        const std::string text = encode_limit(it);
+        const auto back = decode_limit(text);
+        ASSERT_TRUE(back) << it.index();
+        EXPECT_EQ(back->index(), it.index());
+        if (it.index() != 1) { // retry times of grants are rounded up
+            EXPECT_EQ(encode_limit(*back), text);
+        }
+        EXPECT_FALSE(decode_limit(text + "x"));
+        EXPECT_FALSE(decode_limit(text.substr(0, text.size() - 1)));
+    }
+}
+
+RC_GTEST_PROP(limit_codec, survives_any_bytes, (const std::string& text))
+{
+    decode_limit(text);
+}
+
+TEST(limit_codec, refuses_negative_and_too_large)
+{
+    EXPECT_FALSE(decode_limit("\x94\x05\x01\x01\xff"));     // amount -1
+    EXPECT_FALSE(decode_limit("\x95\x01\x01\x07\x01\x01")); // status 7
+    EXPECT_FALSE(decode_limit("\x94\x05\x01\x01\xcf\xff\xff\xff\xff\xff\xff\xff\xff"));
+    EXPECT_FALSE(decode_limit("\x91\x09"));
+}
--- a/tests/limit_fleet.cpp
+++ b/tests/limit_fleet.cpp
@@ -318,7 +318,8 @@
 void limit_fleet::offer_demand(std::size_t index)
 {
     node& it = nodes_[index];
-    const double each = shape_.contract.rate * phase_demand_ / (shape_.domains * shape_.entries);
+    const double each = static_cast<double>(shape_.contract.rate) / one_token * phase_demand_ /
+                        (shape_.domains * shape_.entries);
     std::poisson_distribution<int> arrivals(each *
                                             std::chrono::duration<double>(step_length).count());
     limit_outbox out;
@@ -388,8 +389,8 @@
 void limit_fleet::change_contract()
 {
     rate_contract next = shape_.contract;
-    next.rate = static_cast<std::uint32_t>(1 + pick(std::uint64_t{2} * shape_.contract.rate));
-    next.burst = static_cast<std::uint32_t>(1 + pick(std::uint64_t{2} * shape_.contract.burst));
+    next.rate = static_cast<micro_tokens>(1 + pick(2 * shape_.contract.rate));
+    next.burst = static_cast<micro_tokens>(1 + pick(2 * shape_.contract.burst));
     changes.emplace_back(now_, next);
     for (node& it : nodes_) {
         it.next_contract = next;
@@ -402,7 +403,7 @@
 {
     __extension__ using wide = __int128;
     constexpr std::int64_t second = 1'000'000'000;
-    const wide burst = wide(bound.burst) * one_token * second;
+    const wide burst = wide(bound.burst) * second;
     wide spent = 0;
     wide lowest = 0;
     wide worst = -burst;
@@ -410,7 +411,7 @@
     for (const sample& it : samples_) {
         if (it.at < from || it.at >= to)
             continue;
-        const wide line = spent - wide(bound.rate) * one_token * it.at.count();
+        const wide line = spent - wide(bound.rate) * it.at.count();
         const wide amount = wide(it.amount) * second;
         lowest = is_first ? line : std::min(lowest, line);
         is_first = false;
--- a/tests/limit_holder_test.cpp
+++ b/tests/limit_holder_test.cpp
@@ -16,7 +16,7 @@
 limit_holder full_holder(time_point until)
 {
     limit_holder it({.self = holder_vm}, start - 10s);
-    const rate_contract contract{.organisation = lids, .rate = 100, .burst = 100};
+    const rate_contract contract = contract_of(lids, 100, 100);
     it.set_contracts({&contract, 1}, start - 10s);
     it.set_terms({.share = whole_share, .until = until}, start - 10s);
     return it;
