--- /dev/null
+++ b/src/bench_limits.cpp
@@ -0,0 +1,607 @@
+#include "bench_limits.h"
+
+#include "limit_codec.h"
+#include "limit_entry.h"
+#include "limit_mandate.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <queue>
+#include <random>
+
+namespace jasminebank {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Who holds the buckets.
+enum class scheme : std::uint8_t { domains, one_holder, static_split };
+
+enum class pattern : std::uint8_t { even, uneven, moving, doubling, holder_lost, store_away };
+
+struct limit_case {
+    std::string name;
+    std::uint32_t domains = 3;
+    std::uint32_t entries = 10; // of each domain
+    // Of the organisations and demand of the whole fleet, this part is simulated: one shard.
+    std::uint32_t shards = 1;
+    std::vector<double> demand{}; // requests a second of each organisation, in daytime
+    std::size_t excessive = 0;  // index of the one that sends ten times its rate
+    bool has_excess = false;
+    double load = 0.7; // demand as a share of the contract
+    duration length = 30s;
+};
+
+// What one organisation asked and got, and what one exact bucket for the fleet would have given.
+struct organisation_state {
+    rate_contract contract;
+    double demand = 0;
+    std::vector<std::uint32_t> callers; // entry of each connection
+    token_bucket exact{{}, {}};
+    std::uint64_t asked = 0;
+    std::uint64_t admitted = 0;
+    std::uint64_t exact_admitted = 0;
+    std::uint64_t wronged = 0; // refused, though the exact bucket admitted
+    // Bound on windows: highest and lowest of admitted - rate * time.
+    double lowest_line = 0;
+    double worst_excess = -1e18;
+    bool is_first = true;
+};
+
+struct node_state {
+    limit_peer peer;
+    std::uint32_t domain = 0;
+    std::optional<limit_entry> entry;
+    std::optional<limit_mandate> mandate;
+    std::optional<limit_holder> holder;
+    std::uint64_t holder_epoch = 0;
+    std::uint64_t version = 0;
+    bool is_dead = false;
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
+struct store_record {
+    std::uint64_t version = 0;
+    mandate_record record;
+};
+
+struct arrival {
+    std::uint32_t organisation = 0;
+};
+
+struct delivery {
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    limit_message body;
+};
+
+struct tick_event {};
+
+struct timed {
+    time_point at;
+    std::uint64_t order = 0;
+    std::variant<arrival, delivery, tick_event> what;
+    bool operator>(const timed& other) const
+    {
+        return at != other.at ? at > other.at : order > other.order;
+    }
+};
+
+struct waiting_request {
+    std::uint32_t organisation = 0;
+    time_point since;
+    bool was_exact = false;
+};
+
+constexpr time_point bench_start{1000s};
+constexpr duration warm_up = 15s;
+constexpr duration tick_length = 2ms;
+constexpr duration hop_in_domain = 250us;
+constexpr duration hop_across = 4500us;
+constexpr duration hot_spell = 5s;      // how long moving demand stays in one domain
+constexpr double hot_share = 0.8;       // of it in that domain
+constexpr std::uint32_t candidates = 2; // of each domain for the mandate
+
+// One simulated fleet under one scheme.
+class limit_world {
+public:
+    limit_world(const limit_case& it, scheme held, pattern demand, std::uint64_t seed);
+    void run(bench_report& report);
+
+private:
+    time_point end() const { return bench_start + warm_up + case_.length; }
+    bool is_counted() const { return now_ >= bench_start + warm_up; }
+    std::uint32_t holder_domains() const { return held_ == scheme::one_holder ? 1 : case_.domains; }
+    void make_nodes();
+    void make_organisations();
+    void schedule(time_point at, std::variant<arrival, delivery, tick_event> what);
+    void schedule_next_arrival(std::uint32_t organisation);
+    std::uint32_t pick_entry(const organisation_state& it);
+    double demand_now(const organisation_state& it) const;
+    void on_arrival(std::uint32_t organisation);
+    void on_delivery(const delivery& it);
+    void on_tick();
+    void tick_candidate(std::uint32_t index);
+    void start_holder(node_state& it);
+    void send(std::uint32_t from, const limit_outbox& out);
+    void finish(std::uint32_t index, const limit_outcomes& ended);
+    void count(std::uint32_t organisation, bool is_admitted, bool was_exact, duration wait);
+    void handle(std::uint32_t index, limit_message& body, limit_peer from, limit_outbox& out);
+    std::vector<vm_id> holders_for(std::uint32_t domain, bool with_own) const;
+    void apply_faults();
+    void publish(bench_report& report);
+    void publish_traffic(bench_report& report, const std::string& prefix);
+
+    limit_case case_;
+    scheme held_;
+    pattern demand_;
+    std::mt19937_64 random_;
+    time_point now_ = bench_start;
+    std::uint64_t order_ = 0;
+    std::priority_queue<timed, std::vector<timed>, std::greater<>> events_;
+    std::vector<node_state> nodes_; // candidates first, then entries
+    std::uint32_t first_entry_ = 0;
+    std::vector<organisation_state> organisations_;
+    std::vector<rate_contract> contracts_;                          // sorted
+    std::map<organisation_id, std::uint32_t> index_of_;             // of organisations
+    std::vector<std::map<std::uint64_t, waiting_request>> waiting_; // by node
+    std::vector<store_record> store_;
+    bool is_store_away_ = false;
+    std::vector<std::vector<token_bucket>> splits_; // static split: by entry and organisation
+    std::vector<duration> waits_;
+    std::uint64_t signature_ = 0;
+};
+
+limit_world::limit_world(const limit_case& it, scheme held, pattern demand, std::uint64_t seed)
+    : case_(it), held_(held), demand_(demand), random_(seed)
+{
+    make_nodes();
+    make_organisations();
+    waiting_.resize(nodes_.size());
+    store_.resize(case_.domains);
+}
+
+void limit_world::make_nodes()
+{
+    first_entry_ = holder_domains() * candidates;
+    const std::uint32_t count = first_entry_ + case_.domains * case_.entries;
+    for (std::uint32_t n = 0; n < count; ++n) {
+        node_state it;
+        it.peer = {.vm = {n + 1}, .run = {1}};
+        if (n < first_entry_) {
+            it.domain = n / candidates;
+            it.mandate.emplace(limit_mandate_options{.self = it.peer}, now_);
+        }
+        else {
+            it.domain = (n - first_entry_) / case_.entries;
+            it.entry.emplace(limit_entry_options{.shards = 1});
+        }
+        nodes_.push_back(std::move(it));
+    }
+}
+
+// Each organisation's callers keep connections to some entries, so demand is sticky.
+void limit_world::make_organisations()
+{
+    const auto entries = static_cast<std::uint32_t>(nodes_.size()) - first_entry_;
+    for (std::size_t n = 0; n < case_.demand.size(); ++n) {
+        organisation_state it;
+        const double rate = std::max(2.0, std::ceil(case_.demand[n] / case_.load));
+        const double burst = std::max(4.0, rate);
+        it.contract = contract_of(id_of<organisation_id>(fmt::format("o{}", n)), rate, burst);
+        it.demand = case_.has_excess && n == case_.excessive ? 10 * rate : case_.demand[n];
+        const auto callers = static_cast<std::uint32_t>(std::clamp(it.demand * 2, 3.0, 500.0));
+        for (std::uint32_t c = 0; c < callers; ++c)
+            it.callers.push_back(first_entry_ + static_cast<std::uint32_t>(random_() % entries));
+        it.exact = token_bucket({.rate = it.contract.rate, .burst = it.contract.burst}, now_);
+        contracts_.push_back(it.contract);
+        organisations_.push_back(std::move(it));
+    }
+    for (std::uint32_t n = 0; n < organisations_.size(); ++n)
+        index_of_.emplace(organisations_[n].contract.organisation, n);
+    std::ranges::sort(contracts_, {}, &rate_contract::organisation);
+    if (held_ != scheme::static_split)
+        return;
+    for (std::uint32_t n = 0; n < entries; ++n) {
+        std::vector<token_bucket> buckets;
+        for (const organisation_state& it : organisations_)
+            buckets.emplace_back(part_of(it.contract, n, entries), now_);
+        splits_.push_back(std::move(buckets));
+    }
+}
+
+void limit_world::schedule(time_point at, std::variant<arrival, delivery, tick_event> what)
+{
+    events_.push({.at = at, .order = order_++, .what = std::move(what)});
+}
+
+// Night-to-day doubling: half the demand in the first third, the whole after it.
+double limit_world::demand_now(const organisation_state& it) const
+{
+    const bool is_night =
+        demand_ == pattern::doubling && now_ < bench_start + warm_up + case_.length / 3;
+    return is_night ? it.demand / 2 : it.demand;
+}
+
+void limit_world::schedule_next_arrival(std::uint32_t organisation)
+{
+    std::exponential_distribution<double> gap(demand_now(organisations_[organisation]));
+    schedule(now_ + duration(static_cast<std::int64_t>(gap(random_) * 1e9)),
+             arrival{.organisation = organisation});
+}
+
+// Uneven demand favours one domain, and moving demand another one after each spell.
+std::uint32_t limit_world::pick_entry(const organisation_state& it)
+{
+    const std::uint32_t any = it.callers[random_() % it.callers.size()];
+    if (demand_ != pattern::uneven && demand_ != pattern::moving)
+        return any;
+    if (std::uniform_real_distribution<>(0, 1)(random_) >= hot_share)
+        return any;
+    const auto spell = demand_ == pattern::moving
+                           ? static_cast<std::uint32_t>((now_ - bench_start) / hot_spell)
+                           : 0U;
+    const std::uint64_t own = it.contract.organisation.value;
+    const auto domain = static_cast<std::uint32_t>((mix(own, 1) + spell) % case_.domains);
+    return first_entry_ + domain * case_.entries + (any - first_entry_) % case_.entries;
+}
+
+void limit_world::on_arrival(std::uint32_t organisation)
+{
+    organisation_state& it = organisations_[organisation];
+    schedule_next_arrival(organisation);
+    const std::uint32_t index = pick_entry(it);
+    it.exact.accrue(now_);
+    const bool was_exact = it.exact.tokens() >= one_token;
+    if (was_exact) {
+        it.exact.take_out(one_token);
+        it.exact.settle(one_token, now_);
+    }
+    if (held_ == scheme::static_split) {
+        token_bucket& split = splits_[index - first_entry_][organisation];
+        split.accrue(now_);
+        const bool is_admitted = split.tokens() >= one_token;
+        if (is_admitted) {
+            split.take_out(one_token);
+            split.settle(one_token, now_);
+        }
+        count(organisation, is_admitted, was_exact, 0ns);
+        return;
+    }
+    limit_outbox out;
+    const limit_verdict verdict = nodes_[index].entry->admit(it.contract.organisation, now_, out);
+    if (const auto* waits = std::get_if<limit_waiting>(&verdict))
+        waiting_[index][waits->ticket] = {organisation, now_, was_exact};
+    else
+        count(organisation, std::holds_alternative<limit_admitted>(verdict), was_exact, 0ns);
+    send(index, out);
+}
+
+void limit_world::count(std::uint32_t organisation, bool is_admitted, bool was_exact, duration wait)
+{
+    organisation_state& it = organisations_[organisation];
+    if (is_admitted) {
+        const double seconds = std::chrono::duration<double>(now_ - bench_start).count();
+        const double line = -static_cast<double>(it.contract.rate) / one_token * seconds;
+        const double spent = static_cast<double>(it.admitted);
+        it.lowest_line = it.is_first ? line : std::min(it.lowest_line, spent + line);
+        it.is_first = false;
+        const double burst = static_cast<double>(it.contract.burst) / one_token;
+        it.worst_excess = std::max(it.worst_excess, spent + 1 + line - it.lowest_line - burst);
+        ++it.admitted;
+    }
+    signature_ = mix(signature_, organisation * 2ULL + (is_admitted ? 1 : 0));
+    if (!is_counted())
+        return;
+    ++it.asked;
+    it.exact_admitted += was_exact ? 1 : 0;
+    it.wronged += was_exact && !is_admitted ? 1 : 0;
+    if (is_admitted)
+        waits_.push_back(wait);
+}
+
+void limit_world::finish(std::uint32_t index, const limit_outcomes& ended)
+{
+    for (const limit_outcome& it : ended) {
+        const auto found = waiting_[index].find(it.ticket);
+        const waiting_request request = found->second;
+        waiting_[index].erase(found);
+        count(request.organisation, std::holds_alternative<limit_admitted>(it.verdict),
+              request.was_exact, now_ - request.since);
+    }
+}
+
+// ---- messages ----
+
+void limit_world::send(std::uint32_t from, const limit_outbox& out)
+{
+    for (const limit_outgoing& it : out) {
+        const auto to = static_cast<std::uint32_t>(it.to.value - 1);
+        const bool is_near = nodes_[from].domain == nodes_[to].domain;
+        const duration hop = is_near ? hop_in_domain : hop_across;
+        const auto jitter =
+            static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(hop.count() / 4));
+        if (is_counted()) {
+            ++nodes_[from].messages;
+            nodes_[from].bytes += encode_limit(it.body).size();
+        }
+        schedule(now_ + hop + duration(jitter), delivery{.from = from, .to = to, .body = it.body});
+    }
+}
+
+void limit_world::on_delivery(const delivery& it)
+{
+    if (nodes_[it.to].is_dead)
+        return;
+    limit_outbox out;
+    limit_message body = it.body;
+    handle(it.to, body, nodes_[it.from].peer, out);
+    send(it.to, out);
+}
+
+void limit_world::handle(std::uint32_t index, limit_message& body, limit_peer from,
+                         limit_outbox& out)
+{
+    node_state& to = nodes_[index];
+    if (const auto* m = std::get_if<grant>(&body)) {
+        limit_outcomes ended;
+        to.entry->receive(from, *m, now_, out, ended);
+        finish(index, ended);
+        return;
+    }
+    if (!to.holder)
+        return;
+    if (const auto* request = std::get_if<grant_request>(&body))
+        to.holder->receive(from, *request, now_, out);
+    if (const auto* returned = std::get_if<grant_return>(&body))
+        to.holder->receive(from, *returned, now_);
+    if (const auto* request = std::get_if<loan_request>(&body))
+        to.holder->receive(from, *request, now_, out);
+    if (const auto* lent = std::get_if<loan>(&body))
+        to.holder->receive(from, *lent, now_, out);
+    if (const auto* returned = std::get_if<loan_return>(&body))
+        to.holder->receive(from, *returned, now_);
+}
+
+// ---- time ----
+
+std::vector<vm_id> limit_world::holders_for(std::uint32_t domain, bool with_own) const
+{
+    std::vector<vm_id> out;
+    const std::uint32_t count = holder_domains();
+    for (std::uint32_t n = 0; n < count; ++n) {
+        const std::uint32_t of = (domain + n) % count;
+        const bool is_wanted = with_own || of != domain % count;
+        if (is_wanted && store_[of].record.epoch != 0)
+            out.push_back(store_[of].record.holder.vm);
+    }
+    return out;
+}
+
+void limit_world::on_tick()
+{
+    schedule(now_ + tick_length, tick_event{});
+    apply_faults();
+    const bool is_news = (now_ - bench_start) % 100ms == 0ns;
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n) {
+        node_state& it = nodes_[n];
+        if (it.is_dead)
+            continue;
+        if (it.mandate) {
+            tick_candidate(n);
+            continue;
+        }
+        if (is_news)
+            it.entry->set_holders(0, holders_for(it.domain, true));
+        if (it.entry->next_deadline() > now_)
+            continue;
+        limit_outbox out;
+        limit_outcomes ended;
+        it.entry->tick(now_, out, ended);
+        finish(n, ended);
+        send(n, out);
+    }
+}
+
+// The store answers at once, or not at all while it is away.
+void limit_world::tick_candidate(std::uint32_t index)
+{
+    node_state& it = nodes_[index];
+    store_record& stored = store_[it.domain];
+    if (!is_store_away_)
+        it.mandate->observe(stored.record, stored.version, now_);
+    mandate_actions actions;
+    it.mandate->tick(index % candidates, now_, actions);
+    for (const mandate_action& action : actions) {
+        const auto* write = std::get_if<mandate_write>(&action);
+        if (write == nullptr || is_store_away_)
+            continue;
+        const bool is_written = write->expected == stored.version;
+        if (is_written)
+            stored = {.version = stored.version + 1, .record = write->record};
+        it.mandate->answered(write->record.renewal,
+                             is_written ? write_outcome::written : write_outcome::conflict,
+                             stored.version, now_);
+    }
+    if (it.mandate->is_holder() && (!it.holder || it.holder_epoch != it.mandate->epoch()))
+        start_holder(it);
+    if (!it.holder)
+        return;
+    it.holder->set_terms(it.mandate->terms(), now_);
+    it.holder->set_lenders(holders_for(it.domain, false));
+    limit_outbox out;
+    it.holder->tick(now_, out);
+    send(index, out);
+}
+
+void limit_world::start_holder(node_state& it)
+{
+    it.holder_epoch = it.mandate->epoch();
+    it.holder.emplace(limit_holder_options{.self = it.peer.vm,
+                                           .domain = it.domain,
+                                           .domains = holder_domains(),
+                                           .epoch = it.holder_epoch},
+                      now_);
+    it.holder->set_contracts(contracts_, now_);
+}
+
+// A lost holder's VM is gone without a word. The store goes away before the count begins, so that
+// all mandates have ended when it does; the hours between are left out, as nothing changes in them.
+void limit_world::apply_faults()
+{
+    const duration since = now_ - bench_start;
+    if (demand_ == pattern::holder_lost && since == warm_up + 2s)
+        nodes_[0].is_dead = true;
+    if (demand_ == pattern::store_away && since == 4s)
+        is_store_away_ = true;
+}
+
+void limit_world::run(bench_report& report)
+{
+    for (std::uint32_t n = 0; n < organisations_.size(); ++n)
+        schedule_next_arrival(n);
+    if (held_ != scheme::static_split)
+        schedule(now_, tick_event{});
+    while (now_ < end()) {
+        const timed it = events_.top();
+        events_.pop();
+        now_ = it.at;
+        if (const auto* arrived = std::get_if<arrival>(&it.what))
+            on_arrival(arrived->organisation);
+        else if (const auto* delivered = std::get_if<delivery>(&it.what))
+            on_delivery(*delivered);
+        else
+            on_tick();
+    }
+    publish(report);
+}
+
+// ---- figures ----
+
+std::string_view name_of(scheme it)
+{
+    constexpr std::array<std::string_view, 3> names{"domains", "one holder", "static split"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+std::string_view name_of(pattern it)
+{
+    constexpr std::array<std::string_view, 6> names{"even",     "uneven",      "moving",
+                                                    "doubling", "holder lost", "store away"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+void limit_world::publish(bench_report& report)
+{
+    const std::string prefix =
+        fmt::format("{}, {}, {}: ", case_.name, name_of(demand_), name_of(held_));
+    std::uint64_t asked = 0;
+    std::uint64_t wronged = 0;
+    double worst = 0;
+    double excess = -1e18;
+    for (std::size_t n = 0; n < organisations_.size(); ++n) {
+        const organisation_state& it = organisations_[n];
+        excess = std::max(excess, it.worst_excess);
+        if (case_.has_excess && n == case_.excessive)
+            continue;
+        asked += it.asked;
+        wronged += it.wronged;
+        if (it.asked >= 30)
+            worst = std::max(worst, 1000.0 * static_cast<double>(it.wronged) /
+                                        static_cast<double>(it.asked));
+    }
+    report.add_decision(signature_);
+    report.add_figure(prefix + "refused within rate",
+                      1000.0 * static_cast<double>(wronged) /
+                          static_cast<double>(std::max<std::uint64_t>(1, asked)),
+                      "/1000");
+    report.add_figure(prefix + "worst organisation", worst, "/1000");
+    report.add_figure(prefix + "excess over the bound", std::max(0.0, excess), "requests");
+    if (held_ != scheme::static_split)
+        publish_traffic(report, prefix);
+}
+
+void limit_world::publish_traffic(bench_report& report, const std::string& prefix)
+{
+    std::ranges::sort(waits_);
+    const auto at = [&](double q) {
+        return waits_.empty() ? 0.0
+                              : std::chrono::duration<double, std::milli>(
+                                    waits_[static_cast<std::size_t>(
+                                        q * static_cast<double>(waits_.size() - 1))])
+                                    .count();
+    };
+    const double seconds = std::chrono::duration<double>(case_.length).count();
+    double entry_bytes = 0;
+    double entry_messages = 0;
+    double holder_bytes = 0;
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n) {
+        const auto bytes = static_cast<double>(nodes_[n].bytes) / seconds;
+        if (n < first_entry_) {
+            holder_bytes = std::max(holder_bytes, bytes);
+            continue;
+        }
+        entry_bytes += bytes * case_.shards;
+        entry_messages += static_cast<double>(nodes_[n].messages) / seconds * case_.shards;
+    }
+    const double entries = case_.domains * case_.entries;
+    report.add_figure(prefix + "added wait p50", at(0.5), "ms");
+    report.add_figure(prefix + "added wait p99", at(0.99), "ms");
+    report.add_figure(prefix + "messages of a node as entry", entry_messages / entries, "/s");
+    report.add_figure(prefix + "bytes of a node as entry", entry_bytes / entries, "B/s");
+    report.add_figure(prefix + "bytes of the busiest holder", holder_bytes, "B/s");
+}
+
+// ---- cases ----
+
+limit_case small_case()
+{
+    return {
+        .name = "small", .domains = 3, .entries = 10, .demand = {150, 80, 40, 15, 6, 3, 1.4, 1.4}};
+}
+
+// One shard of the design size: 490 nodes at 184 requests a second, 45,000 organisations, with
+// demand by rank. One of middle size sends ten times its rate.
+limit_case large_case(std::uint32_t shards)
+{
+    constexpr double fleet_demand = 490 * 184;
+    constexpr std::size_t fleet_organisations = 45'000;
+    limit_case it{.name = fmt::format("large/{}", shards),
+                  .domains = 4,
+                  .entries = 122,
+                  .shards = shards,
+                  .excessive = 30,
+                  .has_excess = true,
+                  .length = 20s};
+    double sum = 0;
+    for (std::size_t n = 0; n < fleet_organisations / shards; ++n) {
+        it.demand.push_back(1.0 / static_cast<double>(n + 2));
+        sum += it.demand.back();
+    }
+    for (double& each : it.demand)
+        each = std::max(0.1, each * fleet_demand / shards / sum);
+    return it;
+}
+
+} // namespace
+
+void bench_limits(std::uint64_t seed, bench_report& report)
+{
+    constexpr std::array patterns{pattern::even,     pattern::uneven,      pattern::moving,
+                                  pattern::doubling, pattern::holder_lost, pattern::store_away};
+    constexpr std::array schemes{scheme::domains, scheme::one_holder, scheme::static_split};
+    for (pattern demand : patterns) {
+        for (scheme held : schemes)
+            limit_world(small_case(), held, demand, seed).run(report);
+    }
+    for (scheme held : schemes)
+        limit_world(large_case(16), held, pattern::moving, seed).run(report);
+    limit_world(large_case(16), scheme::domains, pattern::holder_lost, seed).run(report);
+    limit_world(large_case(64), scheme::domains, pattern::moving, seed).run(report);
+}
+
+} // namespace jasminebank
--- a/src/bench_main.cpp
+++ b/src/bench_main.cpp
@@ -1,6 +1,7 @@
 // bench: drives the decision objects with seeded workloads, without sockets, and prints the
 // measures and a signature of all decisions taken.
 
+#include "bench_limits.h"
 #include "bench_report.h"
 
 #include <fmt/format.h>
@@ -23,7 +24,9 @@
 };
 
 // One row a workload, sorted by name.
-constexpr std::array<workload, 0> workloads{};
+constexpr std::array<workload, 1> workloads{{
+    {"limits", "rate and burst of organisations over the fleet", bench_limits},
+}};
 
 void print_help()
 {
