--- a/src/bench_limits.cpp
+++ b/src/bench_limits.cpp
@@ -424,7 +424,7 @@
         if (is_written)
             stored = {.version = stored.version + 1, .record = write->record};
         it.mandate->answered(write->record.renewal,
-                             is_written ? write_outcome::written : write_outcome::conflict,
+                             is_written ? mandate_outcome::written : mandate_outcome::conflict,
                              stored.version, now_);
     }
     if (it.mandate->is_holder() && (!it.holder || it.holder_epoch != it.mandate->epoch()))
--- a/src/fleet_config.cpp
+++ b/src/fleet_config.cpp
@@ -10,6 +10,7 @@
 namespace jasminebank {
 
 constexpr std::size_t longest_name_bytes = 64;
+constexpr std::string_view fleet_heading = "fleet";
 constexpr double highest_rate = 1e6;  // requests a second
 constexpr double highest_burst = 1e7; // requests
 constexpr std::uint64_t most_floor_slots = 1'000'000;
@@ -51,6 +52,7 @@
     result<fleet_config, ini_error> build()
     {
         collect_templates();
+        read_fleet();
         for_each_section("service", [this](field_reader& in, const std::string& name) {
             add_service(in, name);
         });
@@ -101,11 +103,14 @@
                 const bool is_template = it.kind.ends_with("-template");
                 const std::string kind =
                     is_template ? it.kind.substr(0, it.kind.rfind('-')) : it.kind;
+                if (section.name == fleet_heading)
+                    continue;
                 if (std::find(kinds.begin(), kinds.end(), kind) == kinds.end() ||
                     !is_name(it.name)) {
                     fail(file, section, "this heading",
-                         "[service NAME], [organisation NAME], [route NAME], or the same with "
-                         "-template; a name has letters, digits, '-', '_', '.'");
+                         "[fleet], [service NAME], [organisation NAME], [route NAME], or the last "
+                         "three "
+                         "with -template; a name has letters, digits, '-', '_', '.'");
                 }
                 if (is_template && !templates_.emplace(section.name, &section).second)
                     fail(file, section, "a template given twice", "one of that name");
@@ -113,6 +118,19 @@
         }
     }
 
+    void read_fleet()
+    {
+        for (const ini_file& file : files_) {
+            const ini_section* section = find_section(file, fleet_heading);
+            if (section == nullptr)
+                continue;
+            field_reader in(file, *section);
+            out_.failure_domains = in.list("failure_domains");
+            std::sort(out_.failure_domains.begin(), out_.failure_domains.end());
+            error_ = error_ ? error_ : in.finish();
+        }
+    }
+
     // Puts the fields of the template below those of the section that uses it.
     ini_section with_template(const ini_file& file, const ini_section& section,
                               const std::string& kind)
--- a/src/fleet_config.h
+++ b/src/fleet_config.h
@@ -52,6 +52,8 @@
 /// One whole generation. Vectors are sorted by id, routes by path, keys by digest.
 struct fleet_config {
     std::uint64_t generation = 0;
+    /// Names, sorted; each holds a part of every contract. Empty: all nodes count as one domain.
+    std::vector<std::string> failure_domains;
     std::vector<service_config> services;
     std::vector<route_config> routes;
     std::vector<organisation_config> organisations;
--- a/src/limit_mandate.cpp
+++ b/src/limit_mandate.cpp
@@ -56,14 +56,14 @@
 }
 
 // A late answer to a write that was given up as unknown is ignored: a read tells the same.
-void limit_mandate::answered(std::uint64_t renewal, write_outcome outcome, std::uint64_t version,
+void limit_mandate::answered(std::uint64_t renewal, mandate_outcome outcome, std::uint64_t version,
                              time_point now)
 {
     if (!in_flight_ || in_flight_->renewal != renewal)
         return;
     const sent_write it = *in_flight_;
     in_flight_.reset();
-    if (outcome == write_outcome::written) {
+    if (outcome == mandate_outcome::written) {
         if (version <= version_)
             return;
         known_ = it.record;
@@ -75,7 +75,7 @@
     }
     must_read_ = true;
     next_attempt_ = now + options_.retry_every;
-    if (outcome == write_outcome::unknown) {
+    if (outcome == mandate_outcome::unknown) {
         unknown_.push_back(it);
         if (unknown_.size() > max_unknown_writes)
             unknown_.erase(unknown_.begin());
@@ -214,7 +214,7 @@
 {
     tell_retirement(now, out);
     if (in_flight_ && now >= in_flight_->sent + options_.retry_every)
-        answered(in_flight_->renewal, write_outcome::unknown, 0, now);
+        answered(in_flight_->renewal, mandate_outcome::unknown, 0, now);
     prune(unproven_, now);
     if (in_flight_ || now < next_attempt_)
         return;
--- a/src/limit_mandate.h
+++ b/src/limit_mandate.h
@@ -36,7 +36,7 @@
 };
 
 /// What the store answers to a write. `unknown`: it may have taken effect.
-enum class write_outcome : std::uint8_t { written, conflict, unknown };
+enum class mandate_outcome : std::uint8_t { written, conflict, unknown };
 
 /// Write `record` if the version in the store is `expected`; version 0: no record.
 struct mandate_write {
@@ -71,7 +71,7 @@
     /// The record as read or watched; no record is version 0. Older versions are ignored.
     void observe(const mandate_record& record, std::uint64_t version, time_point now);
     /// Answer to the mandate_write whose record has this renewal. `version` counts only if written.
-    void answered(std::uint64_t renewal, write_outcome outcome, std::uint64_t version,
+    void answered(std::uint64_t renewal, mandate_outcome outcome, std::uint64_t version,
                   time_point now);
     /// A run of a node was heard of: all earlier runs on the same VM are gone.
     void seen(limit_peer member, time_point now);
--- a/tests/fleet_config_test.cpp
+++ b/tests/fleet_config_test.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
-constexpr const char* base = R"([service-template web]
+constexpr const char* base = R"([fleet]
+failure_domains = west, east
+[service-template web]
 timeout = 2s
 [service catalogue]
 template = web
@@ -49,6 +51,7 @@
     ASSERT_NE(honey, nullptr);
     EXPECT_EQ(honey->rate, 7);
     EXPECT_EQ(honey->burst, 10);
+    EXPECT_EQ(value_of(config).failure_domains, (std::vector<std::string>{"east", "west"}));
 }
 
 TEST(fleet_config, longest_path_wins_and_stops_at_a_slash)
--- a/tests/limit_fleet.cpp
+++ b/tests/limit_fleet.cpp
@@ -219,10 +219,10 @@
     if (call.write && call.write->expected == entry.version) {
         takeovers += call.write->record.epoch > entry.record.epoch ? 1 : 0;
         entry = {.version = entry.version + 1, .record = call.write->record};
-        answer.outcome = write_outcome::written;
+        answer.outcome = mandate_outcome::written;
     }
     else if (call.write) {
-        answer.outcome = write_outcome::conflict;
+        answer.outcome = mandate_outcome::conflict;
     }
     answer.version = entry.version;
     answer.record = entry.record;
--- a/tests/limit_fleet.h
+++ b/tests/limit_fleet.h
@@ -83,7 +83,7 @@
     };
 
     struct store_answer {
-        write_outcome outcome = write_outcome::unknown;
+        mandate_outcome outcome = mandate_outcome::unknown;
         std::uint64_t version = 0;
         std::uint64_t renewal = 0;
         bool is_read = false;
--- a/tests/limit_mandate_test.cpp
+++ b/tests/limit_mandate_test.cpp
@@ -32,7 +32,7 @@
 {
     limit_mandate it = idle_candidate(self);
     record = write_of(it, start)->record;
-    it.answered(record.renewal, write_outcome::written, 1, start + 10ms);
+    it.answered(record.renewal, mandate_outcome::written, 1, start + 10ms);
     return it;
 }
 
@@ -55,7 +55,7 @@
     it.observe(record, 1, start + 4s + 2ms);
     const auto next = write_of(it, start + 6s);
     ASSERT_TRUE(renewal && next);
-    it.answered(renewal->record.renewal, write_outcome::written, 2, start + 6s + 1ms);
+    it.answered(renewal->record.renewal, mandate_outcome::written, 2, start + 6s + 1ms);
     EXPECT_EQ(it.terms().until, start + 10s);
 }
 
@@ -64,7 +64,7 @@
     mandate_record record;
     limit_mandate it = holder_of(first, record);
     const auto renewal = write_of(it, start + 3s);
-    it.answered(renewal->record.renewal, write_outcome::unknown, 0, start + 4s);
+    it.answered(renewal->record.renewal, mandate_outcome::unknown, 0, start + 4s);
     EXPECT_EQ(it.terms().until, start + 10s);
     it.observe(renewal->record, 2, start + 5s);
     EXPECT_EQ(it.terms().until, start + 13s);
@@ -81,7 +81,7 @@
     ASSERT_TRUE(write);
     EXPECT_EQ(write->record.epoch, 2U);
     const time_point now = start + 12s;
-    it.answered(write->record.renewal, write_outcome::written, 2, now);
+    it.answered(write->record.renewal, mandate_outcome::written, 2, now);
     EXPECT_EQ(it.terms().share + old.terms().reserve_share, whole_share);
     it.retired({.holder = first, .epoch = 1});
     write_of(it, now);
@@ -112,7 +112,7 @@
     const auto write = write_of(it, start + 1s + token_end);
     ASSERT_TRUE(write);
     EXPECT_TRUE(write->record.is_released);
-    it.answered(write->record.renewal, write_outcome::written, 2, start + 2s);
+    it.answered(write->record.renewal, mandate_outcome::written, 2, start + 2s);
     EXPECT_TRUE(it.is_gone());
     limit_mandate next = idle_candidate(second);
     next.observe(write->record, 2, start + 2s);
@@ -134,6 +134,6 @@
     it.observe(record, 1, start + 3h + 3s);
     const auto renewal = write_of(it, start + 3h + 4s);
     ASSERT_TRUE(renewal);
-    it.answered(renewal->record.renewal, write_outcome::written, 2, start + 3h + 5s);
+    it.answered(renewal->record.renewal, mandate_outcome::written, 2, start + 3h + 5s);
     EXPECT_EQ(it.terms().until, start + 3h + 14s);
 }
