--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,293 @@
+#include "node.h"
+
+#include "log.h"
+#include "system_clock.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace jasminebank {
+
+constexpr duration tick_interval = std::chrono::milliseconds(50);
+constexpr std::size_t control_connections = 128;
+constexpr duration caller_idle_timeout = std::chrono::minutes(1);
+constexpr duration caller_io_timeout = std::chrono::seconds(30);
+constexpr duration closing_grace = std::chrono::seconds(1);
+
+// What a caller over the bound on connections gets, at once.
+static std::string over_bound_answer()
+{
+    return fmt::format("HTTP/1.1 503 Service Unavailable\r\n{}: {}\r\nRetry-After: 1\r\n"
+                       "Connection: close\r\nContent-Length: 0\r\n\r\n",
+                       outcome_header, outcome_text({.reason = refusal::overloaded}));
+}
+
+node::node(node_settings settings, incarnation run) : settings_(std::move(settings)), run_(run) {}
+
+std::unique_ptr<node> node::start(const node_settings& settings, incarnation run)
+{
+    std::unique_ptr<node> out(new node(settings, run));
+    if (!out->open_links() || !out->open_members() || !out->open_doors())
+        return nullptr;
+    out->ticks_ = std::thread([it = out.get()] { it->run_ticks(); });
+    return out;
+}
+
+node::~node()
+{
+    stop();
+}
+
+bool node::open_links()
+{
+    links_ = link_hub::start(
+        {.listen = settings_.links,
+         .self = {.vm_name = settings_.vm_name, .run = run_},
+         .fleet_key = settings_.fleet_key,
+         .on_stream = [this](std::shared_ptr<link_stream> it) { accept(it); },
+         .on_control = [this](const control_request& it) { return answer_control(it); }});
+    if (links_ == nullptr) {
+        log_event(event::settings_rejected, "links: cannot listen on {}",
+                  to_string(settings_.links));
+        return false;
+    }
+    health_ = std::make_unique<health_service>(
+        health_options{.self = id_of<vm_id>(settings_.vm_name),
+                       .run = run_,
+                       .store = settings_.store,
+                       .on_standing =
+                           [this](backend_server_id server, server_standing standing) {
+                               if (gate_->set_standing(server, standing))
+                                   publish_servers();
+                           }},
+        *links_);
+    gate_ = std::make_unique<gate>(gate_options{.run = run_,
+                                                .announcement_ttl = settings_.announcement_ttl,
+                                                .backend_idle = settings_.backend_idle,
+                                                .waiting_requests = settings_.waiting_requests},
+                                   *health_);
+    entry_ = std::make_unique<entry>(
+        entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
+                      .may_serve =
+                          [this] {
+                              return settings_.when_cut_off == cut_off_policy::serve ||
+                                     members_->may_serve();
+                          }},
+        *links_,
+        router_options{.self = id_of<vm_id>(settings_.vm_name),
+                       .domain = id_of<failure_domain_id>(settings_.failure_domain)});
+    follower_ = std::make_unique<config_follower>(
+        config_follower_options{
+            .store = settings_.store,
+            .on_generation =
+                [this](const std::shared_ptr<const config_generation>& it) {
+                    entry_->set_config(it->config);
+                    health_->set_config(it->config);
+                    members_->set_generation(it->head.generation);
+                },
+            .on_store_heard = [this](time_point at) { members_->store_heard(at); }},
+        *links_);
+    return true;
+}
+
+bool node::open_members()
+{
+    const member_record self{.vm = id_of<vm_id>(settings_.vm_name),
+                             .name = settings_.vm_name,
+                             .run = run_,
+                             .version = 1,
+                             .link = links_->local(),
+                             .domain = id_of<failure_domain_id>(settings_.failure_domain),
+                             .servers = {}};
+    members_ = std::make_unique<member_service>(
+        member_service_options{
+            .membership = {.self = self, .seeds = settings_.peers, .random_seed = run_.value},
+            .fleet_key = settings_.fleet_key,
+            .on_directory =
+                [this](const member_directory& it) {
+                    entry_->set_directory(it);
+                    health_->set_directory(it);
+                },
+            .on_newer_config = [this](const endpoint& it) { follower_->fetch_from(it); },
+            .on_watcher = [this](bool watching) { follower_->watch_store(watching); }},
+        *links_);
+    ready_ = true;
+    if (members_->start())
+        return true;
+    log_event(event::settings_rejected, "links: no datagrams on {}", to_string(links_->local()));
+    return false;
+}
+
+bool node::open_doors()
+{
+    callers_ = std::make_unique<socket_server>(
+        socket_server_options{.listen = settings_.callers,
+                              .connections = settings_.connections,
+                              .idle_timeout = caller_idle_timeout,
+                              .io_timeout = caller_io_timeout,
+                              .refusal = over_bound_answer(),
+                              .prepare = [](httplib::Request& req) { req.path.assign(1, '/'); }});
+    control_ = std::make_unique<socket_server>(
+        socket_server_options{.listen = settings_.control, .connections = control_connections});
+    add_caller_routes();
+    add_control_routes();
+    for (socket_server* it : {callers_.get(), control_.get()}) {
+        if (!it->start()) {
+            log_event(event::settings_rejected, "cannot listen on {} or {}",
+                      to_string(settings_.callers), to_string(settings_.control));
+            return false;
+        }
+    }
+    return true;
+}
+
+// Every path is served by the same handler; the library's own routing is not used.
+void node::add_caller_routes()
+{
+    const auto plain = [this](const httplib::Request& req, httplib::Response& res) {
+        entry_->handle(req, res, nullptr);
+    };
+    const auto with_body = [this](const httplib::Request& req, httplib::Response& res,
+                                  const httplib::ContentReader& reader) {
+        entry_->handle(req, res, &reader);
+    };
+    callers_->Get("/", plain);
+    callers_->Options("/", plain);
+    callers_->Post("/", with_body);
+    callers_->Put("/", with_body);
+    callers_->Patch("/", with_body);
+    callers_->Delete("/", with_body);
+}
+
+void node::add_control_routes()
+{
+    control_->set_payload_max_length(64UL * 1024);
+    control_->Get("/status",
+                  [this](const httplib::Request&, httplib::Response& res) { answer_status(res); });
+    control_->Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
+        answer_announcement(req, res);
+    });
+}
+
+void node::answer_status(httplib::Response& res)
+{
+    const auto config = entry_->config();
+    const member_status standing = members_->status();
+    nlohmann::json members = nlohmann::json::array();
+    for (const member_record& it : members_->members()) {
+        members.push_back({{"vm", it.name},
+                           {"run", it.run.value},
+                           {"link", to_string(it.link)},
+                           {"leaving", it.leaving},
+                           {"backend_servers", it.servers.size()}});
+    }
+    nlohmann::json out{{"vm", settings_.vm_name},
+                       {"failure_domain", settings_.failure_domain},
+                       {"generation", config == nullptr ? 0 : config->generation},
+                       {"may_serve", standing.may_serve},
+                       {"hears_majority", standing.hears_majority},
+                       {"members", std::move(members)}};
+    if (standing.store_age) {
+        out["store_age_ms"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(*standing.store_age).count();
+    }
+    res.set_content(out.dump(), "application/json");
+}
+
+void node::answer_announcement(const httplib::Request& req, httplib::Response& res)
+{
+    const auto it = parse_announcement(req.body);
+    if (failed(it)) {
+        res.status = status_of(refusal::bad_request);
+        res.set_content(
+            fmt::format("{}: allowed is {}\n", error_of(it).field, error_of(it).allowed),
+            "text/plain");
+        return;
+    }
+    if (gate_->announce(value_of(it), boot_now()))
+        publish_servers();
+    res.set_content("{}\n", "application/json");
+}
+
+void node::publish_servers()
+{
+    bool leaving = false;
+    {
+        const std::lock_guard lock(mutex_);
+        leaving = stopping_;
+    }
+    members_->announce(gate_->servers(), leaving);
+}
+
+// Streams may come before all parts of the node stand.
+void node::accept(const std::shared_ptr<link_stream>& stream)
+{
+    if (ready_)
+        gate_->accept(stream);
+    else
+        stream->reset(reset_reason::refused);
+}
+
+std::optional<std::string> node::answer_control(const control_request& request)
+{
+    if (!ready_)
+        return std::nullopt;
+    if (request.path == members_path)
+        return members_->answer(request.payload);
+    if (request.path == config_path)
+        return follower_->answer(request.payload);
+    if (request.path == service_path)
+        return health_->answer(request.payload);
+    return std::nullopt;
+}
+
+void node::run_ticks()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        lock.unlock();
+        if (gate_->tick(boot_now()))
+            publish_servers();
+        lock.lock();
+        wake_.wait_for(lock, tick_interval);
+    }
+}
+
+node_ports node::ports() const
+{
+    return {
+        .callers = callers_->address(), .links = links_->local(), .control = control_->address()};
+}
+
+// Peers hear first, so that no new work comes; then callers' connections end, then what other nodes
+// still run here, then the links.
+void node::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (stopping_ || links_ == nullptr)
+            return;
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    if (ticks_.joinable())
+        ticks_.join();
+    if (members_ != nullptr)
+        publish_servers();
+    if (callers_ != nullptr)
+        callers_->stop_gently(closing_grace);
+    links_->drain();
+    links_->wait_idle(boot_now() + settings_.stop_grace);
+    gate_->stop();
+    if (members_ != nullptr)
+        members_->stop();
+    health_->stop();
+    links_->stop();
+    follower_.reset();
+    if (control_ != nullptr)
+        control_->stop_gently();
+}
+
+} // namespace jasminebank
--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <limits>
@@ -20,10 +21,12 @@
 
 constexpr int backlog = 1024;
 constexpr std::size_t read_buffer_bytes = 4096;
+constexpr duration linger_time = std::chrono::milliseconds(500);
 // Threads beyond the bound on connections, which tell the callers over it so.
 constexpr std::size_t refusing_threads = 8;
 
 thread_local socket_t current_socket = INVALID_SOCKET;
+thread_local bool current_ends = false;
 
 int to_milliseconds(duration time)
 {
@@ -41,10 +44,22 @@
 public:
     socket_stream(socket_t sock, duration timeout) : sock_(sock), timeout_(timeout) {}
 
+    /// From here on a slow or endless head fails: it has `time` and `bytes` in all.
+    void begin_head(duration time, std::size_t bytes)
+    {
+        in_head_ = true;
+        head_end_ = boot_now() + time;
+        head_bytes_left_ = bytes;
+    }
+    void end_head() { in_head_ = false; }
+
     bool has_buffered() const { return begin_ < end_; }
     bool is_readable() const override
     {
-        return has_buffered() || wait_for(sock_, POLLIN, timeout_);
+        if (has_buffered())
+            return true;
+        const duration left = in_head_ ? std::min(timeout_, head_end_ - boot_now()) : timeout_;
+        return left > duration::zero() && wait_for(sock_, POLLIN, left);
     }
     bool is_writable() const override { return wait_for(sock_, POLLOUT, timeout_); }
     socket_t socket() const override { return sock_; }
@@ -52,6 +67,8 @@
     // The library asks for single bytes of the header; they come from a buffer.
     ssize_t read(char* ptr, std::size_t size) override
     {
+        if (in_head_ && head_bytes_left_ == 0)
+            return -1;
         if (!has_buffered()) {
             if (!is_readable())
                 return -1;
@@ -64,6 +81,7 @@
         const std::size_t n = std::min(size, end_ - begin_);
         std::memcpy(ptr, buf_.data() + begin_, n);
         begin_ += n;
+        head_bytes_left_ -= std::min(n, head_bytes_left_);
         return static_cast<ssize_t>(n);
     }
 
@@ -108,20 +126,39 @@
     std::array<char, read_buffer_bytes> buf_{};
     std::size_t begin_ = 0;
     std::size_t end_ = 0;
+    bool in_head_ = false;
+    time_point head_end_;
+    std::size_t head_bytes_left_ = 0;
 };
 
-// The library would parse multipart bodies and unpack compressed ones; a stand-in wants the bytes
-// as they were sent, so the headers that cause it are put aside. And it would read a body without a
-// length until the connection ends, where the protocol says that there is none.
+// Closing a socket with unread bytes makes the kernel discard the answer that is still on its way.
+// So the sending side is closed first, and what the peer still sends is read for a moment.
+void finish_answer(socket_t sock)
+{
+    std::array<char, read_buffer_bytes> buf{};
+    const time_point end = boot_now() + linger_time;
+    shutdown(sock, SHUT_WR);
+    while (boot_now() < end && wait_for(sock, POLLIN, end - boot_now())) {
+        if (recv(sock, buf.data(), buf.size(), 0) <= 0)
+            return;
+    }
+}
+
+// The library would parse multipart bodies, pack and unpack compressed ones and cut answers to
+// ranges; bytes pass here as they were sent, so the headers that cause it are put aside. And it
+// would read a body without a length until the connection ends, where there is none.
 void prepare_request(httplib::Request& req)
 {
     if (!req.has_header("Content-Length") && !req.has_header("Transfer-Encoding"))
         req.set_header("Content-Length", "0");
-    for (const char* name : {"Content-Type", "Content-Encoding"}) {
+    for (const char* name : {"Content-Type", "Content-Encoding", "Accept-Encoding", "Range"}) {
+        const std::string raw_name = std::string(raw_prefix) + name;
         const std::string value = req.get_header_value(name);
+        req.headers.erase(raw_name);
         if (req.headers.erase(name) > 0)
-            req.set_header(std::string("X-Raw-") + name, value);
+            req.set_header(raw_name, value);
     }
+    req.ranges.clear();
 }
 
 } // namespace
@@ -169,15 +206,19 @@
         stop();
 }
 
-void socket_server::stop_gently()
+// A caller may send its next request just before it reads "Connection: close"; the grace lets such
+// requests in before idle connections are ended.
+void socket_server::stop_gently(duration grace)
 {
     stopping_ = true;
+    std::this_thread::sleep_for(grace);
     stop_listening();
     {
         const std::lock_guard lock(mutex_);
+        ending_idle_ = true;
         for (const auto& [sock, busy] : connections_) {
             if (!busy)
-                shutdown(sock, SHUT_RDWR);
+                shutdown(sock, SHUT_RD);
         }
     }
     if (thread_.joinable())
@@ -189,6 +230,7 @@
     stopping_ = true;
     stop_listening();
     const std::lock_guard lock(mutex_);
+    ending_idle_ = true;
     for (const auto& [sock, busy] : connections_)
         shutdown(sock, SHUT_RDWR);
 }
@@ -214,6 +256,11 @@
     return wait_for(current_socket, POLLRDHUP, time);
 }
 
+void socket_server::close_after_answer()
+{
+    current_ends = true;
+}
+
 void socket_server::cut_current()
 {
     shutdown(current_socket, SHUT_RDWR);
@@ -222,18 +269,19 @@
 bool socket_server::add_connection(socket_t sock)
 {
     const std::lock_guard lock(mutex_);
-    if (stopping_ || connections_.size() >= options_.connections)
+    if (connections_.size() >= options_.connections)
         return false;
     connections_.emplace(sock, false);
     return true;
 }
 
 // Busy and idle change under the lock that `stop_gently` holds, so it never cuts a request.
-bool socket_server::mark(socket_t sock, bool busy)
+void socket_server::mark(socket_t sock, bool busy)
 {
     const std::lock_guard lock(mutex_);
     connections_[sock] = busy;
-    return !stopping_;
+    if (!busy && ending_idle_)
+        shutdown(sock, SHUT_RD);
 }
 
 void socket_server::remove_connection(socket_t sock)
@@ -256,21 +304,32 @@
     setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
     current_socket = sock;
     serve(sock);
+    finish_answer(sock);
     remove_connection(sock);
     return true;
 }
 
+// One request after the other. A request whose first byte has come is answered, also during a stop.
 void socket_server::serve(socket_t sock)
 {
     socket_stream stream(sock, options_.io_timeout);
+    const auto prepare = [&](httplib::Request& req) {
+        stream.end_head();
+        prepare_request(req);
+        if (options_.prepare)
+            options_.prepare(req);
+    };
     bool closed = false;
     while (!closed) {
         if (!stream.has_buffered() && !wait_for(sock, POLLIN, options_.idle_timeout))
             return;
-        if (!mark(sock, true))
-            return;
-        const bool good = process_request(stream, false, closed, prepare_request);
-        if (!mark(sock, false) || !good)
+        mark(sock, true);
+        stream.begin_head(options_.head_timeout, options_.head_bytes);
+        closed = stopping_;
+        current_ends = false;
+        const bool good = process_request(stream, closed, closed, prepare);
+        mark(sock, false);
+        if (!good || current_ends)
             return;
     }
 }
