--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr duration connect_timeout = std::chrono::milliseconds(500);
-constexpr std::size_t chunk_bytes = 16 * 1024;
+constexpr std::size_t chunk_bytes = 16UL * 1024;
 constexpr int no_content_status = 204;
 constexpr int not_modified_status = 304;
 constexpr int unavailable_status = 503;
--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -175,7 +175,7 @@
             return false;
         }
         const std::lock_guard lock(keeper_mutex_);
-        keeper_.take_document(std::move(value_of(text)));
+        keeper_.take_document(value_of(text));
     }
     finish();
     const std::lock_guard lock(keeper_mutex_);
--- a/src/config_keeper.cpp
+++ b/src/config_keeper.cpp
@@ -89,7 +89,7 @@
     return out;
 }
 
-void config_keeper::take_document(std::string text)
+void config_keeper::take_document(const std::string& text)
 {
     if (!next_)
         return;
--- a/src/config_keeper.h
+++ b/src/config_keeper.h
@@ -51,7 +51,7 @@
     /// Names of documents that the newest head needs and that are not here.
     std::vector<std::string> missing() const;
     /// A document came; ignored if nothing needs it.
-    void take_document(std::string text);
+    void take_document(const std::string& text);
     /// Puts the collected generation into force when nothing is missing. The new generation, or
     /// nothing if documents are missing; an error when it does not parse, and it is given up.
     result<std::shared_ptr<const config_generation>, ini_error> finish();
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t chunk_bytes = 16 * 1024;
+constexpr std::size_t chunk_bytes = 16UL * 1024;
 // How often a thread that waits for an answer looks whether its caller is still there.
 constexpr duration caller_check_interval = std::chrono::milliseconds(100);
 constexpr int no_content_status = 204;
--- a/src/health_service.cpp
+++ b/src/health_service.cpp
@@ -390,6 +390,14 @@
     }
 }
 
+bool health_service::has_trouble(service_id service, const ejector& keeper) const
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+        return it.second.service == service &&
+               keeper.standing_of(it.first) != server_standing::serving;
+    });
+}
+
 // Services with a server that is not in full rotation are watched closely.
 void health_service::run_ticks()
 {
@@ -398,11 +406,7 @@
         const time_point now = boot_now();
         take(detector_.tick(now), now);
         for (auto& [service, state] : services_) {
-            const bool troubled =
-                std::any_of(servers_.begin(), servers_.end(), [&, id = service](const auto& it) {
-                    return it.second.service == id &&
-                           state.floor_keeper.standing_of(it.first) != server_standing::serving;
-                });
+            const bool troubled = has_trouble(service, state.floor_keeper);
             if (troubled && now >= state.next_poll)
                 poll(service, state, poll_interval, now);
             refresh_own(service, state, now);
--- a/src/health_service.h
+++ b/src/health_service.h
@@ -89,6 +89,7 @@
     void take_answer(service_id service, const gate_address& gate, time_point asked,
                      const service_answer& it);
     void refresh_own(service_id service, service_state& state, time_point now);
+    bool has_trouble(service_id service, const ejector& keeper) const;
     void do_read(service_id service);
     void do_write(service_id service, const write_record& write);
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -46,7 +46,7 @@
         {.listen = settings_.links,
          .self = {.vm_name = settings_.vm_name, .run = run_},
          .fleet_key = settings_.fleet_key,
-         .on_stream = [this](std::shared_ptr<link_stream> it) { accept(it); },
+         .on_stream = [this](const std::shared_ptr<link_stream>& it) { accept(it); },
          .on_control = [this](const control_request& it) { return answer_control(it); }});
     if (links_ == nullptr) {
         log_event(event::settings_rejected, "links: cannot listen on {}",
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t shortest_fleet_key_bytes = 16;
 constexpr std::size_t most_connections = 900; // callers' sockets, one thread each
-constexpr std::size_t most_buffered_body_bytes = 1024 * 1024;
+constexpr std::size_t most_buffered_body_bytes = 1024UL * 1024;
 
 static endpoint read_endpoint(field_reader& in, std::string_view name, std::string_view fallback)
 {
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -20,8 +20,8 @@
     explicit small_fleet(std::size_t size, std::uint64_t seed = 1)
     {
         for (std::size_t n = 0; n < size; ++n)
-            nodes_.push_back(start(n, seed + n));
-        alive_.assign(size, true);
+            nodes.push_back(start(n, seed + n));
+        alive.assign(size, true);
     }
 
     membership start(std::size_t n, std::uint64_t seed) const
@@ -45,9 +45,9 @@
     void run(duration time)
     {
         for (const time_point end = now + time; now < end; now += step) {
-            for (std::size_t n = 0; n < nodes_.size(); ++n) {
-                if (alive_[n])
-                    take(n, nodes_[n].tick(now));
+            for (std::size_t n = 0; n < nodes.size(); ++n) {
+                if (alive[n])
+                    take(n, nodes[n].tick(now));
             }
             deliver();
         }
@@ -57,7 +57,7 @@
     {
         for (const membership_action& action : actions) {
             if (const auto* it = std::get_if<send_heartbeat>(&action))
-                queue_.push_back({from, index(it->to), encode_heartbeat(it->body, fleet_key)});
+                queue.push_back({from, index(it->to), encode_heartbeat(it->body, fleet_key)});
             else if (const auto* swap = std::get_if<exchange_members>(&action))
                 exchange(from, index(swap->link));
             else if (const auto* fetch = std::get_if<fetch_config>(&action))
@@ -67,27 +67,27 @@
 
     bool is_cut(std::size_t from, std::size_t to) const
     {
-        return !alive_[from] || !alive_[to] || cuts.contains({from, to});
+        return !alive[from] || !alive[to] || cuts.contains({from, to});
     }
 
     void exchange(std::size_t a, std::size_t b)
     {
         if (is_cut(a, b) || is_cut(b, a))
             return;
-        take(b, nodes_[b].merge(nodes_[a].directory().members(), now));
-        take(a, nodes_[a].merge(nodes_[b].directory().members(), now));
+        take(b, nodes[b].merge(nodes[a].directory().members(), now));
+        take(a, nodes[a].merge(nodes[b].directory().members(), now));
     }
 
     void deliver()
     {
         for (int rounds = 0; rounds < 4; ++rounds) {
-            const auto sent = std::exchange(queue_, {});
+            const auto sent = std::exchange(queue, {});
             for (const datagram& it : sent) {
                 if (is_cut(it.from, it.to))
                     continue;
                 const auto body = decode_heartbeat(it.bytes, fleet_key);
                 RC_ASSERT(body.has_value());
-                take(it.to, nodes_[it.to].receive(link(it.from), *body, now));
+                take(it.to, nodes[it.to].receive(link(it.from), *body, now));
             }
         }
     }
@@ -100,7 +100,7 @@
 
     bool knows(std::size_t a, std::size_t b) const
     {
-        return nodes_[a].directory().find(nodes_[b].self().vm) != nullptr;
+        return nodes[a].directory().find(nodes[b].self().vm) != nullptr;
     }
 
     struct datagram {
@@ -108,9 +108,9 @@
         std::size_t to;
         std::string bytes;
     };
-    std::vector<membership> nodes_;
-    std::vector<bool> alive_;
-    std::deque<datagram> queue_;
+    std::vector<membership> nodes;
+    std::vector<bool> alive;
+    std::deque<datagram> queue;
     std::set<std::pair<std::size_t, std::size_t>> cuts;
     std::set<std::pair<std::size_t, std::uint64_t>> fetches;
     time_point now = time_point(1h);
@@ -122,9 +122,9 @@
 {
     small_fleet fleet(9);
     fleet.run(5s);
-    for (const membership& it : fleet.nodes_)
+    for (const membership& it : fleet.nodes)
         ASSERT_EQ(it.directory().members().size(), 9U);
-    fleet.alive_[4] = false;
+    fleet.alive[4] = false;
     fleet.run(6s);
     for (std::size_t n = 0; n < 9; ++n) {
         if (n != 4) {
@@ -147,7 +147,7 @@
     for (std::size_t n = 0; n < 7; ++n) {
         RC_ASSERT(fleet.knows(n, a));
         RC_ASSERT(fleet.knows(n, b));
-        RC_ASSERT(fleet.nodes_[n].may_serve(fleet.now));
+        RC_ASSERT(fleet.nodes[n].may_serve(fleet.now));
     }
 }
 
@@ -170,15 +170,15 @@
     fleet.run(20s);
     for (std::size_t a = 0; a < 8; ++a) {
         for (std::size_t b = 0; b < 8; ++b) {
-            if (part[a] != part[b] && fleet.nodes_[a].hears_majority(fleet.now))
-                RC_ASSERT(!fleet.nodes_[b].may_serve(fleet.now));
+            if (part[a] != part[b] && fleet.nodes[a].hears_majority(fleet.now))
+                RC_ASSERT(!fleet.nodes[b].may_serve(fleet.now));
         }
     }
     fleet.cuts.clear();
     fleet.run(20s);
     for (std::size_t a = 0; a < 8; ++a) {
-        RC_ASSERT(fleet.nodes_[a].may_serve(fleet.now));
-        RC_ASSERT(fleet.nodes_[a].directory().members().size() == 8U);
+        RC_ASSERT(fleet.nodes[a].may_serve(fleet.now));
+        RC_ASSERT(fleet.nodes[a].directory().members().size() == 8U);
     }
 }
 
@@ -186,13 +186,13 @@
 {
     small_fleet fleet(9);
     for (int n = 0; n < 40; ++n) {
-        fleet.nodes_[3].store_heard(fleet.now);
+        fleet.nodes[3].store_heard(fleet.now);
         fleet.run(250ms);
     }
-    for (const membership& it : fleet.nodes_)
+    for (const membership& it : fleet.nodes)
         EXPECT_LT(*it.store_age(fleet.now), 5s);
     fleet.run(10s);
-    for (const membership& it : fleet.nodes_)
+    for (const membership& it : fleet.nodes)
         EXPECT_GE(*it.store_age(fleet.now), 10s);
 }
 
@@ -200,16 +200,16 @@
 {
     small_fleet fleet(9);
     fleet.run(5s);
-    fleet.take(2, fleet.nodes_[2].set_generation(7, fleet.now));
+    fleet.take(2, fleet.nodes[2].set_generation(7, fleet.now));
     fleet.run(1s);
     for (std::size_t n = 0; n < 9; ++n) {
         if (n != 2) {
             EXPECT_TRUE(fleet.fetches.contains({n, 7})) << n;
         }
     }
-    fleet.nodes_[2].store_heard(fleet.now);
+    fleet.nodes[2].store_heard(fleet.now);
     fleet.run(1s);
-    EXPECT_FALSE(fleet.nodes_[5].store_age(fleet.now).has_value());
+    EXPECT_FALSE(fleet.nodes[5].store_age(fleet.now).has_value());
 }
 
 TEST(heartbeat, refuses_altered_foreign_and_malformed_datagrams)
