Links: heads and body lengths are tested; three seconds to connect

A first packet that is lost is sent again after a second, when the time to connect was already over; it is three seconds now, and deadlines of requests still bound each caller's wait.

New: fields travel unchanged and in order (property), a body that differs from its content-length is an error at both ends.

--- a/src/link_options.h
+++ b/src/link_options.h
@@ -25,7 +25,8 @@
     endpoint listen{.host = "127.0.0.1"}; ///< port 0: any free one
     link_identity self = {};
     std::string fleet_key = {};
-    duration connect_timeout = std::chrono::seconds(1);     ///< TCP connection and proof together
+    /// TCP connection and proof together. A lost first packet is sent again after a second.
+    duration connect_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::minutes(1);        ///< a link without streams is closed
     duration ping_after = std::chrono::seconds(1);          ///< silence while streams wait
     duration ping_timeout = std::chrono::seconds(2);        ///< silence after a ping: link is dead
--- a/src/link_stream.h
+++ b/src/link_stream.h
@@ -57,7 +57,8 @@
     /// True when the peer reset the stream or the link broke before the answer was whole.
     bool is_cancelled() const;
     /// Runs `it` once when that happens, on the hub's thread (or here, if it has happened). It must
-    /// not block. An empty function takes an earlier one back.
+    /// not block, and must own what it touches: it may still run while the handle goes. An empty
+    /// function takes an earlier one back.
     void on_cancel(std::function<void()> it);
 
     /// Who speaks at the other end. The caller's side knows once the link stands.
--- a/tests/link_hub_test.cpp
+++ b/tests/link_hub_test.cpp
@@ -17,6 +17,7 @@
 
 using namespace jasminebank;
 using namespace std::chrono_literals;
+using namespace std::string_literals;
 using namespace std::string_view_literals;
 
 namespace {
@@ -439,6 +440,42 @@
     EXPECT_EQ(it.pool.count(), 0);
 }
 
+// Fields travel unchanged and in order both ways, but for those that speak of one connection.
+RC_GTEST_PROP(link_hub, fields_travel, ())
+{
+    const auto name = rc::gen::nonEmpty(
+        rc::gen::container<std::string>(rc::gen::elementOf("abcdefghijklmnopqrstuvwxyz0123-"s)));
+    const auto value = rc::gen::map(rc::gen::container<std::string>(rc::gen::inRange('!', '~')),
+                                    [](const std::string& it) { return it + "\xc3\xa9"; });
+    std::vector<header_field> fields{{"host", "x"}, {"empty", ""}};
+    for (const std::string& it : *rc::gen::container<std::vector<std::string>>(name))
+        fields.push_back({"x-" + it, *value});
+    std::vector<header_field> sent = fields;
+    sent.push_back({"connection", "close"});
+    sent.push_back({"transfer-encoding", "chunked"});
+    fixture it([](link_stream& stream) {
+        static_cast<void>(stream.respond({.status = 200, .fields = stream.head().fields}, true));
+    });
+    const auto stream =
+        it.a->open(it.b->local(), {.method = "GET", .path = "/x", .fields = sent}, true);
+    const auto head = stream->read_head(in(long_time));
+    RC_ASSERT(!failed(head));
+    RC_ASSERT(value_of(head).fields == fields);
+}
+
+TEST(link_hub, body_that_differs_from_its_length_is_not_whole)
+{
+    std::promise<bool> is_error;
+    fixture it([&](link_stream& stream) { is_error.set_value(failed(read_all(stream))); });
+    const auto stream =
+        it.a->open(it.b->local(),
+                   {.method = "POST", .path = "/x", .fields = {{"content-length", "10"}}}, false);
+    ASSERT_FALSE(failed(stream->write("short"sv, in(long_time))));
+    stream->finish();
+    EXPECT_TRUE(is_error.get_future().get());
+    EXPECT_TRUE(failed(stream->read_head(in(long_time))));
+}
+
 TEST(link_hub, refusal_is_not_sent_and_a_failure_may_have_run)
 {
     for (const reset_reason reason : {reset_reason::refused, reset_reason::internal_error}) {
