--- a/src/bench_limits.cpp
+++ b/src/bench_limits.cpp
@@ -29,7 +29,7 @@
     // Of the organisations and demand of the whole fleet, this part is simulated: one shard.
     std::uint32_t shards = 1;
     std::vector<double> demand{}; // requests a second of each organisation, in daytime
-    std::size_t excessive = 0;  // index of the one that sends ten times its rate
+    std::size_t excessive = 0;    // index of the one that sends ten times its rate
     bool has_excess = false;
     double load = 0.7; // demand as a share of the contract
     duration length = 30s;
--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -14,8 +14,10 @@
 constexpr duration lender_silence = 200ms;      // a lender that did not answer is left alone
 constexpr duration least_loan_remainder = 40ms; // borrowed tokens with less life aren't granted
 constexpr duration sweep_interval = 1s;
-constexpr double ahead_seconds = 0.2; // demand that a holder keeps tokens ready for
-constexpr double least_demand = 0.05; // requests a second; below it an organisation is idle
+constexpr double ahead_seconds = 0.2;      // demand that a holder keeps tokens ready for
+constexpr double least_ahead_demand = 1.0; // requests a second; below it nothing is borrowed ahead
+constexpr std::uint32_t max_failures = 8;  // doublings of a lender's rest
+constexpr double least_demand = 0.05;      // requests a second; below it an organisation is idle
 
 micro_tokens demand_tokens(double per_second)
 {
@@ -47,11 +49,11 @@
     return sum;
 }
 
-micro_tokens limit_holder::active::expected() const
+micro_tokens limit_holder::active::expected(bool urgent) const
 {
     micro_tokens sum = 0;
     for (const borrowing& it : asked)
-        sum += it.wanted;
+        sum += it.urgent == urgent ? it.wanted : 0;
     return sum;
 }
 
@@ -415,11 +417,11 @@
 // the hops across domains must not add up. What comes too much goes back.
 void limit_holder::borrow_for_waiting(context& at)
 {
-    const micro_tokens have = at.owner.bucket.tokens() + at.state.pool() + at.state.expected();
+    const micro_tokens have = at.owner.bucket.tokens() + at.state.pool() + at.state.expected(true);
     const micro_tokens missing = at.state.needed() - have;
     if (missing <= 0)
         return;
-    const auto is_ready = [&](const lender_view& it) { return it.ask_again_at <= at.now; };
+    const auto is_ready = [&](const lender_view& it) { return it.urgent_again_at <= at.now; };
     const auto rich = std::ranges::find_if(at.state.lenders, [&](const lender_view& it) {
         return is_ready(it) && it.left >= missing;
     });
@@ -433,18 +435,21 @@
     }
 }
 
-// Keeps tokens ready for the demand of the near future, as far as the own cap has room.
+// Keeps tokens ready for the demand of the near future, as far as the own cap has room. Small
+// demand is not worth it: most of its requests find a token here, the others wait for a loan.
 void limit_holder::borrow_ahead(context& at)
 {
-    token_bucket& bucket = at.owner.bucket;
-    const micro_tokens target = demand_tokens(at.state.demand.per_second(at.now));
-    const micro_tokens have = bucket.tokens() + at.state.expected();
-    if (have >= target / 2 || !at.state.asked.empty())
+    const double demand = at.state.demand.per_second(at.now);
+    if (demand < least_ahead_demand || !at.state.asked.empty())
+        return;
+    const token_bucket& bucket = at.owner.bucket;
+    const micro_tokens target = demand_tokens(demand);
+    if (bucket.tokens() >= target / 2)
         return;
-    const micro_tokens wanted = std::min(target - have, bucket.room());
+    const micro_tokens wanted = std::min(target - bucket.tokens(), bucket.room());
     lender_view* best = nullptr;
     for (lender_view& it : at.state.lenders) {
-        const bool is_ready = it.ask_again_at <= at.now;
+        const bool is_ready = it.ahead_again_at <= at.now;
         if (is_ready &&
             (best == nullptr || it.left < 0 || (best->left >= 0 && it.left > best->left)))
             best = &it;
@@ -455,12 +460,17 @@
 
 void limit_holder::ask(context& at, lender_view& lender, micro_tokens wanted, bool urgent)
 {
-    const auto is_asked = [&](const borrowing& it) { return it.lender == lender.vm; };
+    const auto is_asked = [&](const borrowing& it) {
+        return it.lender == lender.vm && it.urgent == urgent;
+    };
     if (std::ranges::any_of(at.state.asked, is_asked))
         return;
     const std::uint64_t number = next_loan_++;
-    at.state.asked.push_back(
-        {.number = number, .lender = lender.vm, .wanted = wanted, .sent = at.now});
+    at.state.asked.push_back({.number = number,
+                              .lender = lender.vm,
+                              .wanted = wanted,
+                              .urgent = urgent,
+                              .sent = at.now});
     at.out.push_back({lender.vm, loan_request{.number = number,
                                               .organisation = at.owner.contract.organisation,
                                               .wanted = wanted,
@@ -485,13 +495,7 @@
         return;
     const borrowing request = *asked;
     state.asked.erase(asked);
-    for (lender_view& it : state.lenders) {
-        if (it.vm != from.vm)
-            continue;
-        it.left = message.left;
-        if (message.amount < request.wanted)
-            it.ask_again_at = now + std::clamp(message.retry_after, shortest_retry, longest_retry);
-    }
+    judge_lender(state, request, message, now);
     const time_point until = request.sent + std::min(message.life, options_.loan_life);
     const micro_tokens amount = std::min(message.amount, request.wanted);
     owner->bucket.accrue(now);
@@ -502,6 +506,26 @@
     finish(at);
 }
 
+// A lender that can't meet an urgent request is left alone for longer each time, so that an excess
+// of demand soon stops asking; what it keeps for its own demand counts only for loans ahead.
+void limit_holder::judge_lender(active& it, const borrowing& request, const loan& answer,
+                                time_point now)
+{
+    const auto lender = std::ranges::find(it.lenders, request.lender, &lender_view::vm);
+    if (lender == it.lenders.end())
+        return;
+    lender->left = answer.left;
+    const bool is_met = answer.amount >= request.wanted;
+    if (!is_met)
+        lender->ahead_again_at =
+            now + std::clamp<duration>(answer.retry_after, shortest_retry, longest_retry);
+    if (!request.urgent)
+        return;
+    lender->failures = is_met ? 0 : std::min(lender->failures + 1, max_failures);
+    if (!is_met)
+        lender->urgent_again_at = now + shortest_retry * (1U << lender->failures);
+}
+
 // Borrowed tokens that fit under the own cap become own ones without expiry (the lender counts them
 // as outstanding until the loan's end, which only delays it). Those left serve who waits.
 void limit_holder::take_in(context& at)
@@ -534,7 +558,7 @@
             return false;
         for (lender_view& it : at.state.lenders) {
             if (it.vm == request.lender)
-                it.ask_again_at = at.now + lender_silence;
+                it.urgent_again_at = it.ahead_again_at = at.now + lender_silence;
         }
         return true;
     });
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -110,6 +110,7 @@
         std::uint64_t number = 0;
         vm_id lender;
         micro_tokens wanted = 0;
+        bool urgent = false;
         time_point sent;
     };
 
@@ -122,8 +123,10 @@
 
     struct lender_view {
         vm_id vm;
-        time_point ask_again_at{};
-        micro_tokens left = -1; // unknown
+        time_point urgent_again_at{}; // while callers wait
+        time_point ahead_again_at{};
+        std::uint32_t failures = 0; // urgent ones in a row
+        micro_tokens left = -1;     // unknown
     };
 
     // What is kept for an organisation only while it has demand.
@@ -136,7 +139,7 @@
         time_point promised_until{};
 
         micro_tokens pool() const;
-        micro_tokens expected() const;
+        micro_tokens expected(bool urgent) const;
         micro_tokens needed() const;
         bool is_busy() const { return !waiting.empty() || !asked.empty() || !borrowed.empty(); }
     };
@@ -173,6 +176,8 @@
     void borrow_ahead(context& at);
     void ask(context& at, lender_view& lender, micro_tokens wanted, bool urgent);
     void forget_unanswered(context& at);
+    static void judge_lender(active& it, const borrowing& request, const loan& answer,
+                             time_point now);
     void take_in(context& at);
     void return_unused(context& at);
     micro_tokens lendable(const slot& owner, bool urgent, time_point now) const;
