Limits: one lender at a time while there is time for two rounds

Asking all lenders at once cost three loans a request at design size, of which two came back. The lender that may have most by now is asked first.

--- a/src/limit_entry.h
+++ b/src/limit_entry.h
@@ -42,10 +42,10 @@
     std::size_t max_active = 4096;     ///< organisations with demand here
     std::size_t max_waiting = 1024;    ///< requests that wait, of all organisations
     std::size_t max_waiting_each = 64; ///< of one organisation
-    duration max_wait = std::chrono::milliseconds(45);
-    duration patience = std::chrono::milliseconds(18); ///< how long a holder may look for tokens
-    duration answer_timeout = std::chrono::milliseconds(22);
-    duration at_once_life = std::chrono::milliseconds(60); ///< of tokens for waiting callers only
+    duration max_wait = std::chrono::milliseconds(60);
+    duration patience = std::chrono::milliseconds(30); ///< how long a holder may look for tokens
+    duration answer_timeout = std::chrono::milliseconds(34);
+    duration at_once_life = std::chrono::milliseconds(75); ///< of tokens for waiting callers only
     duration ahead_life = max_token_life;                  ///< of tokens asked ahead
     duration ahead_span = std::chrono::milliseconds(250);  ///< demand that is asked ahead
     duration refill_span = std::chrono::milliseconds(30);  ///< demand left when more is asked for
--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -17,7 +17,8 @@
 constexpr double ahead_seconds = 0.2;      // demand that a holder keeps tokens ready for
 constexpr double least_ahead_demand = 1.0; // requests a second; below it nothing is borrowed ahead
 constexpr std::uint32_t max_failures = 8;  // doublings of a lender's rest
-constexpr double least_demand = 0.05;      // requests a second; below it an organisation is idle
+constexpr duration loan_round_trip = 12ms; // between domains
+constexpr double least_demand = 0.0001;    // requests a second; below it nothing is kept
 
 micro_tokens demand_tokens(double per_second)
 {
@@ -413,25 +414,49 @@
 
 // ---- loans, as borrower ----
 
-// Asks the lender that is known to have enough, or else all that may be asked: the caller waits, so
-// the hops across domains must not add up. What comes too much goes back.
+// What a lender may have by now: its part is about as large as the own one.
+micro_tokens limit_holder::estimate(const context& at, const lender_view& lender)
+{
+    const rate_part& part = at.owner.bucket.part();
+    const double seconds = std::chrono::duration<double>(at.now - lender.left_at).count();
+    const double gain =
+        std::min(static_cast<double>(part.burst), static_cast<double>(part.rate) * seconds);
+    return std::min(part.burst, lender.left + static_cast<micro_tokens>(gain));
+}
+
+// The one that may have most, of those that may be asked and are not asked yet.
+limit_holder::lender_view* limit_holder::best_lender(const context& at, bool urgent)
+{
+    lender_view* best = nullptr;
+    for (lender_view& it : at.state.lenders) {
+        const auto is_asked = [&](const borrowing& asked) {
+            return asked.lender == it.vm && asked.urgent == urgent;
+        };
+        if ((urgent ? it.urgent_again_at : it.ahead_again_at) > at.now ||
+            std::ranges::any_of(at.state.asked, is_asked))
+            continue;
+        if (best == nullptr || estimate(at, it) > estimate(at, *best))
+            best = &it;
+    }
+    return best;
+}
+
+// While the first caller has time for two rounds, one lender is asked; then all that are left at
+// once, as hops across domains must not add up. What comes too much goes back.
 void limit_holder::borrow_for_waiting(context& at)
 {
-    const micro_tokens have = at.owner.bucket.tokens() + at.state.pool() + at.state.expected(true);
-    const micro_tokens missing = at.state.needed() - have;
+    const micro_tokens here = at.owner.bucket.tokens() + at.state.pool();
+    micro_tokens missing = at.state.needed() - here - at.state.expected(true);
     if (missing <= 0)
         return;
-    const auto is_ready = [&](const lender_view& it) { return it.urgent_again_at <= at.now; };
-    const auto rich = std::ranges::find_if(at.state.lenders, [&](const lender_view& it) {
-        return is_ready(it) && it.left >= missing;
-    });
-    if (rich != at.state.lenders.end()) {
-        ask(at, *rich, missing, true);
-        return;
-    }
-    for (lender_view& it : at.state.lenders) {
-        if (is_ready(it))
-            ask(at, it, missing, true);
+    const bool has_time = at.state.waiting.front().until - at.now >= 2 * loan_round_trip;
+    while (lender_view* lender = best_lender(at, true)) {
+        const micro_tokens hoped = estimate(at, *lender);
+        ask(at, *lender, missing, true);
+        if (has_time && hoped >= missing)
+            return;
+        if (has_time)
+            missing -= hoped;
     }
 }
 
@@ -447,24 +472,13 @@
     if (bucket.tokens() >= target / 2)
         return;
     const micro_tokens wanted = std::min(target - bucket.tokens(), bucket.room());
-    lender_view* best = nullptr;
-    for (lender_view& it : at.state.lenders) {
-        const bool is_ready = it.ahead_again_at <= at.now;
-        if (is_ready &&
-            (best == nullptr || it.left < 0 || (best->left >= 0 && it.left > best->left)))
-            best = &it;
-    }
+    lender_view* best = best_lender(at, false);
     if (best != nullptr && wanted > 0)
         ask(at, *best, wanted, false);
 }
 
 void limit_holder::ask(context& at, lender_view& lender, micro_tokens wanted, bool urgent)
 {
-    const auto is_asked = [&](const borrowing& it) {
-        return it.lender == lender.vm && it.urgent == urgent;
-    };
-    if (std::ranges::any_of(at.state.asked, is_asked))
-        return;
     const std::uint64_t number = next_loan_++;
     at.state.asked.push_back({.number = number,
                               .lender = lender.vm,
@@ -515,6 +529,7 @@
     if (lender == it.lenders.end())
         return;
     lender->left = answer.left;
+    lender->left_at = now;
     const bool is_met = answer.amount >= request.wanted;
     if (!is_met)
         lender->ahead_again_at =
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -126,7 +126,8 @@
         time_point urgent_again_at{}; // while callers wait
         time_point ahead_again_at{};
         std::uint32_t failures = 0; // urgent ones in a row
-        micro_tokens left = -1;     // unknown
+        micro_tokens left = 0;      // at `left_at`; before any answer the long past fills it up
+        time_point left_at{};
     };
 
     // What is kept for an organisation only while it has demand.
@@ -174,6 +175,8 @@
 
     void borrow_for_waiting(context& at);
     void borrow_ahead(context& at);
+    static micro_tokens estimate(const context& at, const lender_view& lender);
+    static lender_view* best_lender(const context& at, bool urgent);
     void ask(context& at, lender_view& lender, micro_tokens wanted, bool urgent);
     void forget_unanswered(context& at);
     static void judge_lender(active& it, const borrowing& request, const loan& answer,
