--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -20,11 +20,11 @@
 constexpr duration loan_round_trip = 12ms; // between domains
 constexpr double least_demand = 0.0001;    // requests a second; below it nothing is kept
 
+// Demand of the near future, and up to one request more.
 micro_tokens demand_tokens(double per_second)
 {
-    if (per_second < least_demand)
-        return 0;
-    return static_cast<micro_tokens>(per_second * ahead_seconds * one_token) + one_token;
+    const double tokens = per_second * ahead_seconds + std::min(per_second, 1.0);
+    return static_cast<micro_tokens>(tokens * one_token);
 }
 
 duration time_for(micro_tokens amount, double tokens_per_second)
@@ -473,7 +473,7 @@
         return;
     const micro_tokens wanted = std::min(target - bucket.tokens(), bucket.room());
     lender_view* best = best_lender(at, false);
-    if (best != nullptr && wanted > 0)
+    if (best != nullptr && wanted > 0 && estimate(at, *best) >= std::max(wanted, one_token) / 2)
         ask(at, *best, wanted, false);
 }
 
