--- a/src/limit_codec.cpp
+++ b/src/limit_codec.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t max_fields = 10;
 constexpr std::uint64_t max_amount = std::numeric_limits<micro_tokens>::max() / 4;
+constexpr micro_tokens left_unit = one_token / 16; // what is left is only a hint
 constexpr std::uint64_t max_milliseconds = 3'600'000;
 
 std::uint64_t milliseconds_of(duration it)
@@ -55,8 +56,11 @@
 
 json to_json(const loan& it)
 {
-    return json::array({4, it.number, it.organisation.value, it.amount, it.left,
-                        milliseconds_of(it.life), milliseconds_of(it.retry_after)});
+    json out = json::array({4, it.number, it.organisation.value, it.amount, it.left / left_unit,
+                            milliseconds_of(it.life)});
+    if (it.retry_after > duration::zero())
+        out.push_back(milliseconds_of(it.retry_after) + 1);
+    return out;
 }
 
 json to_json(const loan_return& it)
@@ -134,13 +138,16 @@
                             .wanted = in.amount(),
                             .life = in.time(),
                             .urgent = in.next(1) == 1};
-    if (kind == 4)
-        return loan{.number = in.number(),
-                    .organisation = {in.number()},
-                    .amount = in.amount(),
-                    .left = in.amount(),
-                    .life = in.time(),
-                    .retry_after = in.time()};
+    if (kind == 4) {
+        loan it{.number = in.number(),
+                .organisation = {in.number()},
+                .amount = in.amount(),
+                .left = static_cast<micro_tokens>(in.next(max_amount / left_unit)) * left_unit,
+                .life = in.time()};
+        if (in.has_more())
+            it.retry_after = in.time();
+        return it;
+    }
     return loan_return{.number = in.number(), .organisation = {in.number()}, .amount = in.amount()};
 }
 
--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -38,7 +38,7 @@
 } // namespace
 
 limit_holder::limit_holder(const limit_holder_options& options, time_point now)
-    : options_(options), next_loan_((options.epoch << 32) + 1), next_sweep_(now + sweep_interval)
+    : options_(options), next_loan_(options.first_loan), next_sweep_(now + sweep_interval)
 {
 }
 
@@ -612,11 +612,10 @@
     const given_key key{.to = from, .number = request.number, .is_loan = true};
     if (given_.contains(key))
         return;
-    loan answer{.number = request.number,
-                .organisation = request.organisation,
-                .retry_after = longest_retry};
+    loan answer{.number = request.number, .organisation = request.organisation};
     slot* owner = find(request.organisation);
     if (owner == nullptr || share_at(now) == 0 || given_.size() >= options_.max_outstanding) {
+        answer.retry_after = longest_retry;
         out.push_back({from.vm, answer});
         return;
     }
@@ -633,7 +632,8 @@
         ++counts_.loans_given;
     }
     answer.left = lendable(*owner, false, now);
-    answer.retry_after = lender_retry(*owner, wanted - answer.amount, now);
+    if (answer.amount < wanted)
+        answer.retry_after = lender_retry(*owner, wanted - answer.amount, now);
     out.push_back({from.vm, answer});
 }
 
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -29,9 +29,9 @@
 
 struct limit_holder_options {
     vm_id self;
-    std::uint32_t domain = 0;  ///< index of the own failure domain
-    std::uint32_t domains = 1; ///< number of failure domains that share the contracts
-    std::uint64_t epoch = 0;   ///< fencing token; keeps loan numbers of successive mandates apart
+    std::uint32_t domain = 0;     ///< index of the own failure domain
+    std::uint32_t domains = 1;    ///< number of failure domains that share the contracts
+    std::uint64_t first_loan = 1; ///< above every loan number that this process used before
     duration loan_life = std::chrono::milliseconds(100);
     std::size_t max_waiting = 4096;      ///< requests that wait for tokens
     std::size_t max_outstanding = 65536; ///< grants and loans not yet settled
@@ -68,6 +68,8 @@
 
     /// True once nothing that this holder gave can still be spent.
     bool is_settled(time_point now);
+    /// First loan number for the next holder of this process.
+    std::uint64_t next_loan() const { return next_loan_; }
     const limit_holder_counts& counts() const { return counts_; }
     /// Tokens of one organisation that could be granted at `now`; for metrics and tests.
     micro_tokens spendable(organisation_id organisation, time_point now);
