Limits: small contracts have a home domain that owns all of them

A contract whose parts would be below 8 tokens now has a home domain; entries of other domains ask its holder across domains, which loans cost as well.

--- a/src/bench_limits.cpp
+++ b/src/bench_limits.cpp
@@ -131,7 +131,7 @@
     void finish(std::uint32_t index, const limit_outcomes& ended);
     void count(std::uint32_t organisation, bool is_admitted, bool was_exact, duration wait);
     void handle(std::uint32_t index, limit_message& body, limit_peer from, limit_outbox& out);
-    std::vector<vm_id> holders_for(std::uint32_t domain, bool with_own) const;
+    std::vector<vm_id> holders() const;
     void apply_faults();
     void publish(bench_report& report);
     void publish_traffic(bench_report& report, const std::string& prefix);
@@ -178,7 +178,7 @@
         }
         else {
             it.domain = (n - first_entry_) / case_.entries;
-            it.entry.emplace(limit_entry_options{.shards = 1});
+            it.entry.emplace(limit_entry_options{.shards = 1, .domain = it.domain});
         }
         nodes_.push_back(std::move(it));
     }
@@ -193,6 +193,9 @@
         const double rate = std::max(2.0, std::ceil(case_.demand[n] / case_.load));
         const double burst = std::max(4.0, rate);
         it.contract = contract_of(id_of<organisation_id>(fmt::format("o{}", n)), rate, burst);
+        it.contract.home = suggested_home(it.contract, case_.domains);
+        if (held_ != scheme::domains)
+            it.contract.home = no_home;
         it.demand = case_.has_excess && n == case_.excessive ? 10 * rate : case_.demand[n];
         const auto callers = static_cast<std::uint32_t>(std::clamp(it.demand * 2, 3.0, 500.0));
         for (std::uint32_t c = 0; c < callers; ++c)
@@ -273,7 +276,7 @@
         return;
     }
     limit_outbox out;
-    const limit_verdict verdict = nodes_[index].entry->admit(it.contract.organisation, now_, out);
+    const limit_verdict verdict = nodes_[index].entry->admit(it.contract, now_, out);
     if (const auto* waits = std::get_if<limit_waiting>(&verdict))
         waiting_[index][waits->ticket] = {organisation, now_, was_exact};
     else
@@ -369,16 +372,11 @@
 
 // ---- time ----
 
-std::vector<vm_id> limit_world::holders_for(std::uint32_t domain, bool with_own) const
+std::vector<vm_id> limit_world::holders() const
 {
     std::vector<vm_id> out;
-    const std::uint32_t count = holder_domains();
-    for (std::uint32_t n = 0; n < count; ++n) {
-        const std::uint32_t of = (domain + n) % count;
-        const bool is_wanted = with_own || of != domain % count;
-        if (is_wanted && store_[of].record.epoch != 0)
-            out.push_back(store_[of].record.holder.vm);
-    }
+    for (std::uint32_t n = 0; n < holder_domains(); ++n)
+        out.push_back(store_[n].record.holder.vm);
     return out;
 }
 
@@ -396,7 +394,7 @@
             continue;
         }
         if (is_news)
-            it.entry->set_holders(0, holders_for(it.domain, true));
+            it.entry->set_holders(0, holders());
         if (it.entry->next_deadline() > now_)
             continue;
         limit_outbox out;
@@ -432,7 +430,10 @@
     if (!it.holder)
         return;
     it.holder->set_terms(it.mandate->terms(), now_);
-    it.holder->set_lenders(holders_for(it.domain, false));
+    std::vector<vm_id> lenders = holders();
+    lenders.erase(lenders.begin() + it.domain);
+    std::erase(lenders, vm_id{});
+    it.holder->set_lenders(lenders);
     limit_outbox out;
     it.holder->tick(now_, out);
     send(index, out);
--- a/src/limit_entry.cpp
+++ b/src/limit_entry.cpp
@@ -93,13 +93,15 @@
 
 // ---- requests of callers ----
 
-limit_verdict limit_entry::admit(organisation_id organisation, time_point now, limit_outbox& out)
+limit_verdict limit_entry::admit(const rate_contract& contract, time_point now, limit_outbox& out)
 {
+    const organisation_id organisation = contract.organisation;
     active* state = activate(organisation, now);
     if (state == nullptr) {
         ++counts_.refused;
         return limit_refused{.retry_after = sweep_interval};
     }
+    state->home = contract.home;
     context at{.organisation = organisation, .state = *state, .now = now, .out = out};
     if (state->waiting.empty() && spend(*state, now)) {
         state->demand.add(1, now);
@@ -172,7 +174,7 @@
     }
     if (need + ahead == 0)
         return;
-    if (const vm_id* holder = choose_holder(at.organisation, at.now))
+    if (const vm_id* holder = choose_holder(at))
         send(at, *holder, need, ahead);
 }
 
@@ -215,16 +217,28 @@
     ++counts_.requests;
 }
 
-// The nearest one that is not known to be silent; if all are, the one that was silent first.
-vm_id* limit_entry::choose_holder(organisation_id organisation, time_point now)
+// The home if there is one, unless it is silent: the others own nothing. Else the own domain's, or
+// the next one that is not silent; if all are, the one that was silent first.
+const vm_id* limit_entry::choose_holder(const context& at) const
 {
-    std::vector<holder_view>& views = holders_[shard_of(organisation, options_.shards)];
-    const auto it = std::ranges::find_if(
-        views, [&](const holder_view& view) { return view.avoid_until <= now; });
-    if (it != views.end())
-        return &it->vm;
-    const auto first = std::ranges::min_element(views, {}, &holder_view::avoid_until);
-    return first == views.end() ? nullptr : &first->vm;
+    const std::vector<holder_view>& views = holders_[shard_of(at.organisation, options_.shards)];
+    if (at.state.home != no_home) {
+        if (at.state.home >= views.size())
+            return nullptr;
+        const holder_view& home = views[at.state.home];
+        return home.vm.value == 0 || home.avoid_until > at.now ? nullptr : &home.vm;
+    }
+    const holder_view* best = nullptr;
+    for (std::size_t n = 0; n < views.size(); ++n) {
+        const holder_view& it = views[(options_.domain + n) % views.size()];
+        if (it.vm.value == 0)
+            continue;
+        if (it.avoid_until <= at.now)
+            return &it.vm;
+        if (best == nullptr || it.avoid_until < best->avoid_until)
+            best = &it;
+    }
+    return best == nullptr ? nullptr : &best->vm;
 }
 
 void limit_entry::avoid(organisation_id organisation, vm_id holder, time_point until)
--- a/src/limit_entry.h
+++ b/src/limit_entry.h
@@ -39,6 +39,7 @@
 
 struct limit_entry_options {
     std::uint32_t shards = 16;
+    std::uint32_t domain = 0;          ///< index of the own failure domain
     std::size_t max_active = 4096;     ///< organisations with demand here
     std::size_t max_waiting = 1024;    ///< requests that wait, of all organisations
     std::size_t max_waiting_each = 64; ///< of one organisation
@@ -65,11 +66,11 @@
 public:
     explicit limit_entry(const limit_entry_options& options);
 
-    /// Holders of a shard, own domain first, then the others by distance.
+    /// Holders of a shard by index of their failure domain; vm 0 where none is known.
     void set_holders(std::uint32_t shard, std::span<const vm_id> holders);
 
-    /// Decides for one request of `organisation`, which the configuration must know.
-    limit_verdict admit(organisation_id organisation, time_point now, limit_outbox& out);
+    /// Decides for one request of the organisation of `contract`; its rate and burst are not used.
+    limit_verdict admit(const rate_contract& contract, time_point now, limit_outbox& out);
     void receive(limit_peer from, const grant& message, time_point now, limit_outbox& out,
                  limit_outcomes& ended);
     /// The link to this node broke: what was asked of it is asked of another.
@@ -120,6 +121,7 @@
     };
 
     struct active {
+        std::uint32_t home = no_home;
         demand_estimate demand;
         std::vector<stock> stocks; // oldest first
         std::vector<pending_request> pending;
@@ -152,7 +154,7 @@
     void request_if_short(context& at);
     void send(context& at, vm_id holder, std::uint32_t need, std::uint32_t ahead);
     std::uint32_t ahead_of(const context& at) const;
-    vm_id* choose_holder(organisation_id organisation, time_point now);
+    const vm_id* choose_holder(const context& at) const;
     void avoid(organisation_id organisation, vm_id holder, time_point until);
     void serve(context& at, limit_outcomes& ended);
     void refuse_waiting(context& at, std::size_t first, limit_refused why, limit_outcomes& ended);
--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -119,6 +119,12 @@
         state.lenders.clear();
 }
 
+// A contract with a home elsewhere has no part here.
+bool limit_holder::owns(const slot& it) const
+{
+    return it.contract.home == no_home || it.contract.home == options_.domain;
+}
+
 std::uint32_t limit_holder::share_at(time_point now) const
 {
     if (now < terms_.until)
@@ -221,7 +227,9 @@
 limit_holder::active& limit_holder::activate(organisation_id organisation)
 {
     active& it = active_[organisation];
-    if (it.lenders.empty()) {
+    const slot* owner = find(organisation);
+    const bool has_lenders = owner != nullptr && owner->contract.home == no_home;
+    if (it.lenders.empty() && has_lenders) {
         for (vm_id lender : lenders_)
             it.lenders.push_back({.vm = lender});
     }
@@ -237,7 +245,7 @@
     write_off(now);
     settle_spent({.to = from, .number = request.settled}, request.spent, now);
     slot* owner = find(request.organisation);
-    if (owner == nullptr || share_at(now) == 0) {
+    if (owner == nullptr || share_at(now) == 0 || !owns(*owner)) {
         out.push_back({from.vm, grant{.number = request.number,
                                       .status = grant_status::not_holder,
                                       .retry_after = longest_retry}});
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -157,6 +157,7 @@
 
     slot* find(organisation_id organisation);
     active& activate(organisation_id organisation);
+    bool owns(const slot& it) const;
     std::uint32_t share_at(time_point now) const;
     time_point share_end(time_point now) const;
     void refresh(time_point now);
--- a/src/rate_contract.h
+++ b/src/rate_contract.h
@@ -13,11 +13,18 @@
 using micro_tokens = std::int64_t;
 constexpr micro_tokens one_token = 1'000'000;
 
-/// Rate and burst of one organisation over all nodes together.
+/// No home domain: the contract is split evenly over all failure domains.
+constexpr std::uint32_t no_home = ~std::uint32_t{0};
+
+/// Rate and burst of one organisation over all nodes together. A small contract has a home domain
+/// that owns all of it, as parts of a token or two would be borrowed to and fro for each request.
+/// The home must not change while the organisation exists: holders learn of a change at different
+/// times, and only equal proportions keep the sum of the parts within the larger contract.
 struct rate_contract {
     organisation_id organisation;
-    micro_tokens rate = 0;  ///< micro-tokens a second
-    micro_tokens burst = 0; ///< micro-tokens at once
+    std::uint32_t home = no_home; ///< index of a failure domain
+    micro_tokens rate = 0;        ///< micro-tokens a second
+    micro_tokens burst = 0;       ///< micro-tokens at once
     bool operator==(const rate_contract&) const = default;
 };
 
@@ -29,9 +36,11 @@
 };
 
 /// Contract of `rate` requests a second and `burst` requests at once.
-constexpr rate_contract contract_of(organisation_id organisation, double rate, double burst)
+constexpr rate_contract contract_of(organisation_id organisation, double rate, double burst,
+                                    std::uint32_t home = no_home)
 {
     return {.organisation = organisation,
+            .home = home,
             .rate = static_cast<micro_tokens>(rate * one_token),
             .burst = static_cast<micro_tokens>(burst * one_token)};
 }
@@ -46,10 +55,23 @@
 constexpr rate_part part_of(const rate_contract& contract, std::uint32_t domain,
                             std::uint32_t domains)
 {
+    if (contract.home != no_home)
+        return contract.home == domain ? rate_part{contract.rate, contract.burst} : rate_part{};
     return {.rate = split(contract.rate, domain, domains),
             .burst = split(contract.burst, domain, domains)};
 }
 
+/// Parts below this many tokens are not worth splitting.
+constexpr micro_tokens least_part_burst = 8 * one_token;
+
+/// Home for a new contract: none if its parts are large enough, else one chosen by hash.
+constexpr std::uint32_t suggested_home(const rate_contract& contract, std::uint32_t domains)
+{
+    if (contract.burst >= least_part_burst * domains)
+        return no_home;
+    return static_cast<std::uint32_t>(mix(contract.organisation.value, 1) % domains);
+}
+
 /// A share is counted in 256ths of a part.
 constexpr std::uint32_t whole_share = 256;
 
--- a/tests/limit_bound_test.cpp
+++ b/tests/limit_bound_test.cpp
@@ -19,7 +19,8 @@
     shape.entries = *rc::gen::element(1U, 2U, 4U);
     const double rate = *rc::gen::element(0.7, 2.0, 20.0, 50.0, 200.0);
     const double burst = *rc::gen::element(1.5, 3.0, 20.0, 50.0, 150.0);
-    shape.contract = contract_of(lids, rate, burst);
+    const std::uint32_t home = *rc::gen::element(no_home, no_home, 0U);
+    shape.contract = contract_of(lids, rate, burst, home);
     shape.demand = *rc::gen::element(1.0, 3.0, 10.0);
     shape.is_bursting = true;
     shape.length = 12s;
--- a/tests/limit_fleet.cpp
+++ b/tests/limit_fleet.cpp
@@ -34,7 +34,7 @@
             node it;
             it.peer = {.vm = {vm++}, .run = {1}};
             it.domain = domain;
-            it.entry.emplace(limit_entry_options{.shards = shards});
+            it.entry.emplace(limit_entry_options{.shards = shards, .domain = domain});
             nodes_.push_back(std::move(it));
         }
     }
@@ -242,13 +242,12 @@
     }
 }
 
-std::vector<vm_id> limit_fleet::holders_from(const node& it, bool with_own) const
+std::vector<vm_id> limit_fleet::lenders_of(const node& it) const
 {
     std::vector<vm_id> out;
-    for (std::uint32_t n = with_own ? 0 : 1; n < shape_.domains; ++n) {
-        const vm_id vm = it.holders[(it.domain + n) % shape_.domains];
-        if (vm.value != 0)
-            out.push_back(vm);
+    for (std::uint32_t n = 0; n < shape_.domains; ++n) {
+        if (n != it.domain && it.holders[n].value != 0)
+            out.push_back(it.holders[n]);
     }
     return out;
 }
@@ -263,7 +262,7 @@
     }
     else {
         limit_outcomes ended;
-        it.entry->set_holders(0, holders_from(it, true));
+        it.entry->set_holders(0, it.holders);
         it.entry->tick(clock_of(it), out, ended);
         settle(ended);
         offer_demand(index);
@@ -311,7 +310,7 @@
     }
     if (it.holder) {
         it.holder->set_terms(it.mandate->terms(), now);
-        it.holder->set_lenders(holders_from(it, false));
+        it.holder->set_lenders(lenders_of(it));
         it.holder->tick(now, out);
     }
 }
@@ -326,8 +325,7 @@
     limit_outbox out;
     for (int n = arrivals(random_); n > 0; --n) {
         asked += now_ >= count_from ? 1 : 0;
-        const limit_verdict verdict =
-            it.entry->admit(shape_.contract.organisation, clock_of(it), out);
+        const limit_verdict verdict = it.entry->admit(shape_.contract, clock_of(it), out);
         if (std::holds_alternative<limit_admitted>(verdict))
             admit_one();
         else if (std::holds_alternative<limit_refused>(verdict))
--- a/tests/limit_fleet.h
+++ b/tests/limit_fleet.h
@@ -132,7 +132,7 @@
     void admit_one();
     void probe();
     void learn_holders(node& it);
-    std::vector<vm_id> holders_from(const node& it, bool with_own) const;
+    std::vector<vm_id> lenders_of(const node& it) const;
     std::size_t index_of(vm_id vm) const { return static_cast<std::size_t>(vm.value - 1); }
 
     fleet_shape shape_;
--- a/tests/limit_holder_test.cpp
+++ b/tests/limit_holder_test.cpp
@@ -70,14 +70,15 @@
     it.set_holders(0, std::array{holder_vm});
     limit_outbox out;
     limit_outcomes ended;
-    EXPECT_TRUE(std::holds_alternative<limit_waiting>(it.admit(lids, start, out)));
+    EXPECT_TRUE(
+        std::holds_alternative<limit_waiting>(it.admit(contract_of(lids, 1, 1), start, out)));
     const auto request = std::get<grant_request>(out.at(0).body);
     const grant empty{
         .number = request.number, .status = grant_status::empty, .retry_after = 300ms};
     it.receive({.vm = holder_vm, .run = {1}}, empty, start + 1ms, out, ended);
     EXPECT_EQ(std::get<limit_refused>(ended.at(0).verdict).retry_after, 300ms);
     out.clear();
-    const auto verdict = it.admit(lids, start + 100ms, out);
+    const auto verdict = it.admit(contract_of(lids, 1, 1), start + 100ms, out);
     EXPECT_EQ(std::get<limit_refused>(verdict).retry_after, 201ms);
     EXPECT_TRUE(out.empty());
 }
@@ -89,11 +90,11 @@
     it.set_holders(0, std::array{holder_vm, vm_id{2}});
     limit_outbox out;
     limit_outcomes ended;
-    it.admit(lids, start, out);
+    it.admit(contract_of(lids, 1, 1), start, out);
     it.tick(start + 34ms, out, ended);
     ASSERT_EQ(out.size(), 2U);
     EXPECT_EQ(out.at(1).to, vm_id{2});
-    it.admit(lids, start + 40ms, out);
+    it.admit(contract_of(lids, 1, 1), start + 40ms, out);
     EXPECT_EQ(out.back().to, vm_id{2});
     it.tick(start + 100ms, out, ended);
     EXPECT_EQ(ended.size(), 2U);
