--- a/src/bench_limits.cpp
+++ b/src/bench_limits.cpp
@@ -20,7 +20,15 @@
 // Who holds the buckets.
 enum class scheme : std::uint8_t { domains, one_holder, static_split };
 
-enum class pattern : std::uint8_t { even, uneven, moving, doubling, holder_lost, store_away };
+enum class pattern : std::uint8_t {
+    even,
+    uneven,
+    moving,
+    doubling,
+    holder_restarted,
+    holder_lost,
+    store_away
+};
 
 struct limit_case {
     std::string name;
@@ -133,6 +141,7 @@
     void handle(std::uint32_t index, limit_message& body, limit_peer from, limit_outbox& out);
     std::vector<vm_id> holders() const;
     void apply_faults();
+    void restart_holder();
     void publish(bench_report& report);
     void publish_traffic(bench_report& report, const std::string& prefix);
 
@@ -458,10 +467,33 @@
     const duration since = now_ - bench_start;
     if (demand_ == pattern::holder_lost && since == warm_up + 2s)
         nodes_[0].is_dead = true;
+    if (demand_ == pattern::holder_restarted && since == warm_up + 2s)
+        restart_holder();
     if (demand_ == pattern::store_away && since == 4s)
         is_store_away_ = true;
 }
 
+// The process crashes and starts again on its VM: links break, and a new run is seen.
+void limit_world::restart_holder()
+{
+    node_state& lost = nodes_[0];
+    const limit_peer old = lost.peer;
+    lost.peer.run.value += 1;
+    lost.holder.reset();
+    lost.mandate.emplace(limit_mandate_options{.self = lost.peer}, now_);
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n) {
+        if (nodes_[n].mandate)
+            nodes_[n].mandate->seen(lost.peer, now_);
+        if (!nodes_[n].entry)
+            continue;
+        limit_outbox out;
+        limit_outcomes ended;
+        nodes_[n].entry->lost(old.vm, now_, out, ended);
+        finish(n, ended);
+        send(n, out);
+    }
+}
+
 void limit_world::run(bench_report& report)
 {
     for (std::uint32_t n = 0; n < organisations_.size(); ++n)
@@ -492,8 +524,8 @@
 
 std::string_view name_of(pattern it)
 {
-    constexpr std::array<std::string_view, 6> names{"even",     "uneven",      "moving",
-                                                    "doubling", "holder lost", "store away"};
+    constexpr std::array<std::string_view, 7> names{
+        "even", "uneven", "moving", "doubling", "holder restarted", "holder lost", "store away"};
     return names.at(static_cast<std::size_t>(it));
 }
 
@@ -593,8 +625,10 @@
 
 void bench_limits(std::uint64_t seed, bench_report& report)
 {
-    constexpr std::array patterns{pattern::even,     pattern::uneven,      pattern::moving,
-                                  pattern::doubling, pattern::holder_lost, pattern::store_away};
+    constexpr std::array patterns{
+        pattern::even,      pattern::uneven,           pattern::moving,
+        pattern::doubling,  pattern::holder_restarted, pattern::holder_lost,
+        pattern::store_away};
     constexpr std::array schemes{scheme::domains, scheme::one_holder, scheme::static_split};
     for (pattern demand : patterns) {
         for (scheme held : schemes)
@@ -602,8 +636,8 @@
     }
     for (scheme held : schemes)
         limit_world(large_case(64), held, pattern::moving, seed).run(report);
-    for (pattern demand :
-         {pattern::even, pattern::uneven, pattern::holder_lost, pattern::store_away})
+    for (pattern demand : {pattern::even, pattern::uneven, pattern::holder_restarted,
+                           pattern::holder_lost, pattern::store_away})
         limit_world(large_case(64), scheme::domains, demand, seed).run(report);
     limit_world(large_case(16), scheme::domains, pattern::even, seed).run(report);
     limit_world(large_case(16), scheme::domains, pattern::moving, seed).run(report);
--- a/src/rate_contract.h
+++ b/src/rate_contract.h
@@ -62,7 +62,7 @@
 }
 
 /// Parts below this many tokens are not worth splitting.
-constexpr micro_tokens least_part_burst = 8 * one_token;
+constexpr micro_tokens least_part_burst = 4 * one_token;
 
 /// Home for a new contract: none if its parts are large enough, else one chosen by hash.
 constexpr std::uint32_t suggested_home(const rate_contract& contract, std::uint32_t domains)
