--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -15,6 +15,8 @@
 constexpr duration least_loan_remainder = 40ms; // borrowed tokens with less life aren't granted
 constexpr duration sweep_interval = 1s;
 constexpr double ahead_seconds = 0.2;      // demand that a holder keeps tokens ready for
+constexpr double excess_demand = 0.9;      // of the rate; from there on retry times are spread
+constexpr duration answer_time = 40ms;     // life of a grant for waiting callers, after the answer
 constexpr double least_ahead_demand = 1.0; // requests a second; below it nothing is borrowed ahead
 constexpr std::uint32_t max_failures = 8;  // doublings of a lender's rest
 constexpr duration loan_round_trip = 12ms; // between domains
@@ -263,6 +265,7 @@
     const waiting_request waiting{
         .from = from,
         .request = request,
+        .received = now,
         .until = now + std::clamp<duration>(request.patience, duration::zero(), max_token_life)};
     if (waiting_count_ >= options_.max_waiting || given_.size() >= options_.max_outstanding) {
         end_wait(at, waiting);
@@ -303,11 +306,15 @@
         busy_.erase(organisation);
 }
 
-// A grant ends before the mandate and before the loan that it is made of.
-duration limit_holder::grant_life(const context& at, const grant_request& request,
+// A grant ends before the mandate and before the loan that it is made of. One for callers that wait
+// is spent on arrival, so it need not live, and keep the bucket from accruing, any longer.
+duration limit_holder::grant_life(const context& at, const waiting_request& waiting,
                                   bool uses_borrowed) const
 {
+    const grant_request& request = waiting.request;
     duration life = std::min(request.life, max_token_life);
+    if (request.ahead == 0)
+        life = std::min(life, at.now - waiting.received + answer_time);
     life = std::min(life, fitting_life(share_end(at.now) - at.now));
     if (uses_borrowed) {
         for (const borrowed_tokens& it : at.state.borrowed)
@@ -322,7 +329,7 @@
 {
     const micro_tokens amount = tokens * one_token;
     const micro_tokens borrowed = std::min(at.state.pool(), amount);
-    const duration life = grant_life(at, waiting.request, borrowed > 0);
+    const duration life = grant_life(at, waiting, borrowed > 0);
     if (life <= duration::zero())
         return false;
     micro_tokens rest = borrowed;
@@ -386,8 +393,8 @@
 }
 
 // Loans bring the other domains' tokens, so the next one comes at the rate of the whole contract.
-// Each refused entry is sent to the token after the one promised before, so that an excess of
-// demand asks about as often as there are tokens.
+// Under an excess of demand each refused entry is sent to the token after the one promised before,
+// so that entries ask about as often as there are tokens.
 duration limit_holder::retry_time(context& at, std::uint32_t need)
 {
     const double rate = static_cast<double>(at.owner.contract.rate) / one_token;
@@ -395,8 +402,9 @@
         std::max<micro_tokens>(0, one_token - at.owner.bucket.tokens() % one_token);
     const time_point first = at.now + time_for(missing, rate);
     const time_point promised = std::max(first, at.state.promised_until);
-    const time_point latest = at.now + longest_retry;
-    at.state.promised_until = std::min(latest, promised + time_for(need * one_token, rate));
+    if (at.state.demand.per_second(at.now) >= excess_demand * rate)
+        at.state.promised_until =
+            std::min(at.now + longest_retry, promised + time_for(need * one_token, rate));
     return std::clamp<duration>(promised - at.now, shortest_retry, longest_retry);
 }
 
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -105,6 +105,7 @@
     struct waiting_request {
         limit_peer from;
         grant_request request;
+        time_point received;
         time_point until;
     };
 
@@ -168,7 +169,8 @@
     void finish(context& at);
     void sweep(time_point now);
 
-    duration grant_life(const context& at, const grant_request& request, bool uses_borrowed) const;
+    duration grant_life(const context& at, const waiting_request& waiting,
+                        bool uses_borrowed) const;
     bool give(context& at, const waiting_request& waiting, std::uint32_t tokens,
               duration retry_after);
     void serve(context& at);
--- a/src/limit_mandate.h
+++ b/src/limit_mandate.h
@@ -58,8 +58,9 @@
     limit_peer self;
     duration lasts = std::chrono::seconds(6);
     duration renew_every = std::chrono::seconds(2);
-    duration retry_every = std::chrono::milliseconds(500); ///< after a conflict or an unknown outcome
-    std::uint32_t reserve_share = 204;              ///< of what a holder has, in 256ths
+    duration retry_every =
+        std::chrono::milliseconds(500); ///< after a conflict or an unknown outcome
+    std::uint32_t reserve_share = 204;  ///< of what a holder has, in 256ths
     duration reserve_for = std::chrono::hours(6);
     duration rank_step = std::chrono::milliseconds(500); ///< delay of each lower rank's attempt
 };
