--- a/src/limit_entry.cpp
+++ b/src/limit_entry.cpp
@@ -190,6 +190,12 @@
     return {};
 }
 
+bool limit_entry::is_remote(const context& at, vm_id holder) const
+{
+    const std::vector<holder_view>& views = holders_[shard_of(at.organisation, options_.shards)];
+    return options_.domain >= views.size() || views[options_.domain].vm != holder;
+}
+
 // Spending of an earlier grant is reported with the request, at no message of its own.
 void limit_entry::send(context& at, vm_id holder, std::uint32_t need, std::uint32_t ahead)
 {
@@ -199,7 +205,8 @@
                           .organisation = at.organisation,
                           .need = need,
                           .ahead = ahead,
-                          .patience = options_.patience,
+                          .patience =
+                              is_remote(at, holder) ? options_.remote_patience : options_.patience,
                           .life = ahead > 0 ? options_.ahead_life : options_.at_once_life};
     const spending report = spending_to_report(it, holder);
     request.settled = report.number;
--- a/src/limit_entry.h
+++ b/src/limit_entry.h
@@ -45,6 +45,7 @@
     std::size_t max_waiting_each = 64; ///< of one organisation
     duration max_wait = std::chrono::milliseconds(60);
     duration patience = std::chrono::milliseconds(30); ///< how long a holder may look for tokens
+    duration remote_patience = std::chrono::milliseconds(12); ///< of a holder in another domain
     duration answer_timeout = std::chrono::milliseconds(34);
     duration at_once_life = std::chrono::milliseconds(75); ///< of tokens for waiting callers only
     duration ahead_life = max_token_life;                  ///< of tokens asked ahead
@@ -152,6 +153,7 @@
     active* activate(organisation_id organisation, time_point now);
     static bool spend(active& it, time_point now);
     void request_if_short(context& at);
+    bool is_remote(const context& at, vm_id holder) const;
     void send(context& at, vm_id holder, std::uint32_t need, std::uint32_t ahead);
     std::uint32_t ahead_of(const context& at) const;
     const vm_id* choose_holder(const context& at) const;
