--- a/src/bench_limits.cpp
+++ b/src/bench_limits.cpp
@@ -126,7 +126,7 @@
     std::uint32_t holder_domains() const { return held_ == scheme::one_holder ? 1 : case_.domains; }
     void make_nodes();
     void make_organisations();
-    void schedule(time_point at, std::variant<arrival, delivery, tick_event> what);
+    void schedule(time_point at, const std::variant<arrival, delivery, tick_event>& what);
     void schedule_next_arrival(std::uint32_t organisation);
     std::uint32_t pick_entry(const organisation_state& it);
     double demand_now(const organisation_state& it) const;
@@ -226,9 +226,9 @@
     }
 }
 
-void limit_world::schedule(time_point at, std::variant<arrival, delivery, tick_event> what)
+void limit_world::schedule(time_point at, const std::variant<arrival, delivery, tick_event>& what)
 {
-    events_.push({.at = at, .order = order_++, .what = std::move(what)});
+    events_.push({.at = at, .order = order_++, .what = what});
 }
 
 // Night-to-day doubling: half the demand in the first third, the whole after it.
--- a/tests/limit_mandate_test.cpp
+++ b/tests/limit_mandate_test.cpp
@@ -14,7 +14,9 @@
 
 limit_mandate idle_candidate(limit_peer self)
 {
-    limit_mandate it({.self = self}, start);
+    limit_mandate it(
+        {.self = self, .lasts = 10s, .renew_every = 3s, .retry_every = 1s, .reserve_share = 204},
+        start);
     it.observe({}, 0, start);
     return it;
 }
