--- a/src/bench_limits.cpp
+++ b/src/bench_limits.cpp
@@ -20,7 +20,15 @@
 // Who holds the buckets.
 enum class scheme : std::uint8_t { domains, one_holder, static_split };
 
-enum class pattern : std::uint8_t { even, uneven, moving, doubling, holder_lost, store_away };
+enum class pattern : std::uint8_t {
+    even,
+    uneven,
+    moving,
+    doubling,
+    holder_restarted,
+    holder_lost,
+    store_away
+};
 
 struct limit_case {
     std::string name;
@@ -118,7 +126,7 @@
     std::uint32_t holder_domains() const { return held_ == scheme::one_holder ? 1 : case_.domains; }
     void make_nodes();
     void make_organisations();
-    void schedule(time_point at, std::variant<arrival, delivery, tick_event> what);
+    void schedule(time_point at, const std::variant<arrival, delivery, tick_event>& what);
     void schedule_next_arrival(std::uint32_t organisation);
     std::uint32_t pick_entry(const organisation_state& it);
     double demand_now(const organisation_state& it) const;
@@ -131,8 +139,9 @@
     void finish(std::uint32_t index, const limit_outcomes& ended);
     void count(std::uint32_t organisation, bool is_admitted, bool was_exact, duration wait);
     void handle(std::uint32_t index, limit_message& body, limit_peer from, limit_outbox& out);
-    std::vector<vm_id> holders_for(std::uint32_t domain, bool with_own) const;
+    std::vector<vm_id> holders() const;
     void apply_faults();
+    void restart_holder();
     void publish(bench_report& report);
     void publish_traffic(bench_report& report, const std::string& prefix);
 
@@ -178,7 +187,7 @@
         }
         else {
             it.domain = (n - first_entry_) / case_.entries;
-            it.entry.emplace(limit_entry_options{.shards = 1});
+            it.entry.emplace(limit_entry_options{.shards = 1, .domain = it.domain});
         }
         nodes_.push_back(std::move(it));
     }
@@ -193,6 +202,9 @@
         const double rate = std::max(2.0, std::ceil(case_.demand[n] / case_.load));
         const double burst = std::max(4.0, rate);
         it.contract = contract_of(id_of<organisation_id>(fmt::format("o{}", n)), rate, burst);
+        it.contract.home = suggested_home(it.contract, case_.domains);
+        if (held_ != scheme::domains)
+            it.contract.home = no_home;
         it.demand = case_.has_excess && n == case_.excessive ? 10 * rate : case_.demand[n];
         const auto callers = static_cast<std::uint32_t>(std::clamp(it.demand * 2, 3.0, 500.0));
         for (std::uint32_t c = 0; c < callers; ++c)
@@ -214,9 +226,9 @@
     }
 }
 
-void limit_world::schedule(time_point at, std::variant<arrival, delivery, tick_event> what)
+void limit_world::schedule(time_point at, const std::variant<arrival, delivery, tick_event>& what)
 {
-    events_.push({.at = at, .order = order_++, .what = std::move(what)});
+    events_.push({.at = at, .order = order_++, .what = what});
 }
 
 // Night-to-day doubling: half the demand in the first third, the whole after it.
@@ -273,7 +285,7 @@
         return;
     }
     limit_outbox out;
-    const limit_verdict verdict = nodes_[index].entry->admit(it.contract.organisation, now_, out);
+    const limit_verdict verdict = nodes_[index].entry->admit(it.contract, now_, out);
     if (const auto* waits = std::get_if<limit_waiting>(&verdict))
         waiting_[index][waits->ticket] = {organisation, now_, was_exact};
     else
@@ -369,16 +381,11 @@
 
 // ---- time ----
 
-std::vector<vm_id> limit_world::holders_for(std::uint32_t domain, bool with_own) const
+std::vector<vm_id> limit_world::holders() const
 {
     std::vector<vm_id> out;
-    const std::uint32_t count = holder_domains();
-    for (std::uint32_t n = 0; n < count; ++n) {
-        const std::uint32_t of = (domain + n) % count;
-        const bool is_wanted = with_own || of != domain % count;
-        if (is_wanted && store_[of].record.epoch != 0)
-            out.push_back(store_[of].record.holder.vm);
-    }
+    for (std::uint32_t n = 0; n < holder_domains(); ++n)
+        out.push_back(store_[n].record.holder.vm);
     return out;
 }
 
@@ -396,7 +403,7 @@
             continue;
         }
         if (is_news)
-            it.entry->set_holders(0, holders_for(it.domain, true));
+            it.entry->set_holders(0, holders());
         if (it.entry->next_deadline() > now_)
             continue;
         limit_outbox out;
@@ -432,7 +439,10 @@
     if (!it.holder)
         return;
     it.holder->set_terms(it.mandate->terms(), now_);
-    it.holder->set_lenders(holders_for(it.domain, false));
+    std::vector<vm_id> lenders = holders();
+    lenders.erase(lenders.begin() + it.domain);
+    std::erase(lenders, vm_id{});
+    it.holder->set_lenders(lenders);
     limit_outbox out;
     it.holder->tick(now_, out);
     send(index, out);
@@ -441,10 +451,11 @@
 void limit_world::start_holder(node_state& it)
 {
     it.holder_epoch = it.mandate->epoch();
+    const std::uint64_t first_loan = it.holder ? it.holder->next_loan() : 1;
     it.holder.emplace(limit_holder_options{.self = it.peer.vm,
                                            .domain = it.domain,
                                            .domains = holder_domains(),
-                                           .epoch = it.holder_epoch},
+                                           .first_loan = first_loan},
                       now_);
     it.holder->set_contracts(contracts_, now_);
 }
@@ -456,10 +467,33 @@
     const duration since = now_ - bench_start;
     if (demand_ == pattern::holder_lost && since == warm_up + 2s)
         nodes_[0].is_dead = true;
+    if (demand_ == pattern::holder_restarted && since == warm_up + 2s)
+        restart_holder();
     if (demand_ == pattern::store_away && since == 4s)
         is_store_away_ = true;
 }
 
+// The process crashes and starts again on its VM: links break, and a new run is seen.
+void limit_world::restart_holder()
+{
+    node_state& lost = nodes_[0];
+    const limit_peer old = lost.peer;
+    lost.peer.run.value += 1;
+    lost.holder.reset();
+    lost.mandate.emplace(limit_mandate_options{.self = lost.peer}, now_);
+    for (std::uint32_t n = 0; n < nodes_.size(); ++n) {
+        if (nodes_[n].mandate)
+            nodes_[n].mandate->seen(lost.peer, now_);
+        if (!nodes_[n].entry)
+            continue;
+        limit_outbox out;
+        limit_outcomes ended;
+        nodes_[n].entry->lost(old.vm, now_, out, ended);
+        finish(n, ended);
+        send(n, out);
+    }
+}
+
 void limit_world::run(bench_report& report)
 {
     for (std::uint32_t n = 0; n < organisations_.size(); ++n)
@@ -490,8 +524,8 @@
 
 std::string_view name_of(pattern it)
 {
-    constexpr std::array<std::string_view, 6> names{"even",     "uneven",      "moving",
-                                                    "doubling", "holder lost", "store away"};
+    constexpr std::array<std::string_view, 7> names{
+        "even", "uneven", "moving", "doubling", "holder restarted", "holder lost", "store away"};
     return names.at(static_cast<std::size_t>(it));
 }
 
@@ -591,17 +625,22 @@
 
 void bench_limits(std::uint64_t seed, bench_report& report)
 {
-    constexpr std::array patterns{pattern::even,     pattern::uneven,      pattern::moving,
-                                  pattern::doubling, pattern::holder_lost, pattern::store_away};
+    constexpr std::array patterns{
+        pattern::even,      pattern::uneven,           pattern::moving,
+        pattern::doubling,  pattern::holder_restarted, pattern::holder_lost,
+        pattern::store_away};
     constexpr std::array schemes{scheme::domains, scheme::one_holder, scheme::static_split};
     for (pattern demand : patterns) {
         for (scheme held : schemes)
             limit_world(small_case(), held, demand, seed).run(report);
     }
     for (scheme held : schemes)
-        limit_world(large_case(16), held, pattern::moving, seed).run(report);
-    limit_world(large_case(16), scheme::domains, pattern::holder_lost, seed).run(report);
-    limit_world(large_case(64), scheme::domains, pattern::moving, seed).run(report);
+        limit_world(large_case(64), held, pattern::moving, seed).run(report);
+    for (pattern demand : {pattern::even, pattern::uneven, pattern::holder_restarted,
+                           pattern::holder_lost, pattern::store_away})
+        limit_world(large_case(64), scheme::domains, demand, seed).run(report);
+    limit_world(large_case(16), scheme::domains, pattern::even, seed).run(report);
+    limit_world(large_case(16), scheme::domains, pattern::moving, seed).run(report);
 }
 
 } // namespace jasminebank
--- a/src/limit_entry.h
+++ b/src/limit_entry.h
@@ -39,13 +39,15 @@
 
 struct limit_entry_options {
     std::uint32_t shards = 16;
+    std::uint32_t domain = 0;          ///< index of the own failure domain
     std::size_t max_active = 4096;     ///< organisations with demand here
     std::size_t max_waiting = 1024;    ///< requests that wait, of all organisations
     std::size_t max_waiting_each = 64; ///< of one organisation
-    duration max_wait = std::chrono::milliseconds(45);
-    duration patience = std::chrono::milliseconds(18); ///< how long a holder may look for tokens
-    duration answer_timeout = std::chrono::milliseconds(22);
-    duration at_once_life = std::chrono::milliseconds(60); ///< of tokens for waiting callers only
+    duration max_wait = std::chrono::milliseconds(60);
+    duration patience = std::chrono::milliseconds(30); ///< how long a holder may look for tokens
+    duration remote_patience = std::chrono::milliseconds(12); ///< of a holder in another domain
+    duration answer_timeout = std::chrono::milliseconds(34);
+    duration at_once_life = std::chrono::milliseconds(75); ///< of tokens for waiting callers only
     duration ahead_life = max_token_life;                  ///< of tokens asked ahead
     duration ahead_span = std::chrono::milliseconds(250);  ///< demand that is asked ahead
     duration refill_span = std::chrono::milliseconds(30);  ///< demand left when more is asked for
@@ -65,11 +67,11 @@
 public:
     explicit limit_entry(const limit_entry_options& options);
 
-    /// Holders of a shard, own domain first, then the others by distance.
+    /// Holders of a shard by index of their failure domain; vm 0 where none is known.
     void set_holders(std::uint32_t shard, std::span<const vm_id> holders);
 
-    /// Decides for one request of `organisation`, which the configuration must know.
-    limit_verdict admit(organisation_id organisation, time_point now, limit_outbox& out);
+    /// Decides for one request of the organisation of `contract`; its rate and burst are not used.
+    limit_verdict admit(const rate_contract& contract, time_point now, limit_outbox& out);
     void receive(limit_peer from, const grant& message, time_point now, limit_outbox& out,
                  limit_outcomes& ended);
     /// The link to this node broke: what was asked of it is asked of another.
@@ -120,6 +122,7 @@
     };
 
     struct active {
+        std::uint32_t home = no_home;
         demand_estimate demand;
         std::vector<stock> stocks; // oldest first
         std::vector<pending_request> pending;
@@ -150,9 +153,10 @@
     active* activate(organisation_id organisation, time_point now);
     static bool spend(active& it, time_point now);
     void request_if_short(context& at);
+    bool is_remote(const context& at, vm_id holder) const;
     void send(context& at, vm_id holder, std::uint32_t need, std::uint32_t ahead);
     std::uint32_t ahead_of(const context& at) const;
-    vm_id* choose_holder(organisation_id organisation, time_point now);
+    const vm_id* choose_holder(const context& at) const;
     void avoid(organisation_id organisation, vm_id holder, time_point until);
     void serve(context& at, limit_outcomes& ended);
     void refuse_waiting(context& at, std::size_t first, limit_refused why, limit_outcomes& ended);
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -29,9 +29,9 @@
 
 struct limit_holder_options {
     vm_id self;
-    std::uint32_t domain = 0;  ///< index of the own failure domain
-    std::uint32_t domains = 1; ///< number of failure domains that share the contracts
-    std::uint64_t epoch = 0;   ///< fencing token; keeps loan numbers of successive mandates apart
+    std::uint32_t domain = 0;     ///< index of the own failure domain
+    std::uint32_t domains = 1;    ///< number of failure domains that share the contracts
+    std::uint64_t first_loan = 1; ///< above every loan number that this process used before
     duration loan_life = std::chrono::milliseconds(100);
     std::size_t max_waiting = 4096;      ///< requests that wait for tokens
     std::size_t max_outstanding = 65536; ///< grants and loans not yet settled
@@ -68,6 +68,8 @@
 
     /// True once nothing that this holder gave can still be spent.
     bool is_settled(time_point now);
+    /// First loan number for the next holder of this process.
+    std::uint64_t next_loan() const { return next_loan_; }
     const limit_holder_counts& counts() const { return counts_; }
     /// Tokens of one organisation that could be granted at `now`; for metrics and tests.
     micro_tokens spendable(organisation_id organisation, time_point now);
@@ -103,6 +105,7 @@
     struct waiting_request {
         limit_peer from;
         grant_request request;
+        time_point received;
         time_point until;
     };
 
@@ -110,6 +113,7 @@
         std::uint64_t number = 0;
         vm_id lender;
         micro_tokens wanted = 0;
+        bool urgent = false;
         time_point sent;
     };
 
@@ -122,8 +126,11 @@
 
     struct lender_view {
         vm_id vm;
-        time_point ask_again_at{};
-        micro_tokens left = -1; // unknown
+        time_point urgent_again_at{}; // while callers wait
+        time_point ahead_again_at{};
+        std::uint32_t failures = 0; // urgent ones in a row
+        micro_tokens left = 0;      // at `left_at`; before any answer the long past fills it up
+        time_point left_at{};
     };
 
     // What is kept for an organisation only while it has demand.
@@ -136,7 +143,7 @@
         time_point promised_until{};
 
         micro_tokens pool() const;
-        micro_tokens expected() const;
+        micro_tokens expected(bool urgent) const;
         micro_tokens needed() const;
         bool is_busy() const { return !waiting.empty() || !asked.empty() || !borrowed.empty(); }
     };
@@ -151,6 +158,7 @@
 
     slot* find(organisation_id organisation);
     active& activate(organisation_id organisation);
+    bool owns(const slot& it) const;
     std::uint32_t share_at(time_point now) const;
     time_point share_end(time_point now) const;
     void refresh(time_point now);
@@ -161,7 +169,8 @@
     void finish(context& at);
     void sweep(time_point now);
 
-    duration grant_life(const context& at, const grant_request& request, bool uses_borrowed) const;
+    duration grant_life(const context& at, const waiting_request& waiting,
+                        bool uses_borrowed) const;
     bool give(context& at, const waiting_request& waiting, std::uint32_t tokens,
               duration retry_after);
     void serve(context& at);
@@ -171,8 +180,12 @@
 
     void borrow_for_waiting(context& at);
     void borrow_ahead(context& at);
+    static micro_tokens estimate(const context& at, const lender_view& lender);
+    static lender_view* best_lender(const context& at, bool urgent);
     void ask(context& at, lender_view& lender, micro_tokens wanted, bool urgent);
     void forget_unanswered(context& at);
+    static void judge_lender(active& it, const borrowing& request, const loan& answer,
+                             time_point now);
     void take_in(context& at);
     void return_unused(context& at);
     micro_tokens lendable(const slot& owner, bool urgent, time_point now) const;
