Nodes hold organisations to their rates

Mandates go to the store on a thread of their own, who holds which shard spreads in the member records, and each node's entry takes a token for a request before it is dispatched. Over the rate is answered 429, no reachable holder 503, both not run. Messages of the limits travel as control messages between the nodes, in batches, with the answers in the reply when they are ready at once. Considered: a message that asks for the holders; the member records carry them for a few bytes and without a question.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -129,9 +129,22 @@
     out.service = find_service(*out.config, out.route->service);
     out.idempotent = is_idempotent(*out.route, head.clean.method);
     out.deadline = now + out.service->timeout;
+    if (const auto over = hold_to_rate(out))
+        return *over;
     return out;
 }
 
+// Comes last, so that no token is spent on a request that is refused for another reason.
+std::optional<refusal_answer> entry::hold_to_rate(const admitted_request& request) const
+{
+    const limit_verdict verdict = options_.take_token(request.organisation->id, request.deadline);
+    const auto* refused = std::get_if<limit_refused>(&verdict);
+    if (refused == nullptr)
+        return std::nullopt;
+    return refusal_answer{.reason = refused->no_holder ? refusal::overloaded : refusal::over_rate,
+                          .retry_after = refused->retry_after};
+}
+
 // A body that nobody will read ends the connection, since its bytes would be taken for the next
 // request.
 void entry::handle(const httplib::Request& req, httplib::Response& res,
--- a/src/entry.h
+++ b/src/entry.h
@@ -7,6 +7,7 @@
 #include "caller_head.h"
 #include "dispatch.h"
 #include "fleet_config.h"
+#include "limit_entry.h"
 #include "link_hub.h"
 #include "refusal.h"
 #include "router.h"
@@ -26,6 +27,8 @@
     std::size_t buffered_body_bytes = 0;
     std::size_t attempts = 3;        ///< backend servers tried for one request, at most
     std::function<bool()> may_serve; ///< false while this node may be cut off from news
+    /// Takes a token for one request, waiting at most until the deadline; never limit_waiting.
+    std::function<limit_verdict(organisation_id, time_point)> take_token;
 };
 
 /// A request that may run: whose it is, where it goes.
@@ -56,6 +59,7 @@
 private:
     struct attempt;
 
+    std::optional<refusal_answer> hold_to_rate(const admitted_request& request) const;
     result<admitted_request, refusal_answer> admit(const caller_head& head, time_point now);
     void forward(const admitted_request& request, const message_head& head, httplib::Response& res,
                  const httplib::ContentReader* reader);
--- a/src/limit_codec.cpp
+++ b/src/limit_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cassert>
 #include <initializer_list>
 #include <limits>
 
@@ -170,4 +172,31 @@
     return in.is_good() ? std::optional(it) : std::nullopt;
 }
 
+std::string encode_limits(std::span<const limit_message> messages)
+{
+    std::string out;
+    for (const limit_message& it : messages.first(std::min(messages.size(), max_limit_batch))) {
+        const std::string text = encode_limit(it);
+        assert(text.size() <= std::numeric_limits<unsigned char>::max());
+        out += static_cast<char>(text.size());
+        out += text;
+    }
+    return out;
+}
+
+std::optional<std::vector<limit_message>> decode_limits(std::string_view text)
+{
+    std::vector<limit_message> out;
+    while (!text.empty()) {
+        const std::size_t length = static_cast<unsigned char>(text.front());
+        text.remove_prefix(1);
+        const auto it = length <= text.size() ? decode_limit(text.substr(0, length)) : std::nullopt;
+        if (!it || out.size() == max_limit_batch)
+            return std::nullopt;
+        out.push_back(*it);
+        text.remove_prefix(length);
+    }
+    return out;
+}
+
 } // namespace jasminebank
--- a/src/limit_codec.h
+++ b/src/limit_codec.h
@@ -6,8 +6,10 @@
 #include "limit_messages.h"
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jasminebank {
 
@@ -17,4 +19,13 @@
 /// Reads one message; nothing if it is malformed or a value is out of its range.
 std::optional<limit_message> decode_limit(std::string_view text);
 
+/// Messages of one payload at most.
+constexpr std::size_t max_limit_batch = 4096;
+
+/// Several messages, each after a byte that tells its length; those past the bound are left out.
+std::string encode_limits(std::span<const limit_message> messages);
+
+/// Reads them; nothing if any is malformed or there are too many.
+std::optional<std::vector<limit_message>> decode_limits(std::string_view text);
+
 } // namespace jasminebank
--- /dev/null
+++ b/src/limit_service.cpp
@@ -0,0 +1,399 @@
+#include "limit_service.h"
+
+#include "limit_codec.h"
+#include "system_clock.h"
+
+#include <algorithm>
+
+namespace jasminebank {
+
+// After it no token of an answer could live any more.
+constexpr duration call_timeout = max_token_life;
+constexpr duration longest_sleep = std::chrono::milliseconds(100);
+constexpr duration retry_without_holder = std::chrono::seconds(1);
+constexpr std::size_t most_waiting_messages = max_limit_batch; // to one node
+
+limit_service::limit_service(limit_service_options options, link_hub& links)
+    : options_(std::move(options)), links_(links), entry_(options_.entry)
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+limit_service::~limit_service()
+{
+    stop();
+}
+
+void limit_service::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+        for (const auto& [ticket, it] : waiters_)
+            it->changed.notify_one();
+    }
+    wake_.notify_all();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+// ---- what the node is told ----
+
+void limit_service::set_config(std::shared_ptr<const fleet_config> config)
+{
+    const std::lock_guard lock(mutex_);
+    if (config_ != nullptr && config->generation <= config_->generation)
+        return;
+    config_ = std::move(config);
+    for (std::vector<rate_contract>& it : contracts_)
+        it.clear();
+    for (const organisation_config& it : config_->organisations)
+        contracts_[shard_of(it.id, limit_shards)].push_back(contract_of(it.id, it.rate, it.burst));
+    for (std::uint32_t shard = 0; shard < limit_shards; ++shard)
+        update_holder(shard);
+    update_views();
+}
+
+void limit_service::set_directory(const member_directory& directory)
+{
+    const std::lock_guard lock(mutex_);
+    members_ = directory.members();
+    std::erase_if(peers_,
+                  [&](const auto& known) { return directory.find(known.first) == nullptr; });
+    for (const member_record& it : members_) {
+        peer_state& peer = peers_[it.vm];
+        peer.link = it.link;
+        peer.run = it.run;
+        peer.name = it.name;
+    }
+    update_views();
+}
+
+void limit_service::set_terms(const shard_terms& it)
+{
+    const std::lock_guard lock(mutex_);
+    holder_state& state = holders_[it.shard];
+    if (it.epoch != state.epoch)
+        state.holder.reset();
+    state.epoch = it.epoch;
+    state.terms = it.terms;
+    update_holder(it.shard);
+    update_views();
+}
+
+// A holder of a new mandate, or of a part that is cut otherwise, starts without tokens.
+void limit_service::update_holder(std::uint32_t shard)
+{
+    holder_state& it = holders_[shard];
+    const auto place = config_ == nullptr ? std::nullopt : place_of(*config_, options_.domain);
+    if (it.epoch == 0 || !place) {
+        it.holder.reset();
+        return;
+    }
+    const time_point now = boot_now();
+    if (it.holder == nullptr || it.place != *place) {
+        it.holder = std::make_unique<limit_holder>(limit_holder_options{.self = options_.self.vm,
+                                                                        .domain = place->index,
+                                                                        .domains = place->count,
+                                                                        .epoch = it.epoch},
+                                                   now);
+        it.place = *place;
+    }
+    it.holder->set_contracts(contracts_[shard], now);
+    it.holder->set_terms(it.terms, now);
+}
+
+// The own failure domain first, then the others in turn, so that each domain has another next one.
+std::vector<vm_id> limit_service::order_of(const std::vector<shard_holder>& holders) const
+{
+    const auto place = place_of(*config_, options_.domain);
+    const std::uint32_t count =
+        std::max<std::uint32_t>(1, static_cast<std::uint32_t>(config_->failure_domains.size()));
+    const std::uint32_t first =
+        place ? place->index : static_cast<std::uint32_t>(options_.self.vm.value % count);
+    std::vector<shard_holder> sorted = holders;
+    std::ranges::sort(sorted, {},
+                      [&](const shard_holder& it) { return (it.domain + count - first) % count; });
+    std::vector<vm_id> out;
+    for (const shard_holder& it : sorted)
+        out.push_back(it.vm);
+    return out;
+}
+
+void limit_service::update_views()
+{
+    if (config_ == nullptr)
+        return;
+    for (std::uint32_t shard = 0; shard < limit_shards; ++shard) {
+        views_[shard] = find_holders(shard, *config_, members_);
+        std::vector<vm_id> holders = order_of(views_[shard]);
+        entry_.set_holders(shard, holders);
+        std::erase(holders, options_.self.vm);
+        if (holders_[shard].holder != nullptr)
+            holders_[shard].holder->set_lenders(holders);
+    }
+}
+
+// ---- callers ----
+
+limit_verdict limit_service::admit_blocking(organisation_id organisation, time_point deadline)
+{
+    constexpr limit_refused no_holder{.retry_after = retry_without_holder, .no_holder = true};
+    std::unique_lock lock(mutex_);
+    if (stopping_)
+        return no_holder;
+    reaction it{.now = boot_now()};
+    const limit_verdict verdict = entry_.admit(organisation, it.now, it.out);
+    const auto* waiting = std::get_if<limit_waiting>(&verdict);
+    if (waiting == nullptr) {
+        settle(it);
+        return verdict;
+    }
+    waiter own;
+    waiters_.emplace(waiting->ticket, &own);
+    settle(it);
+    const time_point latest = std::min(deadline, it.now + options_.entry.max_wait + longest_sleep);
+    while (!own.verdict && !stopping_ && boot_now() < latest)
+        own.changed.wait_for(lock, latest - boot_now());
+    waiters_.erase(waiting->ticket);
+    if (!own.verdict)
+        entry_.cancel(waiting->ticket);
+    return own.verdict.value_or(no_holder);
+}
+
+// ---- messages ----
+
+limit_holder* limit_service::find_holder(organisation_id organisation) const
+{
+    return holders_[shard_of(organisation, limit_shards)].holder.get();
+}
+
+// Who is not the holder says so at once; what comes back to a holder that is gone is dropped, since
+// tokens end by themselves.
+void limit_service::take_for_holder(limit_peer from, const limit_message& message, reaction& it)
+{
+    const organisation_id organisation = std::visit(
+        [](const auto& body) {
+            if constexpr (requires { body.organisation; })
+                return body.organisation;
+            else
+                return organisation_id{};
+        },
+        message);
+    limit_holder* holder = find_holder(organisation);
+    if (holder != nullptr) {
+        std::visit(
+            [&](const auto& body) {
+                if constexpr (requires { holder->receive(from, body, it.now, it.out); })
+                    holder->receive(from, body, it.now, it.out);
+                else if constexpr (requires { holder->receive(from, body, it.now); })
+                    holder->receive(from, body, it.now);
+            },
+            message);
+    }
+    else if (const auto* request = std::get_if<grant_request>(&message)) {
+        it.out.push_back({from.vm, grant{.number = request->number,
+                                         .status = grant_status::not_holder,
+                                         .retry_after = retry_without_holder}});
+    }
+    else if (const auto* wish = std::get_if<loan_request>(&message)) {
+        it.out.push_back({from.vm, loan{.number = wish->number,
+                                        .organisation = wish->organisation,
+                                        .retry_after = retry_without_holder}});
+    }
+}
+
+void limit_service::take(limit_peer from, const limit_message& message, reaction& it)
+{
+    if (const auto* answer = std::get_if<grant>(&message))
+        entry_.receive(from, *answer, it.now, it.out, it.ended);
+    else
+        take_for_holder(from, message, it);
+}
+
+// The entry asks again at once when it hears "not the holder". From the own holder it hears that
+// once in an event, and then takes the silence for the answer, so that the two do not go on.
+void limit_service::deliver(const limit_outgoing& message, reaction& it, bool& was_refused)
+{
+    if (message.to != options_.self.vm) {
+        const auto peer = peers_.find(message.to);
+        if (peer != peers_.end() && peer->second.waiting.size() < most_waiting_messages)
+            peer->second.waiting.push_back(message.body);
+        return;
+    }
+    const auto* answer = std::get_if<grant>(&message.body);
+    const bool is_refusal = answer != nullptr && answer->status == grant_status::not_holder;
+    if (!is_refusal || !was_refused)
+        take(options_.self, message.body, it);
+    was_refused = was_refused || is_refusal;
+}
+
+// Delivers all messages of an event, those to the own node at once, and ends waits. Sends what may
+// go now; the thread sends the rest.
+void limit_service::settle(reaction& it)
+{
+    bool was_refused = false;
+    std::vector<vm_id> others;
+    for (std::size_t n = 0; n < it.out.size(); ++n) {
+        const limit_outgoing message = it.out[n];
+        deliver(message, it, was_refused);
+        if (message.to != options_.self.vm)
+            others.push_back(message.to);
+    }
+    for (const vm_id to : others)
+        send_waiting(to, it.now);
+    for (const limit_outcome& ended : it.ended) {
+        const auto found = waiters_.find(ended.ticket);
+        if (found == waiters_.end())
+            continue;
+        found->second->verdict = ended.verdict;
+        found->second->changed.notify_one();
+    }
+    if (!it.out.empty())
+        wake_.notify_one();
+}
+
+// The first message after a pause goes at once.
+void limit_service::send_waiting(vm_id to, time_point now)
+{
+    const auto found = peers_.find(to);
+    if (found == peers_.end() || found->second.waiting.empty() || now < found->second.next_send)
+        return;
+    peer_state& peer = found->second;
+    std::string payload = encode_limits(peer.waiting);
+    ++traffic_.batches_out;
+    traffic_.messages_out += peer.waiting.size();
+    traffic_.bytes_out += payload.size();
+    peer.waiting.clear();
+    peer.next_send = now + options_.batch_span;
+    const bool sent = links_.call(
+        peer.link, std::string(limit_path), std::move(payload), call_timeout,
+        [this, to](const result<std::string, link_error>& reply) { take_reply(to, reply); });
+    static_cast<void>(sent); // too much waits: the entry hears nothing and asks elsewhere
+}
+
+// A node that cannot be reached is told apart from a slow one: what was asked of it is asked of
+// another at once.
+void limit_service::take_reply(vm_id from, const result<std::string, link_error>& reply)
+{
+    const std::lock_guard lock(mutex_);
+    if (stopping_)
+        return;
+    reaction it{.now = boot_now()};
+    if (failed(reply)) {
+        if (error_of(reply).kind != link_failure::timed_out)
+            entry_.lost(from, it.now, it.out, it.ended);
+        settle(it);
+        return;
+    }
+    const auto messages = decode_limits(value_of(reply));
+    const auto peer = peers_.find(from);
+    if (!messages || messages->empty() || peer == peers_.end())
+        return;
+    ++traffic_.batches_in;
+    traffic_.messages_in += messages->size();
+    traffic_.bytes_in += value_of(reply).size();
+    for (const limit_message& message : *messages)
+        take({.vm = from, .run = peer->second.run}, message, it);
+    settle(it);
+}
+
+std::optional<std::string> limit_service::answer(const control_request& request)
+{
+    const auto messages = decode_limits(request.payload);
+    if (!messages)
+        return std::nullopt;
+    const limit_peer from{.vm = id_of<vm_id>(request.peer.vm_name), .run = request.peer.run};
+    const std::lock_guard lock(mutex_);
+    if (stopping_)
+        return std::nullopt;
+    ++traffic_.batches_in;
+    traffic_.messages_in += messages->size();
+    traffic_.bytes_in += request.payload.size();
+    reaction it{.now = boot_now()};
+    for (const limit_message& message : *messages)
+        take(from, message, it);
+    std::vector<limit_message> ready;
+    std::erase_if(it.out, [&](const limit_outgoing& message) {
+        if (message.to != from.vm || ready.size() == max_limit_batch)
+            return false;
+        ready.push_back(message.body);
+        return true;
+    });
+    settle(it);
+    wake_.notify_one();
+    std::string reply = encode_limits(ready);
+    traffic_.batches_out += ready.empty() ? 0 : 1;
+    traffic_.messages_out += ready.size();
+    traffic_.bytes_out += reply.size();
+    return reply;
+}
+
+// ---- time ----
+
+// Does what is due and tells when the next thing is.
+time_point limit_service::run_due(time_point now)
+{
+    reaction it{.now = now};
+    entry_.tick(now, it.out, it.ended);
+    for (const holder_state& state : holders_) {
+        if (state.holder != nullptr)
+            state.holder->tick(now, it.out);
+    }
+    settle(it);
+    time_point next = std::min(entry_.next_deadline(), now + longest_sleep);
+    for (const holder_state& state : holders_) {
+        if (state.holder != nullptr)
+            next = std::min(next, state.holder->next_deadline(now));
+    }
+    for (auto& [vm, peer] : peers_) {
+        send_waiting(vm, now);
+        if (!peer.waiting.empty())
+            next = std::min(next, peer.next_send);
+    }
+    return next;
+}
+
+void limit_service::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        const time_point now = boot_now();
+        const time_point next = run_due(now);
+        wake_.wait_for(lock, std::max<duration>(next - now, std::chrono::microseconds(50)));
+    }
+}
+
+// ---- reports ----
+
+budget_report limit_service::report(organisation_id organisation) const
+{
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    budget_report out{.shard = shard_of(organisation, limit_shards),
+                      .tokens = entry_.spendable(organisation, now),
+                      .holders = {},
+                      .entry = entry_.counts(),
+                      .holding = {},
+                      .traffic = traffic_};
+    if (limit_holder* holder = find_holder(organisation)) {
+        out.holder_tokens = holder->spendable(organisation, now);
+        out.holding = holder->counts();
+    }
+    for (const shard_holder& it : views_[out.shard]) {
+        const auto peer = peers_.find(it.vm);
+        const std::vector<std::string>& names = config_->failure_domains;
+        out.holders.push_back({.domain = it.domain < names.size() ? names[it.domain] : "",
+                               .vm = peer == peers_.end() ? "" : peer->second.name,
+                               .epoch = it.epoch});
+    }
+    return out;
+}
+
+limit_traffic limit_service::traffic() const
+{
+    const std::lock_guard lock(mutex_);
+    return traffic_;
+}
+
+} // namespace jasminebank
--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -8,6 +8,9 @@
 
 using json = nlohmann::json;
 
+constexpr std::size_t shards_place = 8; // in a record's array; absent when no shard is held
+constexpr std::size_t most_shards = 64;
+
 // Records are arrays, not objects: field names would be most of the bytes.
 static json to_json(const server_record& it)
 {
@@ -15,13 +18,26 @@
                         static_cast<unsigned>(it.standing)});
 }
 
+static json shards_to_json(const std::vector<held_shard>& shards)
+{
+    json out = json::array();
+    for (const held_shard& it : shards) {
+        out.push_back(it.shard);
+        out.push_back(it.epoch);
+    }
+    return out;
+}
+
 static json to_json(const member_record& it)
 {
     json servers = json::array();
     for (const server_record& server : it.servers)
         servers.push_back(to_json(server));
-    return json::array({it.name, it.run.value, it.version, it.link.host, it.link.port,
-                        it.domain.value, it.leaving, std::move(servers)});
+    json out = json::array({it.name, it.run.value, it.version, it.link.host, it.link.port,
+                            it.domain.value, it.leaving, std::move(servers)});
+    if (!it.shards.empty())
+        out.push_back(shards_to_json(it.shards));
+    return out;
 }
 
 static json to_json(std::span<const member_record> members)
@@ -58,6 +74,16 @@
     return out;
 }
 
+static std::vector<held_shard> shards_from(const json& in)
+{
+    std::vector<held_shard> out;
+    for (std::size_t n = 0; n + 1 < in.size() && out.size() < most_shards; n += 2) {
+        out.push_back(
+            {.shard = in.at(n).get<std::uint32_t>(), .epoch = in.at(n + 1).get<std::uint64_t>()});
+    }
+    return out;
+}
+
 static member_record member_from(const json& in)
 {
     member_record out;
@@ -70,6 +96,8 @@
     out.leaving = in.at(6).get<bool>();
     for (const json& server : in.at(7))
         out.servers.push_back(server_from(server));
+    if (in.size() > shards_place)
+        out.shards = shards_from(in.at(shards_place));
     return out;
 }
 
--- a/src/member_directory.h
+++ b/src/member_directory.h
@@ -25,6 +25,13 @@
     bool operator==(const server_record&) const = default;
 };
 
+/// A shard of the limits whose mandate a node holds in its failure domain.
+struct held_shard {
+    std::uint32_t shard = 0;
+    std::uint64_t epoch = 0; ///< of two nodes that claim a shard, the higher epoch is right
+    bool operator==(const held_shard&) const = default;
+};
+
 /// A node: the process in the slot of one VM.
 struct member_record {
     vm_id vm;
@@ -34,7 +41,8 @@
     endpoint link;             ///< where its links are accepted
     failure_domain_id domain;
     bool leaving = false; ///< a planned stop has begun
-    std::vector<server_record> servers;
+    std::vector<server_record> servers{};
+    std::vector<held_shard> shards{}; ///< few: all shards over the nodes of a failure domain
     bool operator==(const member_record&) const = default;
 };
 
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -146,6 +146,11 @@
     step([&](membership& m) { return m.announce(std::move(servers), leaving, boot_now()); });
 }
 
+void member_service::announce_shards(std::vector<held_shard> shards)
+{
+    step([&](membership& m) { return m.announce_shards(std::move(shards), boot_now()); });
+}
+
 void member_service::set_generation(std::uint64_t generation)
 {
     step([&](membership& m) { return m.set_generation(generation, boot_now()); });
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -53,6 +53,8 @@
     /// Begins; false if the datagram address, the same as that of the links, cannot be had.
     bool start();
     void announce(std::vector<server_record> servers, bool leaving);
+    /// The mandates of limits that this node holds changed.
+    void announce_shards(std::vector<held_shard> shards);
     void set_generation(std::uint64_t generation);
     void store_heard(time_point at);
     /// Answers another node's part of an exchange.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -330,9 +330,20 @@
 membership_actions membership::announce(std::vector<server_record> servers, bool leaving,
                                         time_point now)
 {
-    membership_actions out;
     self_.servers = std::move(servers);
     self_.leaving = leaving;
+    return spread_self(now);
+}
+
+membership_actions membership::announce_shards(std::vector<held_shard> shards, time_point now)
+{
+    self_.shards = std::move(shards);
+    return spread_self(now);
+}
+
+membership_actions membership::spread_self(time_point now)
+{
+    membership_actions out;
     ++self_.version;
     directory_.merge(self_);
     out.emplace_back(directory_changed{});
--- a/src/membership.h
+++ b/src/membership.h
@@ -73,6 +73,8 @@
 
     /// What this node announces of itself changed.
     membership_actions announce(std::vector<server_record> servers, bool leaving, time_point now);
+    /// The mandates of limits that this node holds changed.
+    membership_actions announce_shards(std::vector<held_shard> shards, time_point now);
     /// A datagram from `from` whose proof held.
     membership_actions receive(const endpoint& from, const heartbeat& it, time_point now);
     /// Records that came over a link.
@@ -126,6 +128,7 @@
         time_point since;
     };
 
+    membership_actions spread_self(time_point now);
     heartbeat message(heartbeat_kind kind, std::uint64_t number, time_point now) const;
     void send(const endpoint& to, heartbeat body, membership_actions& out) const;
     void ping(const member_record& target, time_point now, membership_actions& out);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -12,9 +12,12 @@
 
 constexpr duration tick_interval = std::chrono::milliseconds(50);
 constexpr std::size_t control_connections = 128;
+constexpr int unknown_organisation_status = 404;
 constexpr duration caller_idle_timeout = std::chrono::minutes(1);
 constexpr duration caller_io_timeout = std::chrono::seconds(30);
 constexpr duration closing_grace = std::chrono::seconds(1);
+// A planned stop waits this long, from its beginning, for the mandates to be given up.
+constexpr duration release_grace = std::chrono::seconds(2);
 
 // What a caller over the bound on connections gets, at once.
 static std::string over_bound_answer()
@@ -68,12 +71,17 @@
                                                 .backend_idle = settings_.backend_idle,
                                                 .waiting_requests = settings_.waiting_requests},
                                    *health_);
+    open_limits();
     entry_ = std::make_unique<entry>(
         entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
                       .may_serve =
                           [this] {
                               return settings_.when_cut_off == cut_off_policy::serve ||
                                      members_->may_serve();
+                          },
+                      .take_token =
+                          [this](organisation_id organisation, time_point deadline) {
+                              return limits_->admit_blocking(organisation, deadline);
                           }},
         *links_,
         router_options{.self = id_of<vm_id>(settings_.vm_name),
@@ -85,6 +93,8 @@
                 [this](const std::shared_ptr<const config_generation>& it) {
                     entry_->set_config(it->config);
                     health_->set_config(it->config);
+                    limits_->set_config(it->config);
+                    mandates_->set_config(it->config);
                     members_->set_generation(it->head.generation);
                 },
             .on_store_heard = [this](time_point at) { members_->store_heard(at); }},
@@ -92,6 +102,25 @@
     return true;
 }
 
+// Mandates come only after the configuration, and it is fetched once the members stand.
+void node::open_limits()
+{
+    const limit_peer self{.vm = id_of<vm_id>(settings_.vm_name), .run = run_};
+    limits_ = std::make_unique<limit_service>(
+        limit_service_options{.self = self,
+                              .domain = id_of<failure_domain_id>(settings_.failure_domain)},
+        *links_);
+    mandates_ = std::make_unique<mandate_service>(
+        mandate_options{
+            .self = self,
+            .failure_domain = settings_.failure_domain,
+            .store = settings_.store,
+            .on_terms = [this](const shard_terms& it) { limits_->set_terms(it); },
+            .on_held =
+                [this](std::vector<held_shard> it) { members_->announce_shards(std::move(it)); }},
+        *links_);
+}
+
 bool node::open_members()
 {
     const member_record self{.vm = id_of<vm_id>(settings_.vm_name),
@@ -109,6 +138,8 @@
                 [this](const member_directory& it) {
                     entry_->set_directory(it);
                     health_->set_directory(it);
+                    limits_->set_directory(it);
+                    mandates_->set_directory(it);
                 },
             .on_newer_config = [this](const endpoint& it) { follower_->fetch_from(it); },
             .on_watcher = [this](bool watching) { follower_->watch_store(watching); }},
@@ -166,6 +197,9 @@
     control_->set_payload_max_length(64UL * 1024);
     control_->Get("/status",
                   [this](const httplib::Request&, httplib::Response& res) { answer_status(res); });
+    control_->Get("/budget", [this](const httplib::Request& req, httplib::Response& res) {
+        answer_budget(req, res);
+    });
     control_->Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
         answer_announcement(req, res);
     });
@@ -196,6 +230,54 @@
     res.set_content(out.dump(), "application/json");
 }
 
+// Counts and traffic are of the whole node, the rest of the organisation.
+void node::answer_budget(const httplib::Request& req, httplib::Response& res)
+{
+    const std::string name = req.get_param_value("organisation");
+    const auto config = entry_->config();
+    const organisation_id id = id_of<organisation_id>(name);
+    const organisation_config* contract =
+        config == nullptr ? nullptr : find_organisation(*config, id);
+    if (contract == nullptr) {
+        res.status = unknown_organisation_status;
+        res.set_content("organisation: not in the configuration\n", "text/plain");
+        return;
+    }
+    const budget_report it = limits_->report(id);
+    nlohmann::json holders = nlohmann::json::array();
+    for (const budget_holder& holder : it.holders)
+        holders.push_back(
+            {{"failure_domain", holder.domain}, {"vm", holder.vm}, {"epoch", holder.epoch}});
+    nlohmann::json out{{"vm", settings_.vm_name},
+                       {"organisation", name},
+                       {"rate", contract->rate},
+                       {"burst", contract->burst},
+                       {"shard", it.shard},
+                       {"tokens", it.tokens},
+                       {"holders", std::move(holders)},
+                       {"counts",
+                        {{"admitted", it.entry.admitted},
+                         {"waited", it.entry.waited},
+                         {"refused", it.entry.refused},
+                         {"no_holder", it.entry.no_holder},
+                         {"requests", it.entry.requests}}},
+                       {"messages",
+                        {{"batches_out", it.traffic.batches_out},
+                         {"messages_out", it.traffic.messages_out},
+                         {"bytes_out", it.traffic.bytes_out},
+                         {"batches_in", it.traffic.batches_in},
+                         {"messages_in", it.traffic.messages_in},
+                         {"bytes_in", it.traffic.bytes_in}}}};
+    if (it.holder_tokens) {
+        out["holder"] = {{"tokens", static_cast<double>(*it.holder_tokens) / one_token},
+                         {"grants", it.holding.grants},
+                         {"refusals", it.holding.refusals},
+                         {"loans_asked", it.holding.loans_asked},
+                         {"loans_given", it.holding.loans_given}};
+    }
+    res.set_content(out.dump(), "application/json");
+}
+
 void node::answer_announcement(const httplib::Request& req, httplib::Response& res)
 {
     const auto it = parse_announcement(req.body);
@@ -238,6 +320,10 @@
         return members_->answer(request.payload);
     if (request.path == config_path)
         return follower_->answer(request.payload);
+    if (request.path == limit_path)
+        return limits_->answer(request);
+    if (request.path == mandate_path)
+        return mandates_->answer(request);
     if (request.path == service_path)
         return health_->answer(request.payload);
     return std::nullopt;
@@ -276,11 +362,15 @@
         ticks_.join();
     if (members_ != nullptr)
         publish_servers();
+    const time_point released_by = boot_now() + release_grace;
+    mandates_->release();
     if (callers_ != nullptr)
         callers_->stop_gently(closing_grace);
     links_->drain();
     links_->wait_idle(boot_now() + settings_.stop_grace);
     gate_->stop();
+    mandates_->stop(released_by);
+    limits_->stop();
     if (members_ != nullptr)
         members_->stop();
     health_->stop();
--- a/src/node.h
+++ b/src/node.h
@@ -7,7 +7,9 @@
 #include "entry.h"
 #include "gate.h"
 #include "health_service.h"
+#include "limit_service.h"
 #include "link_hub.h"
+#include "mandate_service.h"
 #include "member_service.h"
 #include "node_settings.h"
 #include "socket_server.h"
@@ -45,11 +47,13 @@
     node(node_settings settings, incarnation run);
 
     bool open_links();
+    void open_limits();
     bool open_members();
     bool open_doors();
     void follow_config();
     void add_caller_routes();
     void add_control_routes();
+    void answer_budget(const httplib::Request& req, httplib::Response& res);
     void answer_status(httplib::Response& res);
     void answer_announcement(const httplib::Request& req, httplib::Response& res);
     void accept(const std::shared_ptr<link_stream>& stream);
@@ -62,6 +66,8 @@
     std::unique_ptr<link_hub> links_;
     std::unique_ptr<health_service> health_;
     std::unique_ptr<gate> gate_;
+    std::unique_ptr<limit_service> limits_;
+    std::unique_ptr<mandate_service> mandates_;
     std::unique_ptr<entry> entry_;
     std::unique_ptr<socket_server> callers_;
     std::unique_ptr<socket_server> control_;
