--- a/src/limit_entry.h
+++ b/src/limit_entry.h
@@ -67,6 +67,8 @@
 public:
     explicit limit_entry(const limit_entry_options& options);
 
+    /// Index of the own failure domain, when the configuration tells it.
+    void set_domain(std::uint32_t domain) { options_.domain = domain; }
     /// Holders of a shard by index of their failure domain; vm 0 where none is known.
     void set_holders(std::uint32_t shard, std::span<const vm_id> holders);
 
--- a/src/limit_service.cpp
+++ b/src/limit_service.cpp
@@ -47,8 +47,14 @@
     config_ = std::move(config);
     for (std::vector<rate_contract>& it : contracts_)
         it.clear();
-    for (const organisation_config& it : config_->organisations)
-        contracts_[shard_of(it.id, limit_shards)].push_back(contract_of(it.id, it.rate, it.burst));
+    const std::uint32_t domains = domain_count();
+    for (const organisation_config& it : config_->organisations) {
+        rate_contract contract = contract_of(it.id, it.rate, it.burst);
+        contract.home = suggested_home(contract, domains);
+        contracts_[shard_of(it.id, limit_shards)].push_back(contract);
+    }
+    if (const auto place = place_of(*config_, options_.domain))
+        entry_.set_domain(place->index);
     for (std::uint32_t shard = 0; shard < limit_shards; ++shard)
         update_holder(shard);
     update_views();
@@ -74,28 +80,37 @@
     const std::lock_guard lock(mutex_);
     holder_state& state = holders_[it.shard];
     if (it.epoch != state.epoch)
-        state.holder.reset();
+        retire(state);
     state.epoch = it.epoch;
     state.terms = it.terms;
     update_holder(it.shard);
     update_views();
 }
 
+// Loan numbers go on where the holder before stopped: lenders still know its last loans.
+void limit_service::retire(holder_state& it)
+{
+    if (it.holder != nullptr)
+        it.next_loan = it.holder->next_loan();
+    it.holder.reset();
+}
+
 // A holder of a new mandate, or of a part that is cut otherwise, starts without tokens.
 void limit_service::update_holder(std::uint32_t shard)
 {
     holder_state& it = holders_[shard];
     const auto place = config_ == nullptr ? std::nullopt : place_of(*config_, options_.domain);
     if (it.epoch == 0 || !place) {
-        it.holder.reset();
+        retire(it);
         return;
     }
     const time_point now = boot_now();
     if (it.holder == nullptr || it.place != *place) {
+        retire(it);
         it.holder = std::make_unique<limit_holder>(limit_holder_options{.self = options_.self.vm,
                                                                         .domain = place->index,
                                                                         .domains = place->count,
-                                                                        .epoch = it.epoch},
+                                                                        .first_loan = it.next_loan},
                                                    now);
         it.place = *place;
     }
@@ -103,20 +118,19 @@
     it.holder->set_terms(it.terms, now);
 }
 
-// The own failure domain first, then the others in turn, so that each domain has another next one.
-std::vector<vm_id> limit_service::order_of(const std::vector<shard_holder>& holders) const
+std::uint32_t limit_service::domain_count() const
+{
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(config_->failure_domains.size()));
+}
+
+// By index of their failure domains; vm 0 where none is known.
+std::vector<vm_id> limit_service::by_domain(const std::vector<shard_holder>& holders) const
 {
-    const auto place = place_of(*config_, options_.domain);
-    const std::uint32_t count =
-        std::max<std::uint32_t>(1, static_cast<std::uint32_t>(config_->failure_domains.size()));
-    const std::uint32_t first =
-        place ? place->index : static_cast<std::uint32_t>(options_.self.vm.value % count);
-    std::vector<shard_holder> sorted = holders;
-    std::ranges::sort(sorted, {},
-                      [&](const shard_holder& it) { return (it.domain + count - first) % count; });
-    std::vector<vm_id> out;
-    for (const shard_holder& it : sorted)
-        out.push_back(it.vm);
+    std::vector<vm_id> out(domain_count());
+    for (const shard_holder& it : holders) {
+        if (it.domain < out.size())
+            out[it.domain] = it.vm;
+    }
     return out;
 }
 
@@ -126,9 +140,10 @@
         return;
     for (std::uint32_t shard = 0; shard < limit_shards; ++shard) {
         views_[shard] = find_holders(shard, *config_, members_);
-        std::vector<vm_id> holders = order_of(views_[shard]);
+        std::vector<vm_id> holders = by_domain(views_[shard]);
         entry_.set_holders(shard, holders);
         std::erase(holders, options_.self.vm);
+        std::erase(holders, vm_id{});
         if (holders_[shard].holder != nullptr)
             holders_[shard].holder->set_lenders(holders);
     }
@@ -136,6 +151,14 @@
 
 // ---- callers ----
 
+const rate_contract* limit_service::find_contract(organisation_id organisation) const
+{
+    const auto& contracts = contracts_[shard_of(organisation, limit_shards)];
+    const auto it =
+        std::ranges::lower_bound(contracts, organisation, {}, &rate_contract::organisation);
+    return it != contracts.end() && it->organisation == organisation ? &*it : nullptr;
+}
+
 limit_verdict limit_service::admit_blocking(organisation_id organisation, time_point deadline)
 {
     constexpr limit_refused no_holder{.retry_after = retry_without_holder, .no_holder = true};
@@ -143,7 +166,10 @@
     if (stopping_)
         return no_holder;
     reaction it{.now = boot_now()};
-    const limit_verdict verdict = entry_.admit(organisation, it.now, it.out);
+    const rate_contract* contract = find_contract(organisation);
+    if (contract == nullptr)
+        return no_holder;
+    const limit_verdict verdict = entry_.admit(*contract, it.now, it.out);
     const auto* waiting = std::get_if<limit_waiting>(&verdict);
     if (waiting == nullptr) {
         settle(it);
--- a/src/limit_service.h
+++ b/src/limit_service.h
@@ -101,6 +101,7 @@
         domain_place place;
         std::unique_ptr<limit_holder> holder;
         mandate_terms terms{};
+        std::uint64_t next_loan = 1; ///< first number of the next holder
     };
     // A caller's thread that waits for its token.
     struct waiter {
@@ -123,9 +124,12 @@
     void send_waiting(vm_id to, time_point now);
     void take_reply(vm_id from, const result<std::string, link_error>& reply);
     limit_holder* find_holder(organisation_id organisation) const;
+    static void retire(holder_state& it);
     void update_holder(std::uint32_t shard);
     void update_views();
-    std::vector<vm_id> order_of(const std::vector<shard_holder>& holders) const;
+    std::vector<vm_id> by_domain(const std::vector<shard_holder>& holders) const;
+    std::uint32_t domain_count() const;
+    const rate_contract* find_contract(organisation_id organisation) const;
 
     const limit_service_options options_;
     link_hub& links_;
