--- /dev/null
+++ b/fleet-common.sh
@@ -0,0 +1,52 @@
+# Shared by the scripts that run a small fleet on loopback addresses. Source it from the root of the
+# tree after the build; `dir` is a directory of the run's own, removed at the end.
+dir=$(mktemp -d)
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$dir"
+}
+trap cleanup EXIT
+
+# Waits until a file is there, at most 10 seconds.
+wait_for() {
+  for _ in $(seq 200); do [ -s "$1" ] && return; sleep 0.05; done
+  echo "no $1; the log says:" >&2
+  cat "$dir"/*.log >&2
+  exit 1
+}
+
+port_of() { sed -n "s/^$2 = //p" "$dir/$1.ports"; }
+
+start_store() {
+  build/fake_store --port-file "$dir/store" 2>"$dir/store.log" & pids+=($!)
+  wait_for "$dir/store"
+  store=127.0.0.1:$(cat "$dir/store")
+  (umask 077; head -c 24 /dev/urandom | base64 >"$dir/fleet.key")
+}
+
+# start_node NAME DOMAIN [PEERS]
+start_node() {
+  cat >"$dir/$1.ini" <<INI
+[node]
+vm = $1
+failure_domain = $2
+store = $store
+peers = ${3-}
+fleet_key_file = $dir/fleet.key
+port_file = $dir/$1.ports
+INI
+  build/node --settings "$dir/$1.ini" 2>"$dir/$1.log" & pids+=($!)
+  node_pid=$!
+  wait_for "$dir/$1.ports"
+}
+
+# start_backend NAME SERVICE NODE [OPTION...]
+start_backend() {
+  local name=$1 service=$2 node=$3
+  shift 3
+  build/fake_backend --service "$service" --node "$(port_of "$node" control)" \
+    --port-file "$dir/$name" "$@" 2>"$dir/$name.log" & pids+=($!)
+  wait_for "$dir/$name"
+}
