--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -156,14 +156,37 @@
         refuse(res, {.reason = error_of(head)});
         return;
     }
-    const auto request = admit(value_of(head), boot_now());
+    serve(value_of(head), res, reader);
+}
+
+// Names for the metrics come from the configuration, never from the caller, so their number is
+// bounded by it.
+void entry::serve(const caller_head& head, httplib::Response& res,
+                  const httplib::ContentReader* reader)
+{
+    const time_point start = boot_now();
+    const auto request = admit(head, start);
     if (failed(request)) {
-        if (length_of(value_of(head).clean) != std::size_t{0})
+        if (length_of(head.clean) != std::size_t{0})
             socket_server::close_after_answer();
         refuse(res, error_of(request));
-        return;
     }
-    forward(value_of(request), value_of(head).clean, res, reader);
+    else {
+        forward(value_of(request), head.clean, res, reader);
+    }
+    const auto current = config();
+    const organisation_config* organisation =
+        current == nullptr ? nullptr : find_key(*current, head.key);
+    const route_config* route =
+        current == nullptr ? nullptr
+                           : find_route(*current, head.clean.method, path_of(head.clean.path));
+    const service_config* service =
+        route == nullptr ? nullptr : find_service(*current, route->service);
+    const auto outcome = parse_outcome(res.get_header_value(std::string(outcome_header)));
+    metrics_.add({.organisation = organisation == nullptr ? "" : organisation->name,
+                  .service = service == nullptr ? "" : service->name,
+                  .outcome = outcome ? name_of(outcome->reason) : name_of(run_state::ran),
+                  .latency = boot_now() - start});
 }
 
 std::optional<route_choice> entry::choose(const admitted_request& request,
--- a/src/entry.h
+++ b/src/entry.h
@@ -10,6 +10,7 @@
 #include "limit_entry.h"
 #include "link_hub.h"
 #include "refusal.h"
+#include "request_metrics.h"
 #include "router.h"
 #include "types.h"
 
@@ -53,6 +54,8 @@
     /// Takes a configuration over; older generations than the one in force are ignored.
     void set_config(std::shared_ptr<const fleet_config> config);
     std::shared_ptr<const fleet_config> config() const;
+    /// What callers experienced so far.
+    const request_metrics& metrics() const { return metrics_; }
     /// Takes over who stands where.
     void set_directory(const member_directory& directory);
 
@@ -61,6 +64,8 @@
 
     std::optional<refusal_answer> hold_to_rate(const admitted_request& request) const;
     result<admitted_request, refusal_answer> admit(const caller_head& head, time_point now);
+    void serve(const caller_head& head, httplib::Response& res,
+               const httplib::ContentReader* reader);
     void forward(const admitted_request& request, const message_head& head, httplib::Response& res,
                  const httplib::ContentReader* reader);
     std::optional<route_choice> choose(const admitted_request& request,
@@ -73,6 +78,7 @@
                  const message_head& head, httplib::Response& res);
 
     const entry_options options_;
+    request_metrics metrics_;
     link_hub& links_;
     mutable std::mutex mutex_;
     std::shared_ptr<const fleet_config> config_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -200,6 +200,9 @@
     control_->Get("/budget", [this](const httplib::Request& req, httplib::Response& res) {
         answer_budget(req, res);
     });
+    control_->Get("/metrics", [this](const httplib::Request&, httplib::Response& res) {
+        res.set_content(metrics_text(), "text/plain; version=0.0.4");
+    });
     control_->Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
         answer_announcement(req, res);
     });
@@ -278,6 +281,30 @@
     res.set_content(out.dump(), "application/json");
 }
 
+// Callers' experience, then what the node spends on control.
+std::string node::metrics_text() const
+{
+    const link_counters& links = links_->counters();
+    const member_status standing = members_->status();
+    const auto config = entry_->config();
+    std::string out = entry_->metrics().text();
+    const auto add = [&out](std::string_view name, std::string_view type, std::uint64_t value) {
+        out +=
+            fmt::format("# TYPE jasminebank_{} {}\njasminebank_{} {}\n", name, type, name, value);
+    };
+    add("control_link_bytes_out_total", "counter", links.control.bytes_out);
+    add("control_link_bytes_in_total", "counter", links.control.bytes_in);
+    add("request_link_bytes_out_total", "counter", links.requests.bytes_out);
+    add("request_link_bytes_in_total", "counter", links.requests.bytes_in);
+    add("datagram_bytes_out_total", "counter", standing.datagram_bytes);
+    add("links", "gauge", links.links);
+    add("members_asked", "gauge", standing.in_all.asked);
+    add("members_heard", "gauge", standing.in_all.heard);
+    add("may_serve", "gauge", standing.may_serve ? 1 : 0);
+    add("config_generation", "gauge", config == nullptr ? 0 : config->generation);
+    return out;
+}
+
 void node::answer_announcement(const httplib::Request& req, httplib::Response& res)
 {
     const auto it = parse_announcement(req.body);
--- a/src/node.h
+++ b/src/node.h
@@ -54,6 +54,7 @@
     void add_caller_routes();
     void add_control_routes();
     void answer_budget(const httplib::Request& req, httplib::Response& res);
+    std::string metrics_text() const;
     void answer_status(httplib::Response& res);
     void answer_announcement(const httplib::Request& req, httplib::Response& res);
     void accept(const std::shared_ptr<link_stream>& stream);
--- /dev/null
+++ b/src/request_metrics.h
@@ -0,0 +1,50 @@
+#pragma once
+
+// What a node's callers experienced: a histogram for each organisation and each service, and counts
+// by outcome, in the usual text format of metrics. Bounded: the first organisations seen have their
+// own series, all others share one.
+
+#include "latency_histogram.h"
+#include "types.h"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace jasminebank {
+
+/// One request, refused or answered.
+struct request_sample {
+    std::string_view organisation; ///< empty if the key told none
+    std::string_view service;      ///< empty if no route was found
+    std::string_view outcome;      ///< "ran", or the reason of the refusal
+    duration latency{};            ///< until the answer began
+};
+
+/// Thread-safe.
+class request_metrics {
+public:
+    void add(const request_sample& it);
+    /// Text of all series.
+    std::string text() const;
+
+private:
+    // One series, for an organisation or a service.
+    struct series {
+        latency_histogram latency;
+        std::map<std::string, std::uint64_t, std::less<>> outcomes;
+    };
+    using series_table = std::map<std::string, series, std::less<>>;
+
+    static void add(series_table& table, std::size_t most, std::string_view name,
+                    const request_sample& it);
+    static void append(std::string& out, std::string_view label, const series_table& table);
+
+    mutable std::mutex mutex_;
+    series_table organisations_;
+    series_table services_;
+};
+
+} // namespace jasminebank
