One name for one type: what a backend server posts is a server_announcement

Two structs in two headers had the same name in the same namespace, with different members. No unit included both until a test of node and backend server together, but the linker merges the inline functions of both, as of std::function<announcement()>, so one program with both had undefined behaviour.

--- a/src/announcer.cpp
+++ b/src/announcer.cpp
@@ -12,7 +12,7 @@
 // A node that misses this many announcements in a row is given up for the next one.
 constexpr int failures_until_next_node = 2;
 
-std::string to_json(const announcement& it)
+std::string to_json(const server_announcement& it)
 {
     return nlohmann::json{{"service", it.service}, {"address", to_string(it.address)},
                           {"slots", it.slots},     {"draining", it.draining},
@@ -20,7 +20,7 @@
         .dump();
 }
 
-announcer::announcer(announcer_options options, std::function<announcement()> describe)
+announcer::announcer(announcer_options options, std::function<server_announcement()> describe)
     : options_(std::move(options)), describe_(std::move(describe))
 {
 }
--- a/src/announcer.h
+++ b/src/announcer.h
@@ -18,7 +18,7 @@
 namespace jasminebank {
 
 /// What one announcement says.
-struct announcement {
+struct server_announcement {
     std::string service;
     endpoint address;
     std::uint64_t slots = 0;
@@ -27,7 +27,7 @@
     std::uint64_t incarnation = 0;
 };
 
-std::string to_json(const announcement& it);
+std::string to_json(const server_announcement& it);
 
 struct announcer_options {
     std::vector<endpoint> nodes;                       ///< tried in this order
@@ -39,7 +39,7 @@
 class announcer {
 public:
     /// `describe` gives the present state; it is called on the announcer's thread.
-    announcer(announcer_options options, std::function<announcement()> describe);
+    announcer(announcer_options options, std::function<server_announcement()> describe);
     ~announcer();
 
     void start();
@@ -61,7 +61,7 @@
     bool post_to(const endpoint& node, const std::string& body) const;
 
     announcer_options options_;
-    std::function<announcement()> describe_;
+    std::function<server_announcement()> describe_;
     std::thread thread_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
--- a/src/fake_backend.cpp
+++ b/src/fake_backend.cpp
@@ -211,7 +211,7 @@
     mode_ = mode;
 }
 
-announcement fake_backend::describe()
+server_announcement fake_backend::describe()
 {
     return {.service = options_.service,
             .address = server_.address(),
--- a/src/fake_backend.h
+++ b/src/fake_backend.h
@@ -89,7 +89,7 @@
     void run(work& it);
     void answer(work& it);
     duration draw_service_time(const request_fate& fate);
-    announcement describe();
+    server_announcement describe();
     double reported_load();
     bool reported_health();
     void refresh_report();
