--- a/tests/limit_service_test.cpp
+++ b/tests/limit_service_test.cpp
@@ -235,7 +235,7 @@
         if (!answer)
             return "";
         for (const auto& it : nlohmann::json::parse(answer->body)["holders"]) {
-            if (it["failure_domain"] == domain)
+            if (it["failure_domain"].get<std::string>() == domain)
                 return it["vm"];
         }
         return "";
