--- a/src/mandate_service.cpp
+++ b/src/mandate_service.cpp
@@ -153,7 +153,7 @@
 }
 
 // The calls of the store are made one after another, so that a slow store delays renewals and
-// never makes them pile up.
+// never makes them pile up. A new mandate reads before its first tick, which can write then.
 void mandate_service::step(std::uint32_t shard)
 {
     mandate_actions actions;
@@ -162,11 +162,15 @@
         shard_state& it = shards_[shard];
         const time_point now = boot_now();
         const bool is_close = it.rank && *it.rank <= lowest_rank;
-        if (!it.mandate && is_close)
+        const bool is_new = !it.mandate && is_close;
+        if (is_new)
             start_mandate(it, now);
         if (!it.mandate)
             return;
-        it.mandate->tick(is_close && !is_releasing_ ? it.rank : std::nullopt, now, actions);
+        if (is_new)
+            actions.emplace_back(mandate_read{});
+        else
+            it.mandate->tick(is_close && !is_releasing_ ? it.rank : std::nullopt, now, actions);
         if (actions.empty() && wants_read(it, now))
             actions.emplace_back(mandate_read{});
     }
--- a/tests/limit_service_test.cpp
+++ b/tests/limit_service_test.cpp
@@ -234,7 +234,8 @@
         const auto answer = client.Get("/budget?organisation=greedy");
         if (!answer)
             return "";
-        for (const auto& it : nlohmann::json::parse(answer->body)["holders"]) {
+        const nlohmann::json budget = nlohmann::json::parse(answer->body);
+        for (const auto& it : budget["holders"]) {
             if (it["failure_domain"].get<std::string>() == domain)
                 return it["vm"];
         }
