Retry budgets by organisation and service

Retries are a share of recent successes and a small floor; none under overload and none that the deadline leaves no time for. The table is bounded and drops the entry that rested longest, which can only lose successes.

Property: over any run retries stay within the share of successes plus the floor. Seen to fail with the mechanism broken: retries not counted or faded at once, share, overload or deadline ignored, the newest entry dropped.

--- /dev/null
+++ b/tests/retry_budget_test.cpp
@@ -0,0 +1,75 @@
+#include "retry_budget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+// However successes and wishes come, retries stay within the share and the floor over the run.
+RC_GTEST_PROP(retry_budget, retries_stay_within_share_and_floor, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    const retry_budget_options options;
+    retry_budget budget(options);
+    time_point now{1h};
+    const time_point start = now;
+    const std::uint64_t failing_share = random() % 10;
+    double successes = 0;
+    double retries = 0;
+    for (int n = 0; n < 2000; ++n) {
+        now += std::chrono::milliseconds(random() % 200);
+        if (random() % 10 >= failing_share) {
+            budget.on_success({1}, {1}, now);
+            ++successes;
+        }
+        else if (budget.ask({.organisation = {1}, .service = {1}, .deadline = now + 1s}, now) ==
+                 retry_decision::granted) {
+            ++retries;
+        }
+    }
+    const double spans = std::chrono::duration<double>(now - start) / options.recent;
+    RC_ASSERT(retries <= options.share * successes + (1 + options.floor_retries) * (1 + spans));
+}
+
+TEST(retry_budget, none_under_overload_or_past_the_deadline)
+{
+    retry_budget budget;
+    const time_point now{1h};
+    retry_request it{.organisation = {1}, .service = {1}, .deadline = now + 1s, .overloaded = true};
+    EXPECT_EQ(budget.ask(it, now), retry_decision::overloaded);
+    it.overloaded = false;
+    it.expected_time = 1s;
+    EXPECT_EQ(budget.ask(it, now), retry_decision::past_deadline);
+    it.expected_time = 1ms;
+    EXPECT_EQ(budget.ask(it, now), retry_decision::granted);
+    EXPECT_EQ(budget.ask(it, now), retry_decision::granted);
+    EXPECT_EQ(budget.ask(it, now), retry_decision::over_budget);
+    it.service = {2};
+    EXPECT_EQ(budget.ask(it, now), retry_decision::granted);
+    it.service = {1};
+    for (int n = 0; n < 20; ++n)
+        budget.on_success({1}, {1}, now);
+    EXPECT_EQ(budget.ask(it, now), retry_decision::granted);
+    EXPECT_EQ(budget.ask(it, now), retry_decision::granted);
+    EXPECT_EQ(budget.ask(it, now), retry_decision::over_budget);
+}
+
+TEST(retry_budget, full_table_drops_the_one_that_rested_longest)
+{
+    retry_budget budget({.floor_retries = 0, .max_entries = 2});
+    const time_point now{1h};
+    for (std::uint64_t organisation = 1; organisation <= 3; ++organisation) {
+        for (int n = 0; n < 20; ++n)
+            budget.on_success({organisation}, {1}, now + organisation * 1ms);
+    }
+    const auto ask = [&](std::uint64_t organisation) {
+        return budget.ask({.organisation = {organisation}, .service = {1}, .deadline = now + 1s},
+                          now + 5ms);
+    };
+    EXPECT_EQ(ask(3), retry_decision::granted);
+    EXPECT_EQ(ask(2), retry_decision::granted);
+    EXPECT_EQ(ask(1), retry_decision::over_budget);
+}
