A planned stop no longer cuts answers that outlast its grace

Cause: the HTTP library's stop() marks its listening socket gone, and every answer that is written afterwards by a content provider is broken off where it stands. A node that was stopped thus cut each request that ran longer than the second of grace. The listening socket is now shut down instead, so that the accept loop ends by itself and waits for what runs.

Second cause of lost requests: a refusal after which the connection ends did not say so, and the caller's next request on it was lost. It now carries Connection: close.

Ruled out: the links' drain and the gate's stop, which wait for running requests.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -152,14 +152,14 @@
 {
     const auto head = split_caller_head(head_of(req));
     if (failed(head)) {
-        socket_server::close_after_answer();
+        socket_server::close_after_answer(res);
         refuse(res, {.reason = error_of(head)});
         return;
     }
     const auto request = admit(value_of(head), boot_now());
     if (failed(request)) {
         if (length_of(value_of(head).clean) != std::size_t{0})
-            socket_server::close_after_answer();
+            socket_server::close_after_answer(res);
         refuse(res, error_of(request));
         return;
     }
@@ -192,7 +192,7 @@
             return true;
         });
         if (!whole) {
-            socket_server::close_after_answer();
+            socket_server::close_after_answer(res);
             refuse(res, {.reason = refusal::bad_request});
             return;
         }
@@ -212,7 +212,7 @@
         finished(*choice, it);
         last = *it.refused;
         if (it.body_consumed)
-            socket_server::close_after_answer();
+            socket_server::close_after_answer(res);
         const bool again = may_try_elsewhere(last) ||
                            (request.idempotent && last.reason == refusal::backend_server_error);
         if (!again || it.body_consumed || it.caller_left || boot_now() >= request.deadline)
--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -200,10 +200,12 @@
     return true;
 }
 
+// The library's own `stop` also ends every answer that is still being written, cut as it is. The
+// accept loop ends by itself when its socket is shut down, and then waits for what runs.
 void socket_server::stop_listening()
 {
     if (thread_.joinable() && !closed_.exchange(true))
-        stop();
+        shutdown(listener_, SHUT_RDWR);
 }
 
 // A caller may send its next request just before it reads "Connection: close"; the grace lets such
@@ -256,9 +258,11 @@
     return wait_for(current_socket, POLLRDHUP, time);
 }
 
-void socket_server::close_after_answer()
+// The caller is told, so that it sends no further request that would be lost.
+void socket_server::close_after_answer(httplib::Response& res)
 {
     current_ends = true;
+    res.set_header("Connection", "close");
 }
 
 void socket_server::cut_current()
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -58,8 +58,8 @@
     static bool peer_left();
     /// Waits for `time`, or less when the peer leaves; true when it left.
     static bool wait_for_peer_to_leave(duration time);
-    /// Ends the connection of this thread's request after its answer.
-    static void close_after_answer();
+    /// Ends the connection of this thread's request after its answer, which says so.
+    static void close_after_answer(httplib::Response& res);
     /// Cuts the connection of this thread's request.
     static void cut_current();
 
