--- a/src/load_generator.cpp
+++ b/src/load_generator.cpp
@@ -151,7 +151,8 @@
     return names[static_cast<std::size_t>(it)];
 }
 
-// One caller: a kept connection to one target, or to the next when that one cannot be reached.
+// One caller: a kept connection to one target, or to the next when that one cannot be reached or
+// has told it to close.
 struct load_generator::worker {
     worker(const load_options& options, std::size_t number) : options_(options), target_(number)
     {
@@ -180,7 +181,8 @@
         const httplib::Result answer = client_->send(req);
         verdict out = judge(answer, trip);
         it.kind = out.kind;
-        if (out.reason == "no connection")
+        if (out.reason == "no connection" ||
+            (answer && answer->get_header_value("Connection") == "close"))
             connect();
         return out;
     }
