--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -152,7 +152,7 @@
 {
     const auto head = split_caller_head(head_of(req));
     if (failed(head)) {
-        socket_server::close_after_answer();
+        socket_server::close_after_answer(res);
         refuse(res, {.reason = error_of(head)});
         return;
     }
@@ -168,7 +168,7 @@
     const auto request = admit(head, start);
     if (failed(request)) {
         if (length_of(head.clean) != std::size_t{0})
-            socket_server::close_after_answer();
+            socket_server::close_after_answer(res);
         refuse(res, error_of(request));
     }
     else {
@@ -215,7 +215,7 @@
             return true;
         });
         if (!whole) {
-            socket_server::close_after_answer();
+            socket_server::close_after_answer(res);
             refuse(res, {.reason = refusal::bad_request});
             return;
         }
@@ -235,7 +235,7 @@
         finished(*choice, it);
         last = *it.refused;
         if (it.body_consumed)
-            socket_server::close_after_answer();
+            socket_server::close_after_answer(res);
         const bool again = may_try_elsewhere(last) ||
                            (request.idempotent && last.reason == refusal::backend_server_error);
         if (!again || it.body_consumed || it.caller_left || boot_now() >= request.deadline)
