--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -52,6 +52,11 @@
     return sum;
 }
 
+void limit_holder::active::drop_expired_loans(time_point now)
+{
+    std::erase_if(borrowed, [&](const borrowed_tokens& it) { return it.until <= now; });
+}
+
 micro_tokens limit_holder::active::expected(bool urgent) const
 {
     micro_tokens sum = 0;
@@ -216,7 +221,10 @@
         return 0;
     owner->bucket.accrue(now);
     const auto it = active_.find(organisation);
-    return owner->bucket.tokens() + (it == active_.end() ? 0 : it->second.pool());
+    if (it == active_.end())
+        return owner->bucket.tokens();
+    it->second.drop_expired_loans(now);
+    return owner->bucket.tokens() + it->second.pool();
 }
 
 limit_holder::slot* limit_holder::find(organisation_id organisation)
@@ -563,7 +571,7 @@
 {
     if (share_at(at.now) == 0)
         return;
-    std::erase_if(at.state.borrowed, [&](const borrowed_tokens& it) { return it.until <= at.now; });
+    at.state.drop_expired_loans(at.now);
     for (borrowed_tokens& it : at.state.borrowed)
         it.amount -= at.owner.bucket.absorb(it.amount);
     std::erase_if(at.state.borrowed, [](const borrowed_tokens& it) { return it.amount == 0; });
--- a/src/limit_holder.h
+++ b/src/limit_holder.h
@@ -143,6 +143,7 @@
         time_point promised_until{};
 
         micro_tokens pool() const;
+        void drop_expired_loans(time_point now);
         micro_tokens expected(bool urgent) const;
         micro_tokens needed() const;
         bool is_busy() const { return !waiting.empty() || !asked.empty() || !borrowed.empty(); }
--- a/tests/limit_holder_test.cpp
+++ b/tests/limit_holder_test.cpp
@@ -34,9 +34,10 @@
 TEST(limit_holder, grant_ends_before_the_mandate_on_any_clock)
 {
     limit_holder it = full_holder(start + 200ms);
-    const grant_request request{.number = 1, .organisation = lids, .need = 1, .life = 500ms};
+    const grant_request request{
+        .number = 1, .organisation = lids, .need = 1, .ahead = 4, .life = 500ms};
     const grant given = ask(it, request, start);
-    EXPECT_EQ(given.tokens, 1U);
+    EXPECT_EQ(given.tokens, 5U);
     EXPECT_LT(given.life + given.life / 256, 200ms);
     const grant late = ask(it, {.number = 2, .organisation = lids, .need = 1}, start + 200ms);
     EXPECT_EQ(late.status, grant_status::not_holder);
@@ -54,6 +55,29 @@
     EXPECT_EQ(it.spendable(lids, start), 96 * one_token);
 }
 
+// A loan counts from when it was asked for; one that comes later than its life is dropped.
+TEST(limit_holder, late_loan_is_dropped)
+{
+    for (const duration delay : {99ms, 100ms}) {
+        limit_holder it({.self = holder_vm, .domains = 2}, start);
+        const rate_contract contract = contract_of(lids, 1, 100);
+        it.set_contracts({&contract, 1}, start);
+        it.set_terms({.share = whole_share, .until = start + 1h}, start);
+        it.set_lenders(std::array{vm_id{2}});
+        limit_outbox out;
+        it.receive(entry_peer,
+                   grant_request{.number = 1, .organisation = lids, .need = 5, .patience = 500ms},
+                   start, out);
+        const auto request = std::get<loan_request>(out.at(0).body);
+        const loan answer{.number = request.number,
+                          .organisation = lids,
+                          .amount = request.wanted,
+                          .life = request.life};
+        it.receive({.vm = {2}, .run = {1}}, answer, start + delay, out);
+        EXPECT_EQ(it.spendable(lids, start + delay) > one_token, delay < request.life);
+    }
+}
+
 // The entry's clock may run faster or slower than the holder's by the guard.
 TEST(limit_holder, guard_covers_clock_drift)
 {
@@ -83,6 +107,32 @@
     EXPECT_TRUE(out.empty());
 }
 
+// The life of a grant counts from the request, and its end is checked at each request.
+TEST(limit_entry, spends_only_before_the_end_of_a_grant)
+{
+    for (const duration delay : {duration(300ms) - 1ns, duration(300ms)}) {
+        limit_entry it({.shards = 1});
+        it.set_holders(0, std::array{holder_vm});
+        limit_outbox out;
+        limit_outcomes ended;
+        const rate_contract contract = contract_of(lids, 100, 100);
+        for (int n = 0; n < 20; ++n)
+            it.admit(contract, start, out);
+        std::uint32_t ahead = 0;
+        for (const limit_outgoing& sent : limit_outbox(out)) {
+            const auto request = std::get<grant_request>(sent.body);
+            ahead += request.ahead;
+            const grant given{
+                .number = request.number, .tokens = request.need + request.ahead, .life = 300ms};
+            it.receive({.vm = holder_vm, .run = {1}}, given, start + 1ms, out, ended);
+        }
+        ASSERT_GT(ahead, 2U);
+        ASSERT_EQ(ended.size(), 20U);
+        const auto verdict = it.admit(contract, start + delay, out);
+        EXPECT_EQ(std::holds_alternative<limit_admitted>(verdict), delay < 300ms);
+    }
+}
+
 // A silent holder delays a request by its timeout once; the next domain's holder is asked.
 TEST(limit_entry, asks_the_next_holder_when_one_is_silent)
 {
