An answer longer than it announced breaks off and its connection is not used again

Cause: a gate passed the announced part of such an answer on as if it were whole, and kept the connection, whose next answer would have begun with the surplus bytes. The end of an answer is now held back until the library is done with it; if the connection then holds further bytes the caller's connection breaks. A kept connection that holds bytes is dropped before its next use.

Not covered: surplus that arrives after the end was passed on, or that the library had already read ahead (up to 4 KiB) cannot be seen; such bytes are dropped by the next look at the connection.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -6,6 +6,7 @@
 #include "system_clock.h"
 
 #include <fmt/format.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -58,8 +59,14 @@
         return out;
     }
 
-    call_result finish(const httplib::Result& answer, duration service_time)
+    // The held end of the answer goes on only if nothing more came than was announced.
+    call_result finish(const httplib::Result& answer, const httplib::Client& client,
+                       duration service_time)
     {
+        surplus_ = answer && has_unread_bytes(client);
+        if (answer && !surplus_ && !held_.empty() &&
+            failed(stream_->write(held_, options_.deadline)))
+            caller_left_ = true;
         call_result out{.end = end_of(answer),
                         .status = status_,
                         .answered = answered_,
@@ -122,6 +129,8 @@
         head.fields.push_back(
             {.name = std::string(load_field), .value = fmt::format("{:.3f}", options_.load)});
         answer_ended_ = bodiless;
+        if (!parse_length(res.get_header_value("Content-Length"), left_))
+            left_ = std::string::npos;
         answered_ = !failed(stream_->respond(std::move(head), bodiless));
         return answered_;
     }
@@ -130,6 +139,12 @@
     {
         if (shed_)
             return true;
+        if (left_ != std::string::npos)
+            left_ -= n;
+        if (left_ == 0) {
+            held_.assign(data, n);
+            return true;
+        }
         if (failed(stream_->write({data, n}, options_.deadline))) {
             caller_left_ = true;
             return false;
@@ -141,6 +156,8 @@
     {
         if (caller_left_ || stream_->is_cancelled())
             return call_end::caller_left;
+        if (surplus_)
+            return call_end::cut_answer;
         if (answer)
             return shed_ ? call_end::shed : call_end::whole_answer;
         const httplib::Error ec = answer.error();
@@ -155,6 +172,9 @@
     bool shed_ = false;
     bool answered_ = false;
     bool answer_ended_ = false;
+    bool surplus_ = false;
+    std::size_t left_ = std::string::npos; // of the announced length
+    std::string held_;                     // the last bytes of the announced length
     bool caller_left_ = false;
 };
 
@@ -172,6 +192,15 @@
     return out;
 }
 
+// Bytes that nobody asked for belong to an answer that is longer than it announced; they must
+// neither pass for the head of the next answer, nor the first part for the whole.
+bool has_unread_bytes(const httplib::Client& client)
+{
+    const socket_t sock = client.socket();
+    char byte = 0;
+    return sock != INVALID_SOCKET && recv(sock, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 // The caller's cancellation shuts the connection down, which ends whatever the library waits for.
 call_result call_backend(const std::shared_ptr<httplib::Client>& client,
                          const std::shared_ptr<link_stream>& stream,
@@ -187,7 +216,7 @@
     stream->on_cancel([client] { client->stop(); });
     const httplib::Result answer = client->send(request);
     stream->on_cancel({});
-    return exchange.finish(answer, boot_now() - start);
+    return exchange.finish(answer, *client, boot_now() - start);
 }
 
 } // namespace jasminebank
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -39,6 +39,9 @@
 /// Makes a connection object for a backend server; it connects on first use.
 std::shared_ptr<httplib::Client> connect_backend(const endpoint& address);
 
+/// True if a connection between two requests holds bytes: it cannot be used again.
+bool has_unread_bytes(const httplib::Client& client);
+
 /// Runs the request of `stream` on `client` and passes the answer on. A refusal is left to the
 /// caller of this function: the stream is untouched unless `answered`.
 call_result call_backend(const std::shared_ptr<httplib::Client>& client,
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -213,11 +213,13 @@
 
 std::shared_ptr<httplib::Client> gate::take_connection(backend_server& server)
 {
-    if (server.idle.empty())
-        return connect_backend(server.record.address);
-    std::shared_ptr<httplib::Client> out = std::move(server.idle.back().client);
-    server.idle.pop_back();
-    return out;
+    while (!server.idle.empty()) {
+        std::shared_ptr<httplib::Client> out = std::move(server.idle.back().client);
+        server.idle.pop_back();
+        if (!has_unread_bytes(*out))
+            return out;
+    }
+    return connect_backend(server.record.address);
 }
 
 static request_outcome outcome_of(const call_result& it, bool past_deadline)
