--- a/src/entry.h
+++ b/src/entry.h
@@ -9,6 +9,7 @@
 #include "fleet_config.h"
 #include "limit_entry.h"
 #include "link_hub.h"
+#include "once_request.h"
 #include "refusal.h"
 #include "request_metrics.h"
 #include "router.h"
@@ -30,6 +31,7 @@
     std::function<bool()> may_serve; ///< false while this node may be cut off from news
     /// Takes a token for one request, waiting at most until the deadline; never limit_waiting.
     std::function<limit_verdict(organisation_id, time_point)> take_token;
+    once_service* once = nullptr; ///< without it, idempotency keys are not looked at
 };
 
 /// A request that may run: whose it is, where it goes.
@@ -66,8 +68,14 @@
     result<admitted_request, refusal_answer> admit(const caller_head& head, time_point now);
     void serve(const caller_head& head, httplib::Response& res,
                const httplib::ContentReader* reader);
-    void forward(const admitted_request& request, const message_head& head, httplib::Response& res,
+    void forward(admitted_request request, const message_head& head, httplib::Response& res,
                  const httplib::ContentReader* reader);
+    bool claim_key(admitted_request& request, const message_head& head, const std::string& body,
+                   httplib::Response& res, std::unique_ptr<once_hold>& hold);
+    std::optional<refusal_answer> try_servers(const admitted_request& request,
+                                              const message_head& head, const std::string& body,
+                                              const httplib::ContentReader* reader, once_hold* hold,
+                                              httplib::Response& res);
     std::optional<route_choice> choose(const admitted_request& request,
                                        const std::vector<backend_server_id>& tried);
     attempt try_once(const admitted_request& request, const route_choice& choice,
--- /dev/null
+++ b/src/key_homes.h
@@ -0,0 +1,50 @@
+#pragma once
+
+// Where the register of an idempotency key stands: with the holder of the key's shard in the first
+// failure domain of the configuration.
+
+#include "fleet_config.h"
+#include "limit_placement.h"
+#include "mandate_service.h"
+#include "member_directory.h"
+#include "once_service.h"
+
+#include <array>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace jasminebank {
+
+/// Thread-safe.
+class key_homes {
+public:
+    key_homes(vm_id self, failure_domain_id domain);
+
+    void set_config(std::shared_ptr<const fleet_config> config);
+    void set_directory(const member_directory& directory);
+    /// What this node may do with a shard changed at `now`.
+    void set_terms(const shard_terms& it, time_point now);
+
+    /// The home of a key; nothing if nobody is known to hold its shard.
+    std::optional<once_home> find(const once_key& key) const;
+
+private:
+    // A shard held by this node.
+    struct own_shard {
+        shard_terms terms;
+        time_point since; // of this epoch
+    };
+
+    std::optional<once_home> own_home(std::uint32_t shard) const;
+
+    const vm_id self_;
+    const failure_domain_id domain_;
+    mutable std::mutex mutex_;
+    std::shared_ptr<const fleet_config> config_;
+    std::vector<member_record> members_;
+    std::array<own_shard, limit_shards> own_{};
+};
+
+} // namespace jasminebank
