--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -43,6 +43,7 @@
     std::string name; ///< also its path: "/NAME/"
     std::string method = "GET";
     std::string service_time = "5ms";
+    std::string timeout = "8s";
 };
 
 struct fleet_options {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -3,11 +3,16 @@
 #include "process_fleet.h"
 #include "system_clock.h"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <future>
+#include <random>
 #include <thread>
 
 using namespace jasminebank;
@@ -185,3 +190,301 @@
     EXPECT_GT(seen(fleet.backend(0, 0), "honey"),
               0U); // the organisation's name, so it is looked at
 }
+
+// Posts with every fault of a gate at once: one node killed, one paused past its lease and let go
+// on, a backend server gone, and more load than the slots take.
+TEST(process, not_run_is_not_run_and_posts_run_at_most_once)
+{
+    process_fleet fleet(
+        {.services =
+             {{.name = "orders", .method = "POST", .service_time = "30ms", .timeout = "2s"}},
+         .node_lines = "waiting_requests = 8\n"});
+    load_options options = fleet.load({.name = "orders", .method = "POST"}, 8s);
+    options.targets = {fleet.callers(0), fleet.callers(1)};
+    options.closed_loop = 60;
+    load_generator load(options);
+    auto posts = std::async(std::launch::async, [&] { return load.run(); });
+    std::this_thread::sleep_for(1s);
+    fleet.node(1).signal(SIGSTOP);
+    std::this_thread::sleep_for(3s);
+    fleet.node(1).signal(SIGCONT);
+    fleet.node(2).signal(SIGKILL);
+    std::this_thread::sleep_for(1s);
+    fleet.set_mode(fleet.backend(0, 0), {{"hang_share", 0.2}});
+    const load_report report = posts.get();
+    const run_violations broken = fleet.check(report);
+    EXPECT_GT(report.total.count(answer_kind::ok), 200U) << reasons(report);
+    EXPECT_GT(report.total.count(answer_kind::refused), 0U) << reasons(report);
+    EXPECT_EQ(report.total.count(answer_kind::wrong), 0U) << reasons(report);
+    EXPECT_EQ(broken.refused_but_run, 0U) << examples(broken);
+    EXPECT_EQ(broken.run_twice, 0U) << examples(broken);
+    EXPECT_TRUE(broken.complete);
+}
+
+// The request takes the first backend server with it; the caller must not be told "not run".
+TEST(process, a_post_that_crashes_its_backend_server_runs_once)
+{
+    process_fleet fleet;
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        fleet.set_mode(fleet.backend(n, 1), {{"crash_text", "poisoned"}});
+    httplib::Request req = request("POST", "/orders/1");
+    req.set_header("X-Note", "poisoned");
+    const httplib::Result answer = connect(fleet.callers(0))->send(req);
+    EXPECT_TRUE(!answer || answer->get_header_value("Jasmine-Outcome").starts_with("unknown"));
+    std::size_t dead = 0;
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        dead += failed(fetch_account(fleet.backend(n, 1))) ? 1 : 0;
+    EXPECT_EQ(dead, 1U);
+}
+
+TEST(process, a_leaving_backend_server_gets_no_new_work)
+{
+    process_fleet fleet;
+    load_options options = fleet.load({.name = "lids"}, 8s);
+    options.rate = 60;
+    load_generator load(options);
+    auto lookups = std::async(std::launch::async, [&] { return load.run(); });
+    std::this_thread::sleep_for(1s);
+    const endpoint leaving = fleet.backend(0, 0);
+    EXPECT_EQ(status_of(connect(leaving)->Post("/control/drain")), 200);
+    std::this_thread::sleep_for(3s);
+    const auto before = fetch_account(leaving);
+    const load_report report = lookups.get();
+    const auto after = fetch_account(leaving);
+    ASSERT_TRUE(!failed(before) && !failed(after));
+    EXPECT_GT(value_of(before).runs, 0U);
+    EXPECT_EQ(value_of(before).runs, value_of(after).runs);
+    EXPECT_EQ(report.total.count(answer_kind::ok), report.total.sent) << reasons(report);
+}
+
+namespace {
+
+std::string organisation_file(const process_fleet& fleet, const std::string& name, int rate)
+{
+    return fleet.write(name + ".ini", "[organisation " + name +
+                                          "]\nrate = " + std::to_string(rate) + "\nburst = 100\n");
+}
+
+// Whether all nodes have a generation in force, watching meanwhile that none goes back.
+bool in_force(const process_fleet& fleet, std::uint64_t generation,
+              std::vector<std::uint64_t>& highest)
+{
+    return wait_until(
+        [&] {
+            bool all = true;
+            for (std::size_t n = 0; n < fleet_nodes; ++n) {
+                const std::uint64_t now = fleet.generation(n);
+                EXPECT_GE(now, highest[n]);
+                highest[n] = std::max(highest[n], now);
+                all = all && now >= generation;
+            }
+            return all;
+        },
+        10s);
+}
+
+} // namespace
+
+TEST(process, configuration_comes_into_force_everywhere_and_never_reverts)
+{
+    process_fleet fleet;
+    std::vector<std::uint64_t> highest(fleet_nodes);
+    fleet.set_fault({{"lose_answers", 1}});
+    const command_result lost =
+        fleet.run_command({"apply", organisation_file(fleet, "pepper", 10)});
+    EXPECT_TRUE(lost.code == 0 || lost.code == 5) << lost.output;
+    EXPECT_TRUE(in_force(fleet, 2, highest));
+    fleet.set_fault({{"stale_revisions", 30}});
+    fleet.run_command({"apply", organisation_file(fleet, "pepper", 20)});
+    fleet.set_fault({{"down", "refuse"}});
+    EXPECT_NE(fleet.run_command({"apply", organisation_file(fleet, "pepper", 30)}).code, 0);
+    EXPECT_EQ(fleet.stop_node(1), 0);
+    highest[1] = 0;
+    fleet.start_node(1);
+    EXPECT_TRUE(in_force(fleet, highest[0], highest));
+    fleet.set_fault({{"down", "none"}, {"stale_revisions", 0}});
+    command_result done;
+    EXPECT_TRUE(wait_until(
+        [&] {
+            done = fleet.run_command({"apply", organisation_file(fleet, "pepper", 40)});
+            return done.code == 0;
+        },
+        10s));
+    EXPECT_TRUE(in_force(fleet, highest[0] + 1, highest)) << done.output;
+    EXPECT_NE(fleet.run_command({"show"}).output.find("rate = 40"), std::string::npos);
+}
+
+TEST(process, racing_operators_lose_no_change)
+{
+    process_fleet fleet;
+    constexpr int racers = 6;
+    std::vector<std::unique_ptr<child_process>> commands;
+    for (int n = 0; n < racers; ++n) {
+        const std::string name = "racer" + std::to_string(n);
+        commands.push_back(
+            fleet.start_command({"apply", organisation_file(fleet, name, 10)}, name + ".out"));
+    }
+    std::uint64_t accepted = 0;
+    std::vector<bool> done(racers);
+    for (int n = 0; n < racers; ++n) {
+        const auto code = commands[n]->wait_for_exit(30s);
+        EXPECT_TRUE(code == 0 || code == 3) << code.value_or(-1);
+        done[n] = code == 0;
+        accepted += done[n] ? 1 : 0;
+    }
+    EXPECT_GT(accepted, 0U);
+    const std::string shown = fleet.run_command({"show"}).output;
+    for (int n = 0; n < racers; ++n) {
+        const std::string section = "[organisation racer" + std::to_string(n) + "]";
+        EXPECT_EQ(shown.find(section) != std::string::npos, done[n]) << shown;
+    }
+    std::vector<std::uint64_t> highest(fleet_nodes);
+    EXPECT_TRUE(in_force(fleet, 1 + accepted, highest));
+    EXPECT_EQ(highest[0], 1 + accepted);
+}
+
+TEST(process, a_cut_answer_never_looks_whole)
+{
+    const fleet_service orders{.name = "orders", .method = "POST", .timeout = "2s"};
+    process_fleet fleet({.services = {{.name = "lids"}, orders}});
+    const std::vector<nlohmann::json> modes{
+        {{"truncate_share", 0.5}}, {{"wrong_length_share", 0.5}}, {{"hang_share", 0.3}}};
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        fleet.set_mode(fleet.backend(n, 1), modes[n]);
+    for (const bool chunked : {false, true}) {
+        load_options options = fleet.load(orders, 2s);
+        options.answer_bytes = 100'000;
+        options.chunked = chunked;
+        options.rate = 20;
+        const load_report report = load_generator(options).run();
+        EXPECT_EQ(report.total.count(answer_kind::wrong), 0U) << reasons(report);
+        EXPECT_GT(report.total.count(answer_kind::ok), 0U) << reasons(report);
+        EXPECT_LT(report.total.count(answer_kind::ok), report.total.sent) << reasons(report);
+        EXPECT_EQ(fleet.check(report).total(), 0U) << examples(fleet.check(report));
+    }
+}
+
+namespace {
+
+// What a node sends back for these bytes until it closes the connection.
+std::string talk(const endpoint& to, const std::string& bytes, std::chrono::seconds patience = 2s)
+{
+    const int sock = socket(AF_INET, SOCK_STREAM, 0);
+    const timeval limit{.tv_sec = patience.count(), .tv_usec = 0};
+    setsockopt(sock, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
+    std::string out;
+    if (connect(sock, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
+        send(sock, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        std::array<char, 4096> buf{};
+        for (ssize_t n = 0; (n = recv(sock, buf.data(), buf.size(), 0)) > 0;)
+            out.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    close(sock);
+    return out;
+}
+
+void send_datagram(const endpoint& to, const std::string& bytes)
+{
+    const int sock = socket(AF_INET, SOCK_DGRAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
+    sendto(sock, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&address),
+           sizeof address);
+    close(sock);
+}
+
+} // namespace
+
+TEST(process, hostile_input_is_refused_and_the_node_goes_on)
+{
+    process_fleet fleet;
+    std::mt19937_64 random(20261204);
+    std::string garbage;
+    for (int n = 0; n < 2000; ++n)
+        garbage += static_cast<char>(random());
+    const std::string oversized =
+        "GET /lids/1 HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(100'000, 'a') + "\r\n\r\n";
+    const std::string two_lengths = "POST /orders/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
+                                    honey_key +
+                                    "\r\nContent-Length: 3\r\nContent-Length: 30\r\n"
+                                    "Connection: close\r\n\r\nabcGET /lids/1 HTTP/1.1\r\n\r\n";
+    for (const std::string& bytes : {oversized, two_lengths, garbage + "\r\n\r\n"}) {
+        const std::string answer = talk(fleet.callers(0), bytes);
+        EXPECT_TRUE(answer.empty() || answer.starts_with("HTTP/1.1 4")) << answer.substr(0, 100);
+    }
+    for (std::size_t n = 0; n < fleet_nodes; ++n) {
+        const auto orders = fetch_account(fleet.backend(n, 1));
+        EXPECT_TRUE(!failed(orders) && value_of(orders).runs == 0);
+    }
+    talk(fleet.links(0), garbage);
+    talk(fleet.control(0), garbage + "\r\n\r\n");
+    for (std::size_t n = 1; n < garbage.size(); n = n * 2)
+        send_datagram(fleet.links(0), garbage.substr(0, n));
+    httplib::Request spoofed = request("GET", "/lids/1");
+    spoofed.set_header("Jasmine-Organisation", "pepper");
+    const httplib::Result answer = connect(fleet.callers(0))->send(spoofed);
+    ASSERT_EQ(status_of(answer), 200);
+    EXPECT_EQ(answer->get_header_value("X-Organisation"), "honey");
+    for (const endpoint& it : fleet.backends())
+        EXPECT_EQ(seen(it, "pepper"), 0U);
+    EXPECT_TRUE(fleet.wait_until_joined({0, 1, 2}, fleet.backends().size()));
+}
+
+TEST(process, a_node_with_another_fleet_key_does_not_join)
+{
+    process_fleet fleet;
+    EXPECT_EQ(fleet.stop_node(2), 0);
+    fleet.use_wrong_key(2);
+    fleet.cut_from_store(2);
+    fleet.start_node(2);
+    EXPECT_TRUE(wait_until([&] { return fleet.status(2).is_object(); }));
+    EXPECT_FALSE(wait_until(
+        [&] { return fleet.generation(2) > 0 || fleet.status(2).at("members").size() > 1; }, 4s));
+    for (const auto& member : fleet.status(0).at("members"))
+        EXPECT_TRUE(member.at("vm") != "vm2" || member.at("leaving") == true);
+}
+
+TEST(process, a_connection_over_the_bound_is_refused_at_once)
+{
+    process_fleet fleet({.node_lines = "connections = 8\n"});
+    std::vector<std::unique_ptr<httplib::Client>> open;
+    for (int n = 0; n < 8; ++n) {
+        open.push_back(connect(fleet.callers(0)));
+        EXPECT_TRUE(wait_until(
+            [&] { return status_of(open.back()->send(request("GET", "/lids/1"))) == 200; }));
+    }
+    const std::string refused = talk(fleet.callers(0), "", 10s);
+    EXPECT_TRUE(refused.starts_with("HTTP/1.1 503")) << refused;
+    EXPECT_NE(refused.find("not-run"), std::string::npos);
+    for (const auto& it : open)
+        EXPECT_EQ(status_of(it->send(request("GET", "/lids/1"))), 200);
+}
+
+TEST(process, a_node_that_was_paused_past_every_lease_comes_back)
+{
+    process_fleet fleet;
+    load_options options = fleet.load({.name = "orders", .method = "POST"}, 11s);
+    options.targets = {fleet.callers(0), fleet.callers(1)};
+    options.rate = 60;
+    load_generator load(options);
+    auto posts = std::async(std::launch::async, [&] { return load.run(); });
+    std::this_thread::sleep_for(500ms);
+    fleet.node(2).signal(SIGSTOP);
+    std::this_thread::sleep_for(4s);
+    EXPECT_EQ(fleet.run_command({"apply", organisation_file(fleet, "pepper", 10)}).code, 0);
+    EXPECT_EQ(fleet.status(0).at("members").size(), 2U) << fleet.status(0).dump();
+    std::this_thread::sleep_for(4s);
+    fleet.node(2).signal(SIGCONT);
+    EXPECT_TRUE(fleet.wait_until_joined({0, 1, 2}, fleet.backends().size()));
+    EXPECT_TRUE(wait_until([&] { return fleet.generation(2) == 2; }, 10s));
+    const load_report report = posts.get();
+    const run_violations broken = fleet.check(report);
+    EXPECT_GT(report.total.count(answer_kind::ok), 500U) << reasons(report);
+    EXPECT_EQ(broken.total(), 0U) << examples(broken);
+}
