--- a/src/entry.h
+++ b/src/entry.h
@@ -9,7 +9,9 @@
 #include "fleet_config.h"
 #include "limit_entry.h"
 #include "link_hub.h"
+#include "once_request.h"
 #include "refusal.h"
+#include "request_metrics.h"
 #include "router.h"
 #include "types.h"
 
@@ -29,6 +31,7 @@
     std::function<bool()> may_serve; ///< false while this node may be cut off from news
     /// Takes a token for one request, waiting at most until the deadline; never limit_waiting.
     std::function<limit_verdict(organisation_id, time_point)> take_token;
+    once_service* once = nullptr; ///< without it, idempotency keys are not looked at
 };
 
 /// A request that may run: whose it is, where it goes.
@@ -53,6 +56,8 @@
     /// Takes a configuration over; older generations than the one in force are ignored.
     void set_config(std::shared_ptr<const fleet_config> config);
     std::shared_ptr<const fleet_config> config() const;
+    /// What callers experienced so far.
+    const request_metrics& metrics() const { return metrics_; }
     /// Takes over who stands where.
     void set_directory(const member_directory& directory);
 
@@ -61,8 +66,16 @@
 
     std::optional<refusal_answer> hold_to_rate(const admitted_request& request) const;
     result<admitted_request, refusal_answer> admit(const caller_head& head, time_point now);
-    void forward(const admitted_request& request, const message_head& head, httplib::Response& res,
+    void serve(const caller_head& head, httplib::Response& res,
+               const httplib::ContentReader* reader);
+    void forward(admitted_request request, const message_head& head, httplib::Response& res,
                  const httplib::ContentReader* reader);
+    bool claim_key(admitted_request& request, const message_head& head, const std::string& body,
+                   httplib::Response& res, std::unique_ptr<once_hold>& hold);
+    std::optional<refusal_answer> try_servers(const admitted_request& request,
+                                              const message_head& head, const std::string& body,
+                                              const httplib::ContentReader* reader, once_hold* hold,
+                                              httplib::Response& res);
     std::optional<route_choice> choose(const admitted_request& request,
                                        const std::vector<backend_server_id>& tried);
     attempt try_once(const admitted_request& request, const route_choice& choice,
@@ -73,6 +86,7 @@
                  const message_head& head, httplib::Response& res);
 
     const entry_options options_;
+    request_metrics metrics_;
     link_hub& links_;
     mutable std::mutex mutex_;
     std::shared_ptr<const fleet_config> config_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -71,6 +71,13 @@
                                                 .backend_idle = settings_.backend_idle,
                                                 .waiting_requests = settings_.waiting_requests},
                                    *health_);
+    homes_ = std::make_unique<key_homes>(id_of<vm_id>(settings_.vm_name),
+                                         id_of<failure_domain_id>(settings_.failure_domain));
+    once_ = std::make_unique<once_service>(
+        once_service_options{.self = id_of<vm_id>(settings_.vm_name),
+                             .run = run_,
+                             .find_home = [this](const once_key& it) { return homes_->find(it); }},
+        *links_);
     open_limits();
     entry_ = std::make_unique<entry>(
         entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
@@ -82,7 +89,8 @@
                       .take_token =
                           [this](organisation_id organisation, time_point deadline) {
                               return limits_->admit_blocking(organisation, deadline);
-                          }},
+                          },
+                      .once = once_.get()},
         *links_,
         router_options{.self = id_of<vm_id>(settings_.vm_name),
                        .domain = id_of<failure_domain_id>(settings_.failure_domain)});
@@ -93,6 +101,7 @@
                 [this](const std::shared_ptr<const config_generation>& it) {
                     entry_->set_config(it->config);
                     health_->set_config(it->config);
+                    homes_->set_config(it->config);
                     limits_->set_config(it->config);
                     mandates_->set_config(it->config);
                     members_->set_generation(it->head.generation);
@@ -115,7 +124,11 @@
             .self = self,
             .failure_domain = settings_.failure_domain,
             .store = settings_.store,
-            .on_terms = [this](const shard_terms& it) { limits_->set_terms(it); },
+            .on_terms =
+                [this](const shard_terms& it) {
+                    limits_->set_terms(it);
+                    homes_->set_terms(it, boot_now());
+                },
             .on_held =
                 [this](std::vector<held_shard> it) { members_->announce_shards(std::move(it)); }},
         *links_);
@@ -138,6 +151,9 @@
                 [this](const member_directory& it) {
                     entry_->set_directory(it);
                     health_->set_directory(it);
+                    homes_->set_directory(it);
+                    for (const member_record& member : it.members())
+                        once_->claimers_gone(member.vm, member.run);
                     limits_->set_directory(it);
                     mandates_->set_directory(it);
                 },
@@ -200,6 +216,9 @@
     control_->Get("/budget", [this](const httplib::Request& req, httplib::Response& res) {
         answer_budget(req, res);
     });
+    control_->Get("/metrics", [this](const httplib::Request&, httplib::Response& res) {
+        res.set_content(metrics_text(), "text/plain; version=0.0.4");
+    });
     control_->Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
         answer_announcement(req, res);
     });
@@ -278,6 +297,30 @@
     res.set_content(out.dump(), "application/json");
 }
 
+// Callers' experience, then what the node spends on control.
+std::string node::metrics_text() const
+{
+    const link_counters& links = links_->counters();
+    const member_status standing = members_->status();
+    const auto config = entry_->config();
+    std::string out = entry_->metrics().text();
+    const auto add = [&out](std::string_view name, std::string_view type, std::uint64_t value) {
+        out +=
+            fmt::format("# TYPE jasminebank_{} {}\njasminebank_{} {}\n", name, type, name, value);
+    };
+    add("control_link_bytes_out_total", "counter", links.control.bytes_out);
+    add("control_link_bytes_in_total", "counter", links.control.bytes_in);
+    add("request_link_bytes_out_total", "counter", links.requests.bytes_out);
+    add("request_link_bytes_in_total", "counter", links.requests.bytes_in);
+    add("datagram_bytes_out_total", "counter", standing.datagram_bytes);
+    add("links", "gauge", links.links);
+    add("members_asked", "gauge", standing.in_all.asked);
+    add("members_heard", "gauge", standing.in_all.heard);
+    add("may_serve", "gauge", standing.may_serve ? 1 : 0);
+    add("config_generation", "gauge", config == nullptr ? 0 : config->generation);
+    return out;
+}
+
 void node::answer_announcement(const httplib::Request& req, httplib::Response& res)
 {
     const auto it = parse_announcement(req.body);
@@ -324,6 +367,8 @@
         return limits_->answer(request);
     if (request.path == mandate_path)
         return mandates_->answer(request);
+    if (request.path == once_path)
+        return once_->answer(request.payload);
     if (request.path == service_path)
         return health_->answer(request.payload);
     return std::nullopt;
@@ -336,6 +381,7 @@
         lock.unlock();
         if (gate_->tick(boot_now()))
             publish_servers();
+        once_->tick(boot_now());
         lock.lock();
         wake_.wait_for(lock, tick_interval);
     }
--- a/src/node.h
+++ b/src/node.h
@@ -7,11 +7,13 @@
 #include "entry.h"
 #include "gate.h"
 #include "health_service.h"
+#include "key_homes.h"
 #include "limit_service.h"
 #include "link_hub.h"
 #include "mandate_service.h"
 #include "member_service.h"
 #include "node_settings.h"
+#include "once_service.h"
 #include "socket_server.h"
 
 #include <atomic>
@@ -54,6 +56,7 @@
     void add_caller_routes();
     void add_control_routes();
     void answer_budget(const httplib::Request& req, httplib::Response& res);
+    std::string metrics_text() const;
     void answer_status(httplib::Response& res);
     void answer_announcement(const httplib::Request& req, httplib::Response& res);
     void accept(const std::shared_ptr<link_stream>& stream);
@@ -65,6 +68,8 @@
     const incarnation run_;
     std::unique_ptr<link_hub> links_;
     std::unique_ptr<health_service> health_;
+    std::unique_ptr<key_homes> homes_;
+    std::unique_ptr<once_service> once_;
     std::unique_ptr<gate> gate_;
     std::unique_ptr<limit_service> limits_;
     std::unique_ptr<mandate_service> mandates_;
