--- a/src/bench_main.cpp
+++ b/src/bench_main.cpp
@@ -1,8 +1,8 @@
 // bench: drives the decision objects with seeded workloads, without sockets, and prints the
 // measures and a signature of all decisions taken.
 
-#include "bench_limits.h"
 #include "bench_detection.h"
+#include "bench_limits.h"
 #include "bench_report.h"
 
 #include <fmt/format.h>
@@ -26,12 +26,10 @@
 };
 
 // One row a workload, sorted by name.
-constexpr std::array<workload, 1> workloads{{
-    {"limits", "rate and burst of organisations over the fleet", bench_limits},
-}};
 constexpr std::array workloads{
     workload{"detection", "delay of finding failing backend servers", run_detection},
     workload{"false_alarms", "100 hours of healthy traffic (only by name)", run_false_alarms, true},
+    workload{"limits", "rate and burst of organisations over the fleet", bench_limits},
 };
 
 void print_help()
--- a/src/health_codec.cpp
+++ b/src/health_codec.cpp
@@ -19,17 +19,20 @@
     return in.at(place).get<std::uint64_t>();
 }
 
-std::string encode_question(const service_question& it)
+std::string encode_question(const ask_peers& it)
 {
-    return to_cbor_text(json::array({it.service.value, it.window.count()}));
+    return to_cbor_text(
+        json::array({it.service.value, it.question, it.span.since.count(), it.span.until.count()}));
 }
 
-std::optional<service_question> decode_question(std::string_view text)
+std::optional<ask_peers> decode_question(std::string_view text)
 {
     const json in = json::from_cbor(text.begin(), text.end(), true, false);
     try {
-        return service_question{.service = service_id{number(in, 0)},
-                                .window = duration(in.at(1).get<duration::rep>())};
+        return ask_peers{.service = service_id{number(in, 0)},
+                         .question = number(in, 1),
+                         .span = {.since = duration(in.at(2).get<duration::rep>()),
+                                  .until = duration(in.at(3).get<duration::rep>())}};
     }
     catch (const json::exception&) {
         return std::nullopt;
@@ -44,8 +47,8 @@
     const std::string servers = encode_members({&carrier, 1});
     return to_cbor_text(json::array(
         {f.service.value, f.gate.value, f.log_median, f.log_scale, f.error_share, f.samples,
-         f.window.count(), f.recent_log_median, f.recent_samples, f.recent_errors,
-         it.gate_run.value, json::binary({servers.begin(), servers.end()})}));
+         f.question, f.recent_requests, f.recent_slow, f.recent_errors, f.slow_evidence,
+         f.error_evidence, it.gate_run.value, json::binary({servers.begin(), servers.end()})}));
 }
 
 // Throws nlohmann's exceptions on a wrong type or place.
@@ -57,10 +60,12 @@
             .log_scale = in.at(3).get<double>(),
             .error_share = in.at(4).get<double>(),
             .samples = number(in, 5),
-            .window = duration(in.at(6).get<duration::rep>()),
-            .recent_log_median = in.at(7).get<double>(),
-            .recent_samples = in.at(8).get<std::uint32_t>(),
-            .recent_errors = in.at(9).get<std::uint32_t>()};
+            .question = number(in, 6),
+            .recent_requests = in.at(7).get<std::uint32_t>(),
+            .recent_slow = in.at(8).get<std::uint32_t>(),
+            .recent_errors = in.at(9).get<std::uint32_t>(),
+            .slow_evidence = in.at(10).get<double>(),
+            .error_evidence = in.at(11).get<double>()};
 }
 
 std::optional<service_answer> decode_answer(std::string_view text)
@@ -68,8 +73,8 @@
     const json in = json::from_cbor(text.begin(), text.end(), true, false);
     try {
         service_answer out{
-            .figures = figures_from(in), .gate_run = incarnation{number(in, 10)}, .servers = {}};
-        const auto& bytes = in.at(11).get_binary();
+            .figures = figures_from(in), .gate_run = incarnation{number(in, 12)}, .servers = {}};
+        const auto& bytes = in.at(13).get_binary();
         auto carrier = decode_members({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
         if (!carrier || carrier->size() != 1)
             return std::nullopt;
--- a/src/health_codec.h
+++ b/src/health_codec.h
@@ -13,12 +13,6 @@
 
 namespace jasminebank {
 
-/// One gate asks another what it sees of a service.
-struct service_question {
-    service_id service;
-    duration window{}; ///< how far back the recent figures go
-};
-
 /// The answer: figures of that gate, and its backend servers of the service.
 struct service_answer {
     peer_reference figures;
@@ -26,8 +20,9 @@
     std::vector<server_record> servers;
 };
 
-std::string encode_question(const service_question& it);
-std::optional<service_question> decode_question(std::string_view text);
+/// One gate's question to another, as the detector asks it.
+std::string encode_question(const ask_peers& it);
+std::optional<ask_peers> decode_question(std::string_view text);
 std::string encode_answer(const service_answer& it);
 std::optional<service_answer> decode_answer(std::string_view text);
 
--- a/src/health_service.cpp
+++ b/src/health_service.cpp
@@ -151,10 +151,9 @@
     if (!asked)
         return {};
     const std::lock_guard lock(mutex_);
-    service_answer out{
-        .figures = detector_.figures(asked->service, options_.self, asked->window, boot_now()),
-        .gate_run = options_.run,
-        .servers = {}};
+    service_answer out{.figures = detector_.figures(*asked, options_.self, boot_now()),
+                       .gate_run = options_.run,
+                       .servers = {}};
     const service_state* state = find(asked->service);
     for (const auto& [id, record] : servers_) {
         if (record.service != asked->service)
@@ -189,10 +188,11 @@
 }
 
 // Asks all gates of the service at once; the answers make the view and serve the detector.
-void health_service::poll(service_id service, service_state& state, duration window, time_point now)
+void health_service::poll(service_state& state, const ask_peers& asked, time_point now)
 {
     state.next_poll = now + poll_interval;
-    const std::string question = encode_question({.service = service, .window = window});
+    const service_id service = asked.service;
+    const std::string question = encode_question(asked);
     for (const gate_address& gate : state.gates) {
         const bool sent =
             links_.call(gate.link, std::string(service_path), question, poll_timeout,
@@ -246,7 +246,7 @@
     for (const detector_action& action : actions) {
         if (const auto* ask = std::get_if<ask_peers>(&action)) {
             if (service_state* state = find(ask->service))
-                poll(ask->service, *state, ask->window, now);
+                poll(*state, *ask, now);
         }
         else if (const auto* changed = std::get_if<verdict_changed>(&action)) {
             service_state* state = find(changed->service);
@@ -282,7 +282,7 @@
     for (const ejector_action& action : actions) {
         if (const auto* set = std::get_if<set_standing>(&action)) {
             if (set->standing == server_standing::on_trial)
-                detector_.begin_trial(set->server, boot_now());
+                detector_.begin_trial(set->server);
             log_event(event::standing_changed, "backend server {:016x}: {}", set->server.value,
                       static_cast<unsigned>(set->standing));
             notices_.push_back([this, it = *set] { options_.on_standing(it.server, it.standing); });
@@ -408,7 +408,7 @@
         for (auto& [service, state] : services_) {
             const bool troubled = has_trouble(service, state.floor_keeper);
             if (troubled && now >= state.next_poll)
-                poll(service, state, poll_interval, now);
+                poll(state, {.service = service, .span = {.since = poll_interval}}, now);
             refresh_own(service, state, now);
             take(service, state.floor_keeper.tick(state.view, now));
         }
