Idempotency keys: entries claim them at the key's home

Cause: the register needs its callers. An entry now claims the key of a request that is not idempotent before it sends it anywhere, and settles it with the status as soon as the answer's head is there.

Not here: the node does not pass a home finder yet, so nothing claims in a running fleet. A planned hand-over of a mandate does not pass the register on.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t chunk_bytes = 16 * 1024;
+constexpr std::size_t chunk_bytes = 16UL * 1024;
 // How often a thread that waits for an answer looks whether its caller is still there.
 constexpr duration caller_check_interval = std::chrono::milliseconds(100);
 constexpr int no_content_status = 204;
@@ -143,14 +143,14 @@
         refuse(res, {.reason = error_of(head)});
         return;
     }
-    const auto request = admit(value_of(head), boot_now());
+    auto request = admit(value_of(head), boot_now());
     if (failed(request)) {
         if (length_of(value_of(head).clean) != std::size_t{0})
             socket_server::close_after_answer();
         refuse(res, error_of(request));
         return;
     }
-    forward(value_of(request), value_of(head).clean, res, reader);
+    forward(std::move(value_of(request)), value_of(head).clean, res, reader);
 }
 
 std::optional<route_choice> entry::choose(const admitted_request& request,
@@ -165,10 +165,37 @@
     return out;
 }
 
+// Claims the idempotency key of a request that must run at most once. False when the request must
+// not be sent: the answer is then written. The claim comes after the body, so that a slow caller
+// does not hold it, and before anything is sent.
+bool entry::claim_key(admitted_request& request, const message_head& head, const std::string& body,
+                      httplib::Response& res, std::unique_ptr<once_hold>& hold)
+{
+    if (options_.once == nullptr || request.idempotent)
+        return true;
+    const auto identity = once_identity(head, request.organisation->id, body);
+    if (failed(identity)) {
+        refuse(res, {.reason = error_of(identity)});
+        return false;
+    }
+    if (!value_of(identity))
+        return true;
+    once_ticket ticket = options_.once->claim(*value_of(identity), request.deadline);
+    if (std::holds_alternative<once_granted>(ticket.answer)) {
+        request.deadline = std::min(request.deadline, ticket.deadline);
+        hold = std::make_unique<once_hold>(*options_.once, std::move(ticket));
+        return true;
+    }
+    if (const auto* done = std::get_if<once_done>(&ticket.answer))
+        res.set_header(std::string(first_status_header), fmt::format("{}", done->status));
+    refuse(res, refusal_of(ticket.answer));
+    return false;
+}
+
 // Small bodies are read whole first: a slow caller then holds no slot of a backend server, and the
 // request may be tried again elsewhere. Longer ones are streamed and get one try.
-void entry::forward(const admitted_request& request, const message_head& head,
-                    httplib::Response& res, const httplib::ContentReader* reader)
+void entry::forward(admitted_request request, const message_head& head, httplib::Response& res,
+                    const httplib::ContentReader* reader)
 {
     const auto length = length_of(head);
     const bool buffered = reader == nullptr || (length && *length <= options_.buffered_body_bytes);
@@ -184,17 +211,44 @@
             return;
         }
     }
+    std::unique_ptr<once_hold> hold;
+    if (!claim_key(request, head, body, res, hold)) {
+        if (!buffered)
+            socket_server::close_after_answer();
+        return;
+    }
+    const auto refused =
+        try_servers(request, head, body, buffered ? nullptr : reader, hold.get(), res);
+    if (!refused)
+        return;
+    if (hold != nullptr)
+        hold->refused(refused->state);
+    refuse(res, *refused);
+}
+
+// Tries backend servers in turn while the last refusal proves that the request did not run, or the
+// request is idempotent. Nothing when an answer was delivered. A run is settled as soon as its
+// status is known, whatever becomes of the body.
+std::optional<refusal_answer> entry::try_servers(const admitted_request& request,
+                                                 const message_head& head, const std::string& body,
+                                                 const httplib::ContentReader* reader,
+                                                 once_hold* hold, httplib::Response& res)
+{
     std::vector<backend_server_id> tried;
     refusal_answer last{.reason = refusal::no_backend_server};
     for (std::size_t n = 0; n < options_.attempts; ++n) {
+        if (hold != nullptr && boot_now() >= hold->deadline())
+            return refusal_answer{.reason = refusal::deadline};
         const auto choice = choose(request, tried);
         if (!choice)
             break;
         tried.push_back(choice->server);
-        attempt it = try_once(request, *choice, head, body, buffered ? nullptr : reader);
+        attempt it = try_once(request, *choice, head, body, reader);
         if (it.answer) {
+            if (hold != nullptr)
+                hold->ran(it.answer->status);
             deliver(request, *choice, it, head, res);
-            return;
+            return std::nullopt;
         }
         finished(*choice, it);
         last = *it.refused;
@@ -205,7 +259,7 @@
         if (!again || it.body_consumed || it.caller_left || boot_now() >= request.deadline)
             break;
     }
-    refuse(res, last);
+    return last;
 }
 
 void entry::finished(const route_choice& choice, const attempt& it)
--- a/src/entry.h
+++ b/src/entry.h
@@ -8,6 +8,7 @@
 #include "dispatch.h"
 #include "fleet_config.h"
 #include "link_hub.h"
+#include "once_request.h"
 #include "refusal.h"
 #include "router.h"
 #include "types.h"
@@ -26,6 +27,7 @@
     std::size_t buffered_body_bytes = 0;
     std::size_t attempts = 3;        ///< backend servers tried for one request, at most
     std::function<bool()> may_serve; ///< false while this node may be cut off from news
+    once_service* once = nullptr;    ///< without it, idempotency keys are not looked at
 };
 
 /// A request that may run: whose it is, where it goes.
@@ -57,8 +59,14 @@
     struct attempt;
 
     result<admitted_request, refusal_answer> admit(const caller_head& head, time_point now);
-    void forward(const admitted_request& request, const message_head& head, httplib::Response& res,
+    void forward(admitted_request request, const message_head& head, httplib::Response& res,
                  const httplib::ContentReader* reader);
+    bool claim_key(admitted_request& request, const message_head& head, const std::string& body,
+                   httplib::Response& res, std::unique_ptr<once_hold>& hold);
+    std::optional<refusal_answer> try_servers(const admitted_request& request,
+                                              const message_head& head, const std::string& body,
+                                              const httplib::ContentReader* reader, once_hold* hold,
+                                              httplib::Response& res);
     std::optional<route_choice> choose(const admitted_request& request,
                                        const std::vector<backend_server_id>& tried);
     attempt try_once(const admitted_request& request, const route_choice& choice,
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -27,6 +27,8 @@
     event_entry{event::config_in_force, severity::info, "config_in_force"},
     event_entry{event::config_rejected, severity::error, "config_rejected"},
     event_entry{event::config_unreadable, severity::warning, "config_unreadable"},
+    event_entry{event::once_home_began, severity::info, "once_home_began"},
+    event_entry{event::once_settlement_dropped, severity::warning, "once_settlement_dropped"},
     event_entry{event::health_changed, severity::info, "health_changed"},
     event_entry{event::standing_changed, severity::warning, "standing_changed"},
     event_entry{event::member_joined, severity::info, "member_joined"},
--- a/src/log.h
+++ b/src/log.h
@@ -33,6 +33,8 @@
     config_in_force = 500,
     config_rejected = 501,
     config_unreadable = 502,
+    once_home_began = 650,
+    once_settlement_dropped = 651,
     health_changed = 700,
     standing_changed = 701,
     member_joined = 800,
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -31,6 +31,7 @@
     refusal_row{refusal::stopping, "stopping", 503},
     refusal_row{refusal::duplicate, "duplicate", 409},
     refusal_row{refusal::backend_server_error, "backend_server_error", 502},
+    refusal_row{refusal::register_unavailable, "register_unavailable", 503},
 };
 
 constexpr std::array<std::string_view, 3> state_names{"not-run", "ran", "unknown"};
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -36,6 +36,7 @@
     stopping,             ///< the node or the backend server is being stopped
     duplicate,            ///< the same idempotency key has been used
     backend_server_error, ///< the backend server failed while it had the request
+    register_unavailable, ///< nobody can tell whether the idempotency key was used, or no room
 };
 
 /// What to answer.
