--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -4,6 +4,8 @@
 #include "log.h"
 #include "system_clock.h"
 
+#include <malloc.h>
+
 namespace jasminebank {
 
 constexpr duration retry_interval = std::chrono::milliseconds(500);
@@ -134,6 +136,8 @@
         fetch_from(it.peer);
 }
 
+// Building a generation of many organisations takes several times the memory that stays; what is
+// free afterwards goes back to the system.
 void config_follower::finish()
 {
     std::shared_ptr<const config_generation> fresh;
@@ -150,6 +154,8 @@
         return;
     log_event(event::config_in_force, "generation {}", fresh->head.generation);
     options_.on_generation(fresh);
+    fresh.reset();
+    malloc_trim(0);
 }
 
 // Reads the head, and the documents that it names and that are not here. True when the store was
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -11,6 +11,8 @@
 namespace jasminebank {
 
 constexpr duration tick_interval = std::chrono::milliseconds(50);
+// Idempotency keys that a home keeps for one shard; an entry takes about 200 bytes.
+constexpr std::size_t keys_of_a_shard = 16'384;
 constexpr std::size_t control_connections = 128;
 constexpr int unknown_organisation_status = 404;
 constexpr duration caller_idle_timeout = std::chrono::minutes(1);
@@ -74,9 +76,11 @@
     homes_ = std::make_unique<key_homes>(id_of<vm_id>(settings_.vm_name),
                                          id_of<failure_domain_id>(settings_.failure_domain));
     once_ = std::make_unique<once_service>(
-        once_service_options{.self = id_of<vm_id>(settings_.vm_name),
-                             .run = run_,
-                             .find_home = [this](const once_key& it) { return homes_->find(it); }},
+        once_service_options{
+            .self = id_of<vm_id>(settings_.vm_name),
+            .run = run_,
+            .find_home = [this](const once_key& it) { return homes_->find(it); },
+            .keys = {.keys = keys_of_a_shard, .keys_of_an_organisation = keys_of_a_shard / 4}},
         *links_);
     open_limits();
     entry_ = std::make_unique<entry>(
--- a/tests/once_register_test.cpp
+++ b/tests/once_register_test.cpp
@@ -113,7 +113,7 @@
     }
 
     // Delivers a message once, twice, late or never.
-    void post(std::function<void()> it)
+    void post(const std::function<void()>& it)
     {
         const std::uint64_t copies = chance(faults_.lost) ? 0 : chance(faults_.repeated) ? 2 : 1;
         for (std::uint64_t n = 0; n < copies; ++n) {
