--- a/src/limit_service.cpp
+++ b/src/limit_service.cpp
@@ -13,8 +13,8 @@
 constexpr duration retry_without_holder = std::chrono::seconds(1);
 constexpr std::size_t most_waiting_messages = max_limit_batch; // to one node
 
-limit_service::limit_service(limit_service_options options, link_hub& links)
-    : options_(std::move(options)), links_(links), entry_(options_.entry)
+limit_service::limit_service(const limit_service_options& options, link_hub& links)
+    : options_(options), links_(links), entry_(options_.entry)
 {
     thread_ = std::thread([this] { run(); });
 }
@@ -115,6 +115,7 @@
     std::ranges::sort(sorted, {},
                       [&](const shard_holder& it) { return (it.domain + count - first) % count; });
     std::vector<vm_id> out;
+    out.reserve(sorted.size());
     for (const shard_holder& it : sorted)
         out.push_back(it.vm);
     return out;
@@ -136,12 +137,32 @@
 
 // ---- callers ----
 
+static bool is_without_holder(const limit_verdict& it)
+{
+    const auto* refused = std::get_if<limit_refused>(&it);
+    return refused != nullptr && refused->no_holder;
+}
+
+// A holder that is slow to answer is no reason to refuse an organisation within its rate, so the
+// wait is repeated a few times. Where no holder is known at all, the answer comes at once.
 limit_verdict limit_service::admit_blocking(organisation_id organisation, time_point deadline)
 {
-    constexpr limit_refused no_holder{.retry_after = retry_without_holder, .no_holder = true};
     std::unique_lock lock(mutex_);
-    if (stopping_)
-        return no_holder;
+    limit_verdict out = limit_refused{.retry_after = retry_without_holder, .no_holder = true};
+    for (std::size_t n = 0; n < options_.attempts && !stopping_; ++n) {
+        const time_point start = boot_now();
+        if (start >= deadline)
+            break;
+        out = admit_once(lock, organisation, deadline);
+        if (!is_without_holder(out) || boot_now() < start + options_.entry.patience)
+            break;
+    }
+    return out;
+}
+
+limit_verdict limit_service::admit_once(std::unique_lock<std::mutex>& lock,
+                                        organisation_id organisation, time_point deadline)
+{
     reaction it{.now = boot_now()};
     const limit_verdict verdict = entry_.admit(organisation, it.now, it.out);
     const auto* waiting = std::get_if<limit_waiting>(&verdict);
@@ -158,7 +179,8 @@
     waiters_.erase(waiting->ticket);
     if (!own.verdict)
         entry_.cancel(waiting->ticket);
-    return own.verdict.value_or(no_holder);
+    return own.verdict.value_or(
+        limit_refused{.retry_after = retry_without_holder, .no_holder = true});
 }
 
 // ---- messages ----
--- a/src/limit_service.h
+++ b/src/limit_service.h
@@ -31,6 +31,8 @@
     failure_domain_id domain;
     /// Messages to one node that come this soon after the last ones wait and go together.
     duration batch_span = std::chrono::milliseconds(1);
+    /// Waits of one request at most, while holders are slow to answer.
+    std::size_t attempts = 4;
     limit_entry_options entry{.shards = limit_shards};
 };
 
@@ -65,7 +67,7 @@
 /// Thread-safe.
 class limit_service {
 public:
-    limit_service(limit_service_options options, link_hub& links);
+    limit_service(const limit_service_options& options, link_hub& links);
     ~limit_service();
     limit_service(const limit_service&) = delete;
     limit_service& operator=(const limit_service&) = delete;
@@ -77,8 +79,8 @@
     /// What this node may do with one shard.
     void set_terms(const shard_terms& it);
 
-    /// Takes a token for one request. Waits at most until `deadline` and for the time that the
-    /// entry's options allow; never returns limit_waiting.
+    /// Takes a token for one request. Waits at most until `deadline` and for as many waits of the
+    /// entry as the options allow; never returns limit_waiting.
     limit_verdict admit_blocking(organisation_id organisation, time_point deadline);
     /// Takes another node's messages; the answers that are ready at once are returned.
     std::optional<std::string> answer(const control_request& request);
@@ -114,6 +116,8 @@
         limit_outcomes ended{};
     };
 
+    limit_verdict admit_once(std::unique_lock<std::mutex>& lock, organisation_id organisation,
+                             time_point deadline);
     void run();
     time_point run_due(time_point now);
     void settle(reaction& it);
