--- a/tests/process_fleet.cpp
+++ b/tests/process_fleet.cpp
@@ -276,8 +276,13 @@
 
 std::uint64_t process_fleet::generation(std::size_t node) const
 {
-    const nlohmann::json it = status(node);
-    return it.is_object() ? it.at("generation").get<std::uint64_t>() : 0;
+    nlohmann::json it;
+    const bool answered = wait_until([&] {
+        it = status(node);
+        return it.is_object();
+    });
+    EXPECT_TRUE(answered) << log(node);
+    return answered ? it.at("generation").get<std::uint64_t>() : 0;
 }
 
 endpoint process_fleet::backend(std::size_t node, std::size_t service) const
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -312,6 +312,15 @@
         10s));
     EXPECT_TRUE(in_force(fleet, highest[0] + 1, highest)) << done.output;
     EXPECT_NE(fleet.run_command({"show"}).output.find("rate = 40"), std::string::npos);
+    // Nodes that connect again to the store read it as of long ago.
+    for (const int stale : {10, 40, 160}) {
+        fleet.set_fault({{"stale_revisions", stale}, {"down", "refuse"}});
+        std::this_thread::sleep_for(300ms);
+        fleet.set_fault({{"down", "none"}});
+        const time_point end = boot_now() + 1500ms;
+        while (boot_now() < end)
+            EXPECT_TRUE(in_force(fleet, highest[0], highest));
+    }
 }
 
 TEST(process, racing_operators_lose_no_change)
