--- a/src/failure_detector.h
+++ b/src/failure_detector.h
@@ -98,7 +98,7 @@
 
 /// Thresholds of the test. Evidence is in nats.
 struct detector_options {
-    double slow_threshold = 21;        ///< sum at which a backend server is called slow
+    double slow_threshold = 22;        ///< sum at which a backend server is called slow
     double error_threshold = 18;       ///< sum at which it is called wrong
     double suspect_share = 0.5;        ///< share of a threshold that makes a server suspect
     double slow_factor = 2.2;          ///< slowdown that the test is tuned to find
