--- a/src/limit_holder.cpp
+++ b/src/limit_holder.cpp
@@ -14,14 +14,19 @@
 constexpr duration lender_silence = 200ms;      // a lender that did not answer is left alone
 constexpr duration least_loan_remainder = 40ms; // borrowed tokens with less life aren't granted
 constexpr duration sweep_interval = 1s;
-constexpr double ahead_seconds = 0.2; // demand that a holder keeps tokens ready for
-constexpr double least_demand = 0.05; // requests a second; below it an organisation is idle
-
+constexpr double ahead_seconds = 0.2;      // demand that a holder keeps tokens ready for
+constexpr double excess_demand = 0.9;      // of the rate; from there on retry times are spread
+constexpr duration answer_time = 40ms;     // life of a grant for waiting callers, after the answer
+constexpr double least_ahead_demand = 1.0; // requests a second; below it nothing is borrowed ahead
+constexpr std::uint32_t max_failures = 8;  // doublings of a lender's rest
+constexpr duration loan_round_trip = 12ms; // between domains
+constexpr double least_demand = 0.0001;    // requests a second; below it nothing is kept
+
+// Demand of the near future, and up to one request more.
 micro_tokens demand_tokens(double per_second)
 {
-    if (per_second < least_demand)
-        return 0;
-    return static_cast<micro_tokens>(per_second * ahead_seconds * one_token) + one_token;
+    const double tokens = per_second * ahead_seconds + std::min(per_second, 1.0);
+    return static_cast<micro_tokens>(tokens * one_token);
 }
 
 duration time_for(micro_tokens amount, double tokens_per_second)
@@ -35,7 +40,7 @@
 } // namespace
 
 limit_holder::limit_holder(const limit_holder_options& options, time_point now)
-    : options_(options), next_loan_((options.epoch << 32) + 1), next_sweep_(now + sweep_interval)
+    : options_(options), next_loan_(options.first_loan), next_sweep_(now + sweep_interval)
 {
 }
 
@@ -47,11 +52,16 @@
     return sum;
 }
 
-micro_tokens limit_holder::active::expected() const
+void limit_holder::active::drop_expired_loans(time_point now)
+{
+    std::erase_if(borrowed, [&](const borrowed_tokens& it) { return it.until <= now; });
+}
+
+micro_tokens limit_holder::active::expected(bool urgent) const
 {
     micro_tokens sum = 0;
     for (const borrowing& it : asked)
-        sum += it.wanted;
+        sum += it.urgent == urgent ? it.wanted : 0;
     return sum;
 }
 
@@ -116,6 +126,12 @@
         state.lenders.clear();
 }
 
+// A contract with a home elsewhere has no part here.
+bool limit_holder::owns(const slot& it) const
+{
+    return it.contract.home == no_home || it.contract.home == options_.domain;
+}
+
 std::uint32_t limit_holder::share_at(time_point now) const
 {
     if (now < terms_.until)
@@ -205,7 +221,10 @@
         return 0;
     owner->bucket.accrue(now);
     const auto it = active_.find(organisation);
-    return owner->bucket.tokens() + (it == active_.end() ? 0 : it->second.pool());
+    if (it == active_.end())
+        return owner->bucket.tokens();
+    it->second.drop_expired_loans(now);
+    return owner->bucket.tokens() + it->second.pool();
 }
 
 limit_holder::slot* limit_holder::find(organisation_id organisation)
@@ -218,7 +237,9 @@
 limit_holder::active& limit_holder::activate(organisation_id organisation)
 {
     active& it = active_[organisation];
-    if (it.lenders.empty()) {
+    const slot* owner = find(organisation);
+    const bool has_lenders = owner != nullptr && owner->contract.home == no_home;
+    if (it.lenders.empty() && has_lenders) {
         for (vm_id lender : lenders_)
             it.lenders.push_back({.vm = lender});
     }
@@ -234,7 +255,7 @@
     write_off(now);
     settle_spent({.to = from, .number = request.settled}, request.spent, now);
     slot* owner = find(request.organisation);
-    if (owner == nullptr || share_at(now) == 0) {
+    if (owner == nullptr || share_at(now) == 0 || !owns(*owner)) {
         out.push_back({from.vm, grant{.number = request.number,
                                       .status = grant_status::not_holder,
                                       .retry_after = longest_retry}});
@@ -252,6 +273,7 @@
     const waiting_request waiting{
         .from = from,
         .request = request,
+        .received = now,
         .until = now + std::clamp<duration>(request.patience, duration::zero(), max_token_life)};
     if (waiting_count_ >= options_.max_waiting || given_.size() >= options_.max_outstanding) {
         end_wait(at, waiting);
@@ -292,11 +314,15 @@
         busy_.erase(organisation);
 }
 
-// A grant ends before the mandate and before the loan that it is made of.
-duration limit_holder::grant_life(const context& at, const grant_request& request,
+// A grant ends before the mandate and before the loan that it is made of. One for callers that wait
+// is spent on arrival, so it need not live, and keep the bucket from accruing, any longer.
+duration limit_holder::grant_life(const context& at, const waiting_request& waiting,
                                   bool uses_borrowed) const
 {
+    const grant_request& request = waiting.request;
     duration life = std::min(request.life, max_token_life);
+    if (request.ahead == 0)
+        life = std::min(life, at.now - waiting.received + answer_time);
     life = std::min(life, fitting_life(share_end(at.now) - at.now));
     if (uses_borrowed) {
         for (const borrowed_tokens& it : at.state.borrowed)
@@ -311,7 +337,7 @@
 {
     const micro_tokens amount = tokens * one_token;
     const micro_tokens borrowed = std::min(at.state.pool(), amount);
-    const duration life = grant_life(at, waiting.request, borrowed > 0);
+    const duration life = grant_life(at, waiting, borrowed > 0);
     if (life <= duration::zero())
         return false;
     micro_tokens rest = borrowed;
@@ -375,8 +401,8 @@
 }
 
 // Loans bring the other domains' tokens, so the next one comes at the rate of the whole contract.
-// Each refused entry is sent to the token after the one promised before, so that an excess of
-// demand asks about as often as there are tokens.
+// Under an excess of demand each refused entry is sent to the token after the one promised before,
+// so that entries ask about as often as there are tokens.
 duration limit_holder::retry_time(context& at, std::uint32_t need)
 {
     const double rate = static_cast<double>(at.owner.contract.rate) / one_token;
@@ -384,8 +410,9 @@
         std::max<micro_tokens>(0, one_token - at.owner.bucket.tokens() % one_token);
     const time_point first = at.now + time_for(missing, rate);
     const time_point promised = std::max(first, at.state.promised_until);
-    const time_point latest = at.now + longest_retry;
-    at.state.promised_until = std::min(latest, promised + time_for(need * one_token, rate));
+    if (at.state.demand.per_second(at.now) >= excess_demand * rate)
+        at.state.promised_until =
+            std::min(at.now + longest_retry, promised + time_for(need * one_token, rate));
     return std::clamp<duration>(promised - at.now, shortest_retry, longest_retry);
 }
 
@@ -411,56 +438,77 @@
 
 // ---- loans, as borrower ----
 
-// Asks the lender that is known to have enough, or else all that may be asked: the caller waits, so
-// the hops across domains must not add up. What comes too much goes back.
+// What a lender may have by now: its part is about as large as the own one.
+micro_tokens limit_holder::estimate(const context& at, const lender_view& lender)
+{
+    const rate_part& part = at.owner.bucket.part();
+    const double seconds = std::chrono::duration<double>(at.now - lender.left_at).count();
+    const double gain =
+        std::min(static_cast<double>(part.burst), static_cast<double>(part.rate) * seconds);
+    return std::min(part.burst, lender.left + static_cast<micro_tokens>(gain));
+}
+
+// The one that may have most, of those that may be asked and are not asked yet.
+limit_holder::lender_view* limit_holder::best_lender(const context& at, bool urgent)
+{
+    lender_view* best = nullptr;
+    for (lender_view& it : at.state.lenders) {
+        const auto is_asked = [&](const borrowing& asked) {
+            return asked.lender == it.vm && asked.urgent == urgent;
+        };
+        if ((urgent ? it.urgent_again_at : it.ahead_again_at) > at.now ||
+            std::ranges::any_of(at.state.asked, is_asked))
+            continue;
+        if (best == nullptr || estimate(at, it) > estimate(at, *best))
+            best = &it;
+    }
+    return best;
+}
+
+// While the first caller has time for two rounds, one lender is asked; then all that are left at
+// once, as hops across domains must not add up. What comes too much goes back.
 void limit_holder::borrow_for_waiting(context& at)
 {
-    const micro_tokens have = at.owner.bucket.tokens() + at.state.pool() + at.state.expected();
-    const micro_tokens missing = at.state.needed() - have;
+    const micro_tokens here = at.owner.bucket.tokens() + at.state.pool();
+    micro_tokens missing = at.state.needed() - here - at.state.expected(true);
     if (missing <= 0)
         return;
-    const auto is_ready = [&](const lender_view& it) { return it.ask_again_at <= at.now; };
-    const auto rich = std::ranges::find_if(at.state.lenders, [&](const lender_view& it) {
-        return is_ready(it) && it.left >= missing;
-    });
-    if (rich != at.state.lenders.end()) {
-        ask(at, *rich, missing, true);
-        return;
-    }
-    for (lender_view& it : at.state.lenders) {
-        if (is_ready(it))
-            ask(at, it, missing, true);
+    const bool has_time = at.state.waiting.front().until - at.now >= 2 * loan_round_trip;
+    while (lender_view* lender = best_lender(at, true)) {
+        const micro_tokens hoped = estimate(at, *lender);
+        ask(at, *lender, missing, true);
+        if (has_time && hoped >= missing)
+            return;
+        if (has_time)
+            missing -= hoped;
     }
 }
 
-// Keeps tokens ready for the demand of the near future, as far as the own cap has room.
+// Keeps tokens ready for the demand of the near future, as far as the own cap has room. Small
+// demand is not worth it: most of its requests find a token here, the others wait for a loan.
 void limit_holder::borrow_ahead(context& at)
 {
-    token_bucket& bucket = at.owner.bucket;
-    const micro_tokens target = demand_tokens(at.state.demand.per_second(at.now));
-    const micro_tokens have = bucket.tokens() + at.state.expected();
-    if (have >= target / 2 || !at.state.asked.empty())
+    const double demand = at.state.demand.per_second(at.now);
+    if (demand < least_ahead_demand || !at.state.asked.empty())
         return;
-    const micro_tokens wanted = std::min(target - have, bucket.room());
-    lender_view* best = nullptr;
-    for (lender_view& it : at.state.lenders) {
-        const bool is_ready = it.ask_again_at <= at.now;
-        if (is_ready &&
-            (best == nullptr || it.left < 0 || (best->left >= 0 && it.left > best->left)))
-            best = &it;
-    }
-    if (best != nullptr && wanted > 0)
+    const token_bucket& bucket = at.owner.bucket;
+    const micro_tokens target = demand_tokens(demand);
+    if (bucket.tokens() >= target / 2)
+        return;
+    const micro_tokens wanted = std::min(target - bucket.tokens(), bucket.room());
+    lender_view* best = best_lender(at, false);
+    if (best != nullptr && wanted > 0 && estimate(at, *best) >= std::max(wanted, one_token) / 2)
         ask(at, *best, wanted, false);
 }
 
 void limit_holder::ask(context& at, lender_view& lender, micro_tokens wanted, bool urgent)
 {
-    const auto is_asked = [&](const borrowing& it) { return it.lender == lender.vm; };
-    if (std::ranges::any_of(at.state.asked, is_asked))
-        return;
     const std::uint64_t number = next_loan_++;
-    at.state.asked.push_back(
-        {.number = number, .lender = lender.vm, .wanted = wanted, .sent = at.now});
+    at.state.asked.push_back({.number = number,
+                              .lender = lender.vm,
+                              .wanted = wanted,
+                              .urgent = urgent,
+                              .sent = at.now});
     at.out.push_back({lender.vm, loan_request{.number = number,
                                               .organisation = at.owner.contract.organisation,
                                               .wanted = wanted,
@@ -485,13 +533,7 @@
         return;
     const borrowing request = *asked;
     state.asked.erase(asked);
-    for (lender_view& it : state.lenders) {
-        if (it.vm != from.vm)
-            continue;
-        it.left = message.left;
-        if (message.amount < request.wanted)
-            it.ask_again_at = now + std::clamp(message.retry_after, shortest_retry, longest_retry);
-    }
+    judge_lender(state, request, message, now);
     const time_point until = request.sent + std::min(message.life, options_.loan_life);
     const micro_tokens amount = std::min(message.amount, request.wanted);
     owner->bucket.accrue(now);
@@ -502,13 +544,34 @@
     finish(at);
 }
 
+// A lender that can't meet an urgent request is left alone for longer each time, so that an excess
+// of demand soon stops asking; what it keeps for its own demand counts only for loans ahead.
+void limit_holder::judge_lender(active& it, const borrowing& request, const loan& answer,
+                                time_point now)
+{
+    const auto lender = std::ranges::find(it.lenders, request.lender, &lender_view::vm);
+    if (lender == it.lenders.end())
+        return;
+    lender->left = answer.left;
+    lender->left_at = now;
+    const bool is_met = answer.amount >= request.wanted;
+    if (!is_met)
+        lender->ahead_again_at =
+            now + std::clamp<duration>(answer.retry_after, shortest_retry, longest_retry);
+    if (!request.urgent)
+        return;
+    lender->failures = is_met ? 0 : std::min(lender->failures + 1, max_failures);
+    if (!is_met)
+        lender->urgent_again_at = now + shortest_retry * (1U << lender->failures);
+}
+
 // Borrowed tokens that fit under the own cap become own ones without expiry (the lender counts them
 // as outstanding until the loan's end, which only delays it). Those left serve who waits.
 void limit_holder::take_in(context& at)
 {
     if (share_at(at.now) == 0)
         return;
-    std::erase_if(at.state.borrowed, [&](const borrowed_tokens& it) { return it.until <= at.now; });
+    at.state.drop_expired_loans(at.now);
     for (borrowed_tokens& it : at.state.borrowed)
         it.amount -= at.owner.bucket.absorb(it.amount);
     std::erase_if(at.state.borrowed, [](const borrowed_tokens& it) { return it.amount == 0; });
@@ -534,7 +597,7 @@
             return false;
         for (lender_view& it : at.state.lenders) {
             if (it.vm == request.lender)
-                it.ask_again_at = at.now + lender_silence;
+                it.urgent_again_at = it.ahead_again_at = at.now + lender_silence;
         }
         return true;
     });
@@ -573,11 +636,10 @@
     const given_key key{.to = from, .number = request.number, .is_loan = true};
     if (given_.contains(key))
         return;
-    loan answer{.number = request.number,
-                .organisation = request.organisation,
-                .retry_after = longest_retry};
+    loan answer{.number = request.number, .organisation = request.organisation};
     slot* owner = find(request.organisation);
     if (owner == nullptr || share_at(now) == 0 || given_.size() >= options_.max_outstanding) {
+        answer.retry_after = longest_retry;
         out.push_back({from.vm, answer});
         return;
     }
@@ -594,7 +656,8 @@
         ++counts_.loans_given;
     }
     answer.left = lendable(*owner, false, now);
-    answer.retry_after = lender_retry(*owner, wanted - answer.amount, now);
+    if (answer.amount < wanted)
+        answer.retry_after = lender_retry(*owner, wanted - answer.amount, now);
     out.push_back({from.vm, answer});
 }
 
