--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -159,7 +159,8 @@
 }
 
 // Reads the head, and the documents that it names and that are not here. True when the store was
-// heard and nothing newer than what is in force is left to read.
+// heard and nothing newer than what is in force is left to read. A head older than what is in force
+// comes from a stale read and proves nothing about now.
 bool config_follower::follow_store()
 {
     const time_point asked = boot_now();
@@ -186,7 +187,7 @@
     finish();
     const std::lock_guard lock(keeper_mutex_);
     const std::uint64_t in_force = keeper_.current() ? keeper_.current()->head.generation : 0;
-    if (in_force >= value_of(read).head.generation)
+    if (in_force == value_of(read).head.generation)
         options_.on_store_heard(asked);
     return true;
 }
--- a/src/node_main.cpp
+++ b/src/node_main.cpp
@@ -13,11 +13,15 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <malloc.h>
 
 namespace {
 
 using namespace jasminebank;
 
+// Few arenas keep the memory of many threads together, and so within the node's bound.
+constexpr int malloc_arenas = 2;
+
 constexpr std::array options_of_command{
     command_line_option{"settings", "FILE", "INI file with the section [node]"},
     command_line_option{"check", "", "check the settings and exit"},
@@ -60,6 +64,7 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_ARENA_MAX, malloc_arenas);
     const auto it = node::start(settings, this_run());
     if (it == nullptr)
         return EXIT_FAILURE;
