Requests that kill are refused after their second victim; retries have a budget

Cause: nothing counted what a backend server died of, so a caller that sent a killing request again took one server after the other; and after a try whose end was unknown, a later refusal of another gate was passed on as not-run.

A connection that breaks off while nothing listens any more counts against the request's fingerprint; all members are told; the entry refuses from the second victim on. An idempotent request is retried once after a lost end, retries come out of the organisation's budget, and the state of an earlier try stays.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -180,6 +180,16 @@
 
 } // namespace
 
+bool accepts_connections(const endpoint& address)
+{
+    httplib::Client client(address.host, address.port);
+    client.set_connection_timeout(connect_timeout);
+    client.set_read_timeout(connect_timeout);
+    const httplib::Result answer = client.Head("/");
+    return answer || (answer.error() != httplib::Error::Connection &&
+                      answer.error() != httplib::Error::ConnectionTimeout);
+}
+
 std::shared_ptr<httplib::Client> connect_backend(const endpoint& address)
 {
     auto out = std::make_shared<httplib::Client>(address.host, address.port);
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -42,6 +42,9 @@
 /// True if a connection between two requests holds bytes: it cannot be used again.
 bool has_unread_bytes(const httplib::Client& client);
 
+/// True when something accepts connections at the address; waits a moment at most.
+bool accepts_connections(const endpoint& address);
+
 /// Runs the request of `stream` on `client` and passes the answer on. A refusal is left to the
 /// caller of this function: the stream is untouched unless `answered`.
 call_result call_backend(const std::shared_ptr<httplib::Client>& client,
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -10,7 +10,8 @@
 constexpr std::string_view server_field = "jasmine-server";
 constexpr std::string_view gate_run_field = "jasmine-gate-run";
 constexpr std::string_view idempotent_field = "jasmine-idempotent";
-constexpr std::string_view fingerprint_field = "jasmine-fingerprint";
+constexpr std::string_view fingerprint_high_field = "jasmine-fingerprint-high";
+constexpr std::string_view fingerprint_low_field = "jasmine-fingerprint-low";
 constexpr std::uint64_t longest_deadline_ms = 3'600'000;
 
 static void add_field(message_head& head, std::string_view name, std::string value)
@@ -26,7 +27,8 @@
     add_field(head, organisation_field, it.organisation);
     add_field(head, deadline_field, fmt::format("{}", time_left.count()));
     add_field(head, idempotent_field, it.idempotent ? "1" : "0");
-    add_field(head, fingerprint_field, fmt::format("{}", it.fingerprint));
+    add_field(head, fingerprint_high_field, fmt::format("{}", it.fingerprint.high));
+    add_field(head, fingerprint_low_field, fmt::format("{}", it.fingerprint.low));
 }
 
 static std::optional<std::uint64_t> read_number(const message_head& head, std::string_view name)
@@ -48,9 +50,10 @@
     const auto run = read_number(head, gate_run_field);
     const auto time_left = read_number(head, deadline_field);
     const auto idempotent = read_number(head, idempotent_field);
-    const auto fingerprint = read_number(head, fingerprint_field);
+    const auto high = read_number(head, fingerprint_high_field);
+    const auto low = read_number(head, fingerprint_low_field);
     const std::string* organisation = find_field(head, organisation_field);
-    if (!server || !run || !time_left || !idempotent || !fingerprint || organisation == nullptr)
+    if (!server || !run || !time_left || !idempotent || !high || !low || organisation == nullptr)
         return std::nullopt;
     if (*time_left > longest_deadline_ms)
         return std::nullopt;
@@ -59,7 +62,7 @@
                     .organisation = *organisation,
                     .time_left = std::chrono::milliseconds(*time_left),
                     .idempotent = *idempotent != 0,
-                    .fingerprint = *fingerprint};
+                    .fingerprint = {.high = *high, .low = *low}};
 }
 
 message_head head_for_backend_server(const message_head& head)
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -4,6 +4,7 @@
 // internal ones. Callers' fields of the internal names never get in.
 
 #include "link_message.h"
+#include "poison_list.h"
 #include "result.h"
 #include "types.h"
 
@@ -27,7 +28,7 @@
     std::string organisation;
     duration time_left{}; ///< until the deadline
     bool idempotent = false;
-    std::uint64_t fingerprint = 0; ///< equal for requests that are the same to the caller
+    request_fingerprint fingerprint; ///< equal for requests that are the same to the caller
 };
 
 /// Adds the internal fields to a head.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -247,6 +247,14 @@
             return;
         }
     }
+    request.fingerprint = fingerprint_of(request.organisation->id, request.route->id, head.method,
+                                         head.path + '\n' + to_hex(digest_of(body)));
+    if (const duration wait = options_.poisoned_for(request.fingerprint); wait > duration::zero()) {
+        if (!buffered)
+            socket_server::close_after_answer(res);
+        refuse(res, {.reason = refusal::poison, .retry_after = wait});
+        return;
+    }
     std::unique_ptr<once_hold> hold;
     if (!claim_key(request, head, body, res, hold)) {
         if (!buffered)
@@ -272,9 +280,12 @@
 {
     std::vector<backend_server_id> tried;
     refusal_answer last{.reason = refusal::no_backend_server};
+    bool may_have_run = false;
     for (std::size_t n = 0; n < options_.attempts; ++n) {
-        if (hold != nullptr && boot_now() >= hold->deadline())
-            return refusal_answer{.reason = refusal::deadline};
+        if (hold != nullptr && boot_now() >= hold->deadline()) {
+            last = {.reason = refusal::deadline};
+            break;
+        }
         const auto choice = choose(request, tried);
         if (!choice)
             break;
@@ -290,14 +301,35 @@
         last = *it.refused;
         if (it.body_consumed)
             socket_server::close_after_answer(res);
-        const bool again = may_try_elsewhere(last) ||
-                           (request.idempotent && last.reason == refusal::backend_server_error);
-        if (!again || it.body_consumed || it.caller_left || boot_now() >= request.deadline)
+        const bool first_loss = last.state != run_state::not_run && !may_have_run;
+        may_have_run |= last.state != run_state::not_run;
+        const bool again =
+            may_try_elsewhere(last) ||
+            (request.idempotent && first_loss && last.reason == refusal::backend_server_error);
+        if (!again || it.body_consumed || it.caller_left || !may_retry(request, last))
             break;
     }
+    // What an earlier try may have run, a later refusal does not undo.
+    if (may_have_run)
+        last.state = run_state::unknown;
     return last;
 }
 
+// A gate that cannot be reached or stops cost nobody anything; any other retry comes out of the
+// organisation's budget for the service.
+bool entry::may_retry(const admitted_request& request, const refusal_answer& last)
+{
+    const time_point now = boot_now();
+    const bool is_free = last.state == run_state::not_run && last.reason != refusal::overloaded;
+    if (is_free)
+        return now < request.deadline;
+    const std::lock_guard lock(mutex_);
+    return retries_.ask({.organisation = request.organisation->id,
+                         .service = request.service->id,
+                         .deadline = request.deadline},
+                        now) == retry_decision::granted;
+}
+
 void entry::finished(const route_choice& choice, const attempt& it)
 {
     const std::lock_guard lock(mutex_);
@@ -354,7 +386,8 @@
                     .gate_run = choice.gate_run,
                     .organisation = request.organisation->name,
                     .time_left = request.deadline - boot_now(),
-                    .idempotent = request.idempotent},
+                    .idempotent = request.idempotent,
+                    .fingerprint = request.fingerprint},
                    out);
     attempt it;
     it.body_consumed = reader != nullptr;
@@ -394,6 +427,10 @@
 {
     const message_head& answer = *it.answer;
     finished(choice, it);
+    {
+        const std::lock_guard lock(mutex_);
+        retries_.on_success(request.organisation->id, request.service->id, boot_now());
+    }
     res.status = answer.status;
     const std::string* type = find_field(answer, "content-type");
     for (const header_field& field : answer.fields) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -10,8 +10,10 @@
 #include "limit_entry.h"
 #include "link_hub.h"
 #include "once_request.h"
+#include "poison_list.h"
 #include "refusal.h"
 #include "request_metrics.h"
+#include "retry_budget.h"
 #include "router.h"
 #include "types.h"
 
@@ -31,6 +33,8 @@
     std::function<bool()> may_serve; ///< false while this node may be cut off from news
     /// Takes a token for one request, waiting at most until the deadline; never limit_waiting.
     std::function<limit_verdict(organisation_id, time_point)> take_token;
+    /// Time until requests with this fingerprint are no longer refused; zero when they are not.
+    std::function<duration(request_fingerprint)> poisoned_for;
     once_service* once = nullptr; ///< without it, idempotency keys are not looked at
 };
 
@@ -42,6 +46,7 @@
     const service_config* service = nullptr;
     bool idempotent = false;
     time_point deadline;
+    request_fingerprint fingerprint{}; ///< known once the body is here
 };
 
 /// Thread-safe.
@@ -81,6 +86,7 @@
     attempt try_once(const admitted_request& request, const route_choice& choice,
                      const message_head& head, const std::string& body,
                      const httplib::ContentReader* reader);
+    bool may_retry(const admitted_request& request, const refusal_answer& last);
     void finished(const route_choice& choice, const attempt& it);
     void deliver(const admitted_request& request, const route_choice& choice, const attempt& it,
                  const message_head& head, httplib::Response& res);
@@ -91,6 +97,7 @@
     mutable std::mutex mutex_;
     std::shared_ptr<const fleet_config> config_;
     router router_;
+    retry_budget retries_;
     std::mt19937_64 random_{std::random_device{}()};
 };
 
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -18,8 +18,8 @@
     stream.respond(std::move(head), true);
 }
 
-gate::gate(gate_options options, health_service& health)
-    : options_(options), health_(health),
+gate::gate(gate_options options, health_service& health, poison_service& poison)
+    : options_(options), health_(health), poison_(poison),
       workers_({.threads = options.threads, .waiting = options.waiting_requests})
 {
 }
@@ -267,6 +267,26 @@
     }
 }
 
+// A connection that breaks off while nothing listens any more: the backend server died with the
+// request. It is counted against the request; the second victim of one tells that it kills.
+bool gate::died_of(const pending_request& it, const call_result& result)
+{
+    if (result.end != call_end::no_answer && result.end != call_end::cut_answer)
+        return false;
+    server_record record;
+    incarnation run;
+    {
+        const std::lock_guard lock(mutex_);
+        const backend_server& server = servers_.at(it.request.server);
+        record = server.record;
+        run = server.run;
+    }
+    if (accepts_connections(record.address))
+        return false;
+    poison_.on_death(it.request.fingerprint, record.id, run);
+    return true;
+}
+
 void gate::run(request_id id)
 {
     pending_request it;
@@ -289,7 +309,9 @@
     const call_result result =
         call_backend(client, it.stream, {.deadline = it.deadline, .load = load});
     const bool past_deadline = boot_now() >= it.deadline;
-    health_.finished({.request = id, .outcome = outcome_of(result, past_deadline)});
+    const bool died = !past_deadline && died_of(it, result);
+    health_.finished(
+        {.request = id, .outcome = outcome_of(result, past_deadline), .suspected_poison = died});
     finish(id, it, std::move(client), result);
 }
 
--- a/src/gate.h
+++ b/src/gate.h
@@ -9,6 +9,7 @@
 #include "dispatch.h"
 #include "health_service.h"
 #include "link_stream.h"
+#include "poison_service.h"
 #include "refusal.h"
 #include "slot_queue.h"
 #include "types.h"
@@ -32,7 +33,7 @@
 /// Thread-safe.
 class gate {
 public:
-    gate(gate_options options, health_service& health);
+    gate(gate_options options, health_service& health, poison_service& poison);
     ~gate();
 
     /// Takes an announcement; true when the records of the backend servers changed.
@@ -79,12 +80,14 @@
     void perform(const outcome& it);
     void cancel(request_id id);
     void run(request_id id);
+    bool died_of(const pending_request& it, const call_result& result);
     std::shared_ptr<httplib::Client> take_connection(backend_server& server);
     void finish(request_id id, const pending_request& it, std::shared_ptr<httplib::Client> client,
                 const call_result& result);
 
     const gate_options options_;
     health_service& health_;
+    poison_service& poison_;
     mutable std::mutex mutex_;
     std::unordered_map<backend_server_id, backend_server> servers_;
     std::unordered_map<request_id, pending_request> pending_;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -35,6 +35,7 @@
     event_entry{event::once_settlement_dropped, severity::warning, "once_settlement_dropped"},
     event_entry{event::health_changed, severity::info, "health_changed"},
     event_entry{event::standing_changed, severity::warning, "standing_changed"},
+    event_entry{event::backend_server_died, severity::warning, "backend_server_died"},
     event_entry{event::member_joined, severity::info, "member_joined"},
     event_entry{event::member_gone, severity::warning, "member_gone"},
     event_entry{event::cut_off_began, severity::error, "cut_off_began"},
--- a/src/log.h
+++ b/src/log.h
@@ -41,6 +41,7 @@
     once_settlement_dropped = 651,
     health_changed = 700,
     standing_changed = 701,
+    backend_server_died = 702,
     member_joined = 800,
     member_gone = 801,
     cut_off_began = 802,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -68,11 +68,12 @@
                                    publish_servers();
                            }},
         *links_);
+    poison_ = std::make_unique<poison_service>(id_of<vm_id>(settings_.vm_name), *links_);
     gate_ = std::make_unique<gate>(gate_options{.run = run_,
                                                 .announcement_ttl = settings_.announcement_ttl,
                                                 .backend_idle = settings_.backend_idle,
                                                 .waiting_requests = settings_.waiting_requests},
-                                   *health_);
+                                   *health_, *poison_);
     homes_ = std::make_unique<key_homes>(id_of<vm_id>(settings_.vm_name),
                                          id_of<failure_domain_id>(settings_.failure_domain));
     once_ = std::make_unique<once_service>(
@@ -84,17 +85,18 @@
         *links_);
     open_limits();
     entry_ = std::make_unique<entry>(
-        entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
-                      .may_serve =
-                          [this] {
-                              return settings_.when_cut_off == cut_off_policy::serve ||
-                                     members_->may_serve();
-                          },
-                      .take_token =
-                          [this](organisation_id organisation, time_point deadline) {
-                              return limits_->admit_blocking(organisation, deadline);
-                          },
-                      .once = once_.get()},
+        entry_options{
+            .buffered_body_bytes = settings_.buffered_body_bytes,
+            .may_serve =
+                [this] {
+                    return settings_.when_cut_off == cut_off_policy::serve || members_->may_serve();
+                },
+            .take_token =
+                [this](organisation_id organisation, time_point deadline) {
+                    return limits_->admit_blocking(organisation, deadline);
+                },
+            .poisoned_for = [this](request_fingerprint it) { return poison_->refused_for(it); },
+            .once = once_.get()},
         *links_,
         router_options{.self = id_of<vm_id>(settings_.vm_name),
                        .domain = id_of<failure_domain_id>(settings_.failure_domain)});
@@ -156,6 +158,7 @@
                     entry_->set_directory(it);
                     health_->set_directory(it);
                     homes_->set_directory(it);
+                    poison_->set_directory(it);
                     for (const member_record& member : it.members())
                         once_->claimers_gone(member.vm, member.run);
                     limits_->set_directory(it);
@@ -371,6 +374,8 @@
         return limits_->answer(request);
     if (request.path == mandate_path)
         return mandates_->answer(request);
+    if (request.path == poison_path)
+        return poison_->answer(request.payload);
     if (request.path == once_path)
         return once_->answer(request.payload);
     if (request.path == service_path)
--- a/src/node.h
+++ b/src/node.h
@@ -14,6 +14,7 @@
 #include "member_service.h"
 #include "node_settings.h"
 #include "once_service.h"
+#include "poison_service.h"
 #include "socket_server.h"
 
 #include <atomic>
@@ -70,6 +71,7 @@
     std::unique_ptr<health_service> health_;
     std::unique_ptr<key_homes> homes_;
     std::unique_ptr<once_service> once_;
+    std::unique_ptr<poison_service> poison_;
     std::unique_ptr<gate> gate_;
     std::unique_ptr<limit_service> limits_;
     std::unique_ptr<mandate_service> mandates_;
--- /dev/null
+++ b/src/poison_codec.cpp
@@ -0,0 +1,52 @@
+#include "poison_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace jasminebank {
+
+using json = nlohmann::json;
+
+constexpr duration longest_remaining = std::chrono::hours(1);
+
+std::string encode_victims(const std::vector<poison_victim>& victims)
+{
+    json out = json::array();
+    for (const poison_victim& it : victims) {
+        out.push_back(json::array({it.fingerprint.high, it.fingerprint.low, it.server.value,
+                                   it.run.value, it.remaining.count()}));
+    }
+    const std::vector<std::uint8_t> bytes = json::to_cbor(out);
+    return {bytes.begin(), bytes.end()};
+}
+
+// Throws nlohmann's exceptions on a wrong type or place.
+static poison_victim victim_from(const json& in)
+{
+    return {.fingerprint = {.high = in.at(0).get<std::uint64_t>(),
+                            .low = in.at(1).get<std::uint64_t>()},
+            .server = backend_server_id{in.at(2).get<std::uint64_t>()},
+            .run = incarnation{in.at(3).get<std::uint64_t>()},
+            .remaining = duration(in.at(4).get<duration::rep>())};
+}
+
+std::optional<std::vector<poison_victim>> decode_victims(std::string_view text)
+{
+    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    if (!in.is_array())
+        return std::nullopt;
+    std::vector<poison_victim> out;
+    try {
+        for (const json& it : in)
+            out.push_back(victim_from(it));
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+    for (const poison_victim& it : out) {
+        if (it.remaining < duration::zero() || it.remaining > longest_remaining)
+            return std::nullopt;
+    }
+    return out;
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/poison_service.cpp
@@ -0,0 +1,60 @@
+#include "poison_service.h"
+
+#include "log.h"
+#include "poison_codec.h"
+#include "system_clock.h"
+
+namespace jasminebank {
+
+constexpr duration tell_timeout = std::chrono::seconds(2);
+
+poison_service::poison_service(vm_id self, link_hub& links) : self_(self), links_(links) {}
+
+void poison_service::set_directory(const member_directory& directory)
+{
+    const std::lock_guard lock(mutex_);
+    peers_.clear();
+    for (const member_record& it : directory.members()) {
+        if (it.vm != self_)
+            peers_.push_back(it.link);
+    }
+}
+
+// Deaths of this kind are rare, so every member is told directly.
+void poison_service::on_death(request_fingerprint fingerprint, backend_server_id server,
+                              incarnation run)
+{
+    std::string payload;
+    std::vector<endpoint> peers;
+    {
+        const std::lock_guard lock(mutex_);
+        const time_point now = boot_now();
+        if (!list_.on_death(fingerprint, server, run, now))
+            return;
+        log_event(event::backend_server_died, "backend server {:016x}, victims of this request: {}",
+                  server.value, list_.victims_of(fingerprint, now));
+        payload = encode_victims(list_.entries(now));
+        peers = peers_;
+    }
+    for (const endpoint& it : peers) {
+        if (!links_.call(it, std::string(poison_path), payload, tell_timeout, [](const auto&) {}))
+            return;
+    }
+}
+
+std::string poison_service::answer(std::string_view told)
+{
+    const auto victims = decode_victims(told);
+    const std::lock_guard lock(mutex_);
+    if (victims)
+        list_.merge(*victims, boot_now());
+    return {};
+}
+
+duration poison_service::refused_for(request_fingerprint fingerprint) const
+{
+    const std::lock_guard lock(mutex_);
+    return list_.refused_for(fingerprint, boot_now());
+}
+
+} // namespace jasminebank
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -237,6 +237,27 @@
     EXPECT_EQ(dead, 1U);
 }
 
+// Its caller sends it again and again, to another node each time; two backend servers die of it.
+TEST(process, a_request_that_kills_is_refused_after_its_second_victim)
+{
+    process_fleet fleet;
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        fleet.set_mode(fleet.backend(n, 1), {{"crash_text", "poisoned"}});
+    std::string last;
+    for (std::size_t n = 0; n < 6; ++n) {
+        httplib::Request req = request("POST", "/orders/1");
+        req.set_header("X-Note", "poisoned");
+        const httplib::Result answer = connect(fleet.callers(n % fleet_nodes))->send(req);
+        last = answer ? answer->get_header_value("Jasmine-Outcome") : "none";
+        std::this_thread::sleep_for(200ms);
+    }
+    EXPECT_EQ(last, "not-run; reason=poison");
+    std::size_t dead = 0;
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        dead += failed(fetch_account(fleet.backend(n, 1))) ? 1 : 0;
+    EXPECT_EQ(dead, 2U);
+}
+
 TEST(process, a_leaving_backend_server_gets_no_new_work)
 {
     process_fleet fleet;
