--- a/src/fake_backend_main.cpp
+++ b/src/fake_backend_main.cpp
@@ -50,14 +50,6 @@
     std::string port_file;
 };
 
-endpoint read_endpoint(field_reader& in, std::string_view name, const std::string& text)
-{
-    const auto out = parse_endpoint(text);
-    if (!out)
-        in.reject(name, "numeric addresses with a port, as 127.0.0.1:8080");
-    return out.value_or(endpoint{});
-}
-
 result<settings, ini_error> read_settings(const ini_section& section)
 {
     const ini_file file{.name = "command line", .sections = {}};
@@ -65,9 +57,8 @@
     settings out;
     fake_backend_options& it = out.backend;
     it.service = in.text("service", it.service);
-    it.listen = read_endpoint(in, "listen", in.text("listen", "127.0.0.1:0"));
-    for (const std::string& node : in.list("node"))
-        it.nodes.push_back(read_endpoint(in, "node", node));
+    it.listen = in.address("listen", "127.0.0.1:0");
+    it.nodes = in.addresses("node");
     it.slots = in.number("slots", it.slots, 1, 1000);
     it.waiting = in.number("waiting", it.waiting, 0, 10'000);
     it.connections = in.number("connections", it.connections, 1, 10'000);
--- a/src/ini_file.cpp
+++ b/src/ini_file.cpp
@@ -131,6 +131,27 @@
     return nullptr;
 }
 
+endpoint field_reader::address(std::string_view name, std::string_view fallback)
+{
+    const auto out = parse_endpoint(text(name, fallback));
+    if (!out)
+        reject(name, "an IPv4 address and port, as 127.0.0.1:8080");
+    return out.value_or(endpoint{});
+}
+
+std::vector<endpoint> field_reader::addresses(std::string_view name)
+{
+    std::vector<endpoint> out;
+    for (const std::string& it : list(name)) {
+        const auto found = parse_endpoint(it);
+        if (found)
+            out.push_back(*found);
+        else
+            reject(name, "IPv4 addresses and ports between commas, as 127.0.0.1:8080");
+    }
+    return out;
+}
+
 std::vector<std::string> field_reader::names_with_prefix(std::string_view prefix) const
 {
     std::vector<std::string> out;
--- a/src/ini_file.h
+++ b/src/ini_file.h
@@ -3,6 +3,7 @@
 // INI files with checked fields. Every error names the file, the line, the section, the field, what
 // was found and what is allowed. A field that nobody asked for is an error too.
 
+#include "endpoint.h"
 #include "result.h"
 #include "types.h"
 
@@ -78,6 +79,10 @@
     /// Values separated by commas, without blanks around them.
     std::vector<std::string> list(std::string_view name);
 
+    /// An IPv4 address and port, as 127.0.0.1:8080.
+    endpoint address(std::string_view name, std::string_view fallback);
+    /// Several of them, separated by commas.
+    std::vector<endpoint> addresses(std::string_view name);
     /// Names of the fields that are `prefix` or begin with `prefix` and a dot, in file order.
     std::vector<std::string> names_with_prefix(std::string_view prefix) const;
     /// True when the field stands in the section.
--- a/src/jasminebank_main.cpp
+++ b/src/jasminebank_main.cpp
@@ -22,19 +22,6 @@
     command_line_option{"version", "", "print the version"},
 };
 
-std::vector<endpoint> read_endpoints(field_reader& in, std::string_view name)
-{
-    std::vector<endpoint> out;
-    for (const std::string& text : in.list(name)) {
-        const auto it = parse_endpoint(text);
-        if (it)
-            out.push_back(*it);
-        else
-            in.reject(name, "numeric addresses with a port, as 127.0.0.1:2379");
-    }
-    return out;
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -57,8 +44,8 @@
         return 0;
     }
     operator_options options;
-    options.store = read_endpoints(in, "store");
-    options.nodes = read_endpoints(in, "node");
+    options.store = in.addresses("store");
+    options.nodes = in.addresses("node");
     options.json = in.flag("json", false);
     options.replace = in.flag("replace", false);
     if (const auto wrong = in.finish()) {
--- a/src/key_homes.cpp
+++ b/src/key_homes.cpp
@@ -51,7 +51,7 @@
     if (config_ == nullptr)
         return std::nullopt;
     const std::uint32_t shard = shard_of(key.organisation, limit_shards);
-    if (const auto own = own_home(shard))
+    if (auto own = own_home(shard))
         return own;
     for (const shard_holder& it : find_holders(shard, *config_, members_)) {
         const auto member = std::ranges::find(members_, it.vm, &member_record::vm);
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -56,18 +56,6 @@
     std::string html;
 };
 
-std::vector<endpoint> read_endpoints(field_reader& in, std::string_view name)
-{
-    std::vector<endpoint> out;
-    for (const std::string& text : in.list(name)) {
-        const auto it = parse_endpoint(text);
-        if (!it)
-            in.reject(name, "numeric addresses with a port, as 127.0.0.1:8080");
-        out.push_back(it.value_or(endpoint{}));
-    }
-    return out;
-}
-
 std::optional<double> parse_positive(std::string_view text)
 {
     double out = 0;
@@ -129,9 +117,9 @@
 void read_load(field_reader& in, settings& out)
 {
     load_options& it = out.load;
-    it.targets = read_endpoints(in, "node");
-    out.direct = read_endpoints(in, "direct");
-    out.accounts = read_endpoints(in, "accounts");
+    it.targets = in.addresses("node");
+    out.direct = in.addresses("direct");
+    out.accounts = in.addresses("accounts");
     it.run_time = in.time("duration", it.run_time, 1ms, 24h);
     it.rate = in.decimal("rate", it.rate, 0.001, 100'000);
     it.method = in.one_of("method", it.method, {"GET", "POST", "PUT", "PATCH", "DELETE"});
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -13,27 +13,6 @@
 constexpr std::size_t most_connections = 900; // callers' sockets, one thread each
 constexpr std::size_t most_buffered_body_bytes = 1024UL * 1024;
 
-static endpoint read_endpoint(field_reader& in, std::string_view name, std::string_view fallback)
-{
-    const auto out = parse_endpoint(in.text(name, fallback));
-    if (!out)
-        in.reject(name, "an IPv4 address and port, as 127.0.0.1:8080");
-    return out.value_or(endpoint{});
-}
-
-static std::vector<endpoint> read_endpoints(field_reader& in, std::string_view name)
-{
-    std::vector<endpoint> out;
-    for (const std::string& text : in.list(name)) {
-        const auto it = parse_endpoint(text);
-        if (it)
-            out.push_back(*it);
-        else
-            in.reject(name, "IPv4 addresses and ports between commas");
-    }
-    return out;
-}
-
 // The key stands in a file of its own, so that the settings themselves may be shown to anyone.
 static std::string read_fleet_key(field_reader& in)
 {
@@ -80,11 +59,11 @@
     out.vm_name = in.required_text("vm");
     out.failure_domain = in.required_text("failure_domain");
     out.region = in.text("region", "");
-    out.callers = read_endpoint(in, "callers", "127.0.0.1:0");
-    out.links = read_endpoint(in, "links", "127.0.0.1:0");
-    out.control = read_endpoint(in, "control", "127.0.0.1:0");
-    out.store = read_endpoints(in, "store");
-    out.peers = read_endpoints(in, "peers");
+    out.callers = in.address("callers", "127.0.0.1:0");
+    out.links = in.address("links", "127.0.0.1:0");
+    out.control = in.address("control", "127.0.0.1:0");
+    out.store = in.addresses("store");
+    out.peers = in.addresses("peers");
     out.fleet_key = read_fleet_key(in);
     out.port_file = in.text("port_file", "");
     read_limits(in, out);
--- a/src/small_stack_pool.h
+++ b/src/small_stack_pool.h
@@ -1,43 +1,32 @@
 #pragma once
 
-// Worker threads for cpp-httplib's server, which holds one for each open connection. Their stacks
-// are small, so that several hundred of them fit a small VM, and they start only when they are
-// needed.
+// Worker threads for cpp-httplib's server, which holds one for each open connection.
+
+#include "worker_pool.h"
 
 #include <httplib.h>
-#include <pthread.h>
 
-#include <condition_variable>
 #include <cstddef>
 #include <functional>
-#include <list>
-#include <mutex>
-#include <vector>
 
 namespace jasminebank {
 
-/// At most `threads` workers. When all are busy, `enqueue` waits, and with it the accept loop: new
-/// connections then stay in the kernel's bounded backlog.
+/// At most `threads` workers with small stacks, started as they are needed. A connection that finds
+/// none is served by the accepting thread: by then the server is over its bound and refuses it.
 class small_stack_pool : public httplib::TaskQueue {
 public:
-    explicit small_stack_pool(std::size_t threads);
+    explicit small_stack_pool(std::size_t threads) : workers_({.threads = threads, .waiting = 0}) {}
 
-    void enqueue(std::function<void()> fn) override;
-    /// Runs what is queued and joins all workers.
-    void shutdown() override;
+    void enqueue(std::function<void()> fn) override
+    {
+        if (!workers_.submit(fn))
+            fn();
+    }
+    /// Joins all workers.
+    void shutdown() override { workers_.stop(); }
 
 private:
-    static void* run_worker(void* pool);
-    void work();
-
-    std::size_t limit_;
-    std::vector<pthread_t> threads_;
-    std::list<std::function<void()>> jobs_;
-    std::size_t idle_ = 0;
-    bool stopping_ = false;
-    std::mutex mutex_;
-    std::condition_variable wake_;
-    std::condition_variable room_;
+    worker_pool workers_;
 };
 
 } // namespace jasminebank
--- a/src/worker_pool.cpp
+++ b/src/worker_pool.cpp
@@ -24,14 +24,17 @@
     return started;
 }
 
-// A thread is started only when no idle one can take the job.
+// A thread is started only when no idle one can take the job; the job waits only when none may be.
 bool worker_pool::submit(std::function<void()> job)
 {
     const std::lock_guard lock(mutex_);
-    if (stopping_ || jobs_.size() >= options_.waiting + idle_)
+    if (stopping_)
         return false;
-    if (idle_ <= jobs_.size() && threads_.size() < options_.threads && !start_worker() &&
-        threads_.empty())
+    bool has_thread = idle_ > jobs_.size();
+    if (!has_thread && threads_.size() < options_.threads)
+        has_thread = start_worker();
+    const bool may_wait = !threads_.empty() && jobs_.size() < options_.waiting + idle_;
+    if (!has_thread && !may_wait)
         return false;
     jobs_.push_back(std::move(job));
     wake_.notify_one();
