--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -110,10 +110,11 @@
 }
 
 // Everything is looked up anew for each request, so that a withdrawn key stops on connections that
-// are already open, too.
-result<admitted_request, refusal_answer> entry::admit(const caller_head& head, time_point now)
+// are already open, too. What was found stays in `out` for the metrics, also after a refusal.
+std::optional<refusal_answer> entry::admit(const caller_head& head, time_point now,
+                                           admitted_request& out)
 {
-    admitted_request out{.config = config(), .deadline = now};
+    out.config = config();
     if (out.config == nullptr)
         return refusal_answer{.reason = refusal::no_configuration};
     if (!options_.may_serve())
@@ -124,14 +125,12 @@
     out.route = find_route(*out.config, head.clean.method, path_of(head.clean.path));
     if (out.route == nullptr)
         return refusal_answer{.reason = refusal::no_route};
+    out.service = find_service(*out.config, out.route->service);
     if (!may_use(*out.route, out.organisation->id))
         return refusal_answer{.reason = refusal::not_allowed};
-    out.service = find_service(*out.config, out.route->service);
     out.idempotent = is_idempotent(*out.route, head.clean.method);
     out.deadline = now + out.service->timeout;
-    if (const auto over = hold_to_rate(out))
-        return *over;
-    return out;
+    return hold_to_rate(out);
 }
 
 // Comes last, so that no token is spent on a request that is refused for another reason.
@@ -165,26 +164,18 @@
                   const httplib::ContentReader* reader)
 {
     const time_point start = boot_now();
-    auto request = admit(head, start);
-    if (failed(request)) {
+    admitted_request request;
+    if (const auto refused = admit(head, start, request)) {
         if (length_of(head.clean) != std::size_t{0})
             socket_server::close_after_answer(res);
-        refuse(res, error_of(request));
+        refuse(res, *refused);
     }
     else {
-        forward(std::move(value_of(request)), head.clean, res, reader);
+        forward(request, head.clean, res, reader);
     }
-    const auto current = config();
-    const organisation_config* organisation =
-        current == nullptr ? nullptr : find_key(*current, head.key);
-    const route_config* route =
-        current == nullptr ? nullptr
-                           : find_route(*current, head.clean.method, path_of(head.clean.path));
-    const service_config* service =
-        route == nullptr ? nullptr : find_service(*current, route->service);
     const auto outcome = parse_outcome(res.get_header_value(std::string(outcome_header)));
-    metrics_.add({.organisation = organisation == nullptr ? "" : organisation->name,
-                  .service = service == nullptr ? "" : service->name,
+    metrics_.add({.organisation = request.organisation == nullptr ? "" : request.organisation->name,
+                  .service = request.service == nullptr ? "" : request.service->name,
                   .outcome = outcome ? name_of(outcome->reason) : name_of(run_state::ran),
                   .latency = boot_now() - start});
 }
@@ -230,7 +221,7 @@
 
 // Small bodies are read whole first: a slow caller then holds no slot of a backend server, and the
 // request may be tried again elsewhere. Longer ones are streamed and get one try.
-void entry::forward(admitted_request request, const message_head& head, httplib::Response& res,
+void entry::forward(admitted_request& request, const message_head& head, httplib::Response& res,
                     const httplib::ContentReader* reader)
 {
     const auto length = length_of(head);
--- a/src/entry.h
+++ b/src/entry.h
@@ -70,10 +70,11 @@
     struct attempt;
 
     std::optional<refusal_answer> hold_to_rate(const admitted_request& request) const;
-    result<admitted_request, refusal_answer> admit(const caller_head& head, time_point now);
+    std::optional<refusal_answer> admit(const caller_head& head, time_point now,
+                                        admitted_request& out);
     void serve(const caller_head& head, httplib::Response& res,
                const httplib::ContentReader* reader);
-    void forward(admitted_request request, const message_head& head, httplib::Response& res,
+    void forward(admitted_request& request, const message_head& head, httplib::Response& res,
                  const httplib::ContentReader* reader);
     bool claim_key(admitted_request& request, const message_head& head, const std::string& body,
                    httplib::Response& res, std::unique_ptr<once_hold>& hold);
