--- a/src/node.cpp
+++ b/src/node.cpp
@@ -29,7 +29,17 @@
                        outcome_header, outcome_text({.reason = refusal::overloaded}));
 }
 
-node::node(node_settings settings, incarnation run) : settings_(std::move(settings)), run_(run) {}
+node::node(node_settings settings, incarnation run)
+    : settings_(std::move(settings)), run_(run), when_cut_off_(settings_.when_cut_off),
+      stop_grace_(settings_.stop_grace)
+{
+}
+
+void node::reload(const node_settings& settings)
+{
+    when_cut_off_ = settings.when_cut_off;
+    stop_grace_ = settings.stop_grace;
+}
 
 std::unique_ptr<node> node::start(const node_settings& settings, incarnation run)
 {
@@ -88,9 +98,7 @@
         entry_options{
             .buffered_body_bytes = settings_.buffered_body_bytes,
             .may_serve =
-                [this] {
-                    return settings_.when_cut_off == cut_off_policy::serve || members_->may_serve();
-                },
+                [this] { return when_cut_off_ == cut_off_policy::serve || members_->may_serve(); },
             .take_token =
                 [this](organisation_id organisation, time_point deadline) {
                     return limits_->admit_blocking(organisation, deadline);
@@ -422,7 +430,7 @@
     if (callers_ != nullptr)
         callers_->stop_gently(closing_grace);
     links_->drain();
-    links_->wait_idle(boot_now() + settings_.stop_grace);
+    links_->wait_idle(boot_now() + stop_grace_.load());
     gate_->stop();
     mandates_->stop(released_by);
     limits_->stop();
--- a/src/node.h
+++ b/src/node.h
@@ -43,6 +43,8 @@
     node& operator=(const node&) = delete;
 
     node_ports ports() const;
+    /// Takes over what may change while it runs: `when_cut_off` and `stop_grace`.
+    void reload(const node_settings& settings);
     /// Ends after the requests that run; blocks until then, at most the grace of the settings.
     void stop();
 
@@ -85,6 +87,8 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_ = false;
+    std::atomic<cut_off_policy> when_cut_off_;
+    std::atomic<duration> stop_grace_;
     std::thread ticks_;
 };
 
--- a/src/node_main.cpp
+++ b/src/node_main.cpp
@@ -1,5 +1,5 @@
 // node: the one daemon of the fleet, in a slot on each backend server VM. SIGTERM and SIGINT are a
-// planned stop that cuts no request.
+// planned stop that cuts no request; SIGHUP reads the settings again.
 
 #include "command_line.h"
 #include "log.h"
@@ -56,12 +56,25 @@
     return out && std::rename(draft.c_str(), path.c_str()) == 0;
 }
 
-int serve(const node_settings& settings)
+// Settings that are wrong change nothing.
+void reload(node& it, const std::string& path)
+{
+    const auto settings = load_settings(path);
+    if (failed(settings)) {
+        log_event(event::settings_rejected, "kept the old ones: {}", describe(error_of(settings)));
+        return;
+    }
+    it.reload(value_of(settings));
+    log_event(event::settings_reloaded, "{}", path);
+}
+
+int serve(const node_settings& settings, const std::string& path)
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     mallopt(M_ARENA_MAX, malloc_arenas);
@@ -77,7 +90,8 @@
         return EXIT_FAILURE;
     }
     int number = 0;
-    sigwait(&signals, &number);
+    while (sigwait(&signals, &number) == 0 && number == SIGHUP)
+        reload(*it, path);
     log_event(event::node_stopping, "signal {}", number);
     it->stop();
     log_event(event::node_stopped, "{}", settings.vm_name);
@@ -110,5 +124,5 @@
         log_event(event::settings_rejected, "{}", describe(error_of(settings)));
         return EXIT_FAILURE;
     }
-    return only_check ? EXIT_SUCCESS : serve(value_of(settings));
+    return only_check ? EXIT_SUCCESS : serve(value_of(settings), path);
 }
