--- a/src/node.cpp
+++ b/src/node.cpp
@@ -239,6 +239,36 @@
     });
 }
 
+static std::string_view name_of(server_standing it)
+{
+    switch (it) {
+    case server_standing::serving:
+        return "serving";
+    case server_standing::demoted:
+        return "demoted";
+    case server_standing::held_out:
+        return "held_out";
+    case server_standing::on_trial:
+        break;
+    }
+    return "on_trial";
+}
+
+static nlohmann::json servers_json(const member_record& member, const fleet_config* config)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const server_record& it : member.servers) {
+        const service_config* service =
+            config == nullptr ? nullptr : find_service(*config, it.service);
+        out.push_back({{"address", to_string(it.address)},
+                       {"service", service == nullptr ? std::string("unknown") : service->name},
+                       {"slots", it.slots},
+                       {"draining", it.draining},
+                       {"standing", name_of(it.standing)}});
+    }
+    return out;
+}
+
 void node::answer_status(httplib::Response& res)
 {
     const auto config = entry_->config();
@@ -249,7 +279,8 @@
                            {"run", it.run.value},
                            {"link", to_string(it.link)},
                            {"leaving", it.leaving},
-                           {"backend_servers", it.servers.size()}});
+                           {"backend_servers", it.servers.size()},
+                           {"servers", servers_json(it, config.get())}});
     }
     nlohmann::json out{{"vm", settings_.vm_name},
                        {"failure_domain", settings_.failure_domain},
--- a/src/operator_command.cpp
+++ b/src/operator_command.cpp
@@ -321,7 +321,10 @@
            "  show [SECTION...]                what is stored\n"
            "  key give ORGANISATION NAME       make a key and print it once\n"
            "  key withdraw ORGANISATION NAME   withdraw it\n"
-           "  status                           each node: generation, members, backend servers\n"
+           "  status                           each node: generation, members, backend servers "
+           "and\n"
+           "                                   how they stand (serving, demoted, held_out, "
+           "on_trial)\n"
            "  budget ORGANISATION              each node: the organisation's tokens and counts\n";
 }
 
