--- a/src/operator_command.cpp
+++ b/src/operator_command.cpp
@@ -215,20 +215,36 @@
     return out;
 }
 
-command_exit show(const words& names, const operator_options& options)
+// What is in the store now.
+struct stored_sections {
+    std::uint64_t generation = 0;
+    sections all;
+};
+
+// An error is reported here and returned as the exit code.
+result<stored_sections, command_exit> read_stored(const operator_options& options)
 {
     store_client store({.endpoints = options.store});
     const auto stored = read_config(store);
     if (failed(stored))
         return report(error_of(stored));
-    const auto all = read_sections(value_of(stored).texts);
+    auto all = read_sections(value_of(stored).texts);
     if (failed(all))
         return report(error_of(all));
-    nlohmann::json json{{"generation", value_of(stored).head.generation},
+    return stored_sections{.generation = value_of(stored).head.generation,
+                           .all = std::move(value_of(all))};
+}
+
+command_exit show(const words& names, const operator_options& options)
+{
+    const auto stored = read_stored(options);
+    if (failed(stored))
+        return error_of(stored);
+    nlohmann::json json{{"generation", value_of(stored).generation},
                         {"sections", nlohmann::json::object()}};
     if (!options.json)
-        fmt::print("; generation {}\n", value_of(stored).head.generation);
-    for (const ini_section& it : value_of(all)) {
+        fmt::print("; generation {}\n", value_of(stored).generation);
+    for (const ini_section& it : value_of(stored).all) {
         if (!names.empty() && std::find(names.begin(), names.end(), it.name) == names.end())
             continue;
         if (options.json)
@@ -254,17 +270,13 @@
     const auto given = load_sections(files);
     if (failed(given))
         return report(error_of(given));
-    store_client store({.endpoints = options.store});
-    const auto stored = read_config(store);
+    const auto stored = read_stored(options);
     if (failed(stored))
-        return report(error_of(stored));
-    const auto all = read_sections(value_of(stored).texts);
-    if (failed(all))
-        return report(error_of(all));
+        return error_of(stored);
     for (const ini_section& it : value_of(given)) {
-        const auto old = std::find_if(value_of(all).begin(), value_of(all).end(),
+        const auto old = std::find_if(value_of(stored).all.begin(), value_of(stored).all.end(),
                                       [&](const ini_section& a) { return a.name == it.name; });
-        if (old == value_of(all).end())
+        if (old == value_of(stored).all.end())
             fmt::print("+ [{}]\n", it.name);
         else if (!same_fields(*old, it))
             fmt::print("~ [{}]\n", it.name);
