--- a/src/announcement.cpp
+++ b/src/announcement.cpp
@@ -20,6 +20,7 @@
     out.server.draining = in.value("draining", false);
     out.run = incarnation{in.value("incarnation", std::uint64_t{0})};
     out.load = in.value("load", 0.0);
+    out.service_name = service;
     return out;
 }
 
--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -2,11 +2,14 @@
 
 #include "dispatch.h"
 #include "endpoint.h"
+#include "link_wire.h"
 #include "refusal.h"
 #include "system_clock.h"
 
 #include <fmt/format.h>
+#include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -21,8 +24,7 @@
 constexpr std::size_t chunk_bytes = 16UL * 1024;
 constexpr int no_content_status = 204;
 constexpr int not_modified_status = 304;
-constexpr int unavailable_status = 503;
-constexpr const char* shed_header = "X-Backend-Shed";
+constexpr int misdirected_status = 421;
 
 std::string lower(std::string text)
 {
@@ -41,7 +43,8 @@
 
     httplib::Request request()
     {
-        const message_head head = head_for_backend_server(stream_->head());
+        const message_head head = head_for_backend_server(
+            stream_->head(), options_.request, options_.names, options_.expected_server);
         httplib::Request out;
         out.method = head.method;
         out.path = head.path;
@@ -71,13 +74,20 @@
                         .status = status_,
                         .answered = answered_,
                         .service_time = service_time};
-        out.may_reuse = out.end == call_end::whole_answer || out.end == call_end::shed;
+        out.may_reuse = (out.end == call_end::whole_answer || out.end == call_end::shed) &&
+                        !ends_connection(answer.value());
         if (out.end == call_end::whole_answer && !answer_ended_)
             stream_->finish();
         return out;
     }
 
 private:
+    static bool ends_connection(const httplib::Response& res)
+    {
+        return lower(res.get_header_value("Connection")) == "close" ||
+               (!res.has_header("Content-Length") && !res.has_header("Transfer-Encoding"));
+    }
+
     static bool parse_length(const std::string& text, std::size_t& out)
     {
         const char* last = text.data() + text.size();
@@ -104,21 +114,23 @@
         };
     }
 
-    // An answer that ends with its connection cannot be told from one that was cut, so it is
-    // refused; an honest shed is kept back, since another backend server may take the request.
+    // An honest shed is kept back, since another backend server may take the request. So is an
+    // answer to another request, and one whose status promises what nobody has shown.
     bool take_head(const httplib::Response& res)
     {
+        if (is_stray(res))
+            return false;
         status_ = res.status;
-        if (res.status == unavailable_status && res.has_header(shed_header)) {
+        const bool proved = res.has_header(options_.names.not_run);
+        misdirected_ = res.status == misdirected_status && !options_.expected_server.empty();
+        if (proved || misdirected_) {
             shed_ = true;
             return true;
         }
+        if (options_.names.status_is_promise && is_promise(res.status))
+            return false;
         const bool bodiless = stream_->head().method == "HEAD" || res.status == no_content_status ||
                               res.status == not_modified_status;
-        const bool has_end = bodiless || res.has_header("Content-Length") ||
-                             lower(res.get_header_value("Transfer-Encoding")) == "chunked";
-        if (!has_end)
-            return false;
         message_head head{.method = {}, .path = {}, .status = res.status, .fields = {}};
         for (const auto& [name, value] : res.headers) {
             std::string field = lower(name);
@@ -135,6 +147,19 @@
         return answered_;
     }
 
+    // A late answer to an earlier request on the same connection.
+    bool is_stray(const httplib::Response& res) const
+    {
+        const std::string* asked = find_field(stream_->head(), options_.names.request_id);
+        return asked != nullptr && res.has_header(options_.names.request_id) &&
+               res.get_header_value(options_.names.request_id) != *asked;
+    }
+
+    static bool is_promise(int status)
+    {
+        return status == 408 || status == misdirected_status || status == 429 || status == 503;
+    }
+
     bool pass_on(const char* data, std::size_t n)
     {
         if (shed_)
@@ -158,6 +183,8 @@
             return call_end::caller_left;
         if (surplus_)
             return call_end::cut_answer;
+        if (answer && misdirected_)
+            return call_end::misdirected;
         if (answer)
             return shed_ ? call_end::shed : call_end::whole_answer;
         const httplib::Error ec = answer.error();
@@ -170,6 +197,7 @@
     backend_call_options options_;
     int status_ = 0;
     bool shed_ = false;
+    bool misdirected_ = false;
     bool answered_ = false;
     bool answer_ended_ = false;
     bool surplus_ = false;
@@ -180,14 +208,20 @@
 
 } // namespace
 
+// A bare connection: a request, however harmless, might be run and counted as one.
 bool accepts_connections(const endpoint& address)
 {
-    httplib::Client client(address.host, address.port);
-    client.set_connection_timeout(connect_timeout);
-    client.set_read_timeout(connect_timeout);
-    const httplib::Result answer = client.Head("/");
-    return answer || (answer.error() != httplib::Error::Connection &&
-                      answer.error() != httplib::Error::ConnectionTimeout);
+    const int fd = start_connect(address);
+    if (fd < 0)
+        return false;
+    pollfd it{.fd = fd, .events = POLLOUT, .revents = 0};
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(connect_timeout);
+    int error = 0;
+    socklen_t n = sizeof error;
+    const bool connected = poll(&it, 1, static_cast<int>(wait.count())) > 0 &&
+                           getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &n) == 0 && error == 0;
+    close(fd);
+    return connected;
 }
 
 std::shared_ptr<httplib::Client> connect_backend(const endpoint& address)
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -3,7 +3,9 @@
 // One request to a backend server over HTTP, its body and answer streamed between the link and the
 // backend server's connection.
 
+#include "dispatch.h"
 #include "endpoint.h"
+#include "header_names.h"
 #include "link_stream.h"
 #include "types.h"
 
@@ -21,6 +23,7 @@
     cut_answer,    ///< the answer broke off or had no provable end
     no_answer,     ///< the connection broke, or time ran out, before an answer
     caller_left,   ///< the caller cancelled or broke off its body
+    misdirected,   ///< another backend server has the address: the request did not run
 };
 
 struct call_result {
@@ -34,6 +37,9 @@
 struct backend_call_options {
     time_point deadline;
     double load = 0; ///< told to the entry node with the answer
+    const header_names& names;
+    const dispatch& request;
+    const std::string& expected_server; ///< may be empty
 };
 
 /// Makes a connection object for a backend server; it connects on first use.
--- a/src/caller_head.cpp
+++ b/src/caller_head.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
+#include <charconv>
 #include <optional>
 #include <string_view>
 
@@ -13,6 +15,8 @@
 
 constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr std::size_t shortest_key_bytes = 16;
+// What a link carries, less room for the fields that the entry adds.
+constexpr std::size_t most_head_bytes = 28UL * 1024;
 // Fields in which callers show keys; none of them goes on, whatever it holds.
 constexpr std::array<std::string_view, 3> key_fields{"authorization", "proxy-authorization",
                                                      "x-api-key"};
@@ -104,29 +108,82 @@
     return std::nullopt;
 }
 
+bool holds_key(const message_head& head, const std::string& key)
+{
+    return holds_key(head.path, key) ||
+           std::any_of(head.fields.begin(), head.fields.end(), [&](const auto& it) {
+               return holds_key(it.value, key) || holds_key(it.name, key);
+           });
+}
+
+// The fields that the caller says to be of its connection only.
+std::vector<std::string> connection_options(const message_head& head)
+{
+    std::vector<std::string> out;
+    const std::string* text = find_field(head, "connection");
+    for (std::size_t from = 0; text != nullptr && from < text->size();) {
+        const std::size_t end = std::min(text->find(',', from), text->size());
+        std::string name = lower(text->substr(from, end - from));
+        std::erase_if(name, [](unsigned char c) { return std::isspace(c) != 0; });
+        out.push_back(std::move(name));
+        from = end + 1;
+    }
+    return out;
+}
+
+bool is_set_by_fleet(const std::string& name, const header_names& names)
+{
+    return name == names.caller_deadline || name == names.deadline || name == names.organisation ||
+           name == names.caller_service || name == names.expected_server || name == names.not_run;
+}
+
+std::string host_of(const message_head& head)
+{
+    const std::string* text = find_field(head, "host");
+    return text == nullptr ? std::string() : lower(text->substr(0, text->find(':')));
+}
+
+std::optional<duration> deadline_of(const message_head& head, const header_names& names)
+{
+    const std::string* text = find_field(head, names.caller_deadline);
+    std::uint32_t n = 0;
+    if (text == nullptr)
+        return std::nullopt;
+    const char* last = text->data() + text->size();
+    const auto [end, ec] = std::from_chars(text->data(), last, n);
+    if (ec != std::errc{} || end != last)
+        return std::nullopt;
+    return std::chrono::milliseconds(n);
+}
+
 } // namespace
 
-result<caller_head, refusal> split_caller_head(message_head head)
+result<caller_head, refusal> split_caller_head(message_head head, const header_names& names)
 {
     for (header_field& it : head.fields)
         it.name = lower(std::move(it.name));
     if (!has_clear_length(head))
         return refusal::bad_request;
     std::string key;
-    if (const auto wrong = find_key(head, key))
-        return *wrong;
-    std::erase_if(head.fields, [](const header_field& it) {
+    caller_head out;
+    out.key_refusal = find_key(head, key);
+    if (out.key_refusal == refusal::bad_request)
+        return refusal::bad_request;
+    out.host = host_of(head);
+    out.time_left = deadline_of(head, names);
+    const std::vector<std::string> nominated = connection_options(head);
+    std::erase_if(head.fields, [&](const header_field& it) {
         return is_key_field(it) || is_connection_field(it.name) || it.name == "expect" ||
-               it.name.starts_with(internal_prefix);
+               it.name.starts_with(internal_prefix) || is_set_by_fleet(it.name, names) ||
+               std::find(nominated.begin(), nominated.end(), it.name) != nominated.end();
     });
-    const std::string key_text = lower(key);
-    const bool leaks = holds_key(head.path, key_text) ||
-                       std::any_of(head.fields.begin(), head.fields.end(), [&](const auto& it) {
-                           return holds_key(it.value, key_text) || holds_key(it.name, key_text);
-                       });
-    if (leaks)
+    if (key.size() >= shortest_key_bytes && holds_key(head, lower(key)))
         return refusal::bad_request;
-    return caller_head{.key = digest_of(key), .clean = std::move(head)};
+    if (!is_sendable(head, most_head_bytes))
+        return refusal::bad_request;
+    out.key = digest_of(key);
+    out.clean = std::move(head);
+    return out;
 }
 
 } // namespace jasminebank
--- a/src/caller_head.h
+++ b/src/caller_head.h
@@ -4,10 +4,12 @@
 // to a backend server. Nothing that goes on holds the key.
 
 #include "digest.h"
+#include "header_names.h"
 #include "link_message.h"
 #include "refusal.h"
 #include "result.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,12 +17,16 @@
 
 /// A caller's head without its key.
 struct caller_head {
-    digest key;         ///< of the key that was shown
-    message_head clean; ///< fields that may go on, names in lower case
+    digest key{};        ///< of the key that was shown
+    message_head clean{}; ///< fields that may go on, names in lower case
+    std::optional<refusal> key_refusal{}; ///< there is no usable key, which a public route needs not
+    std::string host{};   ///< in lower case, without the port
+    std::optional<duration> time_left{}; ///< how long the caller will wait, if it said so
 };
 
-/// Splits a head. Refused are: no key, two keys, a key that also stands elsewhere in the head or
-/// the target (also percent-encoded), and lengths that contradict each other.
-result<caller_head, refusal> split_caller_head(message_head head);
+/// Splits a head. Refused are: two keys, a key that also stands elsewhere in the head or the target
+/// (also percent-encoded), lengths that contradict each other, and fields that no link can carry.
+/// Fields that the fleet itself sets, by the names given, are dropped.
+result<caller_head, refusal> split_caller_head(message_head head, const header_names& names = {});
 
 } // namespace jasminebank
--- /dev/null
+++ b/src/delegation_service.h
@@ -0,0 +1,66 @@
+#pragma once
+
+// Delegated limits at work: lends this node's share over links, takes shares from others, and tells
+// the limits of this node which shards it holds.
+
+#include "limit_delegation.h"
+#include "link_hub.h"
+#include "mandate_service.h"
+#include "member_directory.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace jasminebank {
+
+/// Path of the control message that lends a share.
+constexpr std::string_view delegation_path = "/control/delegation";
+
+struct delegation_service_options {
+    limit_delegation_options delegation;
+    /// The terms of a shard changed or were renewed. Runs on the service's thread.
+    std::function<void(const shard_terms&)> on_terms;
+    /// The shards that this node holds changed. Runs on the service's thread.
+    std::function<void(std::vector<held_shard>)> on_held;
+};
+
+/// Thread-safe.
+class delegation_service {
+public:
+    delegation_service(delegation_service_options options, link_hub& links);
+    ~delegation_service();
+    delegation_service(const delegation_service&) = delete;
+    delegation_service& operator=(const delegation_service&) = delete;
+
+    /// Begins to lend and to hold. Not before members can be told of what is held.
+    void start();
+    void set_directory(const member_directory& directory);
+    /// Nodes that are known by their entries in the store.
+    void set_known_nodes(std::size_t count);
+    /// Answers another node's message.
+    std::string answer(const control_request& request);
+    void stop();
+
+private:
+    void run();
+    void send(const send_delegation& it);
+    void tell_terms(time_point now);
+
+    const delegation_service_options options_;
+    link_hub& links_;
+    mutable std::mutex mutex_;
+    std::condition_variable wake_;
+    limit_delegation delegation_;
+    std::unordered_map<vm_id, endpoint> peers_;
+    std::vector<std::uint64_t> epochs_; ///< by group; 0: not held. Of the thread alone
+    std::uint64_t highest_epoch_ = 0;   ///< that any member announces
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace jasminebank
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -3,6 +3,7 @@
 // The head with which an entry node hands a request to a gate: the caller's own fields plus the
 // internal ones. Callers' fields of the internal names never get in.
 
+#include "header_names.h"
 #include "link_message.h"
 #include "poison_list.h"
 #include "result.h"
@@ -15,9 +16,6 @@
 
 /// Prefix of all internal fields; a caller's field that begins so is dropped.
 constexpr std::string_view internal_prefix = "jasmine-";
-/// The only internal fields that a backend server sees.
-constexpr std::string_view organisation_field = "jasmine-organisation";
-constexpr std::string_view deadline_field = "jasmine-deadline-ms";
 /// Share of busy slots that an answer tells, from 0 to 1.
 constexpr std::string_view load_field = "jasmine-load";
 
@@ -25,7 +23,11 @@
 struct dispatch {
     backend_server_id server;
     incarnation gate_run; ///< the run of the gate that the entry node means
-    std::string organisation;
+    service_id service;   ///< the backend server must still be of this service
+    std::string organisation;   ///< empty: a public route
+    std::string caller_service; ///< service beside whose backend server the request began
+    std::uint32_t priority = 0; ///< rank under overload, 0 is the highest
+    duration target{};          ///< an answer within this time is worth most; 0: none
     duration time_left{}; ///< until the deadline
     bool idempotent = false;
     request_fingerprint fingerprint; ///< equal for requests that are the same to the caller
@@ -37,7 +39,10 @@
 /// Reads them; nothing when one is missing or malformed.
 std::optional<dispatch> read_dispatch(const message_head& head);
 
-/// The head without internal fields, but for those that a backend server may see.
-message_head head_for_backend_server(const message_head& head);
+/// The head for a backend server: without internal fields, and with those that it is to see by
+/// their names. `expected_server` may be empty.
+message_head head_for_backend_server(const message_head& head, const dispatch& it,
+                                     const header_names& names,
+                                     const std::string& expected_server);
 
 } // namespace jasminebank
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry.h"
 
 #include "caller_head.h"
+#include "log.h"
 #include "socket_server.h"
 #include "system_clock.h"
 
@@ -20,6 +21,12 @@
 constexpr duration caller_check_interval = std::chrono::milliseconds(100);
 constexpr int no_content_status = 204;
 constexpr int not_modified_status = 304;
+constexpr int bad_gateway_status = 502;
+constexpr int too_many_requests_status = 429;
+constexpr int unavailable_status = 503;
+constexpr int first_error_status = 500;
+// Gates that say honestly that they did not run a request cost little; so many are asked.
+constexpr std::size_t most_tries = 6;
 
 // The caller's head with the names that the HTTP library was kept from acting upon.
 message_head head_of(const httplib::Request& req)
@@ -36,15 +43,14 @@
     return out;
 }
 
-void refuse(httplib::Response& res, const refusal_answer& it)
+// When a caller may come back after a refusal that names no time itself: soon, since what was full
+// or away is mostly back within a moment.
+constexpr duration default_retry_after = std::chrono::milliseconds(300);
+
+bool says_when_to_retry(refusal it)
 {
-    res.status = status_of(it.reason);
-    res.set_header(std::string(outcome_header), outcome_text(it));
-    if (it.retry_after) {
-        const auto wait = std::chrono::ceil<std::chrono::seconds>(*it.retry_after);
-        res.set_header("Retry-After", fmt::format("{}", std::max<long>(wait.count(), 1)));
-    }
-    res.set_content(fmt::format("{}\n", outcome_text(it)), "text/plain");
+    const int status = status_of(it);
+    return status == unavailable_status || status == too_many_requests_status;
 }
 
 std::optional<std::size_t> length_of(const message_head& head)
@@ -80,13 +86,38 @@
     std::shared_ptr<link_stream> stream;
     std::optional<message_head> answer;
     std::optional<refusal_answer> refused;
+    std::string body;           // of the answer, as far as it was read ahead
+    bool body_is_whole = false; // nothing is left to read
+    std::optional<double> load; // of the backend server, as its gate told
     bool gate_failed = false;
     bool body_consumed = false;
     bool caller_left = false;
 };
 
+// The status must agree with what is known of the request: one that promises that it did not run is
+// never given for one that may have run.
+void entry::refuse(httplib::Response& res, const refusal_answer& it) const
+{
+    const int status = status_of(it.reason);
+    const bool promises = says_when_to_retry(it.reason);
+    res.status = promises && it.state != run_state::not_run && options_.names.status_is_promise
+                     ? bad_gateway_status
+                     : status;
+    res.set_header(std::string(outcome_header), outcome_text(it));
+    if (it.state == run_state::not_run && (it.retry_after || promises)) {
+        const duration wait = it.retry_after.value_or(default_retry_after);
+        const auto whole = std::chrono::ceil<std::chrono::seconds>(wait);
+        res.set_header("Retry-After",
+                       options_.names.retry_after_fractions
+                           ? fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())
+                           : fmt::format("{}", std::max<long>(whole.count(), 1)));
+    }
+    res.set_content(fmt::format("{}\n", outcome_text(it)), "text/plain");
+}
+
 entry::entry(entry_options options, link_hub& links, router_options routing)
-    : options_(std::move(options)), links_(links), router_(routing)
+    : options_(std::move(options)), links_(links), router_(routing),
+      retries_({.share = options_.retry_share})
 {
 }
 
@@ -107,35 +138,68 @@
 {
     const std::lock_guard lock(mutex_);
     router_.update(directory);
+    if (options_.fleet_floor_retries > 0)
+        retries_.set_floor(options_.fleet_floor_retries /
+                           static_cast<double>(std::max<std::size_t>(directory.members().size(), 1)));
+}
+
+void entry::set_gate_reachable(vm_id gate, bool reachable)
+{
+    const std::lock_guard lock(mutex_);
+    router_.set_reachable(gate, reachable);
 }
 
 // Everything is looked up anew for each request, so that a withdrawn key stops on connections that
 // are already open, too. What was found stays in `out` for the metrics, also after a refusal.
-std::optional<refusal_answer> entry::admit(const caller_head& head, time_point now,
-                                           admitted_request& out)
+// A node that may be cut off from news cannot know which keys hold, so this comes before the key.
+std::optional<refusal_answer> entry::identify(const caller_head& head, admitted_request& out) const
 {
-    out.config = config();
-    if (out.config == nullptr)
-        return refusal_answer{.reason = refusal::no_configuration};
     if (!options_.may_serve())
         return refusal_answer{.reason = refusal::cut_off};
+    if (head.key_refusal)
+        return refusal_answer{.reason = *head.key_refusal};
     out.organisation = find_key(*out.config, head.key);
     if (out.organisation == nullptr)
         return refusal_answer{.reason = refusal::unknown_key};
-    out.route = find_route(*out.config, head.clean.method, path_of(head.clean.path));
+    return std::nullopt;
+}
+
+std::optional<refusal_answer> entry::admit(const caller_head& head, time_point now,
+                                           admitted_request& out)
+{
+    out.start = now;
+    out.config = config();
+    if (out.config == nullptr)
+        return refusal_answer{.reason = refusal::no_configuration};
+    out.route = find_route(*out.config, head.clean.method, path_of(head.clean.path), head.host);
+    if (out.route == nullptr || !out.route->is_public) {
+        if (const auto refused = identify(head, out))
+            return refused;
+    }
     if (out.route == nullptr)
         return refusal_answer{.reason = refusal::no_route};
-    out.service = find_service(*out.config, out.route->service);
-    if (!may_use(*out.route, out.organisation->id))
+    {
+        const std::lock_guard lock(mutex_);
+        out.service = find_service(*out.config, pick_service(*out.route, random_()));
+    }
+    if (out.organisation != nullptr && !may_use(*out.route, out.organisation->id))
         return refusal_answer{.reason = refusal::not_allowed};
+    if (length_of(head.clean).value_or(0) > out.config->most_body_bytes)
+        return refusal_answer{.reason = refusal::body_too_large};
     out.idempotent = is_idempotent(*out.route, head.clean.method);
-    out.deadline = now + out.service->timeout;
+    const duration timeout =
+        out.route->timeout > duration::zero() ? out.route->timeout : out.service->timeout;
+    out.deadline = now + std::min(timeout, head.time_left.value_or(timeout));
+    if (out.deadline <= now)
+        return refusal_answer{.reason = refusal::overloaded};
     return hold_to_rate(out);
 }
 
 // Comes last, so that no token is spent on a request that is refused for another reason.
 std::optional<refusal_answer> entry::hold_to_rate(const admitted_request& request) const
 {
+    if (request.organisation == nullptr || request.organisation->is_unlimited)
+        return std::nullopt;
     const limit_verdict verdict = options_.take_token(request.organisation->id, request.deadline);
     const auto* refused = std::get_if<limit_refused>(&verdict);
     if (refused == nullptr)
@@ -149,7 +213,7 @@
 void entry::handle(const httplib::Request& req, httplib::Response& res,
                    const httplib::ContentReader* reader)
 {
-    const auto head = split_caller_head(head_of(req));
+    const auto head = split_caller_head(head_of(req), options_.names);
     if (failed(head)) {
         socket_server::close_after_answer(res);
         refuse(res, {.reason = error_of(head)});
@@ -178,6 +242,23 @@
                   .service = request.service == nullptr ? "" : request.service->name,
                   .outcome = outcome ? name_of(outcome->reason) : name_of(run_state::ran),
                   .latency = boot_now() - start});
+    note_end(head, request, res);
+}
+
+// One line for each request, with what decided it.
+void entry::note_end(const caller_head& head, const admitted_request& request,
+                     const httplib::Response& res)
+{
+    const std::string* id = find_field(head.clean, options_.names.request_id);
+    log_event(event::request_ended,
+              "id={} org={} route={} service={} generation={} status={} outcome=\"{}\" ms={:.1f}",
+              id == nullptr ? "-" : *id,
+              request.organisation == nullptr ? "-" : request.organisation->name,
+              request.route == nullptr ? "-" : request.route->name,
+              request.service == nullptr ? "-" : request.service->name,
+              request.config == nullptr ? 0 : request.config->generation, res.status,
+              res.get_header_value(std::string(outcome_header)),
+              std::chrono::duration<double, std::milli>(boot_now() - request.start).count());
 }
 
 std::optional<route_choice> entry::choose(const admitted_request& request,
@@ -198,7 +279,7 @@
 bool entry::claim_key(admitted_request& request, const message_head& head, const std::string& body,
                       httplib::Response& res, std::unique_ptr<once_hold>& hold)
 {
-    if (options_.once == nullptr || request.idempotent)
+    if (options_.once == nullptr || request.idempotent || request.organisation == nullptr)
         return true;
     const auto identity = once_identity(head, request.organisation->id, body);
     if (failed(identity)) {
@@ -238,7 +319,9 @@
             return;
         }
     }
-    request.fingerprint = fingerprint_of(request.organisation->id, request.route->id, head.method,
+    const organisation_id owner =
+        request.organisation == nullptr ? organisation_id{} : request.organisation->id;
+    request.fingerprint = fingerprint_of(owner, request.route->id, head.method,
                                          head.path + '\n' + to_hex(digest_of(body)));
     if (const duration wait = options_.poisoned_for(request.fingerprint); wait > duration::zero()) {
         if (!buffered)
@@ -261,6 +344,12 @@
     refuse(res, *refused);
 }
 
+// True when the answer is a failure of the backend server that another one may not share.
+static bool is_server_failure(const message_head& answer)
+{
+    return answer.status >= first_error_status;
+}
+
 // Tries backend servers in turn while the last refusal proves that the request did not run, or the
 // request is idempotent. Nothing when an answer was delivered. A run is settled as soon as its
 // status is known, whatever becomes of the body.
@@ -272,7 +361,9 @@
     std::vector<backend_server_id> tried;
     refusal_answer last{.reason = refusal::no_backend_server};
     bool may_have_run = false;
-    for (std::size_t n = 0; n < options_.attempts; ++n) {
+    std::size_t arrivals = 0;
+    attempt answered;
+    for (std::size_t n = 0; n < most_tries && arrivals < request.route->attempts; ++n) {
         if (hold != nullptr && boot_now() >= hold->deadline()) {
             last = {.reason = refusal::deadline};
             break;
@@ -285,13 +376,25 @@
         if (it.answer) {
             if (hold != nullptr)
                 hold->ran(it.answer->status);
-            deliver(request, *choice, it, head, res);
-            return std::nullopt;
+            read_small_answer(it, request.deadline);
         }
         finished(*choice, it);
+        if (it.answer) {
+            ++arrivals;
+            const bool keep = !request.idempotent || !is_server_failure(*it.answer) ||
+                              it.body_consumed ||
+                              !may_retry(request, {.reason = refusal::backend_server_error,
+                                                   .state = run_state::ran});
+            answered = std::move(it);
+            if (keep)
+                break;
+            may_have_run = true;
+            continue;
+        }
         last = *it.refused;
         if (it.body_consumed)
             socket_server::close_after_answer(res);
+        arrivals += last.state != run_state::not_run || last.reason == refusal::shed ? 1 : 0;
         const bool first_loss = last.state != run_state::not_run && !may_have_run;
         may_have_run |= last.state != run_state::not_run;
         const bool again =
@@ -300,39 +403,39 @@
         if (!again || it.body_consumed || it.caller_left || !may_retry(request, last))
             break;
     }
+    // The failure that a backend server itself reported is told rather than one of ours.
+    if (answered.answer) {
+        deliver(request, answered, head, res);
+        return std::nullopt;
+    }
     // What an earlier try may have run, a later refusal does not undo.
     if (may_have_run)
         last.state = run_state::unknown;
     return last;
 }
 
-// A gate that cannot be reached or stops cost nobody anything; any other retry comes out of the
-// organisation's budget for the service.
+// A refusal by a gate costs its backend server nothing; what reaches a backend server once more
+// comes out of the budget of the service, which all nodes share.
 bool entry::may_retry(const admitted_request& request, const refusal_answer& last)
 {
     const time_point now = boot_now();
-    const bool is_free = last.state == run_state::not_run && last.reason != refusal::overloaded;
+    const bool is_free = last.state == run_state::not_run && last.reason != refusal::shed;
     if (is_free)
         return now < request.deadline;
     const std::lock_guard lock(mutex_);
-    return retries_.ask({.organisation = request.organisation->id,
-                         .service = request.service->id,
+    return retries_.ask({.organisation = {}, .service = request.service->id,
                          .deadline = request.deadline},
                         now) == retry_decision::granted;
 }
 
 void entry::finished(const route_choice& choice, const attempt& it)
 {
+    if (it.gate_failed)
+        options_.on_gate_failed(choice.gate);
     const std::lock_guard lock(mutex_);
     if (it.gate_failed)
         router_.gate_failed(choice.gate, boot_now());
-    double load = 0;
-    if (it.answer) {
-        const std::string* text = find_field(*it.answer, load_field);
-        if (text != nullptr)
-            std::from_chars(text->data(), text->data() + text->size(), load);
-    }
-    router_.finished(choice.server, load);
+    router_.finished(choice.server, it.load);
 }
 
 // Streams the caller's body. False when the caller broke it off or the gate takes no more; the
@@ -351,6 +454,23 @@
     return whole || gate_left;
 }
 
+static std::optional<double> load_of(const message_head& answer)
+{
+    const std::string* text = find_field(answer, load_field);
+    double out = 0;
+    if (text == nullptr)
+        return std::nullopt;
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), out);
+    return ec == std::errc{} ? std::optional(out) : std::nullopt;
+}
+
+static std::uint32_t priority_of(const admitted_request& request)
+{
+    if (request.organisation != nullptr && request.organisation->priority)
+        return *request.organisation->priority;
+    return request.route->priority;
+}
+
 // Waits for the answer's head in short steps, to notice a caller that has left.
 static result<message_head, link_error> wait_for_head(link_stream& stream, time_point deadline,
                                                       bool& caller_left)
@@ -368,6 +488,29 @@
     }
 }
 
+// Reads an answer ahead, up to the bound: one that breaks off there is a failed try, and no caller
+// has seen a part of it.
+void entry::read_small_answer(attempt& it, time_point deadline) const
+{
+    std::array<char, chunk_bytes> buf{};
+    while (it.body.size() < options_.buffered_answer_bytes) {
+        const auto n = it.stream->read(buf, deadline);
+        if (failed(n)) {
+            it.refused = {.reason = error_of(n).kind == link_failure::timed_out
+                                        ? refusal::deadline
+                                        : refusal::backend_server_error,
+                          .state = run_state::unknown};
+            it.answer.reset();
+            return;
+        }
+        if (value_of(n) == 0) {
+            it.body_is_whole = true;
+            return;
+        }
+        it.body.append(buf.data(), value_of(n));
+    }
+}
+
 entry::attempt entry::try_once(const admitted_request& request, const route_choice& choice,
                                const message_head& head, const std::string& body,
                                const httplib::ContentReader* reader)
@@ -375,7 +518,12 @@
     message_head out = head;
     write_dispatch({.server = choice.server,
                     .gate_run = choice.gate_run,
-                    .organisation = request.organisation->name,
+                    .service = request.service->id,
+                    .organisation =
+                        request.organisation == nullptr ? "" : request.organisation->name,
+                    .caller_service = options_.local_service(),
+                    .priority = priority_of(request),
+                    .target = request.route->target_latency,
                     .time_left = request.deadline - boot_now(),
                     .idempotent = request.idempotent,
                     .fingerprint = request.fingerprint},
@@ -397,9 +545,12 @@
     auto answer = wait_for_head(*it.stream, deadline, it.caller_left);
     if (failed(answer)) {
         it.refused = answer_of(error_of(answer));
-        it.gate_failed = error_of(answer).kind != link_failure::peer_reset && !it.caller_left;
+        // A deadline that passes, or a caller that leaves, says nothing about the gate.
+        it.gate_failed = error_of(answer).kind == link_failure::not_sent ||
+                         error_of(answer).kind == link_failure::maybe_sent;
         return it;
     }
+    it.load = load_of(value_of(answer));
     const std::string* outcome = find_field(value_of(answer), outcome_field);
     if (outcome == nullptr || *outcome != name_of(run_state::ran)) {
         it.refused = outcome == nullptr ? std::nullopt : parse_outcome(*outcome);
@@ -413,14 +564,13 @@
 
 // Passes the body on as it comes. Any failure on the way breaks the caller's connection, so that a
 // part is never taken for the whole.
-void entry::deliver(const admitted_request& request, const route_choice& choice, const attempt& it,
-                    const message_head& head, httplib::Response& res)
+void entry::deliver(const admitted_request& request, const attempt& it, const message_head& head,
+                    httplib::Response& res)
 {
     const message_head& answer = *it.answer;
-    finished(choice, it);
-    {
+    if (!is_server_failure(answer)) {
         const std::lock_guard lock(mutex_);
-        retries_.on_success(request.organisation->id, request.service->id, boot_now());
+        retries_.on_success({}, request.service->id, boot_now());
     }
     res.status = answer.status;
     const std::string* type = find_field(answer, "content-type");
@@ -432,9 +582,22 @@
     res.set_header(std::string(outcome_header), std::string(name_of(run_state::ran)));
     const bool bodiless = head.method == "HEAD" || answer.status == no_content_status ||
                           answer.status == not_modified_status;
-    const auto length = length_of(answer);
-    const auto pass_on = [stream = it.stream, timeout = request.service->timeout,
-                          length](std::size_t, httplib::DataSink& sink) {
+    auto length = length_of(answer);
+    if (it.body_is_whole && !bodiless)
+        length = it.body.size();
+    // What was read ahead goes first, then the rest as it comes.
+    auto ahead = std::make_shared<std::string>(it.body);
+    const auto pass_on = [stream = it.stream, timeout = request.service->timeout, length, ahead,
+                          whole = it.body_is_whole](std::size_t, httplib::DataSink& sink) {
+        if (!ahead->empty()) {
+            const std::string first = std::exchange(*ahead, {});
+            sink.write(first.data(), first.size());
+            return true;
+        }
+        if (whole) {
+            sink.done();
+            return true;
+        }
         std::array<char, chunk_bytes> buf{};
         const auto n = stream->read(buf, boot_now() + timeout);
         if (failed(n) || (value_of(n) == 0 && length))
--- a/src/entry.h
+++ b/src/entry.h
@@ -36,6 +36,14 @@
     /// Time until requests with this fingerprint are no longer refused; zero when they are not.
     std::function<duration(request_fingerprint)> poisoned_for;
     once_service* once = nullptr; ///< without it, idempotency keys are not looked at
+    header_names names{};
+    /// Service of the backend server on this VM, told with each request; may be empty.
+    std::function<std::string()> local_service = [] { return std::string(); };
+    /// The link to a gate failed with a request on it.
+    std::function<void(vm_id)> on_gate_failed = [](vm_id) {};
+    std::size_t buffered_answer_bytes = 64UL * 1024; ///< answers up to this are read whole first
+    double retry_share = 0.1;         ///< retries for each recent success of a service
+    double fleet_floor_retries = 0;   ///< over all nodes, without any success; 0: 2 for each node
 };
 
 /// A request that may run: whose it is, where it goes.
@@ -45,6 +53,7 @@
     const route_config* route = nullptr;
     const service_config* service = nullptr;
     bool idempotent = false;
+    time_point start;
     time_point deadline;
     request_fingerprint fingerprint{}; ///< known once the body is here
 };
@@ -65,6 +74,8 @@
     const request_metrics& metrics() const { return metrics_; }
     /// Takes over who stands where.
     void set_directory(const member_directory& directory);
+    /// Whether the link to a gate works, as a probe has found.
+    void set_gate_reachable(vm_id gate, bool reachable);
 
 private:
     struct attempt;
@@ -72,6 +83,8 @@
     std::optional<refusal_answer> hold_to_rate(const admitted_request& request) const;
     std::optional<refusal_answer> admit(const caller_head& head, time_point now,
                                         admitted_request& out);
+    std::optional<refusal_answer> identify(const caller_head& head, admitted_request& out) const;
+    void refuse(httplib::Response& res, const refusal_answer& it) const;
     void serve(const caller_head& head, httplib::Response& res,
                const httplib::ContentReader* reader);
     void forward(admitted_request& request, const message_head& head, httplib::Response& res,
@@ -87,10 +100,13 @@
     attempt try_once(const admitted_request& request, const route_choice& choice,
                      const message_head& head, const std::string& body,
                      const httplib::ContentReader* reader);
+    void read_small_answer(attempt& it, time_point deadline) const;
     bool may_retry(const admitted_request& request, const refusal_answer& last);
     void finished(const route_choice& choice, const attempt& it);
-    void deliver(const admitted_request& request, const route_choice& choice, const attempt& it,
-                 const message_head& head, httplib::Response& res);
+    void deliver(const admitted_request& request, const attempt& it, const message_head& head,
+                 httplib::Response& res);
+    void note_end(const caller_head& head, const admitted_request& request,
+                  const httplib::Response& res);
 
     const entry_options options_;
     request_metrics metrics_;
--- a/src/fleet_config.cpp
+++ b/src/fleet_config.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <map>
 #include <set>
 
@@ -17,9 +18,19 @@
 constexpr duration shortest_timeout = std::chrono::milliseconds(1);
 constexpr duration default_timeout = std::chrono::seconds(10);
 constexpr duration longest_timeout = std::chrono::minutes(10);
+constexpr std::uint64_t most_attempts = 16;
+constexpr std::uint64_t lowest_priority = 1000;
+constexpr std::uint64_t heaviest_target = 1'000'000;
 
 namespace {
 
+template <class Item>
+void sort_by_id(std::vector<Item>& items)
+{
+    std::sort(items.begin(), items.end(),
+              [](const Item& a, const Item& b) { return a.id < b.id; });
+}
+
 // A heading such as "organisation honey" split into its kind and name.
 struct heading {
     std::string kind;
@@ -67,19 +78,10 @@
             index_keys();
         if (error_)
             return *error_;
-        std::sort(out_.routes.begin(), out_.routes.end(),
-                  [](const auto& a, const auto& b) { return a.path < b.path; });
         return std::move(out_);
     }
 
 private:
-    template <class Item>
-    static void sort_by_id(std::vector<Item>& items)
-    {
-        std::sort(items.begin(), items.end(),
-                  [](const Item& a, const Item& b) { return a.id < b.id; });
-    }
-
     void fail(const ini_file& file, const ini_section& section, std::string found,
               std::string allowed)
     {
@@ -194,6 +196,8 @@
                                .rate = in.decimal("rate", 0, 0, highest_rate),
                                .burst = in.decimal("burst", 0, 0, highest_burst),
                                .keys = {}};
+        if (in.has("priority"))
+            it.priority = in.number("priority", 0, 0, lowest_priority);
         for (const char* needed : {"rate", "burst"}) {
             if (!in.has(needed))
                 in.reject(needed, "a number, here or in the template");
@@ -212,15 +216,22 @@
     {
         route_config it{.id = id_of<route_id>(name),
                         .name = name,
+                        .host = in.text("host", ""),
                         .path = in.required_text("path"),
-                        .service = id_of<service_id>(in.required_text("service")),
+                        .service = {},
+                        .targets = {},
                         .methods = in.list("methods"),
-                        .idempotent = in.flag("idempotent", false),
-                        .organisations = {}};
+                        .idempotent = read_idempotency(in),
+                        .organisations = {},
+                        .attempts = in.number("attempts", default_attempts, 1, most_attempts),
+                        .timeout = in.time("timeout", {}, {}, longest_timeout),
+                        .target_latency = in.time("target_latency", {}, {}, longest_timeout),
+                        .priority = static_cast<std::uint32_t>(
+                            in.number("priority", 0, 0, lowest_priority)),
+                        .is_public = in.flag("public", false)};
         if (!it.path.starts_with('/'))
             in.reject("path", "a path that begins with '/'");
-        if (find_service(out_, it.service) == nullptr)
-            in.reject("service", "the name of a [service NAME]");
+        read_targets(in, it);
         for (const std::string& organisation : in.list("organisations")) {
             it.organisations.push_back(id_of<organisation_id>(organisation));
             if (find_organisation(out_, it.organisations.back()) == nullptr)
@@ -230,26 +241,48 @@
         out_.routes.push_back(std::move(it));
     }
 
+    static idempotency read_idempotency(field_reader& in)
+    {
+        const std::string text = in.one_of("idempotent", "no", {"yes", "no", "never"});
+        if (text == "yes")
+            return idempotency::always;
+        return text == "never" ? idempotency::never : idempotency::by_method;
+    }
+
+    // "service = a" or "service = a 90, b 10".
+    void read_targets(field_reader& in, route_config& out)
+    {
+        for (const std::string& it : in.list("service")) {
+            const heading target = split_heading(it);
+            const auto weight = target.name.empty() ? 1 : std::strtoul(target.name.c_str(), nullptr, 10);
+            out.targets.push_back({.service = id_of<service_id>(target.kind),
+                                   .weight = static_cast<std::uint32_t>(weight)});
+            if (find_service(out_, out.targets.back().service) == nullptr || weight == 0 ||
+                weight > heaviest_target)
+                in.reject("service", "the name of a [service NAME], or names with weights from 1 "
+                                     "to 1000000: a 90, b 10");
+        }
+        if (out.targets.empty()) {
+            in.required_text("service");
+            return;
+        }
+        out.service = out.targets.front().service;
+        if (out.targets.size() == 1)
+            out.targets.clear();
+    }
+
     // A key that two organisations hold would leave open for whom a request runs.
     void index_keys()
     {
-        for (std::uint32_t n = 0; n < out_.organisations.size(); ++n) {
-            for (const digest& key : out_.organisations[n].keys)
-                out_.keys.push_back({.key = key, .organisation = n});
-        }
-        const auto by_key = [](const key_entry& a, const key_entry& b) { return a.key < b.key; };
-        std::sort(out_.keys.begin(), out_.keys.end(), by_key);
-        const auto same =
-            std::adjacent_find(out_.keys.begin(), out_.keys.end(),
-                               [](const auto& a, const auto& b) { return a.key == b.key; });
-        if (same == out_.keys.end())
+        const auto same = index_fleet_config(out_);
+        if (!same)
             return;
+        const auto& first = out_.organisations[same->organisation];
         error_ =
             ini_error{.file = files_.empty() ? std::string("configuration") : files_.front().name,
-                      .section = "organisation " + out_.organisations[same->organisation].name,
+                      .section = "organisation " + first.name,
                       .field = "key",
-                      .found = fmt::format("a key that {} holds too",
-                                           out_.organisations[std::next(same)->organisation].name),
+                      .found = "a key that another organisation holds too",
                       .allowed = "a key of its own"};
     }
 
@@ -266,6 +299,28 @@
     return config_builder(files).build();
 }
 
+std::optional<key_entry> index_fleet_config(fleet_config& config)
+{
+    sort_by_id(config.services);
+    sort_by_id(config.organisations);
+    std::stable_sort(config.routes.begin(), config.routes.end(),
+                     [](const auto& a, const auto& b) { return a.path < b.path; });
+    config.keys.clear();
+    for (std::uint32_t n = 0; n < config.organisations.size(); ++n) {
+        for (const digest& key : config.organisations[n].keys)
+            config.keys.push_back({.key = key, .organisation = n});
+    }
+    std::sort(config.keys.begin(), config.keys.end(),
+              [](const key_entry& a, const key_entry& b) { return a.key < b.key; });
+    const auto same =
+        std::adjacent_find(config.keys.begin(), config.keys.end(), [](const auto& a, const auto& b) {
+            return a.key == b.key && a.organisation != b.organisation;
+        });
+    if (same == config.keys.end())
+        return std::nullopt;
+    return *same;
+}
+
 template <class Item, class Id>
 static const Item* find_by_id(const std::vector<Item>& items, Id id)
 {
@@ -304,14 +359,14 @@
 // Tries the path cut at each '/' from the longest to the shortest, so a lookup costs a few binary
 // searches whatever the number of routes.
 const route_config* find_route(const fleet_config& config, std::string_view method,
-                               std::string_view path)
+                               std::string_view path, std::string_view host)
 {
     const auto before = [](const route_config& a, std::string_view b) { return a.path < b; };
     for (std::size_t n = path.size(); n > 0;) {
         const std::string_view prefix = path.substr(0, n);
         auto it = std::lower_bound(config.routes.begin(), config.routes.end(), prefix, before);
         for (; it != config.routes.end() && it->path == prefix; ++it) {
-            if (allows_method(*it, method))
+            if (allows_method(*it, method) && (it->host.empty() || it->host == host))
                 return &*it;
         }
         const bool ends_in_slash = prefix.ends_with('/');
@@ -333,7 +388,25 @@
 {
     static constexpr std::array<std::string_view, 5> safe{"GET", "HEAD", "OPTIONS", "PUT",
                                                           "DELETE"};
-    return route.idempotent || std::find(safe.begin(), safe.end(), method) != safe.end();
+    if (route.idempotent != idempotency::by_method)
+        return route.idempotent == idempotency::always;
+    return std::find(safe.begin(), safe.end(), method) != safe.end();
+}
+
+service_id pick_service(const route_config& route, std::uint64_t random)
+{
+    std::uint64_t sum = 0;
+    for (const route_target& it : route.targets)
+        sum += it.weight;
+    if (sum == 0)
+        return route.service;
+    std::uint64_t left = random % sum;
+    for (const route_target& it : route.targets) {
+        if (left < it.weight)
+            return it.service;
+        left -= it.weight;
+    }
+    return route.service;
 }
 
 } // namespace jasminebank
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -1,10 +1,13 @@
 #include "gate.h"
 
+#include "log.h"
 #include "system_clock.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace jasminebank {
 
@@ -29,31 +32,92 @@
     stop();
 }
 
-// Another incarnation of a backend server inherits nothing but the address.
-bool gate::announce(const announcement& it, time_point now)
+// Another incarnation of a backend server inherits nothing but the address. A late announcement of
+// an earlier run, or one that was overtaken, says nothing about now. One that leaves takes no
+// request that still waits for it.
+announcement_end gate::announce(const announcement& it, time_point now)
 {
+    outcome out;
     bool changed = false;
     {
         const std::lock_guard lock(mutex_);
         auto [place, fresh] = servers_.try_emplace(it.server.id);
         backend_server& server = place->second;
+        const bool overtaken =
+            it.run < server.run ||
+            (it.run == server.run && it.sequence != 0 && it.sequence <= server.sequence);
+        if (!fresh && overtaken)
+            return announcement_end::late;
         server_record record = it.server;
         record.standing = server.record.standing;
-        changed = fresh || server.record != record;
         if (fresh) {
             server.slots = slot_queue({.slots = record.slots,
                                        .max_waiting = options_.waiting_requests,
                                        .max_waiting_for_one = options_.waiting_requests / 4 + 1});
         }
-        if (server.run != it.run)
+        if (server.run != it.run || server.name != it.name)
             server.idle.clear();
+        changed = fresh || server.record != record;
         server.record = record;
         server.run = it.run;
+        server.name = it.name;
+        server.sequence = it.sequence;
+        server.is_lost = false;
         server.last_heard = now;
+        if (record.draining)
+            sort_actions(server.slots.refuse_waiting(), out, refusal::stopping);
     }
-    if (changed)
+    perform(out);
+    if (!changed)
+        return announcement_end::taken;
+    log_event(event::backend_server_changed,
+              "name={} address={} service={} run={} sequence={} slots={} draining={}", it.name,
+              to_string(it.server.address), it.service_name, it.run.value, it.sequence,
+              it.server.slots, it.server.draining);
+    health_.set_servers(servers());
+    return announcement_end::changed;
+}
+
+bool gate::withdraw(const std::string& name, time_point now)
+{
+    outcome out;
+    bool found = false;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto& [id, server] : servers_) {
+            if (server.name != name)
+                continue;
+            found = true;
+            server.record.draining = true;
+            server.last_heard = now;
+            sort_actions(server.slots.refuse_waiting(), out, refusal::stopping);
+        }
+    }
+    perform(out);
+    if (found) {
+        log_event(event::backend_server_changed, "name={} withdrawn", name);
         health_.set_servers(servers());
-    return changed;
+    }
+    return found;
+}
+
+// Kept out until it announces itself again; the others learn of it with the record.
+void gate::note_lost(const pending_request& it, call_end end)
+{
+    outcome out;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = servers_.find(it.request.server);
+        if (found == servers_.end() || found->second.is_lost)
+            return;
+        found->second.is_lost = true;
+        found->second.record.draining = true;
+        sort_actions(found->second.slots.refuse_waiting(), out, refusal::no_backend_server);
+        lost_ = true;
+    }
+    log_event(event::backend_server_lost, "address={} cause={}", it.request.server.value,
+              end == call_end::misdirected ? "another one has the address" : "nothing listens");
+    perform(out);
 }
 
 bool gate::tick(time_point now)
@@ -68,7 +132,8 @@
                 return now - it.since > options_.backend_idle;
             });
         }
-        changed = std::erase_if(servers_, [&](const auto& it) {
+        changed = std::exchange(lost_, false);
+        changed |= std::erase_if(servers_, [&](const auto& it) {
                       const backend_server& server = it.second;
                       return server.slots.running() + server.slots.waiting() == 0 &&
                              now - server.last_heard > options_.announcement_ttl;
@@ -108,9 +173,11 @@
     const auto it = servers_.find(request.server);
     if (stopping_ || request.gate_run != options_.run)
         return refusal::stopping;
-    if (it == servers_.end())
+    if (it == servers_.end() || it->second.is_lost)
         return refusal::no_backend_server;
     const server_record& record = it->second.record;
+    if (record.service != request.service)
+        return refusal::no_backend_server;
     if (record.draining)
         return refusal::stopping;
     if (record.standing == server_standing::held_out)
@@ -120,7 +187,7 @@
     return std::nullopt;
 }
 
-void gate::sort_actions(const slot_actions& actions, outcome& out)
+void gate::sort_actions(const slot_actions& actions, outcome& out, refusal reason)
 {
     for (const slot_action& action : actions) {
         if (const auto* start = std::get_if<start_request>(&action)) {
@@ -131,9 +198,9 @@
         const auto it = pending_.find(refused.request);
         if (it == pending_.end())
             continue;
-        out.refused.push_back(std::move(it->second.stream));
-        if (refused.reason == slot_refusal::deadline)
-            out.reason = refusal::deadline;
+        out.refused.push_back(
+            {.stream = std::move(it->second.stream),
+             .reason = refused.reason == slot_refusal::deadline ? refusal::overloaded : reason});
         pending_.erase(it);
     }
 }
@@ -141,8 +208,8 @@
 // A waiting request that was refused has sent nothing, so the refusal is honest.
 void gate::perform(const outcome& it)
 {
-    for (const auto& stream : it.refused)
-        refuse(*stream, {.reason = it.reason});
+    for (const refused_stream& refused : it.refused)
+        refuse(*refused.stream, {.reason = refused.reason});
     for (const request_id id : it.started) {
         if (workers_.submit([this, id] { run(id); }))
             continue;
@@ -151,7 +218,7 @@
             const std::lock_guard lock(mutex_);
             dropped = pending_.at(id);
         }
-        finish(id, dropped, nullptr, {.end = call_end::shed});
+        finish(id, dropped, nullptr, {.end = call_end::not_connected});
     }
 }
 
@@ -230,6 +297,8 @@
                                                : request_outcome::ok;
     case call_end::not_connected:
         return request_outcome::connection_refused;
+    case call_end::misdirected:
+        return request_outcome::connection_refused;
     case call_end::shed:
         return request_outcome::shed;
     case call_end::cut_answer:
@@ -249,10 +318,11 @@
     case call_end::whole_answer:
         break;
     case call_end::not_connected:
+    case call_end::misdirected:
         refuse(stream, {.reason = refusal::no_backend_server});
         break;
     case call_end::shed:
-        refuse(stream, {.reason = refusal::overloaded});
+        refuse(stream, {.reason = refusal::shed});
         break;
     case call_end::caller_left:
     case call_end::cut_answer:
@@ -287,28 +357,60 @@
     return true;
 }
 
+static std::string_view name_of(call_end it)
+{
+    static constexpr std::array<std::string_view, 7> names{
+        "whole_answer", "not_connected", "shed", "cut_answer",
+        "no_answer",    "caller_left",   "misdirected"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
+void gate::note_end(const pending_request& it, const call_result& result, bool past_deadline) const
+{
+    const std::string* id = find_field(it.stream->head(), options_.names.request_id);
+    log_event(event::dispatch_ended,
+              "id={} from={} server={:016x} end={} status={} past_deadline={} ms={:.1f}",
+              id == nullptr ? "-" : *id, it.stream->peer().vm_name, it.request.server.value,
+              name_of(result.end), result.status, past_deadline,
+              std::chrono::duration<double, std::milli>(result.service_time).count());
+}
+
 void gate::run(request_id id)
 {
     pending_request it;
     std::shared_ptr<httplib::Client> client;
     double load = 0;
+    std::string name;
     {
         const std::lock_guard lock(mutex_);
         it = pending_.at(id);
         backend_server& server = servers_.at(it.request.server);
         client = take_connection(server);
+        name = server.name;
         load = static_cast<double>(server.slots.running() + server.slots.waiting()) /
                server.record.slots;
     }
     it.stream->on_cancel({});
     if (it.stream->is_cancelled()) {
-        finish(id, it, nullptr, {.end = call_end::shed});
+        finish(id, it, nullptr, {.end = call_end::not_connected});
+        return;
+    }
+    it.request.time_left = it.deadline - boot_now();
+    if (it.request.time_left <= duration::zero()) {
+        finish(id, it, nullptr, {.end = call_end::not_connected});
         return;
     }
     health_.started(id, it.request.server);
-    const call_result result =
-        call_backend(client, it.stream, {.deadline = it.deadline, .load = load});
+    const call_result result = call_backend(client, it.stream,
+                                            {.deadline = it.deadline,
+                                             .load = load,
+                                             .names = options_.names,
+                                             .request = it.request,
+                                             .expected_server = name});
+    if (result.end == call_end::not_connected || result.end == call_end::misdirected)
+        note_lost(it, result.end);
     const bool past_deadline = boot_now() >= it.deadline;
+    note_end(it, result, past_deadline);
     const bool died = !past_deadline && died_of(it, result);
     health_.finished(
         {.request = id, .outcome = outcome_of(result, past_deadline), .suspected_poison = died});
--- a/src/gate.h
+++ b/src/gate.h
@@ -28,6 +28,14 @@
     duration backend_idle{};
     std::size_t threads = 400;
     std::size_t waiting_requests = 256; ///< of one backend server
+    header_names names{};
+};
+
+/// What became of an announcement.
+enum class announcement_end : std::uint8_t {
+    taken,   ///< and nothing that other nodes know changed
+    changed, ///< taken; the records of the backend servers changed
+    late,    ///< of an earlier run, or older than one that was taken: ignored
 };
 
 /// Thread-safe.
@@ -36,8 +44,9 @@
     gate(gate_options options, health_service& health, poison_service& poison);
     ~gate();
 
-    /// Takes an announcement; true when the records of the backend servers changed.
-    bool announce(const announcement& it, time_point now);
+    announcement_end announce(const announcement& it, time_point now);
+    /// The backend server of this name leaves; false if it is not known here.
+    bool withdraw(const std::string& name, time_point now);
     /// Forgets backend servers that were not heard lately, refuses requests that waited too long;
     /// true when the records changed.
     bool tick(time_point now);
@@ -58,6 +67,9 @@
     struct backend_server {
         server_record record;
         incarnation run;
+        std::string name;
+        std::uint64_t sequence = 0;
+        bool is_lost = false; ///< nothing listens, or another one answers; until it is heard again
         time_point last_heard;
         slot_queue slots;
         std::vector<idle_connection> idle;
@@ -69,17 +81,23 @@
         time_point deadline;
     };
     // What is to be done once the lock is free.
+    struct refused_stream {
+        std::shared_ptr<link_stream> stream;
+        refusal reason = refusal::overloaded;
+    };
     struct outcome {
         std::vector<request_id> started;
-        std::vector<std::shared_ptr<link_stream>> refused;
-        refusal reason = refusal::overloaded;
+        std::vector<refused_stream> refused;
     };
 
     std::optional<refusal> check(const dispatch& request) const;
-    void sort_actions(const slot_actions& actions, outcome& out);
+    void sort_actions(const slot_actions& actions, outcome& out,
+                      refusal reason = refusal::overloaded);
+    void note_lost(const pending_request& it, call_end end);
     void perform(const outcome& it);
     void cancel(request_id id);
     void run(request_id id);
+    void note_end(const pending_request& it, const call_result& result, bool past_deadline) const;
     bool died_of(const pending_request& it, const call_result& result);
     std::shared_ptr<httplib::Client> take_connection(backend_server& server);
     void finish(request_id id, const pending_request& it, std::shared_ptr<httplib::Client> client,
@@ -93,6 +111,7 @@
     std::unordered_map<request_id, pending_request> pending_;
     std::uint64_t next_request_ = 1;
     bool stopping_ = false;
+    bool lost_ = false; ///< a backend server was lost since the last tick
     worker_pool workers_;
 };
 
--- a/src/health_service.cpp
+++ b/src/health_service.cpp
@@ -16,8 +16,10 @@
 constexpr std::size_t most_gates_asked = 64;
 
 health_service::health_service(health_options options, link_hub& links)
-    : options_(std::move(options)), links_(links), store_({.endpoints = options_.store})
+    : options_(std::move(options)), links_(links)
 {
+    if (!options_.store.empty())
+        store_.emplace(store_client_options{.endpoints = options_.store});
     ticks_ = std::thread([this] { run_ticks(); });
     store_thread_ = std::thread([this] { run_store(); });
 }
@@ -305,7 +307,9 @@
 void health_service::do_read(service_id service)
 {
     const std::string key = key_of(service);
-    const auto read = store_.range(store_key_range{.key = key, .range_end = {}});
+    const result<store_range, store_error> read =
+        store_ ? store_->range(store_key_range{.key = key, .range_end = {}})
+               : result<store_range, store_error>(store_error{.detail = "no store is set"});
     const std::lock_guard lock(mutex_);
     service_state* state = find(service);
     if (state == nullptr)
@@ -349,10 +353,10 @@
         expected = state->record_revision;
         current = state->record_version == write.expected;
     }
-    write_outcome outcome = write_outcome::conflict;
+    write_outcome outcome = store_ ? write_outcome::conflict : write_outcome::store_away;
     store_revision written = 0;
-    if (current) {
-        const auto answer = store_.commit(
+    if (current && store_) {
+        const auto answer = store_->commit(
             {.compares = {unchanged_since(key, expected)},
              .puts = {{.key = key, .value = encode_record(write.record), .lease = {}}},
              .deletes = {}});
--- a/src/health_service.h
+++ b/src/health_service.h
@@ -95,7 +95,7 @@
 
     const health_options options_;
     link_hub& links_;
-    store_client store_;
+    std::optional<store_client> store_; ///< without one, it counts as away
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     std::shared_ptr<const fleet_config> config_;
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -61,6 +61,12 @@
 // client that failed is thrown away, and with it a connection whose answer was not read to its end.
 result<http_answer, http_failure> http_pool::post(const std::string& path, const std::string& body,
                                                   time_point deadline)
+{
+    return send("POST", path, body, deadline);
+}
+
+result<http_answer, http_failure> http_pool::send(const char* method, const std::string& path,
+                                                  const std::string& body, time_point deadline)
 {
     const auto left = std::max(std::chrono::ceil<std::chrono::milliseconds>(deadline - boot_now()),
                                std::chrono::milliseconds(1));
@@ -78,6 +84,9 @@
                 answer.body.append(data, n);
             return !too_large;
         });
+    request.method = method;
+    if (body.empty())
+        request.headers.erase("Content-Type");
     httplib::Response response;
     httplib::Error error = httplib::Error::Success;
     bool answered = false;
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -41,7 +41,11 @@
 public:
     explicit http_pool(const http_pool_options& options);
 
-    /// Sends a JSON body and waits for the answer until `deadline`.
+    /// Sends a request, with a JSON body unless that is empty, and waits for the answer until
+    /// `deadline`.
+    result<http_answer, http_failure> send(const char* method, const std::string& path,
+                                           const std::string& body, time_point deadline);
+    /// The same with the method POST.
     result<http_answer, http_failure> post(const std::string& path, const std::string& body,
                                            time_point deadline);
 
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -5,7 +5,13 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <condition_variable>
 #include <cstdio>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
 
 namespace jasminebank {
 
@@ -15,6 +21,10 @@
     event_entry{event::node_stopped, severity::info, "node_stopped"},
     event_entry{event::settings_rejected, severity::error, "settings_rejected"},
     event_entry{event::settings_reloaded, severity::info, "settings_reloaded"},
+    event_entry{event::log_lines_dropped, severity::warning, "log_lines_dropped"},
+    event_entry{event::store_joined, severity::info, "store_joined"},
+    event_entry{event::store_away, severity::warning, "store_away"},
+    event_entry{event::store_back, severity::info, "store_back"},
     event_entry{event::link_listening, severity::info, "link_listening"},
     event_entry{event::link_opened, severity::info, "link_opened"},
     event_entry{event::link_closed, severity::info, "link_closed"},
@@ -24,6 +34,8 @@
     event_entry{event::store_watch_connected, severity::info, "store_watch_connected"},
     event_entry{event::store_watch_disconnected, severity::warning, "store_watch_disconnected"},
     event_entry{event::store_watch_history_lost, severity::warning, "store_watch_history_lost"},
+    event_entry{event::request_ended, severity::info, "request_ended"},
+    event_entry{event::dispatch_ended, severity::info, "dispatch_ended"},
     event_entry{event::config_in_force, severity::info, "config_in_force"},
     event_entry{event::config_rejected, severity::error, "config_rejected"},
     event_entry{event::config_unreadable, severity::warning, "config_unreadable"},
@@ -36,6 +48,11 @@
     event_entry{event::health_changed, severity::info, "health_changed"},
     event_entry{event::standing_changed, severity::warning, "standing_changed"},
     event_entry{event::backend_server_died, severity::warning, "backend_server_died"},
+    event_entry{event::backend_server_changed, severity::info, "backend_server_changed"},
+    event_entry{event::backend_server_lost, severity::warning, "backend_server_lost"},
+    event_entry{event::announcement_rejected, severity::warning, "announcement_rejected"},
+    event_entry{event::gate_unreachable, severity::warning, "gate_unreachable"},
+    event_entry{event::gate_reachable, severity::info, "gate_reachable"},
     event_entry{event::member_joined, severity::info, "member_joined"},
     event_entry{event::member_gone, severity::warning, "member_gone"},
     event_entry{event::cut_off_began, severity::error, "cut_off_began"},
@@ -67,20 +84,125 @@
     return "error";
 }
 
-// One call of fputs a line, so that lines of several threads do not mix.
+namespace {
+
+// Lines of one event a second; more tell nothing new and cost the requests their processor.
+constexpr std::uint32_t most_lines_a_second = 400;
+// What waits to be written: a few seconds of a busy node.
+constexpr std::size_t most_waiting_bytes = 256UL * 1024;
+
+using wall_clock = std::chrono::system_clock;
+
+class log_writer {
+public:
+    log_writer() : thread_([this] { run(); }) {}
+    ~log_writer()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            stopping_ = true;
+        }
+        wake_.notify_one();
+        thread_.join();
+    }
+    log_writer(const log_writer&) = delete;
+    log_writer& operator=(const log_writer&) = delete;
+
+    void add(event number, std::string line)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto second = std::chrono::steady_clock::now().time_since_epoch() /
+                            std::chrono::seconds(1);
+        event_lines& lines = lines_[number];
+        if (lines.second != second)
+            lines = {.second = second, .count = 0};
+        if (++lines.count > most_lines_a_second ||
+            waiting_.size() + line.size() > most_waiting_bytes) {
+            ++dropped_;
+            return;
+        }
+        waiting_ += line;
+        wake_.notify_one();
+    }
+
+    std::uint64_t dropped() const
+    {
+        const std::lock_guard lock(mutex_);
+        return dropped_;
+    }
+
+private:
+    struct event_lines {
+        std::int64_t second = 0;
+        std::uint32_t count = 0;
+    };
+
+    void run()
+    {
+        std::unique_lock lock(mutex_);
+        std::uint64_t told = 0;
+        while (!stopping_ || !waiting_.empty()) {
+            wake_.wait(lock, [this] { return stopping_ || !waiting_.empty(); });
+            const std::string text = std::exchange(waiting_, {});
+            const std::uint64_t dropped = dropped_;
+            lock.unlock();
+            std::fputs(text.c_str(), stdout);
+            if (dropped != told)
+                std::fputs(line_of(event::log_lines_dropped,
+                                   fmt::format("in_all={}", std::exchange(told, dropped)))
+                               .c_str(),
+                           stdout);
+            std::fflush(stdout);
+            // Lines of one moment go out together: each write costs a call of the system.
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            lock.lock();
+        }
+    }
+
+public:
+    static std::string line_of(event number, std::string_view text)
+    {
+        const auto it = std::find_if(catalogue.begin(), catalogue.end(), [&](const auto& entry) {
+            return entry.number == number;
+        });
+        const auto now = wall_clock::now();
+        const auto millis =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) % 1000;
+        const bool has_fields = text.find('=') != std::string_view::npos;
+        return fmt::format("ts={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={} name={} {}{}{}\n",
+                           fmt::gmtime(wall_clock::to_time_t(now)), millis.count(),
+                           it == catalogue.end() ? "error" : name_of(it->level),
+                           static_cast<unsigned>(number),
+                           it == catalogue.end() ? "unknown" : it->name,
+                           has_fields ? "" : "detail=\"", text, has_fields ? "" : "\"");
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::condition_variable wake_;
+    std::map<event, event_lines> lines_;
+    std::string waiting_;
+    std::uint64_t dropped_ = 0;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+log_writer& writer()
+{
+    static log_writer it;
+    return it;
+}
+
+} // namespace
+
 void write_log(event number, std::string_view text)
 {
-    const auto it = std::find_if(catalogue.begin(), catalogue.end(),
-                                 [&](const event_entry& entry) { return entry.number == number; });
-    const auto now = std::chrono::system_clock::now();
-    const auto millis =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) % 1000;
-    const std::string line = fmt::format(
-        "{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {} {}: {}\n",
-        fmt::gmtime(std::chrono::system_clock::to_time_t(now)), millis.count(),
-        it == catalogue.end() ? "error" : name_of(it->level), static_cast<unsigned>(number),
-        it == catalogue.end() ? "unknown" : it->name, text);
-    std::fputs(line.c_str(), stderr);
+    writer().add(number, log_writer::line_of(number, text));
+}
+
+std::uint64_t dropped_log_lines()
+{
+    return writer().dropped();
 }
 
 } // namespace jasminebank
--- a/src/log.h
+++ b/src/log.h
@@ -1,6 +1,8 @@
 #pragma once
 
-// Numbered log events on standard error. The catalogue, docs/EVENTS.md, has a row for each number;
+// Numbered log events on standard output, one line each of `key=value` fields. A thread of its own
+// writes them, so that a slow reader of the output holds nobody up; each event has a bound on its
+// lines a second, and what is over it or over the buffer is counted and told. The catalogue, docs/EVENTS.md, has a row for each number;
 // a test compares the two.
 
 #include <fmt/format.h>
@@ -21,6 +23,10 @@
     node_stopped = 102,
     settings_rejected = 103,
     settings_reloaded = 104,
+    log_lines_dropped = 110,
+    store_joined = 120,
+    store_away = 121,
+    store_back = 122,
     link_listening = 200,
     link_opened = 201,
     link_closed = 202,
@@ -30,6 +36,8 @@
     store_watch_connected = 300,
     store_watch_disconnected = 301,
     store_watch_history_lost = 302,
+    request_ended = 400,
+    dispatch_ended = 410,
     config_in_force = 500,
     config_rejected = 501,
     config_unreadable = 502,
@@ -42,6 +50,11 @@
     health_changed = 700,
     standing_changed = 701,
     backend_server_died = 702,
+    backend_server_changed = 703,
+    backend_server_lost = 704,
+    announcement_rejected = 705,
+    gate_unreachable = 710,
+    gate_reachable = 711,
     member_joined = 800,
     member_gone = 801,
     cut_off_began = 802,
@@ -65,9 +78,13 @@
 /// All events, by number.
 std::span<const event_entry> event_catalogue();
 
-/// Writes one line: wall time, severity, number, name, text. Safe from any thread.
+/// Writes one line: wall time, severity, number, name, and `text`, which should be `key=value`
+/// fields. Never blocks for the output. Safe from any thread.
 void write_log(event number, std::string_view text);
 
+/// Lines that were dropped since the start.
+std::uint64_t dropped_log_lines();
+
 template <class... Args>
 void log_event(event number, fmt::format_string<Args...> format, Args&&... args)
 {
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -168,6 +168,18 @@
     return membership_.may_serve(boot_now());
 }
 
+std::optional<duration> member_service::store_age() const
+{
+    const std::lock_guard lock(mutex_);
+    return membership_.store_age(boot_now());
+}
+
+std::vector<vm_id> member_service::unheard() const
+{
+    const std::lock_guard lock(mutex_);
+    return membership_.unheard();
+}
+
 member_status member_service::status() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -60,6 +60,10 @@
     /// Answers another node's part of an exchange.
     std::string answer(std::string_view request);
     bool may_serve() const;
+    /// Since the store was heard, by this node or another; nothing before.
+    std::optional<duration> store_age() const;
+    /// Members that did not answer the last ping to them directly.
+    std::vector<vm_id> unheard() const;
     member_status status() const;
     std::vector<member_record> members() const;
     /// Ends the ticks and datagrams; exchanges that run end with the links.
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -411,6 +411,21 @@
     return out;
 }
 
+std::vector<vm_id> membership::unheard() const
+{
+    std::vector<vm_id> out;
+    for (const auto& [vm, it] : peers_) {
+        if (it.has_outcome && !it.heard)
+            out.push_back(vm);
+    }
+    return out;
+}
+
+void membership::add_seeds(std::span<const endpoint> seeds)
+{
+    options_.seeds.insert(options_.seeds.end(), seeds.begin(), seeds.end());
+}
+
 // The window tells soon, the whole round tells exactly; both must hold.
 bool membership::may_serve(time_point now) const
 {
--- a/src/membership.h
+++ b/src/membership.h
@@ -95,6 +95,10 @@
     std::optional<duration> store_age(time_point now) const;
     /// Members that do not answer and have not been removed yet.
     bool is_suspected(vm_id vm) const { return suspicions_.contains(vm); }
+    /// Members that did not answer the last ping to them directly.
+    std::vector<vm_id> unheard() const;
+    /// Links of nodes to join by, besides those of the options.
+    void add_seeds(std::span<const endpoint> seeds);
     /// False while this node may be cut off from news: neither the store was heard lately, directly
     /// or through others, nor does half of the known members answer.
     bool may_serve(time_point now) const;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -17,7 +17,11 @@
 constexpr int unknown_organisation_status = 404;
 constexpr duration caller_idle_timeout = std::chrono::minutes(1);
 constexpr duration caller_io_timeout = std::chrono::seconds(30);
-constexpr duration closing_grace = std::chrono::seconds(1);
+// A node that no reader's news has reached for this long reads the configuration itself. Well above
+// the time that news takes, well below the time after which keys are refused.
+constexpr duration longest_news_age = std::chrono::seconds(2);
+constexpr int ok_status = 200;
+constexpr int unavailable_status = 503;
 // A planned stop waits this long, from its beginning, for the mandates to be given up.
 constexpr duration release_grace = std::chrono::seconds(2);
 
@@ -29,8 +33,9 @@
                        outcome_header, outcome_text({.reason = refusal::overloaded}));
 }
 
-node::node(node_settings settings, incarnation run)
-    : settings_(std::move(settings)), run_(run), when_cut_off_(settings_.when_cut_off),
+node::node(node_settings settings, incarnation run, std::optional<platform_parts> platform)
+    : settings_(std::move(settings)), run_(run), platform_(std::move(platform)),
+      local_service_(settings_.service), when_cut_off_(settings_.when_cut_off),
       stop_grace_(settings_.stop_grace)
 {
 }
@@ -41,11 +46,14 @@
     stop_grace_ = settings.stop_grace;
 }
 
-std::unique_ptr<node> node::start(const node_settings& settings, incarnation run)
+std::unique_ptr<node> node::start(const node_settings& settings, incarnation run,
+                                  std::optional<platform_parts> platform)
 {
-    std::unique_ptr<node> out(new node(settings, run));
-    if (!out->open_links() || !out->open_members() || !out->open_doors())
+    std::unique_ptr<node> out(new node(settings, run, std::move(platform)));
+    if (!out->join_fleet() || !out->open_links() || !out->open_members() || !out->open_doors())
         return nullptr;
+    if (out->session_ != nullptr)
+        out->session_->start();
     out->ticks_ = std::thread([it = out.get()] { it->run_ticks(); });
     return out;
 }
@@ -55,12 +63,34 @@
     stop();
 }
 
+// The fleet's key and the addresses of others come from the platform's store, where there is one.
+bool node::join_fleet()
+{
+    if (!platform_) {
+        fleet_ = {.fleet_key = settings_.fleet_key, .peers = settings_.peers};
+        return true;
+    }
+    session_ = platform_->open_store(
+        {.vm_name = settings_.vm_name,
+         .link = settings_.links,
+         .config_key = platform_->config_key,
+         .must_read = [this] { return must_read_config(); },
+         .on_config = [this](const std::string& text) { return feed_->take(text); },
+         .on_store_heard = [this](time_point at) { members_->store_heard(at); }},
+        settings_.store.front());
+    auto joined = session_->join();
+    if (!joined)
+        return false;
+    fleet_ = *std::move(joined);
+    return true;
+}
+
 bool node::open_links()
 {
     links_ = link_hub::start(
         {.listen = settings_.links,
          .self = {.vm_name = settings_.vm_name, .run = run_},
-         .fleet_key = settings_.fleet_key,
+         .fleet_key = fleet_.fleet_key,
          .on_stream = [this](const std::shared_ptr<link_stream>& it) { accept(it); },
          .on_control = [this](const control_request& it) { return answer_control(it); }});
     if (links_ == nullptr) {
@@ -68,10 +98,19 @@
                   to_string(settings_.links));
         return false;
     }
+    open_gate();
+    open_limits();
+    open_entry();
+    follow_store();
+    return true;
+}
+
+void node::open_gate()
+{
     health_ = std::make_unique<health_service>(
         health_options{.self = id_of<vm_id>(settings_.vm_name),
                        .run = run_,
-                       .store = settings_.store,
+                       .store = platform_ ? std::vector<endpoint>{} : settings_.store,
                        .on_standing =
                            [this](backend_server_id server, server_standing standing) {
                                if (gate_->set_standing(server, standing))
@@ -79,11 +118,23 @@
                            }},
         *links_);
     poison_ = std::make_unique<poison_service>(id_of<vm_id>(settings_.vm_name), *links_);
-    gate_ = std::make_unique<gate>(gate_options{.run = run_,
-                                                .announcement_ttl = settings_.announcement_ttl,
-                                                .backend_idle = settings_.backend_idle,
-                                                .waiting_requests = settings_.waiting_requests},
-                                   *health_, *poison_);
+    gate_ = std::make_unique<gate>(
+        gate_options{.run = run_,
+                     .announcement_ttl = settings_.announcement_ttl,
+                     .backend_idle = settings_.backend_idle,
+                     .waiting_requests = settings_.waiting_requests,
+                     .names = platform_ ? platform_->names : header_names{}},
+        *health_, *poison_);
+    reach_ = std::make_unique<reach_monitor>(
+        reach_monitor_options{.on_change =
+                                  [this](vm_id vm, bool answers) {
+                                      entry_->set_gate_reachable(vm, answers);
+                                  }},
+        *links_);
+}
+
+void node::open_entry()
+{
     homes_ = std::make_unique<key_homes>(id_of<vm_id>(settings_.vm_name),
                                          id_of<failure_domain_id>(settings_.failure_domain));
     once_ = std::make_unique<once_service>(
@@ -93,59 +144,132 @@
             .find_home = [this](const once_key& it) { return homes_->find(it); },
             .keys = {.keys = keys_of_a_shard, .keys_of_an_organisation = keys_of_a_shard / 4}},
         *links_);
-    open_limits();
     entry_ = std::make_unique<entry>(
         entry_options{
             .buffered_body_bytes = settings_.buffered_body_bytes,
-            .may_serve =
-                [this] { return when_cut_off_ == cut_off_policy::serve || members_->may_serve(); },
+            .may_serve = [this] { return may_serve(); },
             .take_token =
                 [this](organisation_id organisation, time_point deadline) {
                     return limits_->admit_blocking(organisation, deadline);
                 },
             .poisoned_for = [this](request_fingerprint it) { return poison_->refused_for(it); },
-            .once = once_.get()},
+            .once = platform_ ? nullptr : once_.get(),
+            .names = platform_ ? platform_->names : header_names{},
+            .local_service = [this] { return local_service(); },
+            .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
+            .retry_share = settings_.retry_share,
+            .fleet_floor_retries = settings_.fleet_floor_retries},
         *links_,
         router_options{.self = id_of<vm_id>(settings_.vm_name),
                        .domain = id_of<failure_domain_id>(settings_.failure_domain)});
+}
+
+void node::take_config(const std::shared_ptr<const fleet_config>& config)
+{
+    entry_->set_config(config);
+    health_->set_config(config);
+    homes_->set_config(config);
+    limits_->set_config(config);
+    if (mandates_ != nullptr)
+        mandates_->set_config(config);
+    members_->set_generation(config->generation);
+}
+
+void node::follow_store()
+{
+    if (platform_) {
+        feed_ = std::make_unique<config_feed>(
+            config_feed_options{.decode = platform_->decode_config,
+                                .on_generation =
+                                    [this](std::shared_ptr<const fleet_config> it) {
+                                        take_config(it);
+                                    }},
+            *links_);
+        return;
+    }
     follower_ = std::make_unique<config_follower>(
         config_follower_options{
             .store = settings_.store,
             .on_generation =
                 [this](const std::shared_ptr<const config_generation>& it) {
-                    entry_->set_config(it->config);
-                    health_->set_config(it->config);
-                    homes_->set_config(it->config);
-                    limits_->set_config(it->config);
-                    mandates_->set_config(it->config);
-                    members_->set_generation(it->head.generation);
+                    take_config(it->config);
                 },
             .on_store_heard = [this](time_point at) { members_->store_heard(at); }},
         *links_);
-    return true;
+}
+
+// Where withdrawn keys must stop at once also on a node that is cut off, only fresh news will do.
+bool node::may_serve() const
+{
+    if (when_cut_off_ == cut_off_policy::serve)
+        return true;
+    if (settings_.news_age == duration::zero())
+        return members_->may_serve();
+    const auto age = members_->store_age();
+    return age && *age <= settings_.news_age;
+}
+
+// A node that is not among the readers reads for itself while no fresh news reaches it.
+bool node::must_read_config() const
+{
+    const auto age = members_->store_age();
+    return watching_ || !age || *age > longest_news_age;
 }
 
 // Mandates come only after the configuration, and it is fetched once the members stand.
 void node::open_limits()
 {
     const limit_peer self{.vm = id_of<vm_id>(settings_.vm_name), .run = run_};
+    const auto take_terms = [this](const shard_terms& it) {
+        limits_->set_terms(it);
+        homes_->set_terms(it, boot_now());
+    };
+    const auto take_held = [this](std::vector<held_shard> it) {
+        members_->announce_shards(std::move(it));
+    };
     limits_ = std::make_unique<limit_service>(
         limit_service_options{.self = self,
                               .domain = id_of<failure_domain_id>(settings_.failure_domain)},
         *links_);
+    if (platform_)
+        return;
     mandates_ = std::make_unique<mandate_service>(
-        mandate_options{
-            .self = self,
-            .failure_domain = settings_.failure_domain,
-            .store = settings_.store,
-            .on_terms =
-                [this](const shard_terms& it) {
-                    limits_->set_terms(it);
-                    homes_->set_terms(it, boot_now());
-                },
+        mandate_options{.self = self,
+                        .failure_domain = settings_.failure_domain,
+                        .store = settings_.store,
+                        .on_terms = take_terms,
+                        .on_held = take_held},
+        *links_);
+}
+
+// Runs once the members stand, since it tells them at once.
+void node::open_delegations()
+{
+    const limit_peer self{.vm = id_of<vm_id>(settings_.vm_name), .run = run_};
+    delegations_ = std::make_unique<delegation_service>(
+        delegation_service_options{
+            .delegation = {.self = self, .groups = settings_.limit_holders},
+            .on_terms = [this](const shard_terms& it) { limits_->set_terms(it); },
             .on_held =
                 [this](std::vector<held_shard> it) { members_->announce_shards(std::move(it)); }},
         *links_);
+    delegations_->set_known_nodes(fleet_.peers.size() + 1);
+}
+
+void node::take_directory(const member_directory& directory)
+{
+    entry_->set_directory(directory);
+    health_->set_directory(directory);
+    homes_->set_directory(directory);
+    poison_->set_directory(directory);
+    reach_->set_directory(directory);
+    for (const member_record& member : directory.members())
+        once_->claimers_gone(member.vm, member.run);
+    limits_->set_directory(directory);
+    if (mandates_ != nullptr)
+        mandates_->set_directory(directory);
+    if (ready_ && delegations_ != nullptr)
+        delegations_->set_directory(directory);
 }
 
 bool node::open_members()
@@ -159,25 +283,32 @@
                              .servers = {}};
     members_ = std::make_unique<member_service>(
         member_service_options{
-            .membership = {.self = self, .seeds = settings_.peers, .random_seed = run_.value},
-            .fleet_key = settings_.fleet_key,
-            .on_directory =
-                [this](const member_directory& it) {
-                    entry_->set_directory(it);
-                    health_->set_directory(it);
-                    homes_->set_directory(it);
-                    poison_->set_directory(it);
-                    for (const member_record& member : it.members())
-                        once_->claimers_gone(member.vm, member.run);
-                    limits_->set_directory(it);
-                    mandates_->set_directory(it);
+            .membership = {.self = self, .seeds = fleet_.peers, .random_seed = run_.value},
+            .fleet_key = fleet_.fleet_key,
+            .watchers = platform_ ? std::size_t{1} : std::size_t{2},
+            .on_directory = [this](const member_directory& it) { take_directory(it); },
+            .on_newer_config =
+                [this](const endpoint& it) {
+                    if (feed_ != nullptr)
+                        feed_->fetch_from(it);
+                    else
+                        follower_->fetch_from(it);
                 },
-            .on_newer_config = [this](const endpoint& it) { follower_->fetch_from(it); },
-            .on_watcher = [this](bool watching) { follower_->watch_store(watching); }},
+            .on_watcher =
+                [this](bool watching) {
+                    watching_ = watching;
+                    if (follower_ != nullptr)
+                        follower_->watch_store(watching);
+                }},
         *links_);
+    if (platform_)
+        open_delegations();
     ready_ = true;
-    if (members_->start())
+    if (members_->start()) {
+        if (delegations_ != nullptr)
+            delegations_->start();
         return true;
+    }
     log_event(event::settings_rejected, "links: no datagrams on {}", to_string(links_->local()));
     return false;
 }
@@ -194,9 +325,22 @@
     control_ = std::make_unique<socket_server>(
         socket_server_options{.listen = settings_.control, .connections = control_connections});
     add_caller_routes();
-    add_control_routes();
-    for (socket_server* it : {callers_.get(), control_.get()}) {
-        if (!it->start()) {
+    add_control_routes(*control_);
+    if (settings_.metrics.port != 0) {
+        metrics_door_ = std::make_unique<socket_server>(socket_server_options{
+            .listen = settings_.metrics, .connections = control_connections});
+        add_control_routes(*metrics_door_);
+    }
+    if (settings_.ready.port != 0) {
+        ready_door_ = std::make_unique<socket_server>(socket_server_options{
+            .listen = settings_.ready, .connections = control_connections});
+        ready_door_->Get(".*", [this](const httplib::Request&, httplib::Response& res) {
+            res.status = !leaving_ && entry_->config() != nullptr ? ok_status : unavailable_status;
+        });
+    }
+    for (socket_server* it :
+         {callers_.get(), control_.get(), metrics_door_.get(), ready_door_.get()}) {
+        if (it != nullptr && !it->start()) {
             log_event(event::settings_rejected, "cannot listen on {} or {}",
                       to_string(settings_.callers), to_string(settings_.control));
             return false;
@@ -223,18 +367,26 @@
     callers_->Delete("/", with_body);
 }
 
-void node::add_control_routes()
+void node::add_control_routes(socket_server& server)
 {
-    control_->set_payload_max_length(64UL * 1024);
-    control_->Get("/status",
-                  [this](const httplib::Request&, httplib::Response& res) { answer_status(res); });
-    control_->Get("/budget", [this](const httplib::Request& req, httplib::Response& res) {
+    server.set_payload_max_length(64UL * 1024);
+    server.Get("/status",
+               [this](const httplib::Request&, httplib::Response& res) { answer_status(res); });
+    server.Get("/budget", [this](const httplib::Request& req, httplib::Response& res) {
         answer_budget(req, res);
     });
-    control_->Get("/metrics", [this](const httplib::Request&, httplib::Response& res) {
+    server.Get("/metrics", [this](const httplib::Request&, httplib::Response& res) {
         res.set_content(metrics_text(), "text/plain; version=0.0.4");
     });
-    control_->Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
+    if (&server != control_.get())
+        return;
+    if (platform_) {
+        platform_->add_announcements(
+            server, {.announce = [this](const auto& it) { return take_announcement(it); },
+                     .withdraw = [this](const auto& it) { return withdraw_server(it); }});
+        return;
+    }
+    server.Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
         answer_announcement(req, res);
     });
 }
@@ -377,11 +529,55 @@
             "text/plain");
         return;
     }
-    if (gate_->announce(value_of(it), boot_now()))
-        publish_servers();
+    take_announcement(value_of(it));
     res.set_content("{}\n", "application/json");
 }
 
+std::string node::local_service() const
+{
+    const std::lock_guard lock(service_mutex_);
+    return local_service_;
+}
+
+// Beside a node of a platform stands one backend server at a known address; who names another
+// address, or a service that nobody has heard of, is not it.
+bool node::is_expected(const announcement& it) const
+{
+    if (settings_.backend_server.port != 0 && it.server.address != settings_.backend_server)
+        return false;
+    if (!platform_ || it.service_name == settings_.service)
+        return true;
+    const auto config = entry_->config();
+    return config != nullptr && find_service(*config, it.server.service) != nullptr;
+}
+
+bool node::take_announcement(const announcement& it)
+{
+    if (!is_expected(it)) {
+        log_event(event::announcement_rejected, "name={} address={} service={}", it.name,
+                  to_string(it.server.address), it.service_name);
+        return false;
+    }
+    const announcement_end end = gate_->announce(it, boot_now());
+    if (end == announcement_end::late)
+        return !it.server.draining;
+    {
+        const std::lock_guard lock(service_mutex_);
+        local_service_ = it.service_name;
+    }
+    if (end == announcement_end::changed)
+        publish_servers();
+    return true;
+}
+
+bool node::withdraw_server(const std::string& name)
+{
+    if (!gate_->withdraw(name, boot_now()))
+        return false;
+    publish_servers();
+    return true;
+}
+
 void node::publish_servers()
 {
     bool leaving = false;
@@ -408,10 +604,15 @@
     if (request.path == members_path)
         return members_->answer(request.payload);
     if (request.path == config_path)
-        return follower_->answer(request.payload);
+        return feed_ != nullptr ? feed_->answer(request.payload)
+                                : follower_->answer(request.payload);
+    if (request.path == reach_path)
+        return std::string("-");
+    if (request.path == delegation_path && delegations_ != nullptr)
+        return delegations_->answer(request);
     if (request.path == limit_path)
         return limits_->answer(request);
-    if (request.path == mandate_path)
+    if (request.path == mandate_path && mandates_ != nullptr)
         return mandates_->answer(request);
     if (request.path == poison_path)
         return poison_->answer(request.payload);
@@ -430,6 +631,9 @@
         if (gate_->tick(boot_now()))
             publish_servers();
         once_->tick(boot_now());
+        for (const vm_id it : members_->unheard())
+            reach_->suspect(it);
+        reach_->tick(boot_now());
         lock.lock();
         wake_.wait_for(lock, tick_interval);
     }
@@ -452,26 +656,35 @@
         stopping_ = true;
     }
     wake_.notify_all();
+    leaving_ = true;
     if (ticks_.joinable())
         ticks_.join();
     if (members_ != nullptr)
         publish_servers();
     const time_point released_by = boot_now() + release_grace;
-    mandates_->release();
+    if (mandates_ != nullptr)
+        mandates_->release();
     if (callers_ != nullptr)
-        callers_->stop_gently(closing_grace);
+        callers_->stop_gently(settings_.closing_grace);
+    if (delegations_ != nullptr)
+        delegations_->stop();
     links_->drain();
     links_->wait_idle(boot_now() + stop_grace_.load());
     gate_->stop();
-    mandates_->stop(released_by);
+    if (mandates_ != nullptr)
+        mandates_->stop(released_by);
     limits_->stop();
+    if (session_ != nullptr)
+        session_->leave();
     if (members_ != nullptr)
         members_->stop();
     health_->stop();
     links_->stop();
     follower_.reset();
-    if (control_ != nullptr)
-        control_->stop_gently();
+    for (socket_server* it : {control_.get(), metrics_door_.get(), ready_door_.get()}) {
+        if (it != nullptr)
+            it->stop_gently();
+    }
 }
 
 } // namespace jasminebank
--- a/src/node.h
+++ b/src/node.h
@@ -3,7 +3,9 @@
 // One node: callers' HTTP, links to other nodes, the gate of the backend servers that announced
 // themselves here, and the control address. The only place where time and I/O meet the decisions.
 
+#include "config_feed.h"
 #include "config_follower.h"
+#include "delegation_service.h"
 #include "entry.h"
 #include "gate.h"
 #include "health_service.h"
@@ -14,7 +16,9 @@
 #include "member_service.h"
 #include "node_settings.h"
 #include "once_service.h"
+#include "platform_parts.h"
 #include "poison_service.h"
+#include "reach_monitor.h"
 #include "socket_server.h"
 
 #include <atomic>
@@ -36,7 +40,9 @@
 class node {
 public:
     /// Binds all addresses and starts; nothing if one cannot be had, which is logged.
-    static std::unique_ptr<node> start(const node_settings& settings, incarnation run);
+    /// With `platform`, waits until the store of the platform has let it join.
+    static std::unique_ptr<node> start(const node_settings& settings, incarnation run,
+                                       std::optional<platform_parts> platform = std::nullopt);
     /// A planned stop: no request is cut.
     ~node();
     node(const node&) = delete;
@@ -49,15 +55,27 @@
     void stop();
 
 private:
-    node(node_settings settings, incarnation run);
+    node(node_settings settings, incarnation run, std::optional<platform_parts> platform);
 
+    bool join_fleet();
     bool open_links();
+    void open_gate();
+    void open_entry();
     void open_limits();
+    void open_delegations();
+    void follow_store();
+    void take_config(const std::shared_ptr<const fleet_config>& config);
+    void take_directory(const member_directory& directory);
+    bool may_serve() const;
+    bool must_read_config() const;
+    bool take_announcement(const announcement& it);
+    bool withdraw_server(const std::string& name);
+    bool is_expected(const announcement& it) const;
+    std::string local_service() const;
     bool open_members();
     bool open_doors();
-    void follow_config();
     void add_caller_routes();
-    void add_control_routes();
+    void add_control_routes(socket_server& server);
     void answer_budget(const httplib::Request& req, httplib::Response& res);
     std::string metrics_text() const;
     void answer_status(httplib::Response& res);
@@ -67,22 +85,34 @@
     void publish_servers();
     void run_ticks();
 
-    const node_settings settings_;
+    node_settings settings_;
     const incarnation run_;
+    const std::optional<platform_parts> platform_;
+    joined_fleet fleet_;
+    std::unique_ptr<store_session_base> session_;
     std::unique_ptr<link_hub> links_;
+    std::unique_ptr<reach_monitor> reach_;
     std::unique_ptr<health_service> health_;
     std::unique_ptr<key_homes> homes_;
     std::unique_ptr<once_service> once_;
     std::unique_ptr<poison_service> poison_;
     std::unique_ptr<gate> gate_;
     std::unique_ptr<limit_service> limits_;
-    std::unique_ptr<mandate_service> mandates_;
+    std::unique_ptr<mandate_service> mandates_;       ///< without a platform
+    std::unique_ptr<delegation_service> delegations_; ///< with one
     std::unique_ptr<entry> entry_;
     std::unique_ptr<socket_server> callers_;
     std::unique_ptr<socket_server> control_;
     std::unique_ptr<member_service> members_;
-    std::unique_ptr<config_follower> follower_;
+    std::unique_ptr<config_follower> follower_; ///< without a platform
+    std::unique_ptr<config_feed> feed_;         ///< with one
+    std::unique_ptr<socket_server> ready_door_;
+    std::unique_ptr<socket_server> metrics_door_;
 
+    std::atomic<bool> watching_ = false; ///< this node reads the configuration for others
+    std::atomic<bool> leaving_ = false;  ///< a planned stop has begun
+    mutable std::mutex service_mutex_;
+    std::string local_service_; ///< of the backend server that announced itself last
     std::atomic<bool> ready_ = false; ///< control messages may be answered
     std::mutex mutex_;
     std::condition_variable wake_;
--- a/src/node_main.cpp
+++ b/src/node_main.cpp
@@ -4,6 +4,7 @@
 #include "command_line.h"
 #include "log.h"
 #include "node.h"
+#include "platform/parts.h"
 
 #include <fmt/format.h>
 
@@ -78,7 +79,9 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     mallopt(M_ARENA_MAX, malloc_arenas);
-    const auto it = node::start(settings, this_run());
+    const auto it = node::start(
+        settings, this_run(),
+        settings.on_platform ? std::optional(platform::make_parts()) : std::nullopt);
     if (it == nullptr)
         return EXIT_FAILURE;
     const node_ports ports = it->ports();
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "node_settings.h"
 
+#include "limit_placement.h"
+
 #include <sys/stat.h>
 
 #include <fstream>
@@ -40,9 +42,22 @@
     out.waiting_requests = in.number("waiting_requests", out.waiting_requests, 0, 100'000);
     out.backend_idle = in.time("backend_idle", 4s, 100ms, 1min);
     out.announcement_ttl = in.time("announcement_ttl", 3s, 500ms, 1min);
+    out.closing_grace = in.time("closing_grace", 1s, 0s, 1min);
     out.stop_grace = in.time("stop_grace", 30s, 0s, 10min);
 }
 
+static void read_surroundings(field_reader& in, node_settings& out)
+{
+    out.ready = in.address("ready", "127.0.0.1:0");
+    out.metrics = in.address("metrics", "127.0.0.1:0");
+    out.backend_server = in.address("backend_server", "127.0.0.1:0");
+    out.service = in.text("service", "");
+    out.news_age = in.time("news_age", 0s, 0s, 1min);
+    out.limit_holders = static_cast<std::uint32_t>(in.number("limit_holders", 1, 1, limit_shards));
+    out.retry_share = in.decimal("retry_share", 0.1, 0, 1);
+    out.fleet_floor_retries = in.decimal("fleet_floor_retries", 0, 0, 1e6);
+}
+
 result<node_settings, ini_error> read_node_settings(const ini_file& file)
 {
     for (const ini_section& section : file.sections) {
@@ -64,7 +79,12 @@
     out.control = in.address("control", "127.0.0.1:0");
     out.store = in.addresses("store");
     out.peers = in.addresses("peers");
-    out.fleet_key = read_fleet_key(in);
+    out.on_platform = in.flag("platform", false);
+    if (!out.on_platform)
+        out.fleet_key = read_fleet_key(in);
+    else if (out.store.size() != 1)
+        in.reject("store", "one address, with platform = yes");
+    read_surroundings(in, out);
     out.port_file = in.text("port_file", "");
     read_limits(in, out);
     out.when_cut_off = in.one_of("when_cut_off", "refuse", {"refuse", "serve"}) == "serve"
--- /dev/null
+++ b/src/reach_monitor.cpp
@@ -0,0 +1,85 @@
+#include "reach_monitor.h"
+
+#include "log.h"
+#include "system_clock.h"
+
+#include <vector>
+
+namespace jasminebank {
+
+reach_monitor::reach_monitor(reach_monitor_options options, link_hub& links)
+    : options_(std::move(options)), links_(links)
+{
+}
+
+void reach_monitor::set_directory(const member_directory& directory)
+{
+    std::vector<vm_id> gone;
+    {
+        const std::lock_guard lock(mutex_);
+        peers_.clear();
+        for (const member_record& it : directory.members())
+            peers_.emplace(it.vm, it.link);
+        std::erase_if(probes_, [&](const auto& it) {
+            const bool unknown = !peers_.contains(it.first);
+            if (unknown && it.second.is_unreachable)
+                gone.push_back(it.first);
+            return unknown;
+        });
+    }
+    for (const vm_id it : gone)
+        options_.on_change(it, true);
+}
+
+void reach_monitor::suspect(vm_id vm)
+{
+    const std::lock_guard lock(mutex_);
+    if (peers_.contains(vm))
+        probes_.try_emplace(vm);
+}
+
+void reach_monitor::tick(time_point now)
+{
+    std::vector<std::pair<vm_id, endpoint>> due;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto& [vm, it] : probes_) {
+            if (it.is_asking || now < it.next)
+                continue;
+            it.is_asking = true;
+            it.next = now + options_.probe_interval;
+            due.emplace_back(vm, peers_.at(vm));
+        }
+    }
+    for (const auto& [vm, link] : due) {
+        const bool sent = links_.call(link, std::string(reach_path), "-", options_.probe_timeout,
+                                      [this, vm = vm](const result<std::string, link_error>& it) {
+                                          take_answer(vm, !failed(it));
+                                      });
+        if (!sent)
+            take_answer(vm, false);
+    }
+}
+
+void reach_monitor::take_answer(vm_id vm, bool answered)
+{
+    bool changed = false;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = probes_.find(vm);
+        if (found == probes_.end())
+            return;
+        probe_state& it = found->second;
+        it.is_asking = false;
+        changed = it.is_unreachable == answered;
+        it.is_unreachable = !answered;
+        if (answered)
+            probes_.erase(found);
+    }
+    if (!changed)
+        return;
+    log_event(answered ? event::gate_reachable : event::gate_unreachable, "vm={:016x}", vm.value);
+    options_.on_change(vm, answered);
+}
+
+} // namespace jasminebank
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -36,6 +36,8 @@
     stopping,             ///< the node or the backend server is being stopped
     duplicate,            ///< the same idempotency key has been used
     backend_server_error, ///< the backend server failed while it had the request
+    shed,                 ///< the backend server itself had no room
+    body_too_large,       ///< the request's body is over the configured bound
     register_unavailable, ///< nobody can tell whether the idempotency key was used, or no room
 };
 
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -40,6 +40,8 @@
 public:
     explicit retry_budget(const retry_budget_options& options = {});
 
+    /// Changes `floor_retries`, as when a floor of the fleet is shared by another number of nodes.
+    void set_floor(double floor_retries) { options_.floor_retries = floor_retries; }
     void on_success(organisation_id organisation, service_id service, time_point now);
     /// Counts the retry when it is granted.
     retry_decision ask(const retry_request& it, time_point now);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -82,6 +82,8 @@
         return false;
     if (it.standing == server_standing::on_trial && !wanted.idempotent)
         return false;
+    if (unreachable_gates_.contains(it.choice.gate))
+        return false;
     const auto paused = paused_gates_.find(it.choice.gate);
     return paused == paused_gates_.end() || paused->second <= now;
 }
@@ -119,14 +121,15 @@
 }
 
 // The server may have left and come back meanwhile, so the count may already stand at zero.
-void router::finished(backend_server_id server, double load)
+void router::finished(backend_server_id server, std::optional<double> load)
 {
     const auto it = servers_.find(server);
     if (it == servers_.end())
         return;
     if (it->second.in_flight > 0)
         --it->second.in_flight;
-    it->second.load = load;
+    if (load)
+        it->second.load = *load;
 }
 
 void router::gate_failed(vm_id gate, time_point now)
@@ -135,4 +138,15 @@
     std::erase_if(paused_gates_, [now](const auto& it) { return it.second <= now; });
 }
 
+void router::set_reachable(vm_id gate, bool reachable)
+{
+    if (reachable) {
+        unreachable_gates_.erase(gate);
+        paused_gates_.erase(gate);
+    }
+    else {
+        unreachable_gates_.insert(gate);
+    }
+}
+
 } // namespace jasminebank
--- a/src/router.h
+++ b/src/router.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace jasminebank {
@@ -47,11 +48,13 @@
                                        time_point now) const;
     /// Counts a request sent to a server.
     void started(backend_server_id server);
-    /// The request ended; `load` is the share of busy slots that the answer told, 0 if it told
-    /// none.
-    void finished(backend_server_id server, double load);
-    /// The link to a gate failed: its servers are left alone for a while.
+    /// The request ended; `load` is the share of busy slots that the gate told, if it told one.
+    void finished(backend_server_id server, std::optional<double> load);
+    /// The link to a gate failed: its servers are left alone for a while, and while it stays
+    /// unreachable.
     void gate_failed(vm_id gate, time_point now);
+    /// Whether a gate answers on its link, as a probe has found.
+    void set_reachable(vm_id gate, bool reachable);
 
 private:
     struct candidate {
@@ -73,6 +76,7 @@
     std::unordered_map<service_id, std::vector<candidate>> services_;
     std::unordered_map<backend_server_id, server_state> servers_;
     std::unordered_map<vm_id, time_point> paused_gates_;
+    std::unordered_set<vm_id> unreachable_gates_;
 };
 
 } // namespace jasminebank
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -148,6 +148,19 @@
     return tick(now);
 }
 
+slot_actions slot_queue::refuse_waiting()
+{
+    slot_actions out;
+    for (organisation_state& it : organisations_) {
+        for (const slot_request& r : it.waiting)
+            out.emplace_back(refuse_request{r.request, slot_refusal::queue_full});
+        it.waiting.clear();
+    }
+    waiting_ = 0;
+    forget_idle();
+    return out;
+}
+
 slot_actions slot_queue::tick(time_point now)
 {
     slot_actions out;
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -61,6 +61,8 @@
     /// The caller went away. A waiting request is forgotten; a started one keeps its slot until
     /// `finished`.
     slot_actions cancel(request_id request, time_point now);
+    /// Refuses all waiting requests, as when the backend server leaves.
+    slot_actions refuse_waiting();
     /// Refuses waiting requests whose deadline has passed.
     slot_actions tick(time_point now);
     /// The backend server announced another number of slots; running requests go on.
--- /dev/null
+++ b/src/store_session.h
@@ -0,0 +1,285 @@
+#pragma once
+
+// A node's dealings with a store that also holds the configuration: joins the fleet (fleet key, own
+// entry under a lease, addresses of others), and reads the configuration while this node has to.
+// One thread; calls are made one after another, so a slow store delays them and never piles them up.
+
+#include "endpoint.h"
+#include "jitter_backoff.h"
+#include "log.h"
+#include "store_messages.h"
+#include "system_clock.h"
+#include "types.h"
+
+#include <openssl/rand.h>
+
+#include <array>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace jasminebank {
+
+/// Keys of the fleet in the store.
+constexpr std::string_view fleet_prefix = "jasminebank/fleet/";
+constexpr std::string_view fleet_key_key = "jasminebank/fleet/key";
+constexpr std::string_view fleet_members_prefix = "jasminebank/fleet/members/";
+
+/// What a node learns when it joins.
+struct joined_fleet {
+    std::string fleet_key;
+    std::vector<endpoint> peers; ///< links of the nodes that have an entry, without this one
+};
+
+struct store_session_options {
+    std::string vm_name;
+    endpoint link;          ///< own address, told to others
+    std::string config_key; ///< of the configuration in the store
+    /// Between two reads of the configuration; a change is told to the fleet at most this late.
+    duration read_interval = std::chrono::milliseconds(500);
+    /// After a call that failed, doubled up to `read_interval` times four; the store's return is
+    /// noticed within that.
+    duration retry_interval = std::chrono::milliseconds(250);
+    duration idle_interval = std::chrono::milliseconds(250); ///< between looks at `must_read`
+    /// Of the own entry; it is a hint for nodes that join, so a late end harms nothing.
+    duration entry_ttl = std::chrono::seconds(60);
+    /// True while this node is to read the configuration itself.
+    std::function<bool()> must_read;
+    /// The value of the configuration changed, or was read for the first time. True when it is in
+    /// force now, or was before.
+    std::function<bool(const std::string&)> on_config;
+    /// What was read by a call sent at this time is in force.
+    std::function<void(time_point)> on_store_heard;
+};
+
+/// A session without the type of its store.
+class store_session_base {
+public:
+    virtual ~store_session_base() = default;
+    /// Joins the fleet, trying again until it works; nothing after `stop`.
+    virtual std::optional<joined_fleet> join() = 0;
+    /// Begins to read the configuration on a thread of its own. After `join`.
+    virtual void start() = 0;
+    virtual void stop() = 0;
+    /// Ends the own entry, for a planned stop.
+    virtual void leave() = 0;
+};
+
+template <key_value_store Store>
+class store_session : public store_session_base {
+public:
+    store_session(store_session_options options, std::unique_ptr<Store> store)
+        : options_(std::move(options)), store_(std::move(store)),
+          member_key_(std::string(fleet_members_prefix) + options_.vm_name)
+    {
+    }
+    ~store_session() override { stop(); }
+
+    std::optional<joined_fleet> join() override
+    {
+        duration wait = options_.retry_interval;
+        while (true) {
+            if (auto out = try_join()) {
+                log_event(event::store_joined, "peers={}", out->peers.size());
+                return out;
+            }
+            std::unique_lock lock(mutex_);
+            if (wake_.wait_for(lock, wait, [this] { return stopping_; }))
+                return std::nullopt;
+            wait = std::min(wait * 2, options_.read_interval * 4);
+        }
+    }
+
+    void start() override
+    {
+        thread_ = std::thread([this] { run(); });
+    }
+
+    void stop() override
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            stopping_ = true;
+        }
+        wake_.notify_all();
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+    void leave() override
+    {
+        stop();
+        if (lease_ != lease_id{})
+            static_cast<void>(store_->revoke_lease(lease_)); // it ends by itself otherwise
+    }
+
+private:
+    static std::string random_key()
+    {
+        std::array<unsigned char, 24> bytes{};
+        RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+        std::string out;
+        for (const unsigned char it : bytes)
+            out += fmt::format("{:02x}", it);
+        return out;
+    }
+
+    void note_failure(std::string_view call, const store_error& ec)
+    {
+        if (!std::exchange(is_away_, true))
+            log_event(event::store_away, "call={} error={} cause=\"{}\"", call,
+                      static_cast<unsigned>(ec.kind), ec.detail);
+    }
+
+    void note_success()
+    {
+        if (!std::exchange(is_away_, false))
+            return;
+        log_event(event::store_back, "lease={}", lease_.value);
+        must_check_entry_ = true;
+    }
+
+    std::optional<joined_fleet> try_join()
+    {
+        const auto known = store_->range(prefix_range(std::string(fleet_prefix)));
+        if (failed(known)) {
+            note_failure("members", error_of(known));
+            return std::nullopt;
+        }
+        note_success();
+        joined_fleet out;
+        for (const store_entry& it : value_of(known).entries) {
+            if (it.key == fleet_key_key)
+                out.fleet_key = it.value;
+            const auto peer = parse_endpoint(it.value);
+            if (it.key.starts_with(fleet_members_prefix) && it.key != member_key_ && peer)
+                out.peers.push_back(*peer);
+        }
+        if (!put_entry(out.fleet_key))
+            return std::nullopt;
+        return out;
+    }
+
+    // Writes the own entry; with no `fleet_key` known, also makes one, unless another node was
+    // faster, whose key is then taken.
+    bool put_entry(std::string& fleet_key)
+    {
+        const auto lease = store_->grant_lease(options_.entry_ttl);
+        if (failed(lease)) {
+            note_failure("lease", error_of(lease));
+            return false;
+        }
+        lease_ = value_of(lease).lease;
+        next_renewal_ = boot_now() + options_.entry_ttl / 3;
+        const store_put entry{
+            .key = member_key_, .value = to_string(options_.link), .lease = lease_};
+        store_txn txn{.compares = {}, .puts = {entry}, .deletes = {}};
+        std::string made;
+        if (fleet_key.empty()) {
+            made = random_key();
+            txn.compares.push_back(absent(std::string(fleet_key_key)));
+            txn.puts.push_back({.key = std::string(fleet_key_key), .value = made, .lease = {}});
+        }
+        const auto done = store_->commit(txn);
+        if (failed(done)) {
+            note_failure("entry", error_of(done));
+            return false;
+        }
+        if (value_of(done).succeeded) {
+            if (fleet_key.empty())
+                fleet_key = made;
+            return true;
+        }
+        if (value_of(done).found.empty())
+            return false;
+        fleet_key = value_of(done).found.front().value;
+        const auto again = store_->commit({.compares = {}, .puts = {entry}, .deletes = {}});
+        if (failed(again))
+            note_failure("entry", error_of(again));
+        return !failed(again);
+    }
+
+    // True when the configuration was read.
+    bool read_config()
+    {
+        const time_point asked = boot_now();
+        const auto read = store_->range({.key = options_.config_key, .range_end = {}});
+        if (failed(read)) {
+            note_failure("configuration", error_of(read));
+            return false;
+        }
+        note_success();
+        bool in_force = true;
+        if (!value_of(read).entries.empty()) {
+            const store_entry& entry = value_of(read).entries.front();
+            if (entry.mod_revision != config_revision_)
+                config_in_force_ = options_.on_config(entry.value);
+            config_revision_ = entry.mod_revision;
+            in_force = config_in_force_;
+        }
+        if (in_force)
+            options_.on_store_heard(asked);
+        return true;
+    }
+
+    void renew_entry()
+    {
+        next_renewal_ = boot_now() + options_.entry_ttl / 3;
+        must_check_entry_ = false;
+        const auto kept = store_->keep_lease_alive(lease_);
+        if (!failed(kept)) {
+            note_success();
+            must_check_entry_ = false;
+            return;
+        }
+        std::string key = "known";
+        if (error_of(kept).kind != store_error_kind::lease_lost) {
+            note_failure("renewal", error_of(kept));
+            next_renewal_ = boot_now() + options_.read_interval;
+        }
+        else if (!put_entry(key)) {
+            must_check_entry_ = true;
+        }
+    }
+
+    void run()
+    {
+        std::unique_lock lock(mutex_);
+        duration retry = options_.retry_interval;
+        while (!stopping_) {
+            lock.unlock();
+            duration wait = options_.idle_interval;
+            if (options_.must_read()) {
+                const bool heard = read_config();
+                retry = heard ? options_.retry_interval
+                              : std::min(retry * 2, options_.read_interval * 4);
+                wait = heard ? options_.read_interval : retry;
+            }
+            if (boot_now() >= next_renewal_ || (must_check_entry_ && !is_away_))
+                renew_entry();
+            lock.lock();
+            wake_.wait_for(lock, wait, [this] { return stopping_; });
+        }
+    }
+
+    const store_session_options options_;
+    const std::unique_ptr<Store> store_;
+    const std::string member_key_;
+    lease_id lease_{};
+    time_point next_renewal_{};
+    store_revision config_revision_ = -1;
+    bool config_in_force_ = false;
+    bool is_away_ = false;
+    bool must_check_entry_ = false;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace jasminebank
