--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr duration connect_timeout = std::chrono::milliseconds(500);
+// The library's timers may fire this much early.
+constexpr duration deadline_slack = std::chrono::milliseconds(5);
 constexpr std::size_t chunk_bytes = 16UL * 1024;
 constexpr int no_content_status = 204;
 constexpr int not_modified_status = 304;
@@ -43,8 +45,8 @@
 
     httplib::Request request()
     {
-        const message_head head = head_for_backend_server(
-            stream_->head(), options_.request, options_.names, options_.expected_server);
+        const message_head head = head_for_backend_server(stream_->head(), options_.request,
+                                                          options_.names, options_.expected_server);
         httplib::Request out;
         out.method = head.method;
         out.path = head.path;
@@ -73,6 +75,7 @@
         call_result out{.end = end_of(answer),
                         .status = status_,
                         .answered = answered_,
+                        .timed_out = boot_now() + deadline_slack >= options_.deadline,
                         .service_time = service_time};
         out.may_reuse = (out.end == call_end::whole_answer || out.end == call_end::shed) &&
                         !ends_connection(answer.value());
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -31,6 +31,7 @@
     int status = 0;          ///< of the answer, if its head came
     bool answered = false;   ///< the head of the answer went to the caller
     bool may_reuse = false;  ///< the connection was read to the answer's end
+    bool timed_out = false;  ///< no answer, or not its end, by the deadline
     duration service_time{}; ///< from the start of sending to the end of the answer
 };
 
--- a/src/caller_head.cpp
+++ b/src/caller_head.cpp
@@ -133,8 +133,9 @@
 
 bool is_set_by_fleet(const std::string& name, const header_names& names)
 {
-    return name == names.caller_deadline || name == names.deadline || name == names.organisation ||
-           name == names.caller_service || name == names.expected_server || name == names.not_run;
+    return !name.empty() &&
+           (name == names.caller_deadline || name == names.deadline || name == names.organisation ||
+            name == names.caller_service || name == names.expected_server || name == names.not_run);
 }
 
 std::string host_of(const message_head& head)
--- a/src/delegation_service.cpp
+++ b/src/delegation_service.cpp
@@ -98,8 +98,7 @@
     if (!it)
         return {};
     const std::lock_guard lock(mutex_);
-    return encode(
-        delegation_.receive(id_of<vm_id>(request.peer.vm_name), *it, boot_now()));
+    return encode(delegation_.receive(id_of<vm_id>(request.peer.vm_name), *it, boot_now()));
 }
 
 void delegation_service::send(const send_delegation& it)
@@ -115,8 +114,9 @@
     const bool sent = links_.call(
         link, std::string(delegation_path), encode(it.body), call_timeout,
         [this, to = it.to, group = it.body.group](const result<std::string, link_error>& reply) {
-            const auto stamp = failed(reply) ? std::nullopt
-                                             : stamp_at(json::parse(value_of(reply), nullptr, false), 0);
+            const auto stamp = failed(reply)
+                                   ? std::nullopt
+                                   : stamp_at(json::parse(value_of(reply), nullptr, false), 0);
             if (!stamp)
                 return;
             const std::lock_guard lock(mutex_);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -23,13 +23,16 @@
 struct dispatch {
     backend_server_id server;
     incarnation gate_run; ///< the run of the gate that the entry node means
-    service_id service;   ///< the backend server must still be of this service
+    route_id route;
+    service_id service;         ///< the backend server must still be of this service
     std::string organisation;   ///< empty: a public route
     std::string caller_service; ///< service beside whose backend server the request began
     std::uint32_t priority = 0; ///< rank under overload, 0 is the highest
     duration target{};          ///< an answer within this time is worth most; 0: none
-    duration time_left{}; ///< until the deadline
+    duration time_left{};       ///< until the deadline
     bool idempotent = false;
+    bool may_wait = true;            ///< for a slot; else it is refused when none is free
+    bool insists = true;             ///< also when the gate suspects the backend server
     request_fingerprint fingerprint; ///< equal for requests that are the same to the caller
 };
 
@@ -42,7 +45,6 @@
 /// The head for a backend server: without internal fields, and with those that it is to see by
 /// their names. `expected_server` may be empty.
 message_head head_for_backend_server(const message_head& head, const dispatch& it,
-                                     const header_names& names,
-                                     const std::string& expected_server);
+                                     const header_names& names, const std::string& expected_server);
 
 } // namespace jasminebank
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <charconv>
 #include <optional>
+#include <thread>
 
 namespace jasminebank {
 
@@ -26,7 +27,13 @@
 constexpr int unavailable_status = 503;
 constexpr int first_error_status = 500;
 // Gates that say honestly that they did not run a request cost little; so many are asked.
-constexpr std::size_t most_tries = 6;
+constexpr std::size_t most_tries = 24;
+// Refusals after which a request rather waits for a slot than asks for another free one.
+constexpr std::size_t most_free_tries = 5;
+// How long a request that must not be repeated waits for a server that is not suspected: a part of
+// its target latency, so that most of it is left for the work.
+constexpr duration suspect_pause = std::chrono::milliseconds(40);
+constexpr duration shortest_patience = std::chrono::milliseconds(100);
 
 // The caller's head with the names that the HTTP library was kept from acting upon.
 message_head head_of(const httplib::Request& req)
@@ -92,6 +99,7 @@
     bool gate_failed = false;
     bool body_consumed = false;
     bool caller_left = false;
+    bool is_hedged = false; // given up for a try elsewhere, which the budget allows
 };
 
 // The status must agree with what is known of the request: one that promises that it did not run is
@@ -115,6 +123,18 @@
     res.set_content(fmt::format("{}\n", outcome_text(it)), "text/plain");
 }
 
+// Which backend servers a request has been to, and how it may go to the next. At first it asks only
+// for free slots of servers that nobody suspects, which costs a round trip where there is none;
+// then it waits for a slot; and only when nothing else is left it goes to one that is suspected.
+struct entry::route_search {
+    std::vector<backend_server_id> reached; // it may have run there
+    std::vector<backend_server_id> full;
+    std::vector<backend_server_id> suspected;
+    std::size_t refusals = 0;
+    bool may_wait = false;
+    bool insists = false;
+};
+
 entry::entry(entry_options options, link_hub& links, router_options routing)
     : options_(std::move(options)), links_(links), router_(routing),
       retries_({.share = options_.retry_share})
@@ -139,8 +159,8 @@
     const std::lock_guard lock(mutex_);
     router_.update(directory);
     if (options_.fleet_floor_retries > 0)
-        retries_.set_floor(options_.fleet_floor_retries /
-                           static_cast<double>(std::max<std::size_t>(directory.members().size(), 1)));
+        retries_.set_floor(options_.fleet_floor_retries / static_cast<double>(std::max<std::size_t>(
+                                                              directory.members().size(), 1)));
 }
 
 void entry::set_gate_reachable(vm_id gate, bool reachable)
@@ -172,12 +192,12 @@
     if (out.config == nullptr)
         return refusal_answer{.reason = refusal::no_configuration};
     out.route = find_route(*out.config, head.clean.method, path_of(head.clean.path), head.host);
-    if (out.route == nullptr || !out.route->is_public) {
+    if (out.route == nullptr)
+        return refusal_answer{.reason = refusal::no_route};
+    if (!out.route->is_public) {
         if (const auto refused = identify(head, out))
             return refused;
     }
-    if (out.route == nullptr)
-        return refusal_answer{.reason = refusal::no_route};
     {
         const std::lock_guard lock(mutex_);
         out.service = find_service(*out.config, pick_service(*out.route, random_()));
@@ -262,12 +282,15 @@
 }
 
 std::optional<route_choice> entry::choose(const admitted_request& request,
-                                          const std::vector<backend_server_id>& tried)
+                                          const std::vector<backend_server_id>& tried,
+                                          bool is_thorough)
 {
     const std::lock_guard lock(mutex_);
-    auto out = router_.choose(
-        {.service = request.service->id, .idempotent = request.idempotent, .tried = tried},
-        random_(), boot_now());
+    auto out = router_.choose({.service = request.service->id,
+                               .idempotent = request.idempotent,
+                               .tried = tried,
+                               .is_thorough = is_thorough},
+                              random_(), boot_now());
     if (out)
         router_.started(out->server);
     return out;
@@ -350,6 +373,44 @@
     return answer.status >= first_error_status;
 }
 
+std::optional<route_choice> entry::choose_next(const admitted_request& request,
+                                               route_search& search)
+{
+    std::vector<backend_server_id> out = search.reached;
+    out.insert(out.end(), search.suspected.begin(), search.suspected.end());
+    if (!search.may_wait) {
+        std::vector<backend_server_id> all = out;
+        all.insert(all.end(), search.full.begin(), search.full.end());
+        if (search.refusals < most_free_tries) {
+            if (const auto choice = choose(request, all))
+                return choice;
+        }
+        search.may_wait = true;
+    }
+    if (const auto choice = choose(request, out))
+        return choice;
+    return choose_suspected(request, search);
+}
+
+// All that are left are suspected. An idempotent request goes to the one that is least so, as it
+// may be tried again. Another waits a little for one to come back, and is refused if none does.
+std::optional<route_choice> entry::choose_suspected(const admitted_request& request,
+                                                    route_search& search)
+{
+    const duration patience =
+        std::max<duration>(request.route->target_latency / 4, shortest_patience);
+    if (!request.idempotent && !search.suspected.empty()) {
+        if (boot_now() + suspect_pause - request.start > patience)
+            return std::nullopt;
+        std::this_thread::sleep_for(suspect_pause);
+        search.suspected.clear();
+        search.full.clear();
+        return choose(request, search.reached);
+    }
+    search.insists = true;
+    return choose(request, search.reached, true);
+}
+
 // Tries backend servers in turn while the last refusal proves that the request did not run, or the
 // request is idempotent. Nothing when an answer was delivered. A run is settled as soon as its
 // status is known, whatever becomes of the body.
@@ -358,7 +419,10 @@
                                                  const httplib::ContentReader* reader,
                                                  once_hold* hold, httplib::Response& res)
 {
-    std::vector<backend_server_id> tried;
+    route_search search;
+    // A body that is streamed can be sent only once, so it waits where it comes first.
+    search.may_wait = reader != nullptr;
+    search.insists = reader != nullptr;
     refusal_answer last{.reason = refusal::no_backend_server};
     bool may_have_run = false;
     std::size_t arrivals = 0;
@@ -368,11 +432,10 @@
             last = {.reason = refusal::deadline};
             break;
         }
-        const auto choice = choose(request, tried);
+        const auto choice = choose_next(request, search);
         if (!choice)
             break;
-        tried.push_back(choice->server);
-        attempt it = try_once(request, *choice, head, body, reader);
+        attempt it = try_once(request, *choice, search, head, body, reader);
         if (it.answer) {
             if (hold != nullptr)
                 hold->ran(it.answer->status);
@@ -381,10 +444,11 @@
         finished(*choice, it);
         if (it.answer) {
             ++arrivals;
-            const bool keep = !request.idempotent || !is_server_failure(*it.answer) ||
-                              it.body_consumed ||
-                              !may_retry(request, {.reason = refusal::backend_server_error,
-                                                   .state = run_state::ran});
+            search.reached.push_back(choice->server);
+            const bool keep =
+                !request.idempotent || !is_server_failure(*it.answer) || it.body_consumed ||
+                !may_retry(request,
+                           {.reason = refusal::backend_server_error, .state = run_state::ran});
             answered = std::move(it);
             if (keep)
                 break;
@@ -394,13 +458,21 @@
         last = *it.refused;
         if (it.body_consumed)
             socket_server::close_after_answer(res);
+        ++search.refusals;
+        if (last.reason == refusal::overloaded && !search.may_wait)
+            search.full.push_back(choice->server);
+        else if (last.reason == refusal::suspect)
+            search.suspected.push_back(choice->server);
+        else
+            search.reached.push_back(choice->server);
         arrivals += last.state != run_state::not_run || last.reason == refusal::shed ? 1 : 0;
         const bool first_loss = last.state != run_state::not_run && !may_have_run;
         may_have_run |= last.state != run_state::not_run;
         const bool again =
-            may_try_elsewhere(last) ||
+            may_try_elsewhere(last) || it.is_hedged ||
             (request.idempotent && first_loss && last.reason == refusal::backend_server_error);
-        if (!again || it.body_consumed || it.caller_left || !may_retry(request, last))
+        if (!again || it.body_consumed || it.caller_left ||
+            (!it.is_hedged && !may_retry(request, last)))
             break;
     }
     // The failure that a backend server itself reported is told rather than one of ours.
@@ -423,9 +495,9 @@
     if (is_free)
         return now < request.deadline;
     const std::lock_guard lock(mutex_);
-    return retries_.ask({.organisation = {}, .service = request.service->id,
-                         .deadline = request.deadline},
-                        now) == retry_decision::granted;
+    return retries_.ask(
+               {.organisation = {}, .service = request.service->id, .deadline = request.deadline},
+               now) == retry_decision::granted;
 }
 
 void entry::finished(const route_choice& choice, const attempt& it)
@@ -433,9 +505,14 @@
     if (it.gate_failed)
         options_.on_gate_failed(choice.gate);
     const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
     if (it.gate_failed)
-        router_.gate_failed(choice.gate, boot_now());
-    router_.finished(choice.server, it.load);
+        router_.gate_failed(choice.gate, now);
+    router_.finished(choice.server, it.load, now);
+    if (it.refused && it.refused->reason == refusal::suspect)
+        router_.refused(choice.server, true, it.load, now);
+    else if (it.refused && it.refused->reason == refusal::overloaded)
+        router_.refused(choice.server, false, it.load, now);
 }
 
 // Streams the caller's body. False when the caller broke it off or the gate takes no more; the
@@ -511,23 +588,83 @@
     }
 }
 
+// Usual time of answers to requests with this target latency, in seconds. Before there is a sample,
+// a target is taken for four times of it.
+static double usual_seconds(const std::map<duration, double>& known, duration target)
+{
+    constexpr double target_to_usual = 4;
+    const auto it = known.find(target);
+    return it != known.end() ? it->second
+                             : std::chrono::duration<double>(target).count() / target_to_usual;
+}
+
+duration entry::hedge_delay(const admitted_request& request) const
+{
+    const std::lock_guard lock(mutex_);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+        options_.hedge_after * usual_seconds(answer_seconds_, request.route->target_latency)));
+}
+
+void entry::learn_time(const admitted_request& request, duration took)
+{
+    constexpr double weight = 0.05;
+    constexpr std::size_t most_targets = 64;
+    const std::lock_guard lock(mutex_);
+    const duration target = request.route->target_latency;
+    if (answer_seconds_.size() >= most_targets && !answer_seconds_.contains(target))
+        return;
+    const double usual = usual_seconds(answer_seconds_, target);
+    answer_seconds_[target] =
+        usual + weight * (std::chrono::duration<double>(took).count() - usual);
+}
+
+// Waits for the answer's head. An idempotent request that is late for its kind is given up for a
+// try elsewhere, if the budget has room for it.
+result<message_head, link_error> entry::wait_for_answer(const admitted_request& request,
+                                                        attempt& it, bool may_hedge,
+                                                        time_point deadline)
+{
+    const time_point start = boot_now();
+    const duration delay = hedge_delay(request);
+    const bool hedges =
+        may_hedge && request.idempotent && delay > duration::zero() && start + 2 * delay < deadline;
+    if (!hedges)
+        return wait_for_head(*it.stream, deadline, it.caller_left);
+    auto out = wait_for_head(*it.stream, start + delay, it.caller_left);
+    if (!failed(out)) {
+        learn_time(request, boot_now() - start);
+        return out;
+    }
+    if (error_of(out).kind != link_failure::timed_out || it.caller_left)
+        return out;
+    it.is_hedged =
+        may_retry(request, {.reason = refusal::backend_server_error, .state = run_state::unknown});
+    if (!it.is_hedged)
+        return wait_for_head(*it.stream, deadline, it.caller_left);
+    it.stream->reset(reset_reason::cancelled);
+    return out;
+}
+
 entry::attempt entry::try_once(const admitted_request& request, const route_choice& choice,
-                               const message_head& head, const std::string& body,
-                               const httplib::ContentReader* reader)
+                               const route_search& search, const message_head& head,
+                               const std::string& body, const httplib::ContentReader* reader)
 {
     message_head out = head;
-    write_dispatch({.server = choice.server,
-                    .gate_run = choice.gate_run,
-                    .service = request.service->id,
-                    .organisation =
-                        request.organisation == nullptr ? "" : request.organisation->name,
-                    .caller_service = options_.local_service(),
-                    .priority = priority_of(request),
-                    .target = request.route->target_latency,
-                    .time_left = request.deadline - boot_now(),
-                    .idempotent = request.idempotent,
-                    .fingerprint = request.fingerprint},
-                   out);
+    write_dispatch(
+        {.server = choice.server,
+         .gate_run = choice.gate_run,
+         .route = request.route->id,
+         .service = request.service->id,
+         .organisation = request.organisation == nullptr ? "" : request.organisation->name,
+         .caller_service = options_.local_service(),
+         .priority = priority_of(request),
+         .target = request.route->target_latency,
+         .time_left = request.deadline - boot_now(),
+         .idempotent = request.idempotent,
+         .may_wait = search.may_wait,
+         .insists = search.insists,
+         .fingerprint = request.fingerprint},
+        out);
     attempt it;
     it.body_consumed = reader != nullptr;
     it.stream = links_.open(choice.gate_link, std::move(out), body.empty() && reader == nullptr);
@@ -542,7 +679,8 @@
     }
     const time_point deadline =
         reader == nullptr ? request.deadline : boot_now() + request.service->timeout;
-    auto answer = wait_for_head(*it.stream, deadline, it.caller_left);
+    const bool may_hedge = reader == nullptr && search.reached.size() + 1 < request.route->attempts;
+    auto answer = wait_for_answer(request, it, may_hedge, deadline);
     if (failed(answer)) {
         it.refused = answer_of(error_of(answer));
         // A deadline that passes, or a caller that leaves, says nothing about the gate.
@@ -609,7 +747,11 @@
         return true;
     };
     const std::string content_type = type == nullptr ? "" : *type;
-    if (length) {
+    if (length == std::size_t{0} && !bodiless) {
+        // The library tells no length for a provider of nothing, and the caller would wait.
+        res.set_content("", content_type);
+    }
+    else if (length) {
         res.set_content_provider(
             *length, content_type,
             [pass_on](std::size_t offset, std::size_t, httplib::DataSink& sink) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -20,6 +20,7 @@
 #include <httplib.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -29,7 +30,6 @@
 
 struct entry_options {
     std::size_t buffered_body_bytes = 0;
-    std::size_t attempts = 3;        ///< backend servers tried for one request, at most
     std::function<bool()> may_serve; ///< false while this node may be cut off from news
     /// Takes a token for one request, waiting at most until the deadline; never limit_waiting.
     std::function<limit_verdict(organisation_id, time_point)> take_token;
@@ -42,8 +42,10 @@
     /// The link to a gate failed with a request on it.
     std::function<void(vm_id)> on_gate_failed = [](vm_id) {};
     std::size_t buffered_answer_bytes = 64UL * 1024; ///< answers up to this are read whole first
-    double retry_share = 0.1;         ///< retries for each recent success of a service
-    double fleet_floor_retries = 0;   ///< over all nodes, without any success; 0: 2 for each node
+    /// An idempotent request that is open for this many usual times is tried elsewhere; 0: never.
+    double hedge_after = 0;
+    double retry_share = 0.1;       ///< retries for each recent success of a service
+    double fleet_floor_retries = 0; ///< over all nodes, without any success; 0: 2 for each node
 };
 
 /// A request that may run: whose it is, where it goes.
@@ -79,6 +81,7 @@
 
 private:
     struct attempt;
+    struct route_search;
 
     std::optional<refusal_answer> hold_to_rate(const admitted_request& request) const;
     std::optional<refusal_answer> admit(const caller_head& head, time_point now,
@@ -96,10 +99,18 @@
                                               const httplib::ContentReader* reader, once_hold* hold,
                                               httplib::Response& res);
     std::optional<route_choice> choose(const admitted_request& request,
-                                       const std::vector<backend_server_id>& tried);
+                                       const std::vector<backend_server_id>& tried,
+                                       bool is_thorough = false);
+    std::optional<route_choice> choose_next(const admitted_request& request, route_search& search);
+    std::optional<route_choice> choose_suspected(const admitted_request& request,
+                                                 route_search& search);
     attempt try_once(const admitted_request& request, const route_choice& choice,
-                     const message_head& head, const std::string& body,
+                     const route_search& search, const message_head& head, const std::string& body,
                      const httplib::ContentReader* reader);
+    result<message_head, link_error> wait_for_answer(const admitted_request& request, attempt& it,
+                                                     bool may_hedge, time_point deadline);
+    duration hedge_delay(const admitted_request& request) const;
+    void learn_time(const admitted_request& request, duration took);
     void read_small_answer(attempt& it, time_point deadline) const;
     bool may_retry(const admitted_request& request, const refusal_answer& last);
     void finished(const route_choice& choice, const attempt& it);
@@ -115,6 +126,7 @@
     std::shared_ptr<const fleet_config> config_;
     router router_;
     retry_budget retries_;
+    std::map<duration, double> answer_seconds_; ///< usual times of answers, by target latency
     std::mt19937_64 random_{std::random_device{}()};
 };
 
--- a/src/fleet_config.cpp
+++ b/src/fleet_config.cpp
@@ -27,8 +27,7 @@
 template <class Item>
 void sort_by_id(std::vector<Item>& items)
 {
-    std::sort(items.begin(), items.end(),
-              [](const Item& a, const Item& b) { return a.id < b.id; });
+    std::sort(items.begin(), items.end(), [](const Item& a, const Item& b) { return a.id < b.id; });
 }
 
 // A heading such as "organisation honey" split into its kind and name.
@@ -214,21 +213,21 @@
 
     void add_route(field_reader& in, const std::string& name)
     {
-        route_config it{.id = id_of<route_id>(name),
-                        .name = name,
-                        .host = in.text("host", ""),
-                        .path = in.required_text("path"),
-                        .service = {},
-                        .targets = {},
-                        .methods = in.list("methods"),
-                        .idempotent = read_idempotency(in),
-                        .organisations = {},
-                        .attempts = in.number("attempts", default_attempts, 1, most_attempts),
-                        .timeout = in.time("timeout", {}, {}, longest_timeout),
-                        .target_latency = in.time("target_latency", {}, {}, longest_timeout),
-                        .priority = static_cast<std::uint32_t>(
-                            in.number("priority", 0, 0, lowest_priority)),
-                        .is_public = in.flag("public", false)};
+        route_config it{
+            .id = id_of<route_id>(name),
+            .name = name,
+            .host = in.text("host", ""),
+            .path = in.required_text("path"),
+            .service = {},
+            .targets = {},
+            .methods = in.list("methods"),
+            .idempotent = read_idempotency(in),
+            .organisations = {},
+            .attempts = in.number("attempts", default_attempts, 1, most_attempts),
+            .timeout = in.time("timeout", {}, {}, longest_timeout),
+            .target_latency = in.time("target_latency", {}, {}, longest_timeout),
+            .priority = static_cast<std::uint32_t>(in.number("priority", 0, 0, lowest_priority)),
+            .is_public = in.flag("public", false)};
         if (!it.path.starts_with('/'))
             in.reject("path", "a path that begins with '/'");
         read_targets(in, it);
@@ -254,7 +253,8 @@
     {
         for (const std::string& it : in.list("service")) {
             const heading target = split_heading(it);
-            const auto weight = target.name.empty() ? 1 : std::strtoul(target.name.c_str(), nullptr, 10);
+            const auto weight =
+                target.name.empty() ? 1 : std::strtoul(target.name.c_str(), nullptr, 10);
             out.targets.push_back({.service = id_of<service_id>(target.kind),
                                    .weight = static_cast<std::uint32_t>(weight)});
             if (find_service(out_, out.targets.back().service) == nullptr || weight == 0 ||
@@ -312,8 +312,8 @@
     }
     std::sort(config.keys.begin(), config.keys.end(),
               [](const key_entry& a, const key_entry& b) { return a.key < b.key; });
-    const auto same =
-        std::adjacent_find(config.keys.begin(), config.keys.end(), [](const auto& a, const auto& b) {
+    const auto same = std::adjacent_find(
+        config.keys.begin(), config.keys.end(), [](const auto& a, const auto& b) {
             return a.key == b.key && a.organisation != b.organisation;
         });
     if (same == config.keys.end())
--- a/src/fleet_config.h
+++ b/src/fleet_config.h
@@ -47,8 +47,8 @@
     std::string host; ///< in lower case; empty: all hosts
     std::string path; ///< prefix, ends at a '/' boundary of the request's path
     service_id service;
-    std::vector<route_target> targets;          ///< empty: all requests go to `service`
-    std::vector<std::string> methods;           ///< empty: all
+    std::vector<route_target> targets; ///< empty: all requests go to `service`
+    std::vector<std::string> methods;  ///< empty: all
     idempotency idempotent = idempotency::by_method;
     std::vector<organisation_id> organisations; ///< sorted; empty: open to all organisations
     std::size_t attempts = default_attempts;    ///< backend servers that one request may reach
@@ -62,9 +62,9 @@
 struct organisation_config {
     organisation_id id;
     std::string name;
-    double rate = 0;          ///< requests a second over the whole fleet
-    double burst = 0;         ///< requests at once over the whole fleet
-    std::vector<digest> keys; ///< digests of the keys that callers may show
+    double rate = 0;                         ///< requests a second over the whole fleet
+    double burst = 0;                        ///< requests at once over the whole fleet
+    std::vector<digest> keys;                ///< digests of the keys that callers may show
     std::optional<std::uint32_t> priority{}; ///< goes before the priority of the route
     bool is_unlimited = false;               ///< no rate and burst
 };
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -14,10 +14,14 @@
 constexpr int first_error_status = 500;
 
 // Tells the entry node that this gate did not run the request, or does not know.
-static void refuse(link_stream& stream, const refusal_answer& it)
+static void refuse(link_stream& stream, const refusal_answer& it,
+                   std::optional<double> load = std::nullopt)
 {
     message_head head{.method = {}, .path = {}, .status = status_of(it.reason), .fields = {}};
     head.fields.push_back({.name = std::string(outcome_field), .value = outcome_text(it)});
+    if (load)
+        head.fields.push_back(
+            {.name = std::string(load_field), .value = fmt::format("{:.3f}", *load)});
     stream.respond(std::move(head), true);
 }
 
@@ -43,9 +47,8 @@
         const std::lock_guard lock(mutex_);
         auto [place, fresh] = servers_.try_emplace(it.server.id);
         backend_server& server = place->second;
-        const bool overtaken =
-            it.run < server.run ||
-            (it.run == server.run && it.sequence != 0 && it.sequence <= server.sequence);
+        const bool overtaken = it.run < server.run || (it.run == server.run && it.sequence != 0 &&
+                                                       it.sequence <= server.sequence);
         if (!fresh && overtaken)
             return announcement_end::late;
         server_record record = it.server;
@@ -55,8 +58,10 @@
                                        .max_waiting = options_.waiting_requests,
                                        .max_waiting_for_one = options_.waiting_requests / 4 + 1});
         }
-        if (server.run != it.run || server.name != it.name)
+        if (server.run != it.run || server.name != it.name) {
             server.idle.clear();
+            server.stalls = stall_watch();
+        }
         changed = fresh || server.record != record;
         server.record = record;
         server.run = it.run;
@@ -134,10 +139,10 @@
         }
         changed = std::exchange(lost_, false);
         changed |= std::erase_if(servers_, [&](const auto& it) {
-                      const backend_server& server = it.second;
-                      return server.slots.running() + server.slots.waiting() == 0 &&
-                             now - server.last_heard > options_.announcement_ttl;
-                  }) > 0;
+                       const backend_server& server = it.second;
+                       return server.slots.running() + server.slots.waiting() == 0 &&
+                              now - server.last_heard > options_.announcement_ttl;
+                   }) > 0;
     }
     perform(out);
     if (changed)
@@ -166,9 +171,16 @@
     return out;
 }
 
+// Share of the slots that are taken or waited for, and the probability that it hangs: from 0 up.
+double gate::load_of(const backend_server& it)
+{
+    const double busy = static_cast<double>(it.slots.running() + it.slots.waiting());
+    return busy / std::max<std::uint32_t>(it.record.slots, 1) + it.stalls.suspicion(boot_now());
+}
+
 // Everything that keeps a request from a backend server is looked at here, at the door: the news of
 // it may not have reached the entry node yet.
-std::optional<refusal> gate::check(const dispatch& request) const
+std::optional<refusal> gate::check(const dispatch& request, time_point now)
 {
     const auto it = servers_.find(request.server);
     if (stopping_ || request.gate_run != options_.run)
@@ -184,6 +196,11 @@
         return refusal::no_backend_server;
     if (!health_.admits(request.server, request.idempotent))
         return refusal::overloaded;
+    backend_server& server = it->second;
+    if (!request.may_wait && server.slots.running() >= record.slots)
+        return refusal::overloaded;
+    if (!request.insists && !server.stalls.admits(request.idempotent, now))
+        return refusal::suspect;
     return std::nullopt;
 }
 
@@ -232,15 +249,20 @@
     const time_point now = boot_now();
     outcome out;
     std::optional<refusal> reason;
+    std::optional<double> load;
     request_id id;
     {
         const std::lock_guard lock(mutex_);
-        reason = check(*request);
+        reason = check(*request, now);
+        if (const auto it = servers_.find(request->server); reason && it != servers_.end())
+            load = load_of(it->second);
         if (!reason) {
             id = request_id{next_request_++};
             const time_point deadline = now + request->time_left;
-            pending_.emplace(
-                id, pending_request{.stream = stream, .request = *request, .deadline = deadline});
+            pending_.emplace(id, pending_request{.stream = stream,
+                                                 .request = *request,
+                                                 .deadline = deadline,
+                                                 .accepted = now});
             slot_queue& slots = servers_.at(request->server).slots;
             sort_actions(
                 slots.enqueue({.request = id,
@@ -251,7 +273,7 @@
         }
     }
     if (reason) {
-        refuse(*stream, {.reason = *reason});
+        refuse(*stream, {.reason = *reason}, load);
         return;
     }
     const bool waits = out.started.empty() && out.refused.empty();
@@ -360,19 +382,26 @@
 static std::string_view name_of(call_end it)
 {
     static constexpr std::array<std::string_view, 7> names{
-        "whole_answer", "not_connected", "shed", "cut_answer",
+        "whole_answer", "not_connected", "shed",       "cut_answer",
         "no_answer",    "caller_left",   "misdirected"};
     return names.at(static_cast<std::size_t>(it));
 }
 
+static double milliseconds(duration it)
+{
+    return std::chrono::duration<double, std::milli>(it).count();
+}
+
 void gate::note_end(const pending_request& it, const call_result& result, bool past_deadline) const
 {
     const std::string* id = find_field(it.stream->head(), options_.names.request_id);
     log_event(event::dispatch_ended,
-              "id={} from={} server={:016x} end={} status={} past_deadline={} ms={:.1f}",
+              "id={} from={} server={:016x} end={} status={} past_deadline={} waited_ms={:.1f} "
+              "ms={:.1f} suspicion={:.2f} idempotent={} may_wait={} insists={}",
               id == nullptr ? "-" : *id, it.stream->peer().vm_name, it.request.server.value,
               name_of(result.end), result.status, past_deadline,
-              std::chrono::duration<double, std::milli>(result.service_time).count());
+              milliseconds(it.started - it.accepted), milliseconds(result.service_time),
+              it.suspicion, it.request.idempotent, it.request.may_wait, it.request.insists);
 }
 
 void gate::run(request_id id)
@@ -387,20 +416,26 @@
         backend_server& server = servers_.at(it.request.server);
         client = take_connection(server);
         name = server.name;
-        load = static_cast<double>(server.slots.running() + server.slots.waiting()) /
-               server.record.slots;
+        load = load_of(server);
     }
     it.stream->on_cancel({});
     if (it.stream->is_cancelled()) {
         finish(id, it, nullptr, {.end = call_end::not_connected});
         return;
     }
-    it.request.time_left = it.deadline - boot_now();
+    it.started = boot_now();
+    it.request.time_left = it.deadline - it.started;
     if (it.request.time_left <= duration::zero()) {
         finish(id, it, nullptr, {.end = call_end::not_connected});
         return;
     }
     health_.started(id, it.request.server);
+    {
+        const std::lock_guard lock(mutex_);
+        it.suspicion = servers_.at(it.request.server).stalls.suspicion(it.started);
+        servers_.at(it.request.server)
+            .stalls.started(id, it.request.route, it.request.target, boot_now());
+    }
     const call_result result = call_backend(client, it.stream,
                                             {.deadline = it.deadline,
                                              .load = load,
@@ -409,7 +444,7 @@
                                              .expected_server = name});
     if (result.end == call_end::not_connected || result.end == call_end::misdirected)
         note_lost(it, result.end);
-    const bool past_deadline = boot_now() >= it.deadline;
+    const bool past_deadline = result.timed_out;
     note_end(it, result, past_deadline);
     const bool died = !past_deadline && died_of(it, result);
     health_.finished(
@@ -417,17 +452,37 @@
     finish(id, it, std::move(client), result);
 }
 
+static request_evidence evidence_of(const call_result& it)
+{
+    switch (it.end) {
+    case call_end::whole_answer:
+        return it.status >= first_error_status ? request_evidence::failed
+                                               : request_evidence::answered;
+    case call_end::cut_answer:
+        return request_evidence::failed;
+    case call_end::no_answer:
+        return it.timed_out ? request_evidence::nothing : request_evidence::failed;
+    case call_end::not_connected:
+    case call_end::shed:
+    case call_end::caller_left:
+    case call_end::misdirected:
+        break;
+    }
+    return request_evidence::nothing;
+}
+
 // A connection whose answer was not read to its end is dropped: what is left of that answer must
 // never reach another caller.
 void gate::finish(request_id id, const pending_request& it, std::shared_ptr<httplib::Client> client,
                   const call_result& result)
 {
-    answer_for(*it.stream, result, boot_now() >= it.deadline);
+    answer_for(*it.stream, result, result.timed_out);
     outcome out;
     {
         const std::lock_guard lock(mutex_);
         const time_point now = boot_now();
         backend_server& server = servers_.at(it.request.server);
+        server.stalls.ended(id, evidence_of(result), now);
         if (result.may_reuse && client != nullptr && server.idle.size() < server.record.slots)
             server.idle.push_back({.client = std::move(client), .since = now});
         pending_.erase(id);
--- a/src/gate.h
+++ b/src/gate.h
@@ -12,6 +12,7 @@
 #include "poison_service.h"
 #include "refusal.h"
 #include "slot_queue.h"
+#include "stall_watch.h"
 #include "types.h"
 #include "worker_pool.h"
 
@@ -72,6 +73,7 @@
         bool is_lost = false; ///< nothing listens, or another one answers; until it is heard again
         time_point last_heard;
         slot_queue slots;
+        stall_watch stalls;
         std::vector<idle_connection> idle;
     };
     // A request that waits for a slot or runs.
@@ -79,6 +81,9 @@
         std::shared_ptr<link_stream> stream;
         dispatch request;
         time_point deadline;
+        time_point accepted;
+        time_point started;
+        double suspicion = 0; // of the backend server when it started
     };
     // What is to be done once the lock is free.
     struct refused_stream {
@@ -90,7 +95,8 @@
         std::vector<refused_stream> refused;
     };
 
-    std::optional<refusal> check(const dispatch& request) const;
+    static double load_of(const backend_server& it);
+    std::optional<refusal> check(const dispatch& request, time_point now);
     void sort_actions(const slot_actions& actions, outcome& out,
                       refusal reason = refusal::overloaded);
     void note_lost(const pending_request& it, call_end end);
--- a/src/limit_delegation.cpp
+++ b/src/limit_delegation.cpp
@@ -8,8 +8,7 @@
 constexpr std::uint64_t holder_salt = 0x6c696d6974;
 
 limit_delegation::limit_delegation(const limit_delegation_options& options)
-    : options_(options), candidates_{options.self.vm}, loans_(options.groups),
-      lent_(options.groups)
+    : options_(options), candidates_{options.self.vm}, loans_(options.groups), lent_(options.groups)
 {
 }
 
--- a/src/limit_delegation.h
+++ b/src/limit_delegation.h
@@ -1,9 +1,9 @@
 #pragma once
 
-// Who holds the buckets of the limits where no mandate is kept in the store. Every node owns an equal
-// share of all contracts and lends it, for a short time, to the node that all should agree on. A
-// holder may use only the shares that are lent to it now, so two holders, in a parted fleet or while
-// members come and go, never use more than the whole together.
+// Who holds the buckets of the limits where no mandate is kept in the store. Every node owns an
+// equal share of all contracts and lends it, for a short time, to the node that all should agree
+// on. A holder may use only the shares that are lent to it now, so two holders, in a parted fleet
+// or while members come and go, never use more than the whole together.
 //
 // Time is counted from a stamp that the holder itself issued and the lender sent back: a delayed
 // message lends nothing.
@@ -95,8 +95,8 @@
     std::vector<vm_id> candidates_; // nodes that may hold, this one included unless it leaves
     std::vector<past_count> counts_;
     std::size_t known_nodes_ = 1;
-    std::vector<loan_state> loans_;                    // by group
-    std::vector<std::map<vm_id, lent_share>> lent_;    // by group
+    std::vector<loan_state> loans_;                 // by group
+    std::vector<std::map<vm_id, lent_share>> lent_; // by group
 };
 
 } // namespace jasminebank
--- a/src/limit_service.cpp
+++ b/src/limit_service.cpp
@@ -49,7 +49,7 @@
         it.clear();
     const std::uint32_t domains = domain_count();
     for (const organisation_config& it : config_->organisations) {
-        rate_contract contract = contract_of(it.id, it.rate, it.burst);
+        rate_contract contract = contract_of(it.id, it.rate, it.burst + options_.burst_slack);
         contract.home = suggested_home(contract, domains);
         contracts_[shard_of(it.id, limit_shards)].push_back(contract);
     }
--- a/src/limit_service.h
+++ b/src/limit_service.h
@@ -34,6 +34,8 @@
     /// Waits of one request at most, while holders are slow to answer.
     std::size_t attempts = 4;
     limit_entry_options entry{.shards = limit_shards};
+    /// Tokens beyond each burst, where the operators' bound leaves room for them.
+    double burst_slack = 0;
 };
 
 /// Messages to and from other nodes, in batches; bytes are those of the payloads.
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -111,8 +111,8 @@
     void add(event number, std::string line)
     {
         const std::lock_guard lock(mutex_);
-        const auto second = std::chrono::steady_clock::now().time_since_epoch() /
-                            std::chrono::seconds(1);
+        const auto second =
+            std::chrono::steady_clock::now().time_since_epoch() / std::chrono::seconds(1);
         event_lines& lines = lines_[number];
         if (lines.second != second)
             lines = {.second = second, .count = 0};
@@ -162,9 +162,8 @@
 public:
     static std::string line_of(event number, std::string_view text)
     {
-        const auto it = std::find_if(catalogue.begin(), catalogue.end(), [&](const auto& entry) {
-            return entry.number == number;
-        });
+        const auto it = std::find_if(catalogue.begin(), catalogue.end(),
+                                     [&](const auto& entry) { return entry.number == number; });
         const auto now = wall_clock::now();
         const auto millis =
             std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()) % 1000;
--- a/src/log.h
+++ b/src/log.h
@@ -2,8 +2,8 @@
 
 // Numbered log events on standard output, one line each of `key=value` fields. A thread of its own
 // writes them, so that a slow reader of the output holds nobody up; each event has a bound on its
-// lines a second, and what is over it or over the buffer is counted and told. The catalogue, docs/EVENTS.md, has a row for each number;
-// a test compares the two.
+// lines a second, and what is over it or over the buffer is counted and told. The catalogue,
+// docs/EVENTS.md, has a row for each number; a test compares the two.
 
 #include <fmt/format.h>
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -263,21 +263,22 @@
     pings_.erase(ping);
 }
 
-// The sender's edition of its own record, its digest and its generation tell whether there is
-// something to fetch from it. A difference of digests that lasts is no news on its way, but news
-// that was missed.
+// The sender's digest and its generation tell whether there is something to fetch from it. While
+// news is on its way digests differ for a moment; one that differs although nothing has changed
+// here for a while means that one side has missed something, as two parts of a fleet that meet
+// again have, however well the nodes of each part agree.
 void membership::note_differences(const endpoint& from, const heartbeat& it, time_point now,
                                   membership_actions& out)
 {
     if (it.generation > generation_)
         out.emplace_back(fetch_config{.link = from, .generation = it.generation});
-    if (it.directory_digest == directory_.digest()) {
-        differs_since_.reset();
-        return;
+    if (directory_.digest() != settled_digest_) {
+        settled_digest_ = directory_.digest();
+        settled_since_ = now;
     }
-    if (!differs_since_)
-        differs_since_ = now;
-    if (now - *differs_since_ < options_.difference_time || now < next_exchange_)
+    if (it.directory_digest == directory_.digest())
+        return;
+    if (now - settled_since_ < options_.difference_time || now < next_exchange_)
         return;
     next_exchange_ = now + options_.exchange_interval;
     out.emplace_back(exchange_members{.link = from});
--- a/src/membership.h
+++ b/src/membership.h
@@ -168,7 +168,8 @@
     time_point next_ping_;
     time_point next_seed_ping_;
     time_point next_exchange_;
-    std::optional<time_point> differs_since_;
+    std::uint64_t settled_digest_ = 0; // of the directory
+    time_point settled_since_{};       // when it was first seen so
     std::mt19937_64 random_;
 };
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -113,23 +113,23 @@
                        .store = platform_ ? std::vector<endpoint>{} : settings_.store,
                        .on_standing =
                            [this](backend_server_id server, server_standing standing) {
-                               if (gate_->set_standing(server, standing))
+                               // On a platform each gate judges for the next moments only.
+                               if (!platform_ && gate_->set_standing(server, standing))
                                    publish_servers();
                            }},
         *links_);
     poison_ = std::make_unique<poison_service>(id_of<vm_id>(settings_.vm_name), *links_);
-    gate_ = std::make_unique<gate>(
-        gate_options{.run = run_,
-                     .announcement_ttl = settings_.announcement_ttl,
-                     .backend_idle = settings_.backend_idle,
-                     .waiting_requests = settings_.waiting_requests,
-                     .names = platform_ ? platform_->names : header_names{}},
-        *health_, *poison_);
+    gate_ =
+        std::make_unique<gate>(gate_options{.run = run_,
+                                            .announcement_ttl = settings_.announcement_ttl,
+                                            .backend_idle = settings_.backend_idle,
+                                            .waiting_requests = settings_.waiting_requests,
+                                            .names = platform_ ? platform_->names : header_names{}},
+                               *health_, *poison_);
     reach_ = std::make_unique<reach_monitor>(
-        reach_monitor_options{.on_change =
-                                  [this](vm_id vm, bool answers) {
-                                      entry_->set_gate_reachable(vm, answers);
-                                  }},
+        reach_monitor_options{
+            .on_change = [this](vm_id vm,
+                                bool answers) { entry_->set_gate_reachable(vm, answers); }},
         *links_);
 }
 
@@ -157,11 +157,14 @@
             .names = platform_ ? platform_->names : header_names{},
             .local_service = [this] { return local_service(); },
             .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
+            .hedge_after = settings_.hedge_after,
             .retry_share = settings_.retry_share,
             .fleet_floor_retries = settings_.fleet_floor_retries},
         *links_,
         router_options{.self = id_of<vm_id>(settings_.vm_name),
-                       .domain = id_of<failure_domain_id>(settings_.failure_domain)});
+                       .domain = id_of<failure_domain_id>(settings_.failure_domain),
+                       .other_domain_penalty = settings_.other_domain_penalty,
+                       .own_domain_first = settings_.own_domain_first});
 }
 
 void node::take_config(const std::shared_ptr<const fleet_config>& config)
@@ -179,11 +182,10 @@
 {
     if (platform_) {
         feed_ = std::make_unique<config_feed>(
-            config_feed_options{.decode = platform_->decode_config,
-                                .on_generation =
-                                    [this](std::shared_ptr<const fleet_config> it) {
-                                        take_config(it);
-                                    }},
+            config_feed_options{
+                .decode = platform_->decode_config,
+                .on_generation =
+                    [this](std::shared_ptr<const fleet_config> it) { take_config(it); }},
             *links_);
         return;
     }
@@ -229,7 +231,8 @@
     };
     limits_ = std::make_unique<limit_service>(
         limit_service_options{.self = self,
-                              .domain = id_of<failure_domain_id>(settings_.failure_domain)},
+                              .domain = id_of<failure_domain_id>(settings_.failure_domain),
+                              .burst_slack = settings_.burst_slack},
         *links_);
     if (platform_)
         return;
@@ -327,13 +330,13 @@
     add_caller_routes();
     add_control_routes(*control_);
     if (settings_.metrics.port != 0) {
-        metrics_door_ = std::make_unique<socket_server>(socket_server_options{
-            .listen = settings_.metrics, .connections = control_connections});
+        metrics_door_ = std::make_unique<socket_server>(
+            socket_server_options{.listen = settings_.metrics, .connections = control_connections});
         add_control_routes(*metrics_door_);
     }
     if (settings_.ready.port != 0) {
-        ready_door_ = std::make_unique<socket_server>(socket_server_options{
-            .listen = settings_.ready, .connections = control_connections});
+        ready_door_ = std::make_unique<socket_server>(
+            socket_server_options{.listen = settings_.ready, .connections = control_connections});
         ready_door_->Get(".*", [this](const httplib::Request&, httplib::Response& res) {
             res.status = !leaving_ && entry_->config() != nullptr ? ok_status : unavailable_status;
         });
--- a/src/node_main.cpp
+++ b/src/node_main.cpp
@@ -79,9 +79,9 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     mallopt(M_ARENA_MAX, malloc_arenas);
-    const auto it = node::start(
-        settings, this_run(),
-        settings.on_platform ? std::optional(platform::make_parts()) : std::nullopt);
+    const auto it =
+        node::start(settings, this_run(),
+                    settings.on_platform ? std::optional(platform::make_parts()) : std::nullopt);
     if (it == nullptr)
         return EXIT_FAILURE;
     const node_ports ports = it->ports();
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -36,13 +36,18 @@
     duration closing_grace{};    ///< a planned stop still answers on new connections this long
     cut_off_policy when_cut_off = cut_off_policy::refuse;
 
-    bool on_platform = false;  ///< the store, configuration and backend server are the platform's
-    endpoint ready;            ///< answers whether callers may come; port 0: not served
-    endpoint metrics;          ///< metrics and status; port 0: on `control` only
-    endpoint backend_server;   ///< the only one that may announce itself here; port 0: any
-    std::string service;       ///< of that backend server
-    duration news_age{};       ///< oldest proof of fresh news with which keys are taken; 0: see DESIGN
-    std::uint32_t limit_holders = 1;   ///< nodes that hold the limits' buckets
+    bool on_platform = false; ///< the store, configuration and backend server are the platform's
+    endpoint ready;           ///< answers whether callers may come; port 0: not served
+    endpoint metrics;         ///< metrics and status; port 0: on `control` only
+    endpoint backend_server;  ///< the only one that may announce itself here; port 0: any
+    std::string service;      ///< of that backend server
+    duration news_age{};    ///< oldest proof of fresh news with which keys are taken; 0: see DESIGN
+    double burst_slack = 0; ///< tokens beyond each organisation's burst
+    std::uint32_t limit_holders = 1; ///< nodes that hold the limits' buckets
+    /// An idempotent request open for this many usual times is tried elsewhere; 0: never.
+    double hedge_after = 0;
+    double other_domain_penalty = 1.0; ///< of a hop to another failure domain, in full servers
+    bool own_domain_first = true;      ///< others only when the own domain's servers are full
     double retry_share = 0.1;          ///< retries for each recent success of a service
     double fleet_floor_retries = 0;    ///< of all nodes without any success; 0: 2 of each node
 };
--- a/src/reach_monitor.h
+++ b/src/reach_monitor.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// Finds out whether other nodes answer on their links. A node that is suspected, by a failed request
-// or a missed heartbeat, is probed until it answers, so that no request has to be risked for it.
+// Finds out whether other nodes answer on their links. A node that is suspected, by a failed
+// request or a missed heartbeat, is probed until it answers, so that no request has to be risked
+// for it.
 
 #include "link_hub.h"
 #include "member_directory.h"
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -32,6 +32,7 @@
     refusal_row{refusal::duplicate, "duplicate", 409},
     refusal_row{refusal::backend_server_error, "backend_server_error", 502},
     refusal_row{refusal::shed, "shed", 503},
+    refusal_row{refusal::suspect, "suspect", 503},
     refusal_row{refusal::body_too_large, "body_too_large", 413},
     refusal_row{refusal::register_unavailable, "register_unavailable", 503},
 };
@@ -88,7 +89,7 @@
     if (it.state != run_state::not_run)
         return false;
     return it.reason == refusal::overloaded || it.reason == refusal::stopping ||
-           it.reason == refusal::shed ||
+           it.reason == refusal::shed || it.reason == refusal::suspect ||
            it.reason == refusal::no_backend_server;
 }
 
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -37,6 +37,7 @@
     duplicate,            ///< the same idempotency key has been used
     backend_server_error, ///< the backend server failed while it had the request
     shed,                 ///< the backend server itself had no room
+    suspect,              ///< the backend server may hang or fail just now
     body_too_large,       ///< the request's body is over the configured bound
     register_unavailable, ///< nobody can tell whether the idempotency key was used, or no room
 };
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace jasminebank {
 
-// What a hop to another failure domain costs, in units of a fully busy server.
-constexpr double other_domain_penalty = 1.0;
+// A server that its gate suspects is picked only when all others are this much busier.
+constexpr double suspected_penalty = 10.0;
 // A demoted server is picked only when all others are this much busier.
 constexpr double demoted_penalty = 100.0;
 
@@ -63,15 +64,19 @@
     candidates.resize(std::min(candidates.size(), options_.subset));
 }
 
-// Expected busyness: what this node has in flight itself, and what the last answer told.
-double router::score(const candidate& it) const
+// Expected busyness: what this node has in flight itself, and what its gate told lately.
+double router::score(const candidate& it, time_point now) const
 {
     const server_state& state = servers_.at(it.choice.server);
-    double out = state.load + (state.in_flight + 1.0) / it.slots;
+    const double age = std::chrono::duration<double>(now - state.told).count();
+    const double memory = std::chrono::duration<double>(options_.load_memory).count();
+    double out = state.load * std::exp(-age / memory) + (state.in_flight + 1.0) / it.slots;
     if (it.domain != options_.domain)
-        out += other_domain_penalty;
+        out += options_.other_domain_penalty;
     if (it.standing == server_standing::demoted)
         out += demoted_penalty;
+    if (now < state.suspected_until)
+        out += suspected_penalty;
     return out;
 }
 
@@ -88,8 +93,8 @@
     return paused == paused_gates_.end() || paused->second <= now;
 }
 
-// Picks two of the usable servers at random, own domain and full standing preferred by their score,
-// and takes the less busy one: near the balance of a full search, without herding.
+// Draws a few of the usable servers at random, own domain and full standing preferred by their
+// score, and takes the least busy: near the balance of a full search, without herding.
 std::optional<route_choice> router::choose(const route_request& wanted, std::uint64_t random,
                                            time_point now) const
 {
@@ -102,15 +107,21 @@
         if (!is_usable(it, wanted, now))
             continue;
         all.push_back(&it);
-        if (it.domain == options_.domain && score(it) < other_domain_penalty + 1)
+        if (options_.own_domain_first && it.domain == options_.domain && score(it, now) < 2.0)
             own.push_back(&it);
     }
     const auto& from = own.empty() ? all : own;
-    if (from.empty())
+    const candidate* best = nullptr;
+    const std::size_t draws = wanted.is_thorough ? from.size() : options_.draws;
+    for (std::size_t n = 0; n < draws && !from.empty(); ++n) {
+        const std::size_t at = wanted.is_thorough ? n + random : n == 0 ? random : mix(random, n);
+        const candidate* it = from[at % from.size()];
+        if (best == nullptr || score(*it, now) < score(*best, now))
+            best = it;
+    }
+    if (best == nullptr)
         return std::nullopt;
-    const candidate* a = from[random % from.size()];
-    const candidate* b = from[mix(random, 1) % from.size()];
-    return score(*b) < score(*a) ? b->choice : a->choice;
+    return best->choice;
 }
 
 void router::started(backend_server_id server)
@@ -121,15 +132,29 @@
 }
 
 // The server may have left and come back meanwhile, so the count may already stand at zero.
-void router::finished(backend_server_id server, std::optional<double> load)
+void router::refused(backend_server_id server, bool suspected, std::optional<double> load,
+                     time_point now)
+{
+    const auto it = servers_.find(server);
+    if (it == servers_.end())
+        return;
+    if (suspected)
+        it->second.suspected_until = now + options_.suspicion_memory;
+    it->second.load = load.value_or(1);
+    it->second.told = now;
+}
+
+void router::finished(backend_server_id server, std::optional<double> load, time_point now)
 {
     const auto it = servers_.find(server);
     if (it == servers_.end())
         return;
     if (it->second.in_flight > 0)
         --it->second.in_flight;
-    if (load)
+    if (load) {
         it->second.load = *load;
+        it->second.told = now;
+    }
 }
 
 void router::gate_failed(vm_id gate, time_point now)
--- a/src/router.h
+++ b/src/router.h
@@ -17,7 +17,12 @@
 struct router_options {
     vm_id self;
     failure_domain_id domain;
-    std::size_t subset = 24; ///< backend servers of one service that this node uses
+    std::size_t subset = 24;           ///< backend servers of one service that this node uses
+    double other_domain_penalty = 1.0; ///< of a hop to another failure domain, in full servers
+    bool own_domain_first = true;      ///< others only when the own domain's servers are full
+    duration load_memory = std::chrono::milliseconds(500);      ///< what a gate told fades in
+    duration suspicion_memory = std::chrono::milliseconds(300); ///< after a gate's refusal for it
+    std::size_t draws = 2;                         ///< servers drawn at random for each choice
     duration gate_pause = std::chrono::seconds(1); ///< a gate that failed is left alone this long
 };
 
@@ -26,6 +31,7 @@
     service_id service;
     bool idempotent = false;                    ///< may serve as a trial request
     std::span<const backend_server_id> tried{}; ///< backend servers that are not to be asked again
+    bool is_thorough = false;                   ///< look at all of them rather than at a few
 };
 
 /// Where a request goes.
@@ -49,7 +55,11 @@
     /// Counts a request sent to a server.
     void started(backend_server_id server);
     /// The request ended; `load` is the share of busy slots that the gate told, if it told one.
-    void finished(backend_server_id server, std::optional<double> load);
+    void finished(backend_server_id server, std::optional<double> load, time_point now);
+    /// A gate refused a request because it suspects the server, or has no free slot; `load` as
+    /// above.
+    void refused(backend_server_id server, bool suspected, std::optional<double> load,
+                 time_point now);
     /// The link to a gate failed: its servers are left alone for a while, and while it stays
     /// unreachable.
     void gate_failed(vm_id gate, time_point now);
@@ -65,10 +75,12 @@
     };
     struct server_state {
         std::uint32_t in_flight = 0;
-        double load = 0;
+        double load = 0; // as told at `told`
+        time_point told{};
+        time_point suspected_until{};
     };
 
-    double score(const candidate& it) const;
+    double score(const candidate& it, time_point now) const;
     bool is_usable(const candidate& it, const route_request& wanted, time_point now) const;
     void keep_subset(std::vector<candidate>& candidates) const;
 
--- /dev/null
+++ b/src/stall_watch.cpp
@@ -0,0 +1,153 @@
+#include "stall_watch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminebank {
+
+// Routes whose times are learned; of others only the target is known.
+constexpr std::size_t most_routes = 512;
+// Samples after which older ones fade.
+constexpr double most_samples = 200;
+constexpr double least_spread = 0.25;
+
+static double seconds(duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+stall_watch::stall_watch(const stall_watch_options& options)
+    : options_(options), odds_(options.idle_odds)
+{
+}
+
+stall_watch::service_times stall_watch::times_of(const open_request& it) const
+{
+    const auto found = times_.find(it.route);
+    if (found != times_.end())
+        return found->second;
+    const duration known = it.target > duration::zero() ? it.target : options_.unknown_target;
+    return {.mean = std::log(seconds(known) / options_.target_to_mean),
+            .variance = options_.prior_spread * options_.prior_spread,
+            .weight = options_.prior_samples};
+}
+
+void stall_watch::learn(const open_request& request, duration took)
+{
+    if (times_.size() >= most_routes && !times_.contains(request.route))
+        return;
+    service_times it = times_of(request);
+    const double value = std::log(std::max(seconds(took), 1e-4));
+    it.weight = std::min(it.weight + 1, most_samples);
+    const double delta = value - it.mean;
+    it.mean += delta / it.weight;
+    it.variance += (delta * (value - it.mean) - it.variance) / it.weight;
+    times_[request.route] = it;
+}
+
+static double spread_of(double variance)
+{
+    return std::max(std::sqrt(variance), least_spread);
+}
+
+// Share of healthy requests that are still open at this age; their logarithms are taken as normal.
+double stall_watch::survival(const open_request& request, duration age) const
+{
+    if (age <= duration::zero())
+        return 1;
+    const service_times it = times_of(request);
+    const double z = (std::log(seconds(age)) - it.mean) / spread_of(it.variance);
+    return std::max(0.5 * std::erfc(z / std::sqrt(2.0)), options_.least_survival);
+}
+
+// What ended requests told fades towards what is thought of a server of which nothing is known.
+double stall_watch::past_odds(time_point now) const
+{
+    const double faded = std::exp(-seconds(now - odds_at_) / seconds(options_.memory));
+    return std::exp(faded * std::log(odds_) + (1 - faded) * std::log(options_.idle_odds));
+}
+
+void stall_watch::started(request_id request, route_id route, duration target, time_point now)
+{
+    open_.push_back({.request = request, .route = route, .target = target, .start = now});
+}
+
+void stall_watch::ended(request_id request, request_evidence how, time_point now)
+{
+    const auto it = std::find_if(open_.begin(), open_.end(),
+                                 [&](const open_request& a) { return a.request == request; });
+    if (it == open_.end())
+        return;
+    const open_request ended = *it;
+    open_.erase(it);
+    const double before = past_odds(now);
+    constexpr double most_odds = 50;
+    switch (how) {
+    case request_evidence::answered:
+        learn(ended, now - ended.start);
+        good_start_ = std::max(good_start_, ended.start);
+        odds_ = std::max(options_.good_odds, before * (1 - options_.hang_share));
+        odds_at_ = now;
+        if (ended.start >= probation_since_ || suspicion(now) < options_.trust_from)
+            on_probation_ = false;
+        break;
+    case request_evidence::failed:
+        odds_ = std::min(before * options_.error_factor, most_odds);
+        break;
+    case request_evidence::nothing:
+        // It was given up while it was late: what its age said is kept, and fades.
+        if (ended.start <= good_start_)
+            return;
+        odds_ = std::min(before / survival(ended, now - ended.start), most_odds);
+        break;
+    }
+    odds_at_ = now;
+}
+
+// Requests that started before one that was answered tell nothing about now. Of the others, each is
+// evidence by how unlikely its age is for a healthy server, and less so the longer ago it started.
+double stall_watch::suspicion(time_point now) const
+{
+    double odds = past_odds(now);
+    for (const open_request& it : open_) {
+        if (it.start <= good_start_)
+            continue;
+        const duration age = now - it.start;
+        const double healthy = survival(it, age);
+        const double hanging = options_.hang_share + (1 - options_.hang_share) * healthy;
+        const double faded = std::exp(-seconds(age) / seconds(options_.memory));
+        odds *= std::exp(faded * std::log(hanging / healthy));
+    }
+    return odds / (1 + odds);
+}
+
+// A trial that is open for longer than this has told what it can.
+constexpr duration longest_trial = std::chrono::milliseconds(1500);
+
+bool stall_watch::has_open_trial(time_point now) const
+{
+    return std::any_of(open_.begin(), open_.end(), [&](const open_request& it) {
+        return it.start >= probation_since_ && now - it.start < longest_trial;
+    });
+}
+
+bool stall_watch::admits(bool idempotent, time_point now)
+{
+    const double odds_of_trouble = suspicion(now);
+    if (!on_probation_ && odds_of_trouble < options_.suspect_from)
+        return true;
+    if (!on_probation_) {
+        on_probation_ = true;
+        probation_since_ = now;
+        next_trial_ = now + options_.trial_interval;
+        return false;
+    }
+    if (now < next_trial_ || has_open_trial(now))
+        return false;
+    if (!idempotent && odds_of_trouble >= options_.trust_from)
+        return false;
+    next_trial_ = now + options_.trial_interval;
+    return true;
+}
+
+} // namespace jasminebank
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -2,7 +2,8 @@
 
 // A node's dealings with a store that also holds the configuration: joins the fleet (fleet key, own
 // entry under a lease, addresses of others), and reads the configuration while this node has to.
-// One thread; calls are made one after another, so a slow store delays them and never piles them up.
+// One thread; calls are made one after another, so a slow store delays them and never piles them
+// up.
 
 #include "endpoint.h"
 #include "jitter_backoff.h"
@@ -144,8 +145,12 @@
         must_check_entry_ = true;
     }
 
+    // The own entry is written before the others are read: of two nodes that join at once, at least
+    // one then learns of the other.
     std::optional<joined_fleet> try_join()
     {
+        if (!put_entry())
+            return std::nullopt;
         const auto known = store_->range(prefix_range(std::string(fleet_prefix)));
         if (failed(known)) {
             note_failure("members", error_of(known));
@@ -160,48 +165,50 @@
             if (it.key.starts_with(fleet_members_prefix) && it.key != member_key_ && peer)
                 out.peers.push_back(*peer);
         }
-        if (!put_entry(out.fleet_key))
+        if (out.fleet_key.empty() && !make_key(out.fleet_key))
             return std::nullopt;
         return out;
     }
 
-    // Writes the own entry; with no `fleet_key` known, also makes one, unless another node was
-    // faster, whose key is then taken.
-    bool put_entry(std::string& fleet_key)
+    bool put_entry()
     {
-        const auto lease = store_->grant_lease(options_.entry_ttl);
-        if (failed(lease)) {
-            note_failure("lease", error_of(lease));
-            return false;
-        }
-        lease_ = value_of(lease).lease;
-        next_renewal_ = boot_now() + options_.entry_ttl / 3;
-        const store_put entry{
-            .key = member_key_, .value = to_string(options_.link), .lease = lease_};
-        store_txn txn{.compares = {}, .puts = {entry}, .deletes = {}};
-        std::string made;
-        if (fleet_key.empty()) {
-            made = random_key();
-            txn.compares.push_back(absent(std::string(fleet_key_key)));
-            txn.puts.push_back({.key = std::string(fleet_key_key), .value = made, .lease = {}});
+        if (lease_ == lease_id{}) {
+            const auto lease = store_->grant_lease(options_.entry_ttl);
+            if (failed(lease)) {
+                note_failure("lease", error_of(lease));
+                return false;
+            }
+            lease_ = value_of(lease).lease;
+            next_renewal_ = boot_now() + options_.entry_ttl / 3;
         }
-        const auto done = store_->commit(txn);
+        const auto done = store_->commit(
+            {.compares = {},
+             .puts = {{.key = member_key_, .value = to_string(options_.link), .lease = lease_}},
+             .deletes = {}});
+        if (!failed(done))
+            return true;
+        if (error_of(done).kind == store_error_kind::lease_lost)
+            lease_ = {};
+        note_failure("entry", error_of(done));
+        return false;
+    }
+
+    // Makes the fleet key, unless another node was faster, whose key is then taken.
+    bool make_key(std::string& key)
+    {
+        const std::string made = random_key();
+        const auto done = store_->commit(
+            {.compares = {absent(std::string(fleet_key_key))},
+             .puts = {{.key = std::string(fleet_key_key), .value = made, .lease = {}}},
+             .deletes = {}});
         if (failed(done)) {
-            note_failure("entry", error_of(done));
+            note_failure("fleet key", error_of(done));
             return false;
         }
-        if (value_of(done).succeeded) {
-            if (fleet_key.empty())
-                fleet_key = made;
-            return true;
-        }
-        if (value_of(done).found.empty())
+        if (!value_of(done).succeeded && value_of(done).found.empty())
             return false;
-        fleet_key = value_of(done).found.front().value;
-        const auto again = store_->commit({.compares = {}, .puts = {entry}, .deletes = {}});
-        if (failed(again))
-            note_failure("entry", error_of(again));
-        return !failed(again);
+        key = value_of(done).succeeded ? made : value_of(done).found.front().value;
+        return true;
     }
 
     // True when the configuration was read.
@@ -237,14 +244,14 @@
             must_check_entry_ = false;
             return;
         }
-        std::string key = "known";
         if (error_of(kept).kind != store_error_kind::lease_lost) {
             note_failure("renewal", error_of(kept));
             next_renewal_ = boot_now() + options_.read_interval;
+            return;
         }
-        else if (!put_entry(key)) {
-            must_check_entry_ = true;
-        }
+        lease_ = {};
+        if (!put_entry())
+            next_renewal_ = boot_now() + options_.read_interval;
     }
 
     void run()
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -227,3 +227,29 @@
         EXPECT_FALSE(decode_heartbeat(good.substr(0, n), fleet_key).has_value());
     }
 }
+
+// Two parts of a fleet that agree within themselves, of which one is told the addresses of the
+// other late: what is heard from the own part must not hide that the other part knows different
+// members.
+TEST(membership, two_settled_parts_become_one)
+{
+    small_fleet fleet(8);
+    for (std::size_t a = 0; a < 4; ++a) {
+        for (std::size_t b = 4; b < 8; ++b)
+            fleet.cut_between(a, b);
+    }
+    // The nodes of the second part have all seeds on the other side, so they join by one of theirs.
+    const std::vector<endpoint> own{small_fleet::link(4)};
+    for (std::size_t n = 5; n < 8; ++n)
+        fleet.nodes[n].add_seeds(own);
+    fleet.run(10s);
+    ASSERT_TRUE(fleet.knows(0, 3));
+    ASSERT_TRUE(fleet.knows(5, 7));
+    ASSERT_FALSE(fleet.knows(0, 5));
+    fleet.cuts.clear();
+    fleet.run(5s);
+    for (std::size_t a = 0; a < 8; ++a) {
+        for (std::size_t b = 0; b < 8; ++b)
+            EXPECT_TRUE(fleet.knows(a, b)) << a << " does not know " << b;
+    }
+}
