--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -3,102 +3,90 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace jasminebank {
 
-constexpr std::string_view server_field = "jasmine-server";
-constexpr std::string_view gate_run_field = "jasmine-gate-run";
-constexpr std::string_view route_field = "jasmine-route";
-constexpr std::string_view service_field = "jasmine-service";
+// All that a gate must know, in one field: the numbers in hexadecimal, separated by blanks. It
+// crosses failure domains with every request, where bytes cost.
+constexpr std::string_view dispatch_field = "jasmine-dispatch";
 constexpr std::string_view organisation_field = "jasmine-organisation";
 constexpr std::string_view caller_service_field = "jasmine-caller-service";
-constexpr std::string_view priority_field = "jasmine-priority";
-constexpr std::string_view target_field = "jasmine-target-ms";
-constexpr std::string_view deadline_field = "jasmine-deadline-ms";
-constexpr std::string_view idempotent_field = "jasmine-idempotent";
-constexpr std::string_view may_wait_field = "jasmine-may-wait";
-constexpr std::string_view insists_field = "jasmine-insists";
-constexpr std::string_view fingerprint_high_field = "jasmine-fingerprint-high";
-constexpr std::string_view fingerprint_low_field = "jasmine-fingerprint-low";
 constexpr std::uint64_t longest_deadline_ms = 3'600'000;
+constexpr std::size_t dispatch_numbers = 10;
+constexpr std::uint64_t idempotent_flag = 1;
+constexpr std::uint64_t may_wait_flag = 2;
+constexpr std::uint64_t insists_flag = 4;
 
 static void add_field(message_head& head, std::string_view name, std::string value)
 {
     head.fields.push_back({.name = std::string(name), .value = std::move(value)});
 }
 
+static std::uint64_t in_milliseconds(duration it)
+{
+    const auto out = std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+    return out > 0 ? static_cast<std::uint64_t>(out) : 0;
+}
+
 void write_dispatch(const dispatch& it, message_head& head)
 {
-    const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(it.time_left);
-    add_field(head, server_field, fmt::format("{}", it.server.value));
-    add_field(head, gate_run_field, fmt::format("{}", it.gate_run.value));
-    const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(it.target);
-    add_field(head, route_field, fmt::format("{}", it.route.value));
-    add_field(head, service_field, fmt::format("{}", it.service.value));
-    add_field(head, organisation_field, it.organisation);
+    const std::uint64_t flags = (it.idempotent ? idempotent_flag : 0) |
+                                (it.may_wait ? may_wait_flag : 0) | (it.insists ? insists_flag : 0);
+    const std::array<std::uint64_t, dispatch_numbers> numbers{
+        it.server.value,          it.gate_run.value,  it.route.value,
+        it.service.value,         it.priority,        in_milliseconds(it.target),
+        in_milliseconds(it.time_left), flags,         it.fingerprint.high,
+        it.fingerprint.low};
+    add_field(head, dispatch_field, fmt::format("{:x}", fmt::join(numbers, " ")));
+    if (!it.organisation.empty())
+        add_field(head, organisation_field, it.organisation);
     if (!it.caller_service.empty())
         add_field(head, caller_service_field, it.caller_service);
-    add_field(head, priority_field, fmt::format("{}", it.priority));
-    add_field(head, target_field, fmt::format("{}", target.count()));
-    add_field(head, deadline_field, fmt::format("{}", time_left.count()));
-    add_field(head, idempotent_field, it.idempotent ? "1" : "0");
-    add_field(head, may_wait_field, it.may_wait ? "1" : "0");
-    add_field(head, insists_field, it.insists ? "1" : "0");
-    add_field(head, fingerprint_high_field, fmt::format("{}", it.fingerprint.high));
-    add_field(head, fingerprint_low_field, fmt::format("{}", it.fingerprint.low));
 }
 
-static std::optional<std::uint64_t> read_number(const message_head& head, std::string_view name)
+static std::optional<std::array<std::uint64_t, dispatch_numbers>> read_numbers(
+    const std::string& text)
 {
-    const std::string* text = find_field(head, name);
-    std::uint64_t out = 0;
-    if (text == nullptr)
-        return std::nullopt;
-    const char* last = text->data() + text->size();
-    const auto [end, ec] = std::from_chars(text->data(), last, out);
-    if (ec != std::errc{} || end != last)
-        return std::nullopt;
+    std::array<std::uint64_t, dispatch_numbers> out{};
+    const char* at = text.data();
+    const char* last = at + text.size();
+    for (std::size_t n = 0; n < out.size(); ++n) {
+        const auto [end, ec] = std::from_chars(at, last, out[n], 16);
+        const bool ends = n + 1 == out.size();
+        if (ec != std::errc{} || (ends ? end != last : end == last || *end != ' '))
+            return std::nullopt;
+        at = ends ? end : end + 1;
+    }
     return out;
 }
 
 std::optional<dispatch> read_dispatch(const message_head& head)
 {
-    const auto server = read_number(head, server_field);
-    const auto run = read_number(head, gate_run_field);
-    const auto time_left = read_number(head, deadline_field);
-    const auto idempotent = read_number(head, idempotent_field);
-    const auto high = read_number(head, fingerprint_high_field);
-    const auto low = read_number(head, fingerprint_low_field);
-    const auto service = read_number(head, service_field);
-    const auto priority = read_number(head, priority_field);
-    const auto target = read_number(head, target_field);
-    const std::string* organisation = find_field(head, organisation_field);
-    const std::string* caller_service = find_field(head, caller_service_field);
-    const auto route = read_number(head, route_field);
-    const auto may_wait = read_number(head, may_wait_field);
-    const auto insists = read_number(head, insists_field);
-    if (!route || !may_wait || !insists)
-        return std::nullopt;
-    if (!service || !priority || !target || *target > longest_deadline_ms)
-        return std::nullopt;
-    if (!server || !run || !time_left || !idempotent || !high || !low || organisation == nullptr)
+    const std::string* text = find_field(head, dispatch_field);
+    const auto numbers = text == nullptr ? std::nullopt : read_numbers(*text);
+    if (!numbers)
         return std::nullopt;
-    if (*time_left > longest_deadline_ms)
+    const auto& [server, run, route, service, priority, target, time_left, flags, high, low] =
+        *numbers;
+    if (time_left > longest_deadline_ms || target > longest_deadline_ms || priority > UINT32_MAX)
         return std::nullopt;
-    return dispatch{.server = {*server},
-                    .gate_run = {*run},
-                    .route = {*route},
-                    .service = {*service},
-                    .organisation = *organisation,
+    const std::string* organisation = find_field(head, organisation_field);
+    const std::string* caller_service = find_field(head, caller_service_field);
+    return dispatch{.server = {server},
+                    .gate_run = {run},
+                    .route = {route},
+                    .service = {service},
+                    .organisation = organisation == nullptr ? std::string() : *organisation,
                     .caller_service = caller_service == nullptr ? std::string() : *caller_service,
-                    .priority = static_cast<std::uint32_t>(*priority),
-                    .target = std::chrono::milliseconds(*target),
-                    .time_left = std::chrono::milliseconds(*time_left),
-                    .idempotent = *idempotent != 0,
-                    .may_wait = *may_wait != 0,
-                    .insists = *insists != 0,
-                    .fingerprint = {.high = *high, .low = *low}};
+                    .priority = static_cast<std::uint32_t>(priority),
+                    .target = std::chrono::milliseconds(target),
+                    .time_left = std::chrono::milliseconds(time_left),
+                    .idempotent = (flags & idempotent_flag) != 0,
+                    .may_wait = (flags & may_wait_flag) != 0,
+                    .insists = (flags & insists_flag) != 0,
+                    .fingerprint = {.high = high, .low = low}};
 }
 
 message_head head_for_backend_server(const message_head& head, const dispatch& it,
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -344,6 +344,7 @@
     }
     const organisation_id owner =
         request.organisation == nullptr ? organisation_id{} : request.organisation->id;
+    request.body_bytes = length.value_or(0);
     request.fingerprint = fingerprint_of(owner, request.route->id, head.method,
                                          head.path + '\n' + to_hex(digest_of(body)));
     if (const duration wait = options_.poisoned_for(request.fingerprint); wait > duration::zero()) {
@@ -440,6 +441,7 @@
             if (hold != nullptr)
                 hold->ran(it.answer->status);
             read_small_answer(it, request.deadline);
+            learn_size(request, it.body.size());
         }
         finished(*choice, it);
         if (it.answer) {
@@ -598,6 +600,23 @@
                              : std::chrono::duration<double>(target).count() / target_to_usual;
 }
 
+std::size_t entry::expected_answer_bytes(route_id route) const
+{
+    const auto it = answer_bytes_.find(route);
+    return it == answer_bytes_.end() ? 0 : static_cast<std::size_t>(it->second);
+}
+
+void entry::learn_size(const admitted_request& request, std::size_t bytes)
+{
+    constexpr double weight = 0.1;
+    constexpr std::size_t most_routes = 4096;
+    const std::lock_guard lock(mutex_);
+    if (answer_bytes_.size() >= most_routes && !answer_bytes_.contains(request.route->id))
+        return;
+    double& known = answer_bytes_[request.route->id];
+    known += weight * (static_cast<double>(bytes) - known);
+}
+
 duration entry::hedge_delay(const admitted_request& request) const
 {
     const std::lock_guard lock(mutex_);
--- a/src/entry.h
+++ b/src/entry.h
@@ -55,6 +55,7 @@
     const route_config* route = nullptr;
     const service_config* service = nullptr;
     bool idempotent = false;
+    std::size_t body_bytes = 0; ///< as announced
     time_point start;
     time_point deadline;
     request_fingerprint fingerprint{}; ///< known once the body is here
@@ -110,6 +111,8 @@
     result<message_head, link_error> wait_for_answer(const admitted_request& request, attempt& it,
                                                      bool may_hedge, time_point deadline);
     duration hedge_delay(const admitted_request& request) const;
+    std::size_t expected_answer_bytes(route_id route) const;
+    void learn_size(const admitted_request& request, std::size_t bytes);
     void learn_time(const admitted_request& request, duration took);
     void read_small_answer(attempt& it, time_point deadline) const;
     bool may_retry(const admitted_request& request, const refusal_answer& last);
@@ -126,6 +129,7 @@
     std::shared_ptr<const fleet_config> config_;
     router router_;
     retry_budget retries_;
+    std::map<route_id, double> answer_bytes_; ///< usual sizes of answers
     std::map<duration, double> answer_seconds_; ///< usual times of answers, by target latency
     std::mt19937_64 random_{std::random_device{}()};
 };
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -164,6 +164,7 @@
         router_options{.self = id_of<vm_id>(settings_.vm_name),
                        .domain = id_of<failure_domain_id>(settings_.failure_domain),
                        .other_domain_penalty = settings_.other_domain_penalty,
+                       .other_domain_penalty_per_mb = settings_.other_domain_penalty_per_mb,
                        .own_domain_first = settings_.own_domain_first});
 }
 
@@ -286,7 +287,10 @@
                              .servers = {}};
     members_ = std::make_unique<member_service>(
         member_service_options{
-            .membership = {.self = self, .seeds = fleet_.peers, .random_seed = run_.value},
+            .membership = {.self = self,
+                           .seeds = fleet_.peers,
+                           .random_seed = run_.value,
+                           .period = settings_.ping_period},
             .fleet_key = fleet_.fleet_key,
             .watchers = platform_ ? std::size_t{1} : std::size_t{2},
             .on_directory = [this](const member_directory& it) { take_directory(it); },
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -56,6 +56,8 @@
     out.limit_holders = static_cast<std::uint32_t>(in.number("limit_holders", 1, 1, limit_shards));
     out.hedge_after = in.decimal("hedge_after", 0, 0, 1000);
     out.other_domain_penalty = in.decimal("other_domain_penalty", 1, 0, 1000);
+    out.other_domain_penalty_per_mb = in.decimal("other_domain_penalty_per_mb", 0, 0, 1e6);
+    out.ping_period = in.time("ping_period", 125ms, 10ms, 10s);
     out.own_domain_first = in.flag("own_domain_first", true);
     out.burst_slack = in.decimal("burst_slack", 0, 0, 1e6);
     out.retry_share = in.decimal("retry_share", 0.1, 0, 1);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -6,6 +6,8 @@
 
 namespace jasminebank {
 
+// From here on the servers of the own domain count as full.
+constexpr double full_score = 2.0;
 // A server that its gate suspects is picked only when all others are this much busier.
 constexpr double suspected_penalty = 10.0;
 // A demoted server is picked only when all others are this much busier.
@@ -65,14 +67,15 @@
 }
 
 // Expected busyness: what this node has in flight itself, and what its gate told lately.
-double router::score(const candidate& it, time_point now) const
+double router::score(const candidate& it, std::size_t bytes, time_point now) const
 {
     const server_state& state = servers_.at(it.choice.server);
     const double age = std::chrono::duration<double>(now - state.told).count();
     const double memory = std::chrono::duration<double>(options_.load_memory).count();
     double out = state.load * std::exp(-age / memory) + (state.in_flight + 1.0) / it.slots;
     if (it.domain != options_.domain)
-        out += options_.other_domain_penalty;
+        out += options_.other_domain_penalty +
+               options_.other_domain_penalty_per_mb * static_cast<double>(bytes) / 1e6;
     if (it.standing == server_standing::demoted)
         out += demoted_penalty;
     if (now < state.suspected_until)
@@ -93,8 +96,23 @@
     return paused == paused_gates_.end() || paused->second <= now;
 }
 
-// Draws a few of the usable servers at random, own domain and full standing preferred by their
-// score, and takes the least busy: near the balance of a full search, without herding.
+const router::candidate* router::draw(std::span<const candidate* const> from,
+                                      const route_request& wanted, std::uint64_t random,
+                                      time_point now) const
+{
+    const std::size_t draws = wanted.is_thorough ? from.size() : options_.draws;
+    const candidate* best = nullptr;
+    for (std::size_t n = 0; n < draws && !from.empty(); ++n) {
+        const std::size_t at = wanted.is_thorough ? n + random : n == 0 ? random : mix(random, n);
+        const candidate* it = from[at % from.size()];
+        if (best == nullptr || score(*it, wanted.bytes, now) < score(*best, wanted.bytes, now))
+            best = it;
+    }
+    return best;
+}
+
+// Draws a few of the usable servers at random, as many again of the own domain, and takes the least
+// busy: near the balance of a full search, without herding.
 std::optional<route_choice> router::choose(const route_request& wanted, std::uint64_t random,
                                            time_point now) const
 {
@@ -103,25 +121,26 @@
         return std::nullopt;
     std::vector<const candidate*> own;
     std::vector<const candidate*> all;
+    bool is_own_free = false;
     for (const candidate& it : found->second) {
         if (!is_usable(it, wanted, now))
             continue;
         all.push_back(&it);
-        if (options_.own_domain_first && it.domain == options_.domain && score(it, now) < 2.0)
-            own.push_back(&it);
-    }
-    const auto& from = own.empty() ? all : own;
-    const candidate* best = nullptr;
-    const std::size_t draws = wanted.is_thorough ? from.size() : options_.draws;
-    for (std::size_t n = 0; n < draws && !from.empty(); ++n) {
-        const std::size_t at = wanted.is_thorough ? n + random : n == 0 ? random : mix(random, n);
-        const candidate* it = from[at % from.size()];
-        if (best == nullptr || score(*it, now) < score(*best, now))
-            best = it;
+        if (it.domain != options_.domain)
+            continue;
+        own.push_back(&it);
+        is_own_free |= score(it, 0, now) < full_score;
     }
-    if (best == nullptr)
+    const candidate* near = draw(own, wanted, mix(random, ~std::uint64_t{0}), now);
+    const candidate* any =
+        options_.own_domain_first && is_own_free ? nullptr : draw(all, wanted, random, now);
+    if (near == nullptr && any == nullptr)
         return std::nullopt;
-    return best->choice;
+    if (near == nullptr)
+        return any->choice;
+    const bool is_near_better =
+        any == nullptr || score(*near, wanted.bytes, now) <= score(*any, wanted.bytes, now);
+    return is_near_better ? near->choice : any->choice;
 }
 
 void router::started(backend_server_id server)
--- a/src/router.h
+++ b/src/router.h
@@ -19,6 +19,7 @@
     failure_domain_id domain;
     std::size_t subset = 24;           ///< backend servers of one service that this node uses
     double other_domain_penalty = 1.0; ///< of a hop to another failure domain, in full servers
+    double other_domain_penalty_per_mb = 0; ///< in addition, for what the hop carries
     bool own_domain_first = true;      ///< others only when the own domain's servers are full
     duration load_memory = std::chrono::milliseconds(500);      ///< what a gate told fades in
     duration suspicion_memory = std::chrono::milliseconds(300); ///< after a gate's refusal for it
@@ -31,6 +32,7 @@
     service_id service;
     bool idempotent = false;                    ///< may serve as a trial request
     std::span<const backend_server_id> tried{}; ///< backend servers that are not to be asked again
+    std::size_t bytes = 0; ///< that its body and its answer are expected to have
     bool is_thorough = false;                   ///< look at all of them rather than at a few
 };
 
@@ -80,7 +82,9 @@
         time_point suspected_until{};
     };
 
-    double score(const candidate& it, time_point now) const;
+    double score(const candidate& it, std::size_t bytes, time_point now) const;
+    const candidate* draw(std::span<const candidate* const> from, const route_request& wanted,
+                          std::uint64_t random, time_point now) const;
     bool is_usable(const candidate& it, const route_request& wanted, time_point now) const;
     void keep_subset(std::vector<candidate>& candidates) const;
 
