Retries counted in a sliding window; nested requests first; late ones last

Cause: fading counters allowed up to twice the budget in a window; nested requests, which belong to no organisation, shared slots as one of nine organisations, so that calls waited behind new work while their parents held slots.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint64_t idempotent_flag = 1;
 constexpr std::uint64_t may_wait_flag = 2;
 constexpr std::uint64_t insists_flag = 4;
+constexpr std::uint64_t nested_flag = 8;
 
 static void add_field(message_head& head, std::string_view name, std::string value)
 {
@@ -33,7 +34,8 @@
 void write_dispatch(const dispatch& it, message_head& head)
 {
     const std::uint64_t flags = (it.idempotent ? idempotent_flag : 0) |
-                                (it.may_wait ? may_wait_flag : 0) | (it.insists ? insists_flag : 0);
+                                (it.may_wait ? may_wait_flag : 0) | (it.insists ? insists_flag : 0) |
+                                (it.is_nested ? nested_flag : 0);
     const std::array<std::uint64_t, dispatch_numbers> numbers{
         it.server.value,          it.gate_run.value,  it.route.value,
         it.service.value,         it.priority,        in_milliseconds(it.target),
@@ -81,6 +83,7 @@
                     .organisation = organisation == nullptr ? std::string() : *organisation,
                     .caller_service = caller_service == nullptr ? std::string() : *caller_service,
                     .priority = static_cast<std::uint32_t>(priority),
+                    .is_nested = (flags & nested_flag) != 0,
                     .target = std::chrono::milliseconds(target),
                     .time_left = std::chrono::milliseconds(time_left),
                     .idempotent = (flags & idempotent_flag) != 0,
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -28,6 +28,7 @@
     std::string organisation;   ///< empty: a public route
     std::string caller_service; ///< service beside whose backend server the request began
     std::uint32_t priority = 0; ///< rank under overload, 0 is the highest
+    bool is_nested = false;     ///< made by a backend server for a request that it runs
     duration target{};          ///< an answer within this time is worth most; 0: none
     duration time_left{};       ///< until the deadline
     bool idempotent = false;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -202,6 +202,8 @@
         const std::lock_guard lock(mutex_);
         out.service = find_service(*out.config, pick_service(*out.route, random_()));
     }
+    // Backend servers show no key, and the platform tells nothing else of their requests.
+    out.is_nested = out.organisation == nullptr && !options_.names.caller_service.empty();
     if (out.organisation != nullptr && !may_use(*out.route, out.organisation->id))
         return refusal_answer{.reason = refusal::not_allowed};
     if (length_of(head.clean).value_or(0) > out.config->most_body_bytes)
--- a/src/entry.h
+++ b/src/entry.h
@@ -55,6 +55,7 @@
     const route_config* route = nullptr;
     const service_config* service = nullptr;
     bool idempotent = false;
+    bool is_nested = false;     ///< made by a backend server for a request that it runs
     std::size_t body_bytes = 0; ///< as announced
     time_point start;
     time_point deadline;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -239,6 +239,12 @@
     }
 }
 
+// A request that a running one waits for goes first: without it, the work done so far is lost.
+static std::uint32_t rank_of(const dispatch& it)
+{
+    return it.is_nested ? 0 : 1 + it.priority;
+}
+
 void gate::accept(const std::shared_ptr<link_stream>& stream)
 {
     const auto request = read_dispatch(stream->head());
@@ -267,7 +273,11 @@
             sort_actions(
                 slots.enqueue({.request = id,
                                .organisation = id_of<organisation_id>(request->organisation),
-                               .deadline = deadline},
+                               .deadline = deadline,
+                               .rank = rank_of(*request),
+                               .late_from = request->target > duration::zero()
+                                                ? now + request->target
+                                                : time_point::max()},
                               now),
                 out);
         }
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <tuple>
 
 namespace jasminebank {
@@ -12,7 +11,7 @@
     assert(options.share >= 0 && options.recent > duration{} && options.max_entries > 0);
 }
 
-// The entry, faded to `now`. When the table is full, the one that rested longest makes room: what
+// When the table is full, the one that rested longest makes room: what
 // it loses are successes, so it errs towards fewer retries.
 retry_budget::entry& retry_budget::entry_of(organisation_id organisation, service_id service,
                                             time_point now)
@@ -31,18 +30,23 @@
         it = entries_.insert(std::lower_bound(entries_.begin(), entries_.end(), wanted, before),
                              wanted);
     }
-    const std::chrono::duration<double> passed = now - it->updated;
-    const std::chrono::duration<double> recent = options_.recent;
-    const double left = std::exp(-std::max(0.0, passed / recent));
-    it->successes *= left;
-    it->retries *= left;
     it->updated = now;
     return *it;
 }
 
+retry_budget::window_part& retry_budget::part_at(entry& it, time_point now) const
+{
+    const std::int64_t number =
+        now.time_since_epoch() / (options_.recent / static_cast<std::int64_t>(parts));
+    window_part& out = it.window[static_cast<std::size_t>(number) % it.window.size()];
+    if (out.number != number)
+        out = {.number = number};
+    return out;
+}
+
 void retry_budget::on_success(organisation_id organisation, service_id service, time_point now)
 {
-    ++entry_of(organisation, service, now).successes;
+    ++part_at(entry_of(organisation, service, now), now).successes;
 }
 
 retry_decision retry_budget::ask(const retry_request& it, time_point now)
@@ -52,9 +56,17 @@
     if (it.overloaded)
         return retry_decision::overloaded;
     entry& own = entry_of(it.organisation, it.service, now);
-    if (own.retries + 1 > options_.share * own.successes + options_.floor_retries)
+    window_part& current = part_at(own, now);
+    const auto oldest = current.number - static_cast<std::int64_t>(parts);
+    double successes = 0;
+    double retries = 0;
+    for (const window_part& part : own.window) {
+        successes += part.number > oldest ? part.successes : 0;
+        retries += part.number >= oldest ? part.retries : 0;
+    }
+    if (retries + 1 > options_.share * successes + options_.floor_retries)
         return retry_decision::over_budget;
-    ++own.retries;
+    ++current.retries;
     return retry_decision::granted;
 }
 
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -5,6 +5,7 @@
 
 #include "types.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -15,7 +16,7 @@
 struct retry_budget_options {
     double share = 0.1;       ///< retries for each recent success
     double floor_retries = 2; ///< recent retries that are allowed without any success
-    duration recent = std::chrono::seconds(10); ///< time after which a request counts 1/e
+    duration recent = std::chrono::seconds(10); ///< the sliding window in which both are counted
     std::size_t max_entries = 4096; ///< organisations times services; the least used go first
 };
 
@@ -35,7 +36,8 @@
     bool overloaded = false; ///< the service sheds load or its slots are full
 };
 
-/// Budgets by organisation and service. Each holds two counters that fade with time.
+/// Budgets by organisation and service. In every window of `recent`, at most the share of the
+/// successes and the floor.
 class retry_budget {
 public:
     explicit retry_budget(const retry_budget_options& options = {});
@@ -47,14 +49,23 @@
     retry_decision ask(const retry_request& it, time_point now);
 
 private:
+    // The window in equal parts. Retries are counted in one part more than successes, so that a
+    // window that begins within a part holds no more than it may.
+    static constexpr std::size_t parts = 20;
+    struct window_part {
+        std::int64_t number = -1; // since the clock's beginning
+        std::uint32_t successes = 0;
+        std::uint32_t retries = 0;
+    };
     struct entry {
         organisation_id organisation;
         service_id service;
-        double successes = 0;
-        double retries = 0;
+        std::array<window_part, parts + 1> window{};
         time_point updated;
     };
 
+    window_part& part_at(entry& it, time_point now) const;
+
     entry& entry_of(organisation_id organisation, service_id service, time_point now);
 
     retry_budget_options options_;
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -189,19 +189,45 @@
     }
 }
 
-// Each free slot goes to the waiting organisation that has used the least for its weight.
+// A request counts as late when the usual time would end it after its target.
+slot_queue::urgency slot_queue::urgency_of(const slot_request& it, time_point now) const
+{
+    const auto expected =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(expected_seconds_));
+    return {.rank = it.rank,
+            .is_late = it.late_from != time_point::max() && now + expected > it.late_from};
+}
+
+std::deque<slot_request>::iterator slot_queue::most_urgent(organisation_state& it,
+                                                           time_point now) const
+{
+    return std::min_element(it.waiting.begin(), it.waiting.end(),
+                            [&](const slot_request& a, const slot_request& b) {
+                                return urgency_of(a, now) < urgency_of(b, now);
+                            });
+}
+
+// Each free slot goes to the most urgent request, and among equals to the organisation that has used
+// the least for its weight.
 void slot_queue::start_waiting(time_point now, slot_actions& out)
 {
     constexpr double least_charge_s = 1e-4;
     while (running_.size() < options_.slots && waiting_ > 0) {
         organisation_state* next = nullptr;
+        urgency best;
         for (organisation_state& it : organisations_) {
-            if (!it.waiting.empty() && (next == nullptr || it.used < next->used))
+            if (it.waiting.empty())
+                continue;
+            const urgency own = urgency_of(*most_urgent(it, now), now);
+            if (next == nullptr || own < best || (own == best && it.used < next->used)) {
                 next = &it;
+                best = own;
+            }
         }
         assert(next != nullptr);
-        const slot_request request = next->waiting.front();
-        next->waiting.pop_front();
+        const auto chosen = most_urgent(*next, now);
+        const slot_request request = *chosen;
+        next->waiting.erase(chosen);
         --waiting_;
         virtual_time_ = std::max(virtual_time_, next->used);
         const double charged = std::max(least_charge_s, expected_seconds_) / next->weight;
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -1,8 +1,10 @@
 #pragma once
 
 // The slots of one backend server, shared by organisation. When all are taken, requests wait in a
-// bounded queue for each organisation, and the next slot goes to the organisation that has used the
-// least slot time for its weight (start-time fair queueing), not to the one that sent the most.
+// bounded queue for each organisation. The next slot goes to the highest rank that waits; in it, to
+// requests that can still be answered in time rather than late; and of those, to the organisation
+// that has used the least slot time for its weight (start-time fair queueing), not to the one that
+// sent the most.
 
 #include "request_outcome.h"
 #include "types.h"
@@ -27,6 +29,8 @@
     organisation_id organisation;
     time_point deadline;
     std::uint32_t weight = 1; ///< share of the organisation against others, at least 1
+    std::uint32_t rank = 0;   ///< 0 goes first
+    time_point late_from = time_point::max(); ///< an answer after it is worth less
 };
 
 enum class slot_refusal : std::uint8_t {
@@ -86,6 +90,15 @@
         double charged = 0; // what was added to `used` at the start
     };
 
+    /// How urgent a waiting request is; less goes first.
+    struct urgency {
+        std::uint32_t rank = 0;
+        bool is_late = false;
+        auto operator<=>(const urgency&) const = default;
+    };
+
+    urgency urgency_of(const slot_request& it, time_point now) const;
+    std::deque<slot_request>::iterator most_urgent(organisation_state& it, time_point now) const;
     organisation_state* find(organisation_id organisation);
     organisation_state& join(const slot_request& it);
     bool is_known(request_id request) const;
