Control messages find a way around cut links; waits for slots are bounded; successes need their mark

Now a 2xx without the platform's mark is a broken answer. Waits for a slot end 50 ms before the deadline, or after twice the target latency, so that the entry tells a refusal that is true; a server that is likely to hang gives its waiting requests back.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -24,7 +24,9 @@
 // The library's timers may fire this much early.
 constexpr duration deadline_slack = std::chrono::milliseconds(5);
 constexpr std::size_t chunk_bytes = 16UL * 1024;
+constexpr int first_success_status = 200;
 constexpr int no_content_status = 204;
+constexpr int first_redirect_status = 300;
 constexpr int not_modified_status = 304;
 constexpr int misdirected_status = 421;
 
@@ -132,6 +134,10 @@
         }
         if (options_.names.status_is_promise && is_promise(res.status))
             return false;
+        const bool is_success = res.status >= first_success_status && res.status < first_redirect_status;
+        if (is_success && !options_.names.success_mark.empty() &&
+            !res.has_header(options_.names.success_mark))
+            return false;
         const bool bodiless = stream_->head().method == "HEAD" || res.status == no_content_status ||
                               res.status == not_modified_status;
         message_head head{.method = {}, .path = {}, .status = res.status, .fields = {}};
--- /dev/null
+++ b/src/control_relay.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// Control messages that reach their node also while the direct way to it is cut: through a third
+// node that both can reach. Only messages go this way, no requests of callers.
+
+#include "link_hub.h"
+#include "member_directory.h"
+#include "types.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace jasminebank {
+
+/// Path of a message on its way to the third node.
+constexpr std::string_view relay_path = "/control/relay";
+/// Path of a message on its way from there.
+constexpr std::string_view relayed_path = "/control/relayed";
+
+/// Thread-safe.
+class control_relay {
+public:
+    control_relay(link_identity self, link_hub& links);
+
+    void set_directory(const member_directory& directory);
+    /// Whether this node reaches the other directly.
+    void set_reachable(vm_id vm, bool reachable);
+    /// As `link_hub::call`, to a member.
+    [[nodiscard]] bool call(vm_id to, std::string path, std::string payload, duration timeout,
+                            control_callback done);
+    /// Passes another node's message on; the answer comes later.
+    std::optional<std::string> pass_on(const control_request& request);
+    /// The message inside one that came through a third node, as if its sender had sent it.
+    static std::optional<control_request> unwrap(const control_request& request);
+
+private:
+    std::optional<endpoint> way_to(vm_id to, bool& is_direct);
+
+    const link_identity self_;
+    link_hub& links_;
+    std::mutex mutex_;
+    std::map<vm_id, endpoint> members_;
+    std::set<vm_id> unreachable_;
+    std::mt19937_64 random_{std::random_device{}()};
+};
+
+} // namespace jasminebank
--- a/src/delegation_service.cpp
+++ b/src/delegation_service.cpp
@@ -47,8 +47,8 @@
                       .stamp = stamp_at(in, 2)};
 }
 
-delegation_service::delegation_service(delegation_service_options options, link_hub& links)
-    : options_(std::move(options)), links_(links), delegation_(options_.delegation),
+delegation_service::delegation_service(delegation_service_options options, control_relay& relay)
+    : options_(std::move(options)), relay_(relay), delegation_(options_.delegation),
       epochs_(options_.delegation.groups)
 {
 }
@@ -78,9 +78,7 @@
 {
     const std::lock_guard lock(mutex_);
     delegation_.set_members(directory.members(), boot_now());
-    peers_.clear();
     for (const member_record& it : directory.members()) {
-        peers_.emplace(it.vm, it.link);
         for (const held_shard& held : it.shards)
             highest_epoch_ = std::max(highest_epoch_, held.epoch);
     }
@@ -103,16 +101,8 @@
 
 void delegation_service::send(const send_delegation& it)
 {
-    endpoint link;
-    {
-        const std::lock_guard lock(mutex_);
-        const auto peer = peers_.find(it.to);
-        if (peer == peers_.end())
-            return;
-        link = peer->second;
-    }
-    const bool sent = links_.call(
-        link, std::string(delegation_path), encode(it.body), call_timeout,
+    const bool sent = relay_.call(
+        it.to, std::string(delegation_path), encode(it.body), call_timeout,
         [this, to = it.to, group = it.body.group](const result<std::string, link_error>& reply) {
             const auto stamp = failed(reply)
                                    ? std::nullopt
--- a/src/delegation_service.h
+++ b/src/delegation_service.h
@@ -4,7 +4,7 @@
 // the limits of this node which shards it holds.
 
 #include "limit_delegation.h"
-#include "link_hub.h"
+#include "control_relay.h"
 #include "mandate_service.h"
 #include "member_directory.h"
 
@@ -13,7 +13,6 @@
 #include <mutex>
 #include <string>
 #include <thread>
-#include <unordered_map>
 #include <vector>
 
 namespace jasminebank {
@@ -32,7 +31,7 @@
 /// Thread-safe.
 class delegation_service {
 public:
-    delegation_service(delegation_service_options options, link_hub& links);
+    delegation_service(delegation_service_options options, control_relay& relay);
     ~delegation_service();
     delegation_service(const delegation_service&) = delete;
     delegation_service& operator=(const delegation_service&) = delete;
@@ -52,11 +51,10 @@
     void tell_terms(time_point now);
 
     const delegation_service_options options_;
-    link_hub& links_;
+    control_relay& relay_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     limit_delegation delegation_;
-    std::unordered_map<vm_id, endpoint> peers_;
     std::vector<std::uint64_t> epochs_; ///< by group; 0: not held. Of the thread alone
     std::uint64_t highest_epoch_ = 0;   ///< that any member announces
     bool stopping_ = false;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -12,6 +12,8 @@
 namespace jasminebank {
 
 constexpr int first_error_status = 500;
+// From here on a request is more likely lost than not, and one that waits goes elsewhere.
+constexpr double hopeless_suspicion = 0.7;
 
 // Tells the entry node that this gate did not run the request, or does not know.
 static void refuse(link_stream& stream, const refusal_answer& it,
@@ -133,6 +135,9 @@
         const std::lock_guard lock(mutex_);
         for (auto& [id, server] : servers_) {
             sort_actions(server.slots.tick(now), out);
+            // What waits here is better off elsewhere.
+            if (server.slots.waiting() > 0 && server.stalls.suspicion(now) >= hopeless_suspicion)
+                sort_actions(server.slots.refuse_waiting(), out, refusal::suspect);
             std::erase_if(server.idle, [&](const idle_connection& it) {
                 return now - it.since > options_.backend_idle;
             });
@@ -239,6 +244,15 @@
     }
 }
 
+// Past twice its target latency an answer is worth little, while others wait. The refusal must reach
+// the entry before the entry itself gives up, so that the caller learns that nothing ran.
+static time_point wait_limit(const dispatch& it, time_point now, time_point deadline)
+{
+    constexpr duration refusal_time = std::chrono::milliseconds(50);
+    const time_point last = deadline - refusal_time;
+    return it.target > duration::zero() ? std::min(last, now + 2 * it.target) : last;
+}
+
 // A request that a running one waits for goes first: without it, the work done so far is lost.
 static std::uint32_t rank_of(const dispatch& it)
 {
@@ -273,7 +287,7 @@
             sort_actions(
                 slots.enqueue({.request = id,
                                .organisation = id_of<organisation_id>(request->organisation),
-                               .deadline = deadline,
+                               .deadline = wait_limit(*request, now, deadline),
                                .rank = rank_of(*request),
                                .late_from = request->target > duration::zero()
                                                 ? now + request->target
--- a/src/limit_service.cpp
+++ b/src/limit_service.cpp
@@ -13,8 +13,8 @@
 constexpr duration retry_without_holder = std::chrono::seconds(1);
 constexpr std::size_t most_waiting_messages = max_limit_batch; // to one node
 
-limit_service::limit_service(const limit_service_options& options, link_hub& links)
-    : options_(options), links_(links), entry_(options_.entry)
+limit_service::limit_service(const limit_service_options& options, control_relay& relay)
+    : options_(options), relay_(relay), entry_(options_.entry)
 {
     thread_ = std::thread([this] { run(); });
 }
@@ -313,8 +313,8 @@
     traffic_.bytes_out += payload.size();
     peer.waiting.clear();
     peer.next_send = now + options_.batch_span;
-    const bool sent = links_.call(
-        peer.link, std::string(limit_path), std::move(payload), call_timeout,
+    const bool sent = relay_.call(
+        to, std::string(limit_path), std::move(payload), call_timeout,
         [this, to](const result<std::string, link_error>& reply) { take_reply(to, reply); });
     static_cast<void>(sent); // too much waits: the entry hears nothing and asks elsewhere
 }
--- a/src/limit_service.h
+++ b/src/limit_service.h
@@ -7,7 +7,7 @@
 #include "limit_entry.h"
 #include "limit_holder.h"
 #include "limit_placement.h"
-#include "link_hub.h"
+#include "control_relay.h"
 #include "mandate_service.h"
 
 #include <array>
@@ -69,7 +69,7 @@
 /// Thread-safe.
 class limit_service {
 public:
-    limit_service(const limit_service_options& options, link_hub& links);
+    limit_service(const limit_service_options& options, control_relay& relay);
     ~limit_service();
     limit_service(const limit_service&) = delete;
     limit_service& operator=(const limit_service&) = delete;
@@ -138,7 +138,7 @@
     const rate_contract* find_contract(organisation_id organisation) const;
 
     const limit_service_options options_;
-    link_hub& links_;
+    control_relay& relay_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     std::shared_ptr<const fleet_config> config_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -98,6 +98,8 @@
                   to_string(settings_.links));
         return false;
     }
+    relay_ = std::make_unique<control_relay>(
+        link_identity{.vm_name = settings_.vm_name, .run = run_}, *links_);
     open_gate();
     open_limits();
     open_entry();
@@ -234,7 +236,7 @@
         limit_service_options{.self = self,
                               .domain = id_of<failure_domain_id>(settings_.failure_domain),
                               .burst_slack = settings_.burst_slack},
-        *links_);
+        *relay_);
     if (platform_)
         return;
     mandates_ = std::make_unique<mandate_service>(
@@ -256,7 +258,7 @@
             .on_terms = [this](const shard_terms& it) { limits_->set_terms(it); },
             .on_held =
                 [this](std::vector<held_shard> it) { members_->announce_shards(std::move(it)); }},
-        *links_);
+        *relay_);
     delegations_->set_known_nodes(fleet_.peers.size() + 1);
 }
 
@@ -266,6 +268,7 @@
     health_->set_directory(directory);
     homes_->set_directory(directory);
     poison_->set_directory(directory);
+    relay_->set_directory(directory);
     reach_->set_directory(directory);
     for (const member_record& member : directory.members())
         once_->claimers_gone(member.vm, member.run);
@@ -615,6 +618,12 @@
                                 : follower_->answer(request.payload);
     if (request.path == reach_path)
         return std::string("-");
+    if (request.path == relay_path)
+        return relay_->pass_on(request);
+    if (request.path == relayed_path) {
+        const auto inner = control_relay::unwrap(request);
+        return inner ? answer_control(*inner) : std::nullopt;
+    }
     if (request.path == delegation_path && delegations_ != nullptr)
         return delegations_->answer(request);
     if (request.path == limit_path)
--- a/src/node.h
+++ b/src/node.h
@@ -5,6 +5,7 @@
 
 #include "config_feed.h"
 #include "config_follower.h"
+#include "control_relay.h"
 #include "delegation_service.h"
 #include "entry.h"
 #include "gate.h"
@@ -91,6 +92,7 @@
     joined_fleet fleet_;
     std::unique_ptr<store_session_base> session_;
     std::unique_ptr<link_hub> links_;
+    std::unique_ptr<control_relay> relay_;
     std::unique_ptr<reach_monitor> reach_;
     std::unique_ptr<health_service> health_;
     std::unique_ptr<key_homes> homes_;
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -49,6 +49,18 @@
     ++part_at(entry_of(organisation, service, now), now).successes;
 }
 
+bool retry_budget::has_room(entry& it, time_point now) const
+{
+    const std::int64_t oldest = part_at(it, now).number - static_cast<std::int64_t>(parts);
+    double successes = 0;
+    double retries = 0;
+    for (const window_part& part : it.window) {
+        successes += part.number > oldest ? part.successes : 0;
+        retries += part.number >= oldest ? part.retries : 0;
+    }
+    return retries + 1 <= options_.share * successes + options_.floor_retries;
+}
+
 retry_decision retry_budget::ask(const retry_request& it, time_point now)
 {
     if (now + it.expected_time >= it.deadline)
@@ -56,17 +68,9 @@
     if (it.overloaded)
         return retry_decision::overloaded;
     entry& own = entry_of(it.organisation, it.service, now);
-    window_part& current = part_at(own, now);
-    const auto oldest = current.number - static_cast<std::int64_t>(parts);
-    double successes = 0;
-    double retries = 0;
-    for (const window_part& part : own.window) {
-        successes += part.number > oldest ? part.successes : 0;
-        retries += part.number >= oldest ? part.retries : 0;
-    }
-    if (retries + 1 > options_.share * successes + options_.floor_retries)
+    if (!has_room(own, now))
         return retry_decision::over_budget;
-    ++current.retries;
+    ++part_at(own, now).retries;
     return retry_decision::granted;
 }
 
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -65,6 +65,7 @@
     };
 
     window_part& part_at(entry& it, time_point now) const;
+    bool has_room(entry& it, time_point now) const;
 
     entry& entry_of(organisation_id organisation, service_id service, time_point now);
 
