Limits reach their holder around cut links

A random third node for each message cost a new link each time; now one stays in use. Test: control_relay.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -134,7 +134,8 @@
         }
         if (options_.names.status_is_promise && is_promise(res.status))
             return false;
-        const bool is_success = res.status >= first_success_status && res.status < first_redirect_status;
+        const bool is_success =
+            res.status >= first_success_status && res.status < first_redirect_status;
         if (is_success && !options_.names.success_mark.empty() &&
             !res.has_header(options_.names.success_mark))
             return false;
--- a/src/control_relay.cpp
+++ b/src/control_relay.cpp
@@ -1,5 +1,7 @@
 #include "control_relay.h"
 
+#include "log.h"
+
 #include <nlohmann/json.hpp>
 
 #include <vector>
@@ -22,7 +24,9 @@
     members_.clear();
     for (const member_record& it : directory.members()) {
         if (it.name != self_.vm_name)
-            members_.emplace(it.vm, it.link);
+            members_.emplace(it.vm, member{.link = it.link, .domain = it.domain});
+        else
+            domain_ = it.domain;
     }
 }
 
@@ -35,40 +39,68 @@
         unreachable_.insert(vm);
 }
 
-// The node itself, or any other that this one reaches: another try draws another.
-std::optional<endpoint> control_relay::way_to(vm_id to, bool& is_direct)
+// The node itself, or else the third node that worked last. A new one is taken from the own failure
+// domain if possible, as it costs no further way between domains.
+std::optional<control_relay::way> control_relay::way_to(vm_id to)
 {
     const std::lock_guard lock(mutex_);
-    const auto member = members_.find(to);
-    if (member == members_.end())
+    const auto direct = members_.find(to);
+    if (direct == members_.end())
         return std::nullopt;
-    is_direct = !unreachable_.contains(to);
-    if (is_direct)
-        return member->second;
-    std::vector<const endpoint*> relays;
-    for (const auto& [vm, link] : members_) {
-        if (vm != to && !unreachable_.contains(vm))
-            relays.push_back(&link);
+    if (!unreachable_.contains(to))
+        return way{.by = to, .link = direct->second.link};
+    const auto known = ways_.find(to);
+    if (known != ways_.end() && members_.contains(known->second) &&
+        !unreachable_.contains(known->second))
+        return way{.by = known->second, .link = members_.at(known->second).link};
+    std::vector<way> near;
+    std::vector<way> all;
+    for (const auto& [vm, it] : members_) {
+        if (vm == to || unreachable_.contains(vm))
+            continue;
+        all.push_back({.by = vm, .link = it.link});
+        if (it.domain == domain_)
+            near.push_back(all.back());
     }
-    if (relays.empty())
+    const auto& from = near.empty() ? all : near;
+    if (from.empty())
         return std::nullopt;
-    return *relays[random_() % relays.size()];
+    const way& out = from[random_() % from.size()];
+    ways_[to] = out.by;
+    log_event(event::relay_taken, "to={:016x} by={:016x}", to.value, out.by.value);
+    return out;
+}
+
+void control_relay::drop_way(vm_id to, vm_id by)
+{
+    const std::lock_guard lock(mutex_);
+    const auto known = ways_.find(to);
+    if (known == ways_.end() || known->second != by)
+        return;
+    ways_.erase(known);
+    log_event(event::relay_dropped, "to={:016x} by={:016x}", to.value, by.value);
 }
 
 bool control_relay::call(vm_id to, std::string path, std::string payload, duration timeout,
                          control_callback done)
 {
-    bool is_direct = true;
-    const auto way = way_to(to, is_direct);
+    const auto way = way_to(to);
     if (!way)
         return false;
-    if (is_direct)
-        return links_.call(*way, std::move(path), std::move(payload), timeout, std::move(done));
-    const std::vector<std::uint8_t> bytes = json::to_cbor(json::array(
-        {to.value, self_.vm_name, self_.run.value, path,
-         json::binary(std::vector<std::uint8_t>(payload.begin(), payload.end()))}));
-    return links_.call(*way, std::string(relay_path), std::string(bytes.begin(), bytes.end()),
-                       timeout, std::move(done));
+    if (way->by == to)
+        return links_.call(way->link, std::move(path), std::move(payload), timeout,
+                           std::move(done));
+    const std::vector<std::uint8_t> bytes = json::to_cbor(
+        json::array({to.value, self_.vm_name, self_.run.value, path,
+                     json::binary(std::vector<std::uint8_t>(payload.begin(), payload.end()))}));
+    return links_.call(way->link, std::string(relay_path), std::string(bytes.begin(), bytes.end()),
+                       timeout,
+                       [this, to, by = way->by,
+                        done = std::move(done)](const result<std::string, link_error>& it) {
+                           if (failed(it))
+                               drop_way(to, by);
+                           done(it);
+                       });
 }
 
 static std::optional<control_request> decode(std::string_view text, vm_id& to)
@@ -99,18 +131,17 @@
     endpoint link;
     {
         const std::lock_guard lock(mutex_);
-        const auto member = members_.find(to);
-        if (member == members_.end())
+        const auto found = members_.find(to);
+        if (found == members_.end())
             return std::nullopt;
-        link = member->second;
+        link = found->second.link;
     }
     const auto reply = request.defer();
-    const bool sent =
-        links_.call(link, std::string(relayed_path), request.payload, pass_on_timeout,
-                    [reply](const result<std::string, link_error>& answer) {
-                        if (!failed(answer))
-                            static_cast<void>(reply->answer(value_of(answer)));
-                    });
+    const bool sent = links_.call(link, std::string(relayed_path), request.payload, pass_on_timeout,
+                                  [reply](const result<std::string, link_error>& answer) {
+                                      if (!failed(answer))
+                                          static_cast<void>(reply->answer(value_of(answer)));
+                                  });
     static_cast<void>(sent); // without an answer the sender's call times out
     return std::nullopt;
 }
--- a/src/control_relay.h
+++ b/src/control_relay.h
@@ -39,12 +39,24 @@
     static std::optional<control_request> unwrap(const control_request& request);
 
 private:
-    std::optional<endpoint> way_to(vm_id to, bool& is_direct);
+    struct way {
+        vm_id by; ///< the third node, or the addressee itself
+        endpoint link;
+    };
+    struct member {
+        endpoint link;
+        failure_domain_id domain;
+    };
+
+    std::optional<way> way_to(vm_id to);
+    void drop_way(vm_id to, vm_id by);
 
     const link_identity self_;
     link_hub& links_;
     std::mutex mutex_;
-    std::map<vm_id, endpoint> members_;
+    failure_domain_id domain_;
+    std::map<vm_id, member> members_;
+    std::map<vm_id, vm_id> ways_; ///< third nodes in use, by addressee: their links stand already
     std::set<vm_id> unreachable_;
     std::mt19937_64 random_{std::random_device{}()};
 };
--- a/src/delegation_service.h
+++ b/src/delegation_service.h
@@ -3,8 +3,8 @@
 // Delegated limits at work: lends this node's share over links, takes shares from others, and tells
 // the limits of this node which shards it holds.
 
-#include "limit_delegation.h"
 #include "control_relay.h"
+#include "limit_delegation.h"
 #include "mandate_service.h"
 #include "member_directory.h"
 
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -34,13 +34,18 @@
 void write_dispatch(const dispatch& it, message_head& head)
 {
     const std::uint64_t flags = (it.idempotent ? idempotent_flag : 0) |
-                                (it.may_wait ? may_wait_flag : 0) | (it.insists ? insists_flag : 0) |
-                                (it.is_nested ? nested_flag : 0);
-    const std::array<std::uint64_t, dispatch_numbers> numbers{
-        it.server.value,          it.gate_run.value,  it.route.value,
-        it.service.value,         it.priority,        in_milliseconds(it.target),
-        in_milliseconds(it.time_left), flags,         it.fingerprint.high,
-        it.fingerprint.low};
+                                (it.may_wait ? may_wait_flag : 0) |
+                                (it.insists ? insists_flag : 0) | (it.is_nested ? nested_flag : 0);
+    const std::array<std::uint64_t, dispatch_numbers> numbers{it.server.value,
+                                                              it.gate_run.value,
+                                                              it.route.value,
+                                                              it.service.value,
+                                                              it.priority,
+                                                              in_milliseconds(it.target),
+                                                              in_milliseconds(it.time_left),
+                                                              flags,
+                                                              it.fingerprint.high,
+                                                              it.fingerprint.low};
     add_field(head, dispatch_field, fmt::format("{:x}", fmt::join(numbers, " ")));
     if (!it.organisation.empty())
         add_field(head, organisation_field, it.organisation);
@@ -48,8 +53,8 @@
         add_field(head, caller_service_field, it.caller_service);
 }
 
-static std::optional<std::array<std::uint64_t, dispatch_numbers>> read_numbers(
-    const std::string& text)
+static std::optional<std::array<std::uint64_t, dispatch_numbers>>
+read_numbers(const std::string& text)
 {
     std::array<std::uint64_t, dispatch_numbers> out{};
     const char* at = text.data();
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -32,7 +32,7 @@
     duration target{};          ///< an answer within this time is worth most; 0: none
     duration time_left{};       ///< until the deadline
     bool idempotent = false;
-    bool may_wait = true;  ///< for a slot; else it is refused when none is free
+    bool may_wait = true;            ///< for a slot; else it is refused when none is free
     bool insists = true;             ///< also when the gate suspects the backend server
     request_fingerprint fingerprint; ///< equal for requests that are the same to the caller
 };
--- a/src/entry.h
+++ b/src/entry.h
@@ -130,7 +130,7 @@
     std::shared_ptr<const fleet_config> config_;
     router router_;
     retry_budget retries_;
-    std::map<route_id, double> answer_bytes_; ///< usual sizes of answers
+    std::map<route_id, double> answer_bytes_;   ///< usual sizes of answers
     std::map<duration, double> answer_seconds_; ///< usual times of answers, by target latency
     std::mt19937_64 random_{std::random_device{}()};
 };
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -244,8 +244,8 @@
     }
 }
 
-// Past twice its target latency an answer is worth little, while others wait. The refusal must reach
-// the entry before the entry itself gives up, so that the caller learns that nothing ran.
+// Past twice its target latency an answer is worth little, while others wait. The refusal must
+// reach the entry before the entry itself gives up, so that the caller learns that nothing ran.
 static time_point wait_limit(const dispatch& it, time_point now, time_point deadline)
 {
     constexpr duration refusal_time = std::chrono::milliseconds(50);
--- a/src/header_names.h
+++ b/src/header_names.h
@@ -21,7 +21,8 @@
     std::string expected_server{};
     /// Marks an answer that proves that the backend server did not run the request.
     std::string not_run = "x-backend-shed";
-    /// Stands in each success of a backend server; one without it is no whole answer. Empty: not used.
+    /// Stands in each success of a backend server; one without it is no whole answer. Empty: not
+    /// used.
     std::string success_mark{};
     /// True when the statuses 408, 421, 429 and 503 promise that a request did not and will not
     /// run. A backend server's answer with such a status and no `not_run` is then no answer.
--- a/src/limit_service.h
+++ b/src/limit_service.h
@@ -4,10 +4,10 @@
 // the messages between them and other nodes. A request that finds tokens here costs no message;
 // else its caller's thread waits for one exchange with the holder.
 
+#include "control_relay.h"
 #include "limit_entry.h"
 #include "limit_holder.h"
 #include "limit_placement.h"
-#include "control_relay.h"
 #include "mandate_service.h"
 
 #include <array>
--- a/src/log.h
+++ b/src/log.h
@@ -55,6 +55,8 @@
     announcement_rejected = 705,
     gate_unreachable = 710,
     gate_reachable = 711,
+    relay_taken = 720,
+    relay_dropped = 721,
     member_joined = 800,
     member_gone = 801,
     cut_off_began = 802,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -129,9 +129,11 @@
                                             .names = platform_ ? platform_->names : header_names{}},
                                *health_, *poison_);
     reach_ = std::make_unique<reach_monitor>(
-        reach_monitor_options{
-            .on_change = [this](vm_id vm,
-                                bool answers) { entry_->set_gate_reachable(vm, answers); }},
+        reach_monitor_options{.on_change =
+                                  [this](vm_id vm, bool answers) {
+                                      entry_->set_gate_reachable(vm, answers);
+                                      relay_->set_reachable(vm, answers);
+                                  }},
         *links_);
 }
 
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -46,12 +46,12 @@
     std::uint32_t limit_holders = 1; ///< nodes that hold the limits' buckets
     /// An idempotent request open for this many usual times is tried elsewhere; 0: never.
     double hedge_after = 0;
-    double other_domain_penalty = 1.0; ///< of a hop to another failure domain, in full servers
+    double other_domain_penalty = 1.0;      ///< of a hop to another failure domain, in full servers
     double other_domain_penalty_per_mb = 0; ///< in addition, for what the hop carries
-    duration ping_period{};            ///< between two heartbeats that a node sends
-    bool own_domain_first = true;      ///< others only when the own domain's servers are full
-    double retry_share = 0.1;          ///< retries for each recent success of a service
-    double fleet_floor_retries = 0;    ///< of all nodes without any success; 0: 2 of each node
+    duration ping_period{};                 ///< between two heartbeats that a node sends
+    bool own_domain_first = true;           ///< others only when the own domain's servers are full
+    double retry_share = 0.1;               ///< retries for each recent success of a service
+    double fleet_floor_retries = 0;         ///< of all nodes without any success; 0: 2 of each node
 };
 
 /// Checks a parsed file. The fleet key's file must be readable by its owner only.
--- a/src/router.h
+++ b/src/router.h
@@ -17,10 +17,10 @@
 struct router_options {
     vm_id self;
     failure_domain_id domain;
-    std::size_t subset = 24;           ///< backend servers of one service that this node uses
-    double other_domain_penalty = 1.0; ///< of a hop to another failure domain, in full servers
+    std::size_t subset = 24;                ///< backend servers of one service that this node uses
+    double other_domain_penalty = 1.0;      ///< of a hop to another failure domain, in full servers
     double other_domain_penalty_per_mb = 0; ///< in addition, for what the hop carries
-    bool own_domain_first = true;      ///< others only when the own domain's servers are full
+    bool own_domain_first = true;           ///< others only when the own domain's servers are full
     duration load_memory = std::chrono::milliseconds(500);      ///< what a gate told fades in
     duration suspicion_memory = std::chrono::milliseconds(300); ///< after a gate's refusal for it
     std::size_t draws = 2;                         ///< servers drawn at random for each choice
@@ -32,8 +32,8 @@
     service_id service;
     bool idempotent = false;                    ///< may serve as a trial request
     std::span<const backend_server_id> tried{}; ///< backend servers that are not to be asked again
-    std::size_t bytes = 0; ///< that its body and its answer are expected to have
-    bool is_thorough = false;                   ///< look at all of them rather than at a few
+    std::size_t bytes = 0;    ///< that its body and its answer are expected to have
+    bool is_thorough = false; ///< look at all of them rather than at a few
 };
 
 /// Where a request goes.
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -207,8 +207,8 @@
                             });
 }
 
-// Each free slot goes to the most urgent request, and among equals to the organisation that has used
-// the least for its weight.
+// Each free slot goes to the most urgent request, and among equals to the organisation that has
+// used the least for its weight.
 void slot_queue::start_waiting(time_point now, slot_actions& out)
 {
     constexpr double least_charge_s = 1e-4;
--- /dev/null
+++ b/tests/control_relay_test.cpp
@@ -0,0 +1,114 @@
+#include "control_relay.h"
+
+#include "system_clock.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Three nodes with links; each answers a message with its own name and its sender's.
+struct relay_node {
+    explicit relay_node(const std::string& node_name) : name(node_name)
+    {
+        links = link_hub::start(
+            {.self = {.vm_name = name, .run = {1}},
+             .fleet_key = "fleet key of the tests",
+             .on_control = [this](const control_request& it) { return answer(it); }});
+        relay = std::make_unique<control_relay>(link_identity{.vm_name = name, .run = {1}}, *links);
+    }
+    ~relay_node() { links->stop(); }
+
+    std::optional<std::string> answer(const control_request& it)
+    {
+        if (it.path == relay_path)
+            return relay->pass_on(it);
+        if (it.path == relayed_path) {
+            const auto inner = control_relay::unwrap(it);
+            return inner ? answer(*inner) : std::nullopt;
+        }
+        return name + " heard " + it.payload + " of " + it.peer.vm_name + " at " + it.path;
+    }
+
+    member_record record() const
+    {
+        return {.vm = id_of<vm_id>(name),
+                .name = name,
+                .run = {1},
+                .version = 1,
+                .link = links->local(),
+                .domain = {1}};
+    }
+
+    std::string name;
+    std::unique_ptr<link_hub> links;
+    std::unique_ptr<control_relay> relay;
+};
+
+struct waiting_answer {
+    void take(const result<std::string, link_error>& it)
+    {
+        const std::lock_guard lock(mutex);
+        text = failed(it) ? "failed: " + describe(error_of(it)) : value_of(it);
+        changed.notify_all();
+    }
+    std::string wait()
+    {
+        std::unique_lock lock(mutex);
+        changed.wait_for(lock, 5s, [this] { return !text.empty(); });
+        return text;
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::string text;
+};
+
+} // namespace
+
+TEST(control_relay, a_message_takes_a_way_around_a_cut_link)
+{
+    relay_node a("a");
+    relay_node b("b");
+    relay_node c("c");
+    member_directory all;
+    for (const relay_node* it : {&a, &b, &c})
+        all.merge(it->record());
+    for (const relay_node* it : {&a, &b, &c})
+        it->relay->set_directory(all);
+    for (const bool reachable : {true, false}) {
+        a.relay->set_reachable(id_of<vm_id>("c"), reachable);
+        waiting_answer got;
+        ASSERT_TRUE(a.relay->call(id_of<vm_id>("c"), "/control/test", "word", 2s,
+                                  [&](const auto& it) { got.take(it); }));
+        EXPECT_EQ(got.wait(), "c heard word of a at /control/test") << reachable;
+    }
+}
+
+TEST(control_relay, no_message_is_passed_on_in_the_name_of_another)
+{
+    relay_node a("a");
+    relay_node b("b");
+    member_directory all;
+    all.merge(a.record());
+    all.merge(b.record());
+    b.relay->set_directory(all);
+    control_relay forger({.vm_name = "forged", .run = {1}}, *a.links);
+    forger.set_directory(all);
+    member_record away = a.record();
+    away.vm = id_of<vm_id>("away");
+    away.name = "away";
+    all.merge(away);
+    forger.set_directory(all);
+    forger.set_reachable(away.vm, false);
+    forger.set_reachable(a.record().vm, false);
+    waiting_answer got;
+    ASSERT_TRUE(
+        forger.call(away.vm, "/control/test", "word", 1s, [&](const auto& it) { got.take(it); }));
+    EXPECT_TRUE(got.wait().starts_with("failed")) << got.text;
+}
