--- /dev/null
+++ b/tests/limit_delegation_test.cpp
@@ -0,0 +1,146 @@
+#include "limit_delegation.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <random>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+vm_id vm(std::size_t n)
+{
+    return {n + 1};
+}
+
+// Nodes that see different members, and messages that are late, lost or told twice.
+class delegating_fleet {
+public:
+    delegating_fleet(std::size_t size, std::uint64_t seed) : random(seed)
+    {
+        for (std::size_t n = 0; n < size; ++n) {
+            nodes.emplace_back(
+                limit_delegation_options{.self = {.vm = vm(n), .run = {1}}, .groups = 1});
+            nodes.back().set_known_nodes(size);
+        }
+    }
+
+    // The nodes of `part` see each other and nobody else.
+    void see(const std::vector<std::size_t>& part)
+    {
+        std::vector<member_record> members;
+        for (const std::size_t n : part)
+            members.push_back({.vm = vm(n), .name = "vm" + std::to_string(n), .run = {1}});
+        for (const std::size_t n : part)
+            nodes[n].set_members(members, now);
+    }
+
+    void step(bool is_lossy)
+    {
+        now += 50ms;
+        for (std::size_t n = 0; n < nodes.size(); ++n) {
+            for (const send_delegation& it : nodes[n].tick(now)) {
+                const duration delay =
+                    is_lossy ? std::chrono::milliseconds(random() % 3000) : duration(5ms);
+                if (!is_lossy || random() % 4 != 0)
+                    sent.push_back({.from = n, .body = it, .at = now + delay});
+            }
+        }
+        for (std::size_t n = 0; n < sent.size();) {
+            if (sent[n].at > now) {
+                ++n;
+                continue;
+            }
+            const message it = sent[n];
+            sent.erase(sent.begin() + static_cast<std::ptrdiff_t>(n));
+            const std::size_t to = it.body.to.value - 1;
+            const delegation_stamp stamp = nodes[to].receive(vm(it.from), it.body.body, now);
+            nodes[it.from].answered(it.body.to, 0, stamp, now);
+        }
+    }
+
+    // Shares that all holders together may use now, in 256ths.
+    std::uint32_t shares_in_use() const
+    {
+        std::uint32_t out = 0;
+        for (const limit_delegation& it : nodes) {
+            const auto terms = it.terms(0, now);
+            out += terms ? terms->share : 0;
+        }
+        return out;
+    }
+
+    struct message {
+        std::size_t from = 0;
+        send_delegation body;
+        time_point at;
+    };
+
+    std::mt19937_64 random;
+    time_point now{1h};
+    std::vector<limit_delegation> nodes;
+    std::deque<message> sent;
+};
+
+std::vector<std::size_t> numbers(std::size_t from, std::size_t to)
+{
+    std::vector<std::size_t> out;
+    for (std::size_t n = from; n < to; ++n)
+        out.push_back(n);
+    return out;
+}
+
+} // namespace
+
+TEST(limit_delegation, one_holder_has_the_whole_in_a_calm_fleet)
+{
+    delegating_fleet fleet(30, 1);
+    fleet.see(numbers(0, 30));
+    for (int n = 0; n < 60; ++n)
+        fleet.step(false);
+    EXPECT_EQ(fleet.shares_in_use(), whole_share);
+    int holders = 0;
+    for (const limit_delegation& it : fleet.nodes)
+        holders += it.terms(0, fleet.now).has_value() ? 1 : 0;
+    EXPECT_EQ(holders, 1);
+}
+
+TEST(limit_delegation, a_parted_fleet_uses_each_share_on_one_side)
+{
+    delegating_fleet fleet(30, 1);
+    fleet.see(numbers(0, 30));
+    for (int n = 0; n < 60; ++n)
+        fleet.step(false);
+    fleet.see(numbers(0, 10));
+    fleet.see(numbers(10, 30));
+    for (int n = 0; n < 80; ++n) {
+        fleet.step(false);
+        EXPECT_LE(fleet.shares_in_use(), whole_share);
+    }
+    EXPECT_GE(fleet.shares_in_use(), whole_share - 2);
+}
+
+// Members come and go as each node sees it, messages are late, lost and out of order: the holders
+// together never use more than the whole.
+RC_GTEST_PROP(limit_delegation, holders_together_never_exceed_the_whole, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    constexpr std::size_t size = 8;
+    delegating_fleet fleet(size, seed);
+    fleet.see(numbers(0, size));
+    for (int n = 0; n < 400; ++n) {
+        if (random() % 20 == 0) {
+            std::vector<std::size_t> part;
+            for (std::size_t it = 0; it < size; ++it) {
+                if (random() % 2 == 0)
+                    part.push_back(it);
+            }
+            fleet.see(part);
+        }
+        fleet.step(true);
+        RC_ASSERT(fleet.shares_in_use() <= whole_share);
+    }
+}
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,389 @@
+#include "platform/config_decoder.h"
+#include "platform/instance_calls.h"
+#include "platform/kv_store.h"
+#include "platform/parts.h"
+
+#include "base64.h"
+#include "socket_server.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <mutex>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+using json = nlohmann::json;
+
+namespace {
+
+json configuration()
+{
+    return json::parse(R"({"version":"0000001f",
+        "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15},
+        "tenants":[{"name":"honey","api_keys":["6wsjnbanfqasnmgkcuyj"],"priority":1,"rate_per_s":38,"burst":40},
+                   {"name":"jars","api_keys":[],"rate_per_s":0,"burst":0}],
+        "listeners":[{"host":"Jars.Example","rules":[
+            {"name":"split","route_type":"safe","target_latency_s":1.2,"priority":2,"public":false,
+             "match":{"prefix":"/a/"},
+             "action":{"weighted_clusters":[{"service":"web","weight":90},{"service":"shop","weight":10}],"timeout_s":3,"attempts":2}},
+            {"name":"order","route_type":"unsafe","target_latency_s":0.4,"priority":1,"public":true,
+             "match":{"prefix":"/a/b/"},"action":{"service":"shop","timeout_s":4,"attempts":1}},
+            {"name":"upload","route_type":"upload","match":{"prefix":"/u/"},
+             "action":{"service":"shop","timeout_s":4}}]}],
+        "clusters":[{"name":"web","health_path":"/healthz","max_connections":390},
+                    {"name":"shop","health_path":"/healthz","max_connections":390}]})");
+}
+
+json heartbeat()
+{
+    return json::parse(R"({"address":"10.128.0.9:8080","born":1779651440000,
+        "info":{"service":"web","version":"v1","zone":"uppsala","slots":4},
+        "status":{"state":"ready","sequence":4,"warmup_left_s":1.5}})");
+}
+
+// Every place in a document, as a pointer.
+void collect(const json& in, const json::json_pointer& at, std::vector<json::json_pointer>& out)
+{
+    out.push_back(at);
+    if (in.is_object()) {
+        for (const auto& [name, value] : in.items())
+            collect(value, at / name, out);
+    }
+    if (in.is_array()) {
+        for (std::size_t n = 0; n < in.size(); ++n)
+            collect(in[n], at / n, out);
+    }
+}
+
+// One place of the document is of another type, empty or missing.
+json damaged(json it, std::mt19937_64& random)
+{
+    std::vector<json::json_pointer> places;
+    collect(it, json::json_pointer(), places);
+    const json::json_pointer at = places[1 + random() % (places.size() - 1)];
+    static const std::vector<json> values{
+        json(),         json(-1),   json("text"), json(3.5), json::array({1, 2}),
+        json::object(), json(true), json(1e300)};
+    if (random() % 4 == 0 && it[at.parent_pointer()].is_object())
+        it[at.parent_pointer()].erase(at.back());
+    else
+        it[at] = values[random() % values.size()];
+    return it;
+}
+
+} // namespace
+
+TEST(platform_config, is_decoded_into_the_products_types)
+{
+    const auto read = platform::decode_config(configuration().dump());
+    ASSERT_FALSE(failed(read)) << error_of(read).field;
+    const fleet_config& it = value_of(read);
+    EXPECT_EQ(it.generation, 0x1fU);
+    EXPECT_EQ(it.most_body_bytes, 1000U);
+    const route_config* order = find_route(it, "POST", "/a/b/c", "jars.example");
+    ASSERT_NE(order, nullptr);
+    EXPECT_EQ(order->name, "order");
+    EXPECT_FALSE(is_idempotent(*order, "GET"));
+    EXPECT_TRUE(order->is_public);
+    EXPECT_EQ(order->attempts, 1U);
+    EXPECT_EQ(order->timeout, duration(4s));
+    const route_config* split = find_route(it, "GET", "/a/x", "jars.example");
+    ASSERT_NE(split, nullptr);
+    EXPECT_EQ(split->target_latency, duration(1200ms));
+    EXPECT_TRUE(is_idempotent(*split, "POST"));
+    EXPECT_EQ(split->targets.size(), 2U);
+    const route_config* upload = find_route(it, "PUT", "/u/1", "jars.example");
+    ASSERT_NE(upload, nullptr);
+    EXPECT_FALSE(is_idempotent(*upload, "PUT"));
+    EXPECT_EQ(find_route(it, "GET", "/a/x", "other.example"), nullptr);
+    const organisation_config* honey = find_key(it, digest_of("6wsjnbanfqasnmgkcuyj"));
+    ASSERT_NE(honey, nullptr);
+    EXPECT_EQ(honey->priority, 1U);
+    EXPECT_FALSE(honey->is_unlimited);
+    EXPECT_TRUE(find_organisation(it, id_of<organisation_id>("jars"))->is_unlimited);
+}
+
+TEST(platform_config, weights_draw_services_in_proportion)
+{
+    const auto read = platform::decode_config(configuration().dump());
+    const route_config* split = find_route(value_of(read), "GET", "/a/x", "jars.example");
+    std::mt19937_64 random(7);
+    int shop = 0;
+    for (int n = 0; n < 10000; ++n)
+        shop += pick_service(*split, random()) == id_of<service_id>("shop") ? 1 : 0;
+    EXPECT_NEAR(shop, 1000, 150);
+}
+
+TEST(platform_config, errors_name_the_field)
+{
+    for (const auto& [pointer, field] :
+         std::map<std::string, std::string>{{"/version", "version"},
+                                            {"/tenants/0/api_keys", "api_keys"},
+                                            {"/tenants/0/rate_per_s", "rate_per_s"},
+                                            {"/listeners/0/rules/1/action/timeout_s", "timeout_s"},
+                                            {"/listeners/0/rules/1/match/prefix", "prefix"},
+                                            {"/listeners/0/rules/1/action/service", "service"}}) {
+        json it = configuration();
+        it[json::json_pointer(pointer)] = json::array({json::array()});
+        const auto read = platform::decode_config(it.dump());
+        ASSERT_TRUE(failed(read)) << pointer;
+        EXPECT_EQ(error_of(read).field, field);
+    }
+}
+
+RC_GTEST_PROP(platform_config, no_damage_is_fatal, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    std::string text = damaged(configuration(), random).dump();
+    if (random() % 3 == 0)
+        text.resize(random() % text.size());
+    const auto read = platform::decode_config(text);
+    const bool is_named = !failed(read) || !error_of(read).field.empty();
+    RC_ASSERT(is_named);
+}
+
+TEST(platform_announcement, is_decoded)
+{
+    const auto it = platform::decode_instance("i-7f3a", heartbeat().dump());
+    ASSERT_TRUE(it.has_value());
+    EXPECT_EQ(it->name, "i-7f3a");
+    EXPECT_EQ(it->service_name, "web");
+    EXPECT_EQ(it->server.slots, 4U);
+    EXPECT_EQ(it->sequence, 4U);
+    EXPECT_EQ(it->run.value, 1779651440000U);
+    EXPECT_EQ(it->warm_up, duration(1500ms));
+    EXPECT_FALSE(it->server.draining);
+    json leaving = heartbeat();
+    leaving["status"]["state"] = "draining";
+    EXPECT_TRUE(platform::decode_instance("i-7f3a", leaving.dump())->server.draining);
+}
+
+TEST(platform_announcement, unknown_states_and_types_name_no_server)
+{
+    for (const char* pointer : {"/address", "/info", "/info/service", "/info/slots", "/status",
+                                "/status/state", "/status/sequence", "/born"}) {
+        json it = heartbeat();
+        it[json::json_pointer(pointer)] = json::array({1});
+        EXPECT_FALSE(platform::decode_instance("i-7f3a", it.dump())) << pointer;
+    }
+    json other = heartbeat();
+    other["status"]["state"] = "sleeping";
+    EXPECT_FALSE(platform::decode_instance("i-7f3a", other.dump()));
+}
+
+RC_GTEST_PROP(platform_announcement, no_damage_is_fatal, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    std::string text = damaged(heartbeat(), random).dump();
+    if (random() % 3 == 0)
+        text.resize(random() % text.size());
+    const auto it = platform::decode_instance("i-7f3a", text);
+    const bool is_usable = !it || (it->server.slots >= 1 && !it->service_name.empty());
+    RC_ASSERT(is_usable);
+}
+
+// A stand-in of the store, with the few calls that the client makes.
+class kv_stand_in {
+public:
+    kv_stand_in() : server_({.listen = {.host = "127.0.0.1"}})
+    {
+        server_.Get("/v1/kv-key", [this](const httplib::Request& req, httplib::Response& res) {
+            answer(res, [&] {
+                const auto it = items_.find(req.get_param_value("key"));
+                if (it == items_.end())
+                    res.status = 404;
+                else
+                    res.set_content(item(*it).dump(), "application/json");
+            });
+        });
+        server_.Get("/v1/kv-range", [this](const httplib::Request& req, httplib::Response& res) {
+            answer(res, [&] { read_page(req, res); });
+        });
+        server_.Post("/v1/kv-txn", [this](const httplib::Request& req, httplib::Response& res) {
+            answer(res, [&] { commit(json::parse(req.body), res); });
+        });
+        server_.Post("/v1/kv-lease", [this](const httplib::Request&, httplib::Response& res) {
+            answer(res, [&] { res.set_content(R"({"lease":77,"ttl_s_time":3})", "a/b"); });
+        });
+        server_.Post(R"(/v1/kv-keep/(\d+))",
+                     [this](const httplib::Request& req, httplib::Response& res) {
+                         answer(res, [&] {
+                             if (req.matches[1] == "77")
+                                 res.set_content(R"({"ttl_s_time":3})", "a/b");
+                             else
+                                 res.status = 404;
+                         });
+                     });
+        EXPECT_TRUE(server_.start());
+    }
+    ~kv_stand_in() { server_.stop_gently(); }
+
+    endpoint address() const { return server_.address(); }
+
+    int refuse_with = 0; ///< status of every answer, unless 0
+    std::string garbage; ///< body of every answer, unless empty
+    bool loses_answers = false;
+    std::size_t page = 500; ///< items of one page
+
+private:
+    struct stored {
+        std::string value;
+        std::int64_t revision = 0;
+    };
+    using stored_item = std::pair<const std::string, stored>;
+
+    static json item(const stored_item& it)
+    {
+        return {{"key", it.first},
+                {"value", to_base64(it.second.value)},
+                {"rev", it.second.revision},
+                {"created_rev", it.second.revision},
+                {"lease", 0},
+                {"as_of", it.second.revision}};
+    }
+
+    template <class Step>
+    void answer(httplib::Response& res, Step step)
+    {
+        const std::lock_guard lock(mutex_);
+        if (refuse_with != 0) {
+            res.status = refuse_with;
+            return;
+        }
+        step();
+        if (loses_answers)
+            socket_server::cut_current();
+        if (!garbage.empty())
+            res.set_content(garbage, "application/json");
+    }
+
+    void read_page(const httplib::Request& req, httplib::Response& res)
+    {
+        const std::string prefix = req.get_param_value("prefix");
+        json found = json::array();
+        bool truncated = false;
+        for (const auto& it : items_) {
+            if (!it.first.starts_with(prefix) || it.first <= req.get_param_value("after"))
+                continue;
+            truncated = found.size() == page;
+            if (truncated)
+                break;
+            found.push_back(item(it));
+        }
+        res.set_content(
+            json{{"items", found}, {"truncated", truncated}, {"as_of", revision_}}.dump(), "a/b");
+    }
+
+    void commit(const json& txn, httplib::Response& res)
+    {
+        json conflicts = json::array();
+        bool holds = true;
+        for (const json& it : txn["expected"]) {
+            const auto found = items_.find(it["key"].get<std::string>());
+            const std::int64_t rev = found == items_.end() ? 0 : found->second.revision;
+            holds &= rev == it["rev"].get<std::int64_t>();
+            if (found != items_.end())
+                conflicts.push_back(item(*found));
+        }
+        if (!holds) {
+            res.status = 412;
+            res.set_content(json{{"items", conflicts}}.dump(), "a/b");
+            return;
+        }
+        ++revision_;
+        for (const json& it : txn["writes"])
+            items_[it["key"].get<std::string>()] = {*from_base64(it["value"].get<std::string>()),
+                                                    revision_};
+        res.set_content(json{{"rev", revision_}}.dump(), "a/b");
+    }
+
+    std::mutex mutex_;
+    std::map<std::string, stored> items_;
+    std::int64_t revision_ = 10;
+    socket_server server_;
+};
+
+TEST(platform_store, writes_reads_and_conditions)
+{
+    kv_stand_in stand_in;
+    platform::kv_store store({.server = stand_in.address()});
+    const std::string bytes("a\0b\xff", 4);
+    const auto made = store.commit(
+        {.compares = {absent("k/1")}, .puts = {{.key = "k/1", .value = bytes}}, .deletes = {}});
+    ASSERT_FALSE(failed(made));
+    EXPECT_TRUE(value_of(made).succeeded);
+    const auto again = store.commit(
+        {.compares = {absent("k/1")}, .puts = {{.key = "k/1", .value = "x"}}, .deletes = {}});
+    ASSERT_FALSE(failed(again));
+    EXPECT_FALSE(value_of(again).succeeded);
+    EXPECT_EQ(value_of(again).found.at(0).value, bytes);
+    const auto read = store.range({.key = "k/1", .range_end = {}});
+    ASSERT_FALSE(failed(read));
+    EXPECT_EQ(value_of(read).entries.at(0).value, bytes);
+    EXPECT_TRUE(value_of(store.range({.key = "none", .range_end = {}})).entries.empty());
+}
+
+TEST(platform_store, pages_are_joined)
+{
+    kv_stand_in stand_in;
+    stand_in.page = 3;
+    platform::kv_store store({.server = stand_in.address()});
+    for (int n = 0; n < 10; ++n)
+        static_cast<void>(store.commit({.compares = {},
+                                        .puts = {{.key = fmt::format("k/{}", n), .value = "v"}},
+                                        .deletes = {}}));
+    const auto read = store.range(prefix_range("k/"));
+    ASSERT_FALSE(failed(read));
+    EXPECT_EQ(value_of(read).entries.size(), 10U);
+}
+
+// A refusal says that nothing was done; a write whose answer is lost may be done.
+TEST(platform_store, errors_tell_what_may_have_happened)
+{
+    kv_stand_in stand_in;
+    platform::kv_store store({.server = stand_in.address()});
+    const store_txn txn{.compares = {}, .puts = {{.key = "k", .value = "v"}}, .deletes = {}};
+    for (const int status : {429, 503}) {
+        stand_in.refuse_with = status;
+        EXPECT_EQ(error_of(store.commit(txn)).kind, store_error_kind::overloaded);
+        EXPECT_EQ(error_of(store.range({.key = "k", .range_end = {}})).kind,
+                  store_error_kind::overloaded);
+    }
+    stand_in.refuse_with = 0;
+    stand_in.loses_answers = true;
+    EXPECT_EQ(error_of(store.commit(txn)).kind, store_error_kind::outcome_unknown);
+    stand_in.loses_answers = false;
+    for (const char* garbage : {"[]", "{", "{\"items\":3}", "{\"rev\":\"x\"}"}) {
+        stand_in.garbage = garbage;
+        EXPECT_TRUE(failed(store.range({.key = "k", .range_end = {}}))) << garbage;
+        EXPECT_TRUE(failed(store.range(prefix_range("k")))) << garbage;
+        EXPECT_TRUE(failed(store.commit(txn))) << garbage;
+    }
+    stand_in.garbage.clear();
+    EXPECT_EQ(error_of(store.keep_lease_alive(lease_id{5})).kind, store_error_kind::lease_lost);
+    EXPECT_FALSE(failed(store.keep_lease_alive(lease_id{77})));
+    platform::kv_store away({.server = {.host = "127.0.0.1", .port = 1}});
+    EXPECT_EQ(error_of(away.commit(txn)).kind, store_error_kind::unreachable);
+}
+
+TEST(platform_store, a_node_joins_and_learns_of_the_others)
+{
+    kv_stand_in stand_in;
+    const auto join = [&](const std::string& name, std::uint16_t port) {
+        store_session<platform::kv_store> it(
+            {.vm_name = name, .link = {.host = "127.0.0.1", .port = port}, .config_key = "c"},
+            std::make_unique<platform::kv_store>(
+                platform::kv_store_options{.server = stand_in.address()}));
+        return it.join();
+    };
+    const auto first = join("a", 1001);
+    const auto second = join("b", 1002);
+    ASSERT_TRUE(first && second);
+    EXPECT_GE(first->fleet_key.size(), 32U);
+    EXPECT_EQ(first->fleet_key, second->fleet_key);
+    EXPECT_TRUE(first->peers.empty());
+    EXPECT_EQ(second->peers, (std::vector<endpoint>{{.host = "127.0.0.1", .port = 1001}}));
+}
--- a/tests/retry_budget_test.cpp
+++ b/tests/retry_budget_test.cpp
@@ -73,3 +73,37 @@
     EXPECT_EQ(ask(2), retry_decision::granted);
     EXPECT_EQ(ask(1), retry_decision::over_budget);
 }
+
+// The bound holds in every window, wherever it begins: calm successes save nothing up for a storm
+// of retries beyond it.
+RC_GTEST_PROP(retry_budget, every_window_stays_within_the_bound, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    const retry_budget_options options{.share = 0.2, .floor_retries = 3};
+    retry_budget budget(options);
+    time_point now{1h};
+    std::vector<time_point> successes;
+    std::vector<time_point> retries;
+    for (int n = 0; n < 3000; ++n) {
+        now += std::chrono::milliseconds(random() % 40);
+        const bool is_storm = n / 500 % 2 == 1;
+        if (random() % 10 >= (is_storm ? 8 : 1)) {
+            budget.on_success({1}, {1}, now);
+            successes.push_back(now);
+        }
+        else if (budget.ask({.organisation = {1}, .service = {1}, .deadline = now + 1s}, now) ==
+                 retry_decision::granted) {
+            retries.push_back(now);
+        }
+    }
+    const auto count = [](const std::vector<time_point>& all, time_point from, time_point to) {
+        return std::count_if(all.begin(), all.end(),
+                             [&](time_point it) { return it > from && it <= to; });
+    };
+    for (const time_point end : retries) {
+        const auto in_window = count(retries, end - options.recent, end);
+        const auto earned = count(successes, end - options.recent, end);
+        RC_ASSERT(static_cast<double>(in_window) <=
+                  options.share * static_cast<double>(earned) + options.floor_retries);
+    }
+}
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -247,3 +247,41 @@
     EXPECT_EQ(std::get<refuse_request>(actions[0]).request.value, 6U);
     EXPECT_EQ(queue.waiting(), 6U);
 }
+
+// Of what waits, the highest rank goes first, and of that what can still be in time.
+TEST(slot_queue, rank_goes_first_and_late_requests_last)
+{
+    slot_queue queue({.slots = 1});
+    const time_point now{1h};
+    const auto send = [&](std::uint64_t id, std::uint32_t rank, time_point late_from) {
+        return queue.enqueue({.request = {id},
+                              .organisation = {1},
+                              .deadline = now + 10s,
+                              .rank = rank,
+                              .late_from = late_from},
+                             now);
+    };
+    send(1, 1, now + 1s);
+    send(2, 1, now - 1s);
+    send(3, 1, now + 1s);
+    send(4, 0, now + 1s);
+    const auto next_after = [&](std::uint64_t id) {
+        const slot_actions out = queue.finished({id}, now);
+        return std::get<start_request>(out.at(0)).request.value;
+    };
+    EXPECT_EQ(next_after(1), 4U);
+    EXPECT_EQ(next_after(4), 3U);
+    EXPECT_EQ(next_after(3), 2U);
+}
+
+TEST(slot_queue, all_that_waits_can_be_refused)
+{
+    slot_queue queue({.slots = 1});
+    const time_point now{1h};
+    for (std::uint64_t id = 1; id <= 4; ++id)
+        queue.enqueue({.request = {id}, .organisation = {id}, .deadline = now + 10s}, now);
+    EXPECT_EQ(queue.refuse_waiting().size(), 3U);
+    EXPECT_EQ(queue.waiting(), 0U);
+    EXPECT_EQ(queue.running(), 1U);
+    EXPECT_TRUE(queue.finished({1}, now).empty());
+}
--- /dev/null
+++ b/tests/stall_watch_test.cpp
@@ -0,0 +1,133 @@
+#include "stall_watch.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr route_id read_route{1};
+constexpr duration target = 1200ms;
+
+// Requests one after the other, each answered after `took`.
+time_point answer_some(stall_watch& it, time_point now, int count, duration took)
+{
+    for (int n = 0; n < count; ++n) {
+        const request_id id{static_cast<std::uint64_t>(n) + 1};
+        it.started(id, read_route, target, now);
+        now += took;
+        it.ended(id, request_evidence::answered, now);
+    }
+    return now;
+}
+
+} // namespace
+
+TEST(stall_watch, a_request_open_for_several_usual_times_is_suspicious)
+{
+    stall_watch it;
+    time_point now = answer_some(it, time_point(1h), 50, 300ms);
+    EXPECT_LT(it.suspicion(now), 0.1);
+    it.started({1000}, read_route, target, now);
+    EXPECT_TRUE(it.admits(false, now + 200ms));
+    EXPECT_GE(it.suspicion(now + 900ms), 0.5);
+    EXPECT_FALSE(it.admits(false, now + 900ms));
+}
+
+TEST(stall_watch, an_answer_to_a_later_request_takes_the_suspicion_back)
+{
+    stall_watch it;
+    time_point now = answer_some(it, time_point(1h), 50, 300ms);
+    it.started({1000}, read_route, target, now);
+    now += 900ms;
+    ASSERT_FALSE(it.admits(false, now));
+    it.started({1001}, read_route, target, now);
+    it.ended({1001}, request_evidence::answered, now + 300ms);
+    EXPECT_TRUE(it.admits(false, now + 300ms));
+}
+
+TEST(stall_watch, the_late_answer_itself_takes_the_suspicion_back)
+{
+    stall_watch it;
+    time_point now = answer_some(it, time_point(1h), 50, 300ms);
+    it.started({1000}, read_route, target, now);
+    now += 900ms;
+    ASSERT_FALSE(it.admits(false, now));
+    it.ended({1000}, request_evidence::answered, now + 100ms);
+    EXPECT_TRUE(it.admits(false, now + 100ms));
+}
+
+// A server that hangs gets idempotent requests only, one at a time and not often.
+TEST(stall_watch, on_probation_few_idempotent_requests_are_let_through)
+{
+    stall_watch it;
+    time_point now = answer_some(it, time_point(1h), 50, 300ms);
+    it.started({1000}, read_route, target, now);
+    now += 1s;
+    ASSERT_FALSE(it.admits(false, now));
+    int trials = 0;
+    std::uint64_t id = 2000;
+    for (const time_point end = now + 6s; now < end; now += 20ms) {
+        EXPECT_FALSE(it.admits(false, now));
+        if (!it.admits(true, now))
+            continue;
+        ++trials;
+        it.started({++id}, read_route, target, now);
+    }
+    EXPECT_GE(trials, 2);
+    EXPECT_LE(trials, 10);
+}
+
+TEST(stall_watch, routes_have_usual_times_of_their_own)
+{
+    stall_watch it;
+    time_point now(1h);
+    constexpr route_id long_route{2};
+    std::uint64_t id = 0;
+    for (int n = 0; n < 60; ++n) {
+        it.started({++id}, read_route, target, now);
+        it.ended({id}, request_evidence::answered, now + 100ms);
+        it.started({++id}, long_route, target, now);
+        it.ended({id}, request_evidence::answered, now + 1s);
+        now += 1s;
+    }
+    it.started({++id}, long_route, target, now);
+    EXPECT_TRUE(it.admits(false, now + 900ms));
+    it.ended({id}, request_evidence::answered, now + 1s);
+    now += 1s;
+    it.started({++id}, read_route, target, now);
+    EXPECT_FALSE(it.admits(false, now + 900ms));
+}
+
+// Whatever happens, the suspicion is a probability, and with nothing new it goes back to what is
+// thought of a server of which nothing is known.
+RC_GTEST_PROP(stall_watch, suspicion_is_a_probability_and_fades, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    const stall_watch_options options;
+    stall_watch it(options);
+    time_point now(1h);
+    std::vector<request_id> open;
+    for (std::uint64_t n = 1; n < 400; ++n) {
+        now += std::chrono::milliseconds(random() % 200);
+        if (open.empty() || random() % 2 == 0) {
+            open.push_back({n});
+            it.started({n}, {random() % 3}, target, now);
+        }
+        else {
+            const std::size_t at = random() % open.size();
+            it.ended(open[at], static_cast<request_evidence>(random() % 3), now);
+            open.erase(open.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        const double p = it.suspicion(now);
+        RC_ASSERT(p >= 0 && p <= 1);
+    }
+    for (const request_id id : open)
+        it.ended(id, request_evidence::nothing, now);
+    const double idle = options.idle_odds / (1 + options.idle_odds);
+    RC_ASSERT(std::abs(it.suspicion(now + 10 * options.memory) - idle) < 0.01);
+}
