--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -395,16 +395,17 @@
     return choose_suspected(request, search);
 }
 
-// All that are left are suspected. An idempotent request goes to the one that is least so, as it
-// may be tried again. Another waits a little for one to come back, and is refused if none does.
+// All that are left are suspected. An idempotent request goes to the one that is least so, as it may
+// be tried again. Another first waits a little for one to come back, and then leaves it to the gate
+// of the least suspected whether there is any hope.
 std::optional<route_choice> entry::choose_suspected(const admitted_request& request,
                                                     route_search& search)
 {
     const duration patience =
         std::max<duration>(request.route->target_latency / 4, shortest_patience);
-    if (!request.idempotent && !search.suspected.empty()) {
-        if (boot_now() + suspect_pause - request.start > patience)
-            return std::nullopt;
+    const bool may_pause = !request.idempotent && !search.suspected.empty() && !search.insists &&
+                           boot_now() + suspect_pause - request.start <= patience;
+    if (may_pause) {
         std::this_thread::sleep_for(suspect_pause);
         search.suspected.clear();
         search.full.clear();
@@ -465,7 +466,7 @@
         ++search.refusals;
         if (last.reason == refusal::overloaded && !search.may_wait)
             search.full.push_back(choice->server);
-        else if (last.reason == refusal::suspect)
+        else if (last.reason == refusal::suspect && !search.insists)
             search.suspected.push_back(choice->server);
         else
             search.reached.push_back(choice->server);
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -14,6 +14,8 @@
 constexpr int first_error_status = 500;
 // From here on a request is more likely lost than not, and one that waits goes elsewhere.
 constexpr double hopeless_suspicion = 0.7;
+// A server that all suspect gets a request that must not be repeated this often.
+constexpr duration hopeless_pause = std::chrono::seconds(1);
 
 // Tells the entry node that this gate did not run the request, or does not know.
 static void refuse(link_stream& stream, const refusal_answer& it,
@@ -206,6 +208,14 @@
         return refusal::overloaded;
     if (!request.insists && !server.stalls.admits(request.idempotent, now))
         return refusal::suspect;
+    // Nobody else wants it either; without a request now and then, the server could not show that it
+    // is well again.
+    const bool is_hopeless = request.insists && !request.idempotent &&
+                             server.stalls.suspicion(now) >= hopeless_suspicion &&
+                             now - server.last_admitted < hopeless_pause;
+    if (is_hopeless)
+        return refusal::suspect;
+    server.last_admitted = now;
     return std::nullopt;
 }
 
--- a/src/gate.h
+++ b/src/gate.h
@@ -74,6 +74,7 @@
         time_point last_heard;
         slot_queue slots;
         stall_watch stalls;
+        time_point last_admitted{};
         std::vector<idle_connection> idle;
     };
     // A request that waits for a slot or runs.
