Nodes that start together find each other, and the limits' holder, sooner

Now a node that has just started asks and exchanges each 150 ms, and takes back at once what it lent to itself. Ruled out: the store (joined within 30 ms) and announcements. Tests: membership.nodes_that_start_together_know_each_other_soon, limit_delegation.a_node_that_was_alone_lends_its_share_soon.

--- a/src/limit_delegation.cpp
+++ b/src/limit_delegation.cpp
@@ -47,6 +47,13 @@
     return out;
 }
 
+// A share that this node lent to itself can be had back at once; terms that were told last on.
+void limit_delegation::take_back(std::uint32_t group, time_point now)
+{
+    if (loans_[group].to == options_.self.vm && lent_[group].erase(options_.self.vm) > 0)
+        loans_[group].until = now + options_.terms_last;
+}
+
 // A share goes to another holder only when the one before can no longer use it.
 std::vector<send_delegation> limit_delegation::tick(time_point now)
 {
@@ -57,6 +64,7 @@
         if (holder == vm_id{})
             continue;
         if (loan.to != holder) {
+            take_back(group, now);
             if (now < loan.until)
                 continue;
             loan = {.to = holder};
--- a/src/limit_delegation.h
+++ b/src/limit_delegation.h
@@ -90,6 +90,7 @@
     };
 
     vm_id holder_of(std::uint32_t group) const;
+    void take_back(std::uint32_t group, time_point now);
 
     const limit_delegation_options options_;
     std::vector<vm_id> candidates_; // nodes that may hold, this one included unless it leaves
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t watcher_salt = 0x77617463;
 
 membership::membership(membership_options options, time_point now)
-    : options_(std::move(options)), self_(options_.self), next_ping_(now), next_seed_ping_(now),
+    : options_(std::move(options)), self_(options_.self), started_(now), next_ping_(now), next_seed_ping_(now),
       next_exchange_(now), random_(options_.random_seed)
 {
     directory_.merge(self_);
@@ -79,7 +79,7 @@
 {
     if (now < next_seed_ping_)
         return;
-    next_seed_ping_ = now + seed_interval;
+    next_seed_ping_ = now + (is_joining(now) ? options_.joining_interval : seed_interval);
     for (const endpoint& seed : options_.seeds) {
         const auto& members = directory_.members();
         const bool known = std::any_of(members.begin(), members.end(),
@@ -141,6 +141,11 @@
     peer->second.heard = heard;
 }
 
+bool membership::is_joining(time_point now) const
+{
+    return now - started_ < options_.joining_time;
+}
+
 bool membership::asked_all_since(time_point since) const
 {
     return std::all_of(peers_.begin(), peers_.end(), [since](const auto& it) {
@@ -278,9 +283,10 @@
     }
     if (it.directory_digest == directory_.digest())
         return;
-    if (now - settled_since_ < options_.difference_time || now < next_exchange_)
+    const bool joining = is_joining(now);
+    if ((!joining && now - settled_since_ < options_.difference_time) || now < next_exchange_)
         return;
-    next_exchange_ = now + options_.exchange_interval;
+    next_exchange_ = now + (joining ? options_.joining_interval : options_.exchange_interval);
     out.emplace_back(exchange_members{.link = from});
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -31,6 +31,10 @@
     duration store_age_limit = std::chrono::seconds(5);
     duration exchange_interval = std::chrono::milliseconds(500); ///< at least, between exchanges
     duration difference_time = std::chrono::milliseconds(300);   ///< news that spreads ends sooner
+    /// How long a node that has just started looks for others in quick succession: many may start
+    /// together, in any order, and none can serve before it knows the others.
+    duration joining_time = std::chrono::seconds(3);
+    duration joining_interval = std::chrono::milliseconds(150); ///< of pings to seeds, exchanges
     std::size_t relays = 3; ///< nodes asked to ping a silent one
     std::size_t fanout = 3; ///< nodes that news is passed on to at once
 };
@@ -152,6 +156,7 @@
                           membership_actions& out);
     std::vector<const member_record*> random_members(std::size_t count);
     void note_outcome(const ping_state& it, bool heard);
+    bool is_joining(time_point now) const;
     bool asked_all_since(time_point since) const;
 
     membership_options options_;
@@ -165,6 +170,7 @@
     std::uint64_t next_number_ = 1;
     std::uint64_t generation_ = 0;
     std::optional<time_point> store_heard_;
+    const time_point started_;
     time_point next_ping_;
     time_point next_seed_ping_;
     time_point next_exchange_;
--- a/tests/limit_delegation_test.cpp
+++ b/tests/limit_delegation_test.cpp
@@ -144,3 +144,19 @@
         RC_ASSERT(fleet.shares_in_use() <= whole_share);
     }
 }
+
+// A node that knew nobody had its share itself; once it knows the others, the holder has it soon.
+TEST(limit_delegation, a_node_that_was_alone_lends_its_share_soon)
+{
+    delegating_fleet fleet(10, 1);
+    for (std::size_t n = 0; n < 10; ++n)
+        fleet.see({n});
+    for (int n = 0; n < 6; ++n)
+        fleet.step(false);
+    fleet.see(numbers(0, 10));
+    for (int n = 0; n < 16; ++n) {
+        fleet.step(false);
+        EXPECT_LE(fleet.shares_in_use(), whole_share);
+    }
+    EXPECT_GE(fleet.shares_in_use(), whole_share - 1);
+}
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -253,3 +253,21 @@
             EXPECT_TRUE(fleet.knows(a, b)) << a << " does not know " << b;
     }
 }
+
+// All nodes start together, as after the loss of power: soon everyone knows everyone.
+TEST(membership, nodes_that_start_together_know_each_other_soon)
+{
+    small_fleet fleet(20);
+    std::vector<endpoint> seeds;
+    for (std::size_t n = 0; n < 20; ++n)
+        seeds.push_back(small_fleet::link(n));
+    for (membership& it : fleet.nodes)
+        it.add_seeds(seeds);
+    fleet.run(500ms);
+    std::size_t known = 0;
+    for (std::size_t a = 0; a < 20; ++a) {
+        for (std::size_t b = 0; b < 20; ++b)
+            known += fleet.knows(a, b) ? 1 : 0;
+    }
+    EXPECT_EQ(known, 400U);
+}
