--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -385,19 +385,19 @@
         std::vector<backend_server_id> all = out;
         all.insert(all.end(), search.full.begin(), search.full.end());
         if (search.refusals < most_free_tries) {
-            if (const auto choice = choose(request, all))
+            if (auto choice = choose(request, all))
                 return choice;
         }
         search.may_wait = true;
     }
-    if (const auto choice = choose(request, out))
+    if (auto choice = choose(request, out))
         return choice;
     return choose_suspected(request, search);
 }
 
-// All that are left are suspected. An idempotent request goes to the one that is least so, as it may
-// be tried again. Another first waits a little for one to come back, and then leaves it to the gate
-// of the least suspected whether there is any hope.
+// All that are left are suspected. An idempotent request goes to the one that is least so, as it
+// may be tried again. Another first waits a little for one to come back, and then leaves it to the
+// gate of the least suspected whether there is any hope.
 std::optional<route_choice> entry::choose_suspected(const admitted_request& request,
                                                     route_search& search)
 {
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -29,7 +29,7 @@
     stream.respond(std::move(head), true);
 }
 
-gate::gate(gate_options options, health_service& health, poison_service& poison)
+gate::gate(const gate_options& options, health_service& health, poison_service& poison)
     : options_(options), health_(health), poison_(poison),
       workers_({.threads = options.threads, .waiting = options.waiting_requests})
 {
@@ -208,8 +208,8 @@
         return refusal::overloaded;
     if (!request.insists && !server.stalls.admits(request.idempotent, now))
         return refusal::suspect;
-    // Nobody else wants it either; without a request now and then, the server could not show that it
-    // is well again.
+    // Nobody else wants it either; without a request now and then, the server could not show that
+    // it is well again.
     const bool is_hopeless = request.insists && !request.idempotent &&
                              server.stalls.suspicion(now) >= hopeless_suspicion &&
                              now - server.last_admitted < hopeless_pause;
@@ -258,7 +258,7 @@
 // reach the entry before the entry itself gives up, so that the caller learns that nothing ran.
 static time_point wait_limit(const dispatch& it, time_point now, time_point deadline)
 {
-    constexpr duration refusal_time = std::chrono::milliseconds(50);
+    constexpr duration refusal_time = std::chrono::milliseconds(120);
     const time_point last = deadline - refusal_time;
     return it.target > duration::zero() ? std::min(last, now + 2 * it.target) : last;
 }
@@ -352,7 +352,6 @@
         return it.status >= first_error_status ? request_outcome::error_status
                                                : request_outcome::ok;
     case call_end::not_connected:
-        return request_outcome::connection_refused;
     case call_end::misdirected:
         return request_outcome::connection_refused;
     case call_end::shed:
--- a/src/gate.h
+++ b/src/gate.h
@@ -42,7 +42,7 @@
 /// Thread-safe.
 class gate {
 public:
-    gate(gate_options options, health_service& health, poison_service& poison);
+    gate(const gate_options& options, health_service& health, poison_service& poison);
     ~gate();
 
     announcement_end announce(const announcement& it, time_point now);
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -110,7 +110,7 @@
     log_writer(const log_writer&) = delete;
     log_writer& operator=(const log_writer&) = delete;
 
-    void add(event number, std::string line)
+    void add(event number, const std::string& line)
     {
         const std::lock_guard lock(mutex_);
         const auto second =
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -14,8 +14,8 @@
 constexpr std::uint64_t watcher_salt = 0x77617463;
 
 membership::membership(membership_options options, time_point now)
-    : options_(std::move(options)), self_(options_.self), started_(now), next_ping_(now), next_seed_ping_(now),
-      next_exchange_(now), random_(options_.random_seed)
+    : options_(std::move(options)), self_(options_.self), started_(now), next_ping_(now),
+      next_seed_ping_(now), next_exchange_(now), random_(options_.random_seed)
 {
     directory_.merge(self_);
 }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -190,7 +190,7 @@
             config_feed_options{
                 .decode = platform_->decode_config,
                 .on_generation =
-                    [this](std::shared_ptr<const fleet_config> it) { take_config(it); }},
+                    [this](const std::shared_ptr<const fleet_config>& it) { take_config(it); }},
             *links_);
         return;
     }
--- a/src/platform_parts.h
+++ b/src/platform_parts.h
@@ -29,7 +29,7 @@
     std::string config_key{};
     config_decoder decode_config{};
     /// Adds the platform's calls to a server.
-    std::function<void(httplib::Server&, announcement_sink)> add_announcements{};
+    std::function<void(httplib::Server&, const announcement_sink&)> add_announcements{};
     std::function<std::unique_ptr<store_session_base>(store_session_options, const endpoint& store)>
         open_store{};
 };
--- a/tests/limit_delegation_test.cpp
+++ b/tests/limit_delegation_test.cpp
@@ -32,6 +32,7 @@
     void see(const std::vector<std::size_t>& part)
     {
         std::vector<member_record> members;
+        members.reserve(part.size());
         for (const std::size_t n : part)
             members.push_back({.vm = vm(n), .name = "vm" + std::to_string(n), .run = {1}});
         for (const std::size_t n : part)
