The homes of idempotency keys exist before mandates can tell of them

Cause: the mandates' thread publishes the terms of each shard as soon as it runs; the order of construction had come to make key_homes after it, so a node without a platform could crash at its start (limit_service_test and process.a_post_* under load, backtrace in mandate_service::publish). Nodes on the platform have no mandates and were not touched. Repeated six times at once under load: passes.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -100,6 +100,8 @@
     }
     relay_ = std::make_unique<control_relay>(
         link_identity{.vm_name = settings_.vm_name, .run = run_}, *links_);
+    homes_ = std::make_unique<key_homes>(id_of<vm_id>(settings_.vm_name),
+                                         id_of<failure_domain_id>(settings_.failure_domain));
     open_gate();
     open_limits();
     open_entry();
@@ -139,8 +141,6 @@
 
 void node::open_entry()
 {
-    homes_ = std::make_unique<key_homes>(id_of<vm_id>(settings_.vm_name),
-                                         id_of<failure_domain_id>(settings_.failure_domain));
     once_ = std::make_unique<once_service>(
         once_service_options{
             .self = id_of<vm_id>(settings_.vm_name),
