A file that show made is refused after another operator's change

Cause: apply read the generation in force at the moment of the call, so of two files made from generation 1 the second replaced what the first had changed, and both ended with 0. Ruled out: a conflict by section, since hand-written files name no base and often replace their own sections on purpose.

--- a/src/config_document.cpp
+++ b/src/config_document.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace jasminebank {
 
@@ -128,6 +129,22 @@
         *place = it;
 }
 
+result<std::optional<std::uint64_t>, ini_error> take_base(ini_file& file)
+{
+    const ini_section* section = find_section(file, base_section);
+    if (section == nullptr)
+        return std::optional<std::uint64_t>{};
+    field_reader in(file, *section);
+    const std::uint64_t generation =
+        in.number("generation", 0, 0, std::numeric_limits<std::uint64_t>::max());
+    if (!in.has("generation"))
+        in.reject("generation", "the generation that show printed");
+    if (const auto wrong = in.finish())
+        return *wrong;
+    remove_section(file.sections, base_section);
+    return std::optional(generation);
+}
+
 bool remove_section(std::vector<ini_section>& sections, std::string_view name)
 {
     const auto place = find_name(sections, name);
--- a/src/config_document.h
+++ b/src/config_document.h
@@ -55,6 +55,11 @@
 result<std::shared_ptr<const fleet_config>, ini_error> build_generation(const config_head& head,
                                                                         const config_texts& texts);
 
+/// Section in which a file tells the generation that it was made from.
+constexpr std::string_view base_section = "base";
+/// Takes that section out of `file` and returns its generation; nothing if there is none.
+result<std::optional<std::uint64_t>, ini_error> take_base(ini_file& file);
+
 /// Replaces the section of the same name, or adds it.
 void put_section(std::vector<ini_section>& sections, const ini_section& it);
 /// Removes a section by name; false if there is none.
--- a/src/jasminebank_main.cpp
+++ b/src/jasminebank_main.cpp
@@ -19,6 +19,7 @@
     command_line_option{"node", "A:P[,A:P]", "control addresses of nodes"},
     command_line_option{"json", "", "print JSON where there is a choice"},
     command_line_option{"replace", "", "apply: remove sections that are not in the files"},
+    command_line_option{"insist", "", "apply: also a file made from an older generation"},
     command_line_option{"version", "", "print the version"},
 };
 
@@ -48,6 +49,7 @@
     options.nodes = in.addresses("node");
     options.json = in.flag("json", false);
     options.replace = in.flag("replace", false);
+    options.insist = in.flag("insist", false);
     if (const auto wrong = in.finish()) {
         fmt::print(stderr, "{}\n", describe(*wrong));
         return static_cast<int>(command_exit::usage);
--- a/src/operator_command.cpp
+++ b/src/operator_command.cpp
@@ -57,14 +57,34 @@
     return out;
 }
 
-result<sections, ini_error> load_sections(const words& files)
+// What the operator's files hold.
+struct given_files {
+    std::vector<ini_file> files;
+    std::vector<std::uint64_t> bases; // generations that they were made from, where they tell
+};
+
+result<given_files, ini_error> load_files(const words& paths)
 {
-    sections out;
-    for (const std::string& path : files) {
+    given_files out;
+    for (const std::string& path : paths) {
         auto file = load_ini(path);
         if (failed(file))
             return error_of(file);
-        for (const ini_section& it : value_of(file).sections)
+        const auto base = take_base(value_of(file));
+        if (failed(base))
+            return error_of(base);
+        if (value_of(base))
+            out.bases.push_back(*value_of(base));
+        out.files.push_back(std::move(value_of(file)));
+    }
+    return out;
+}
+
+sections sections_of(const given_files& given)
+{
+    sections out;
+    for (const ini_file& file : given.files) {
+        for (const ini_section& it : file.sections)
             put_section(out, it);
     }
     return out;
@@ -73,14 +93,10 @@
 // Checks the files by themselves, so that errors name the operator's own lines.
 command_exit check(const words& files)
 {
-    std::vector<ini_file> parsed;
-    for (const std::string& path : files) {
-        auto file = load_ini(path);
-        if (failed(file))
-            return report(error_of(file));
-        parsed.push_back(std::move(value_of(file)));
-    }
-    const auto config = build_fleet_config(parsed);
+    const auto given = load_files(files);
+    if (failed(given))
+        return report(error_of(given));
+    const auto config = build_fleet_config(value_of(given).files);
     if (failed(config))
         return report(error_of(config));
     fmt::print("{} services, {} routes, {} organisations, {} keys\n",
@@ -89,11 +105,27 @@
     return command_exit::done;
 }
 
-// Reads, edits, checks and swaps. `edit` changes the sections or returns why it cannot. After a
-// conflict `edit` runs again on what the other operator left, up to `attempts` times in all; an
-// edit that overwrites whole sections gets one attempt, or it would undo the other's change.
+// A file that was made from an older generation would undo what came in between.
+std::optional<config_store_error> check_bases(const std::vector<std::uint64_t>& bases,
+                                              std::uint64_t generation)
+{
+    const auto it = std::find_if(bases.begin(), bases.end(),
+                                 [&](std::uint64_t base) { return base != generation; });
+    if (it == bases.end())
+        return std::nullopt;
+    return config_store_error{
+        .kind = config_store_failure::conflict,
+        .detail = fmt::format("made from generation {}, in force is {}; look with diff, or insist",
+                              *it, generation)};
+}
+
+// Reads, edits, checks and swaps, unless the stored generation is not one of `bases`. `edit`
+// changes the sections or returns why it cannot. After a conflict `edit` runs again on what the
+// other operator left, up to `attempts` times in all; an edit that overwrites whole sections gets
+// one attempt, or it would undo the other's change.
 template <class Edit>
-command_exit change(const operator_options& options, int attempts, Edit edit)
+command_exit change(const operator_options& options, int attempts,
+                    const std::vector<std::uint64_t>& bases, Edit edit)
 {
     store_client store({.endpoints = options.store});
     const std::string change_id = random_hex();
@@ -101,6 +133,8 @@
         const auto before = read_config(store);
         if (failed(before))
             return report(error_of(before));
+        if (const auto wrong = check_bases(bases, value_of(before).head.generation))
+            return report(*wrong);
         auto now = read_sections(value_of(before).texts);
         if (failed(now))
             return report(error_of(now));
@@ -123,13 +157,14 @@
 
 command_exit apply(const words& files, const operator_options& options)
 {
-    const auto given = load_sections(files);
+    const auto given = load_files(files);
     if (failed(given))
         return report(error_of(given));
-    return change(options, 1, [&](sections& now) -> std::optional<ini_error> {
+    const auto bases = options.insist ? std::vector<std::uint64_t>{} : value_of(given).bases;
+    return change(options, 1, bases, [&](sections& now) -> std::optional<ini_error> {
         if (options.replace)
             now.clear();
-        for (const ini_section& it : value_of(given))
+        for (const ini_section& it : sections_of(value_of(given)))
             put_section(now, it);
         return std::nullopt;
     });
@@ -147,7 +182,7 @@
 
 command_exit remove(const words& names, const operator_options& options)
 {
-    return change(options, edit_attempts, [&](sections& now) -> std::optional<ini_error> {
+    return change(options, edit_attempts, {}, [&](sections& now) -> std::optional<ini_error> {
         for (const std::string& it : names) {
             if (!remove_section(now, it))
                 return no_section(it);
@@ -170,7 +205,7 @@
 {
     const std::string key = random_hex();
     const command_exit out =
-        change(options, edit_attempts, [&](sections& now) -> std::optional<ini_error> {
+        change(options, edit_attempts, {}, [&](sections& now) -> std::optional<ini_error> {
             ini_section* section = organisation_section(now, organisation);
             if (section == nullptr)
                 return no_section("organisation " + organisation);
@@ -188,7 +223,7 @@
 command_exit withdraw_key(const std::string& organisation, const std::string& name,
                           const operator_options& options)
 {
-    return change(options, edit_attempts, [&](sections& now) -> std::optional<ini_error> {
+    return change(options, edit_attempts, {}, [&](sections& now) -> std::optional<ini_error> {
         ini_section* section = organisation_section(now, organisation);
         if (section == nullptr)
             return no_section("organisation " + organisation);
@@ -243,7 +278,11 @@
     nlohmann::json json{{"generation", value_of(stored).generation},
                         {"sections", nlohmann::json::object()}};
     if (!options.json)
-        fmt::print("; generation {}\n", value_of(stored).generation);
+        print_section({.name = std::string(base_section),
+                       .line = 0,
+                       .fields = {{.name = "generation",
+                                   .value = fmt::format("{}", value_of(stored).generation),
+                                   .line = 0}}});
     for (const ini_section& it : value_of(stored).all) {
         if (!names.empty() && std::find(names.begin(), names.end(), it.name) == names.end())
             continue;
@@ -267,13 +306,13 @@
 
 command_exit diff(const words& files, const operator_options& options)
 {
-    const auto given = load_sections(files);
+    const auto given = load_files(files);
     if (failed(given))
         return report(error_of(given));
     const auto stored = read_stored(options);
     if (failed(stored))
         return error_of(stored);
-    for (const ini_section& it : value_of(given)) {
+    for (const ini_section& it : sections_of(value_of(given))) {
         const auto old = std::find_if(value_of(stored).all.begin(), value_of(stored).all.end(),
                                       [&](const ini_section& a) { return a.name == it.name; });
         if (old == value_of(stored).all.end())
@@ -327,7 +366,8 @@
 {
     return "commands:\n"
            "  check FILE...                    read files and report the first thing wrong\n"
-           "  apply FILE...                    put their sections into force\n"
+           "  apply FILE...                    put their sections into force; a file that show\n"
+           "                                   made is refused after another change\n"
            "  remove SECTION...                remove sections, as \"route proofs\"\n"
            "  diff FILE...                     which sections would change\n"
            "  show [SECTION...]                what is stored\n"
--- a/src/operator_command.h
+++ b/src/operator_command.h
@@ -17,6 +17,7 @@
     std::vector<endpoint> nodes; ///< control addresses
     bool json = false;
     bool replace = false; ///< apply: what is not in the files is removed
+    bool insist = false;  ///< apply: also what was made from an older generation
 };
 
 /// Exit codes of the command line.
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -373,6 +373,29 @@
     EXPECT_EQ(highest[0], 1 + accepted);
 }
 
+// Both files were made from what was in force before either of them.
+TEST(process, the_second_of_two_operators_is_told_of_the_first)
+{
+    process_fleet fleet;
+    const std::string shown = fleet.run_command({"show"}).output;
+    const std::size_t rate = shown.find("rate = ");
+    ASSERT_NE(rate, std::string::npos) << shown;
+    const auto made_from_it = [&](const std::string& name, const std::string& line) {
+        std::string text = shown;
+        text.replace(rate, text.find('\n', rate) - rate, line);
+        return fleet.write(name, text);
+    };
+    const std::string first = made_from_it("first.ini", "rate = 1111");
+    const std::string second = made_from_it("second.ini", "rate = 2222");
+    EXPECT_EQ(fleet.run_command({"check", first}).code, 0);
+    EXPECT_EQ(fleet.run_command({"apply", first}).code, 0);
+    const command_result refused = fleet.run_command({"apply", second});
+    EXPECT_EQ(refused.code, 3) << refused.output;
+    EXPECT_NE(fleet.run_command({"show"}).output.find("rate = 1111"), std::string::npos);
+    EXPECT_EQ(fleet.run_command({"--insist", "apply", second}).code, 0);
+    EXPECT_NE(fleet.run_command({"show"}).output.find("rate = 2222"), std::string::npos);
+}
+
 TEST(process, a_cut_answer_never_looks_whole)
 {
     const fleet_service orders{.name = "orders", .method = "POST", .timeout = "2s"};
