Messages to a limits' holder that is silent take another way at once

A grant without an answer told nobody that the link was cut; only the dead link did, after 3 s, or a missed heartbeat. Ruled out: a holder that is away (the others had their tokens); the relay (once it was taken, tokens came). Change: the entry side of the limits tells which holder left a request without an answer; the relay then sends the next messages through a third node, another one after each silence.

--- a/src/control_relay.cpp
+++ b/src/control_relay.cpp
@@ -1,6 +1,7 @@
 #include "control_relay.h"
 
 #include "log.h"
+#include "system_clock.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,6 +13,8 @@
 
 // Of a message through a third node: two more ways between failure domains at the most.
 constexpr duration pass_on_timeout = std::chrono::milliseconds(300);
+// By then a probe has found out whether the direct way works.
+constexpr duration suspicion_lasts = std::chrono::seconds(1);
 
 control_relay::control_relay(link_identity self, link_hub& links)
     : self_(std::move(self)), links_(links)
@@ -28,6 +31,7 @@
         else
             domain_ = it.domain;
     }
+    std::erase_if(suspected_, [this](const auto& it) { return !members_.contains(it.first); });
 }
 
 void control_relay::set_reachable(vm_id vm, bool reachable)
@@ -39,6 +43,22 @@
         unreachable_.insert(vm);
 }
 
+// A way that is in use and brings no answers is left as well.
+void control_relay::suspect(vm_id vm)
+{
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    if (!is_direct(vm, now))
+        ways_.erase(vm);
+    suspected_[vm] = now + suspicion_lasts;
+}
+
+bool control_relay::is_direct(vm_id to, time_point now) const
+{
+    const auto found = suspected_.find(to);
+    return !unreachable_.contains(to) && (found == suspected_.end() || found->second <= now);
+}
+
 // The node itself, or else the third node that worked last. A new one is taken from the own failure
 // domain if possible, as it costs no further way between domains.
 std::optional<control_relay::way> control_relay::way_to(vm_id to)
@@ -47,16 +67,16 @@
     const auto direct = members_.find(to);
     if (direct == members_.end())
         return std::nullopt;
-    if (!unreachable_.contains(to))
+    const time_point now = boot_now();
+    if (is_direct(to, now))
         return way{.by = to, .link = direct->second.link};
     const auto known = ways_.find(to);
-    if (known != ways_.end() && members_.contains(known->second) &&
-        !unreachable_.contains(known->second))
+    if (known != ways_.end() && members_.contains(known->second) && is_direct(known->second, now))
         return way{.by = known->second, .link = members_.at(known->second).link};
     std::vector<way> near;
     std::vector<way> all;
     for (const auto& [vm, it] : members_) {
-        if (vm == to || unreachable_.contains(vm))
+        if (vm == to || !is_direct(vm, now))
             continue;
         all.push_back({.by = vm, .link = it.link});
         if (it.domain == domain_)
@@ -64,7 +84,7 @@
     }
     const auto& from = near.empty() ? all : near;
     if (from.empty())
-        return std::nullopt;
+        return way{.by = to, .link = direct->second.link};
     const way& out = from[random_() % from.size()];
     ways_[to] = out.by;
     log_event(event::relay_taken, "to={:016x} by={:016x}", to.value, out.by.value);
@@ -84,18 +104,18 @@
 bool control_relay::call(vm_id to, std::string path, std::string payload, duration timeout,
                          control_callback done)
 {
-    const auto way = way_to(to);
-    if (!way)
+    const auto taken = way_to(to);
+    if (!taken)
         return false;
-    if (way->by == to)
-        return links_.call(way->link, std::move(path), std::move(payload), timeout,
+    if (taken->by == to)
+        return links_.call(taken->link, std::move(path), std::move(payload), timeout,
                            std::move(done));
     const std::vector<std::uint8_t> bytes = json::to_cbor(
         json::array({to.value, self_.vm_name, self_.run.value, path,
                      json::binary(std::vector<std::uint8_t>(payload.begin(), payload.end()))}));
-    return links_.call(way->link, std::string(relay_path), std::string(bytes.begin(), bytes.end()),
-                       timeout,
-                       [this, to, by = way->by,
+    return links_.call(taken->link, std::string(relay_path),
+                       std::string(bytes.begin(), bytes.end()), timeout,
+                       [this, to, by = taken->by,
                         done = std::move(done)](const result<std::string, link_error>& it) {
                            if (failed(it))
                                drop_way(to, by);
--- a/src/control_relay.h
+++ b/src/control_relay.h
@@ -30,6 +30,8 @@
     void set_directory(const member_directory& directory);
     /// Whether this node reaches the other directly.
     void set_reachable(vm_id vm, bool reachable);
+    /// A message to this node had no answer in time: for a while the next ones go another way.
+    void suspect(vm_id vm);
     /// As `link_hub::call`, to a member.
     [[nodiscard]] bool call(vm_id to, std::string path, std::string payload, duration timeout,
                             control_callback done);
@@ -48,6 +50,7 @@
         failure_domain_id domain;
     };
 
+    bool is_direct(vm_id to, time_point now) const;
     std::optional<way> way_to(vm_id to);
     void drop_way(vm_id to, vm_id by);
 
@@ -58,6 +61,7 @@
     std::map<vm_id, member> members_;
     std::map<vm_id, vm_id> ways_; ///< third nodes in use, by addressee: their links stand already
     std::set<vm_id> unreachable_;
+    std::map<vm_id, time_point> suspected_; ///< until when no message goes the direct way
     std::mt19937_64 random_{std::random_device{}()};
 };
 
--- a/src/limit_entry.cpp
+++ b/src/limit_entry.cpp
@@ -325,6 +325,7 @@
 
 void limit_entry::lost(vm_id holder, time_point now, limit_outbox& out, limit_outcomes& ended)
 {
+    silent_.push_back(holder);
     const std::vector<organisation_id> busy(busy_.begin(), busy_.end());
     for (std::vector<holder_view>& views : holders_) {
         for (holder_view& it : views) {
@@ -367,6 +368,7 @@
     for (pending_request& request : it.pending) {
         if (!request.is_timed_out && at.now >= request.sent + options_.answer_timeout) {
             request.is_timed_out = true;
+            silent_.push_back(request.holder);
             avoid(at.organisation, request.holder, at.now + options_.avoid_silent);
         }
     }
--- a/src/limit_entry.h
+++ b/src/limit_entry.h
@@ -12,6 +12,8 @@
 #include <map>
 #include <set>
 #include <span>
+#include <utility>
+#include <vector>
 
 namespace jasminebank {
 
@@ -82,6 +84,8 @@
     void cancel(std::uint64_t ticket);
     /// Ends waits and returns unspent tokens; call when next_deadline() has come.
     void tick(time_point now, limit_outbox& out, limit_outcomes& ended);
+    /// Holders that have left a request without an answer since the last call.
+    std::vector<vm_id> take_silent() { return std::exchange(silent_, {}); }
     /// When tick() has something to do; time_point::max() if nothing waits.
     time_point next_deadline() const;
 
@@ -175,6 +179,7 @@
     std::map<std::uint64_t, organisation_id> tickets_; // of waiting callers
     std::uint64_t next_number_ = 1;
     std::uint64_t next_ticket_ = 1;
+    std::vector<vm_id> silent_;
     time_point next_sweep_{};
     limit_entry_counts counts_;
 };
--- a/tests/control_relay_test.cpp
+++ b/tests/control_relay_test.cpp
@@ -90,6 +90,25 @@
     }
 }
 
+// Long before a probe or the link itself tells that the way is cut.
+TEST(control_relay, after_a_message_without_an_answer_the_next_ones_go_another_way)
+{
+    relay_node a("a");
+    relay_node b("b");
+    relay_node c("c");
+    member_directory all;
+    for (const relay_node* it : {&a, &b, &c})
+        all.merge(it->record());
+    for (const relay_node* it : {&a, &b, &c})
+        it->relay->set_directory(all);
+    a.links->set_cut(to_string(c.links->local()), cut_direction::both);
+    a.relay->suspect(id_of<vm_id>("c"));
+    waiting_answer got;
+    ASSERT_TRUE(a.relay->call(id_of<vm_id>("c"), "/control/test", "word", 2s,
+                              [&](const auto& it) { got.take(it); }));
+    EXPECT_EQ(got.wait(), "c heard word of a at /control/test");
+}
+
 TEST(control_relay, no_message_is_passed_on_in_the_name_of_another)
 {
     relay_node a("a");
--- a/tests/limit_holder_test.cpp
+++ b/tests/limit_holder_test.cpp
@@ -149,3 +149,20 @@
     it.tick(start + 100ms, out, ended);
     EXPECT_EQ(ended.size(), 2U);
 }
+
+// So that messages to it take another way.
+TEST(limit_entry, tells_which_holder_is_silent)
+{
+    limit_entry it({.shards = 1});
+    it.set_holders(0, std::array{holder_vm});
+    limit_outbox out;
+    limit_outcomes ended;
+    it.admit(contract_of(lids, 1, 1), start, out);
+    it.tick(start + 33ms, out, ended);
+    EXPECT_TRUE(it.take_silent().empty());
+    it.tick(start + 34ms, out, ended);
+    EXPECT_EQ(it.take_silent(), std::vector{holder_vm});
+    EXPECT_TRUE(it.take_silent().empty());
+    // The waiting caller is asked for once more while it still waits.
+    EXPECT_EQ(out.size(), 2U);
+}
