--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t may_wait_flag = 2;
 constexpr std::uint64_t insists_flag = 4;
 constexpr std::uint64_t nested_flag = 8;
+constexpr std::uint64_t trial_flag = 16;
 
 static void add_field(message_head& head, std::string_view name, std::string value)
 {
@@ -35,7 +36,8 @@
 {
     const std::uint64_t flags = (it.idempotent ? idempotent_flag : 0) |
                                 (it.may_wait ? may_wait_flag : 0) |
-                                (it.insists ? insists_flag : 0) | (it.is_nested ? nested_flag : 0);
+                                (it.insists ? insists_flag : 0) | (it.is_nested ? nested_flag : 0) |
+                                (it.is_trial ? trial_flag : 0);
     const std::array<std::uint64_t, dispatch_numbers> numbers{it.server.value,
                                                               it.gate_run.value,
                                                               it.route.value,
@@ -94,9 +96,27 @@
                     .idempotent = (flags & idempotent_flag) != 0,
                     .may_wait = (flags & may_wait_flag) != 0,
                     .insists = (flags & insists_flag) != 0,
+                    .is_trial = (flags & trial_flag) != 0,
                     .fingerprint = {.high = high, .low = low}};
 }
 
+// Under overload, who waits for longer than the target takes the slot of another that would have
+// been in time. What a running request waits for is worth that request's own time.
+time_point latest_start(const dispatch& it, time_point now, time_point deadline)
+{
+    constexpr duration refusal_time = std::chrono::milliseconds(120);
+    const time_point last = deadline - refusal_time;
+    if (it.target <= duration::zero())
+        return last;
+    return std::min(last, now + (it.is_nested ? 2 * it.target : it.target));
+}
+
+// A request that a running one waits for goes first: without it, the work done so far is lost.
+std::uint32_t rank_of(const dispatch& it)
+{
+    return it.is_nested ? 0 : 1 + it.priority;
+}
+
 message_head head_for_backend_server(const message_head& head, const dispatch& it,
                                      const header_names& names, const std::string& expected_server)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -18,6 +18,8 @@
 constexpr std::string_view internal_prefix = "jasmine-";
 /// Share of busy slots that an answer tells, from 0 to 1.
 constexpr std::string_view load_field = "jasmine-load";
+/// Stands in a refusal when the gate would take one request to learn whether its server is well.
+constexpr std::string_view trial_field = "jasmine-trial";
 
 /// What the gate must know of a request.
 struct dispatch {
@@ -34,6 +36,7 @@
     bool idempotent = false;
     bool may_wait = true;            ///< for a slot; else it is refused when none is free
     bool insists = true;             ///< also when the gate suspects the backend server
+    bool is_trial = false;           ///< may be lost: the same request runs elsewhere, too
     request_fingerprint fingerprint; ///< equal for requests that are the same to the caller
 };
 
@@ -43,6 +46,12 @@
 /// Reads them; nothing when one is missing or malformed.
 std::optional<dispatch> read_dispatch(const message_head& head);
 
+/// Until when a request waits for a slot; then it is refused, so that its caller may still come
+/// back. It always ends before the entry itself gives up, which would leave open whether it runs.
+time_point latest_start(const dispatch& it, time_point now, time_point deadline);
+/// Rank of a request among those that wait for a slot, 0 first.
+std::uint32_t rank_of(const dispatch& it);
+
 /// The head for a backend server: without internal fields, and with those that it is to see by
 /// their names. `expected_server` may be empty.
 message_head head_for_backend_server(const message_head& head, const dispatch& it,
--- /dev/null
+++ b/src/dispatch_attempt.cpp
@@ -0,0 +1,167 @@
+#include "dispatch_attempt.h"
+
+#include "dispatch.h"
+#include "reach_monitor.h"
+#include "socket_server.h"
+#include "system_clock.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <condition_variable>
+#include <mutex>
+
+namespace jasminebank {
+
+namespace {
+
+constexpr std::size_t chunk_bytes = 16UL * 1024;
+constexpr int first_error_status = 500;
+// How often a thread that waits for an answer looks whether its caller is still there.
+constexpr duration caller_check_interval = std::chrono::milliseconds(100);
+// With two attempts open, each is looked at this often: short against a service time.
+constexpr duration turn = std::chrono::milliseconds(8);
+
+refusal_answer answer_of(const link_error& it)
+{
+    if (!may_have_run(it))
+        return {.reason = refusal::no_backend_server};
+    if (it.kind == link_failure::timed_out)
+        return {.reason = refusal::deadline, .state = run_state::unknown};
+    return {.reason = refusal::backend_server_error, .state = run_state::unknown};
+}
+
+std::optional<double> load_of(const message_head& answer)
+{
+    const std::string* text = find_field(answer, load_field);
+    double out = 0;
+    if (text == nullptr)
+        return std::nullopt;
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), out);
+    return ec == std::errc{} ? std::optional(out) : std::nullopt;
+}
+
+void read_small_answer(dispatch_attempt& it, std::size_t ahead_bytes, time_point deadline)
+{
+    std::array<char, chunk_bytes> buf{};
+    while (it.body.size() < ahead_bytes) {
+        const auto n = it.stream->read(buf, deadline);
+        if (failed(n)) {
+            it.refused = {.reason = error_of(n).kind == link_failure::timed_out
+                                        ? refusal::deadline
+                                        : refusal::backend_server_error,
+                          .state = run_state::unknown};
+            it.answer.reset();
+            return;
+        }
+        if (value_of(n) == 0) {
+            it.body_is_whole = true;
+            return;
+        }
+        it.body.append(buf.data(), value_of(n));
+    }
+}
+
+void take_head(dispatch_attempt& it, result<message_head, link_error> head)
+{
+    if (failed(head)) {
+        it.refused = answer_of(error_of(head));
+        // A deadline that passes, or a caller that leaves, says nothing about the gate.
+        it.gate_failed = error_of(head).kind == link_failure::not_sent ||
+                         error_of(head).kind == link_failure::maybe_sent;
+        return;
+    }
+    it.gate_heard = true;
+    it.load = load_of(value_of(head));
+    const std::string* outcome = find_field(value_of(head), outcome_field);
+    if (outcome == nullptr || *outcome != name_of(run_state::ran)) {
+        it.refused = outcome == nullptr ? std::nullopt : parse_outcome(*outcome);
+        if (!it.refused)
+            it.refused = {.reason = refusal::backend_server_error, .state = run_state::unknown};
+        it.trial_due = find_field(value_of(head), trial_field) != nullptr;
+        return;
+    }
+    it.answer = std::move(value_of(head));
+}
+
+} // namespace
+
+bool is_server_failure(const message_head& answer)
+{
+    return answer.status >= first_error_status;
+}
+
+bool is_good(const dispatch_attempt& it)
+{
+    return it.answer && !is_server_failure(*it.answer);
+}
+
+// A request that still waits for its link when the caller is looked for is withdrawn, so that it
+// goes elsewhere.
+wait_end wait_for_either(dispatch_attempt& own, dispatch_attempt* other, time_point until)
+{
+    time_point next_check = boot_now() + caller_check_interval;
+    while (true) {
+        const time_point step =
+            std::min({until, next_check, other == nullptr ? time_point::max() : boot_now() + turn});
+        if (own.stream->has_head(step))
+            return wait_end::own;
+        const time_point now = boot_now();
+        if (other != nullptr && other->stream->has_head(now))
+            return wait_end::other;
+        if (now >= until)
+            return wait_end::due;
+        if (now < next_check)
+            continue;
+        next_check = now + caller_check_interval;
+        if (own.stream->withdraw_unsent())
+            return wait_end::own;
+        if (socket_server::peer_left()) {
+            own.caller_left = true;
+            return wait_end::caller_left;
+        }
+    }
+}
+
+void settle_attempt(dispatch_attempt& it, std::size_t ahead_bytes, time_point deadline)
+{
+    take_head(it, it.stream->read_head(boot_now()));
+    if (it.answer)
+        read_small_answer(it, ahead_bytes, deadline);
+}
+
+bool gate_answers(link_hub& links, const endpoint& link, duration patience)
+{
+    struct reply {
+        std::mutex mutex;
+        std::condition_variable came;
+        std::optional<bool> answered;
+    };
+    const auto own = std::make_shared<reply>();
+    const auto take = [own](const result<std::string, link_error>& it) {
+        const std::lock_guard lock(own->mutex);
+        own->answered = !failed(it);
+        own->came.notify_one();
+    };
+    if (!links.call(link, std::string(reach_path), "-", patience, take))
+        return false;
+    std::unique_lock lock(own->mutex);
+    own->came.wait_for(lock, patience, [&] { return own->answered.has_value(); });
+    return own->answered.value_or(false);
+}
+
+bool pump_body(const httplib::ContentReader& reader, link_stream& stream, duration timeout)
+{
+    bool gate_left = false;
+    const bool whole = reader([&](const char* data, std::size_t n) {
+        gate_left = failed(stream.write({data, n}, boot_now() + timeout));
+        return !gate_left;
+    });
+    if (whole)
+        stream.finish();
+    else if (!gate_left)
+        stream.reset(reset_reason::cancelled);
+    return whole || gate_left;
+}
+
+} // namespace jasminebank
--- /dev/null
+++ b/src/dispatch_attempt.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// One try of a request at one backend server, through its gate: the open stream, and what became of
+// it. A request that may be repeated can have two tries open, of which the first good one counts.
+
+#include "link_hub.h"
+#include "link_stream.h"
+#include "refusal.h"
+#include "router.h"
+#include "types.h"
+
+#include <httplib.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace jasminebank {
+
+struct dispatch_attempt {
+    route_choice choice;
+    std::shared_ptr<link_stream> stream;
+    time_point start;
+    std::optional<message_head> answer;    ///< of the backend server
+    std::optional<refusal_answer> refused; ///< by its gate, or for a failure on the way
+    std::string body;                      ///< of the answer, as far as it was read ahead
+    bool body_is_whole = false;            ///< nothing is left to read
+    std::optional<double> load;            ///< of the backend server, as its gate told
+    bool gate_heard = false;               ///< something came back from the gate
+    bool gate_failed = false;
+    bool body_consumed = false; ///< the caller's body is used up
+    bool caller_left = false;
+    bool hedge_asked = false; ///< whether it may be sent elsewhere as well, because it is late
+    bool trial_due = false;   ///< the gate would like a request to learn whether its server is well
+};
+
+/// Whether the backend server reports a failure of its own that another one may not share.
+bool is_server_failure(const message_head& answer);
+/// Whether the attempt has an answer that the caller is to get.
+bool is_good(const dispatch_attempt& it);
+
+/// How a wait for one or two attempts ended.
+enum class wait_end : std::uint8_t {
+    own,         ///< the head of the answer is there, or the stream ended
+    other,       ///< the same of the other attempt
+    due,         ///< the time came
+    caller_left, ///< nobody waits for the answer any more
+};
+
+/// Waits until `until`. `other` may be empty.
+wait_end wait_for_either(dispatch_attempt& own, dispatch_attempt* other, time_point until);
+
+/// Takes the head that has come, or what went wrong; then an answer's body, up to `ahead_bytes`, so
+/// that one that breaks off there is a failed attempt of which no caller has seen a part.
+void settle_attempt(dispatch_attempt& it, std::size_t ahead_bytes, time_point deadline);
+
+/// Whether the node at `link` answers within `patience`: bytes that are sent to one that was cut
+/// off a moment ago are not known to be lost.
+bool gate_answers(link_hub& links, const endpoint& link, duration patience);
+
+/// Streams the caller's body. False when the caller broke it off or the gate takes no more; the
+/// gate's answer, if there is one, tells which.
+bool pump_body(const httplib::ContentReader& reader, link_stream& stream, duration timeout);
+
+} // namespace jasminebank
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -18,22 +18,26 @@
 namespace {
 
 constexpr std::size_t chunk_bytes = 16UL * 1024;
-// How often a thread that waits for an answer looks whether its caller is still there.
-constexpr duration caller_check_interval = std::chrono::milliseconds(100);
 constexpr int no_content_status = 204;
 constexpr int not_modified_status = 304;
 constexpr int bad_gateway_status = 502;
 constexpr int too_many_requests_status = 429;
 constexpr int unavailable_status = 503;
-constexpr int first_error_status = 500;
 // Gates that say honestly that they did not run a request cost little; so many are asked.
 constexpr std::size_t most_tries = 24;
-// Refusals after which a request rather waits for a slot than asks for another free one.
-constexpr std::size_t most_free_tries = 5;
-// How long a request that must not be repeated waits for a server that is not suspected: a part of
-// its target latency, so that most of it is left for the work.
-constexpr duration suspect_pause = std::chrono::milliseconds(40);
-constexpr duration shortest_patience = std::chrono::milliseconds(100);
+// Retries of a service that a node has without any success, where none are shared.
+constexpr double own_floor_retries = 2;
+// A gate that was heard this recently is taken to be there still. A request that must not be
+// repeated is lost with its gate, others may still be sent elsewhere as well.
+constexpr duration gate_memory = std::chrono::milliseconds(300);
+constexpr duration gate_memory_if_idempotent = std::chrono::seconds(1);
+// Several round trips between failure domains and the pauses of a busy VM, and a small part of what
+// a caller waits.
+constexpr duration gate_patience = std::chrono::milliseconds(150);
+// After so many gates without an answer it is this node that is cut off.
+constexpr std::size_t most_silent_gates = 3;
+// A retry that all nodes share is asked of another node for at most this long.
+constexpr duration shared_retry_patience = std::chrono::milliseconds(60);
 
 // The caller's head with the names that the HTTP library was kept from acting upon.
 message_head head_of(const httplib::Request& req)
@@ -77,29 +81,26 @@
     return target.substr(0, target.find_first_of("?#"));
 }
 
-refusal_answer answer_of(const link_error& it)
-{
-    if (!may_have_run(it))
-        return {.reason = refusal::no_backend_server};
-    if (it.kind == link_failure::timed_out)
-        return {.reason = refusal::deadline, .state = run_state::unknown};
-    return {.reason = refusal::backend_server_error, .state = run_state::unknown};
-}
-
 } // namespace
 
-// What became of one try at one backend server.
-struct entry::attempt {
-    std::shared_ptr<link_stream> stream;
-    std::optional<message_head> answer;
-    std::optional<refusal_answer> refused;
-    std::string body;           // of the answer, as far as it was read ahead
-    bool body_is_whole = false; // nothing is left to read
-    std::optional<double> load; // of the backend server, as its gate told
-    bool gate_failed = false;
-    bool body_consumed = false;
-    bool caller_left = false;
-    bool is_hedged = false; // given up for a try elsewhere, which the budget allows
+// What an attempt is made of.
+struct entry::attempt_place {
+    const admitted_request& request;
+    const message_head& head;
+    const std::string& body;
+    const httplib::ContentReader* reader; // streams the body; nullptr: it is in `body`
+    once_hold* hold;
+};
+
+// What became of a request so far.
+struct entry::request_progress {
+    server_search search;
+    refusal_answer last{.reason = refusal::no_backend_server};
+    bool may_have_run = false;
+    std::size_t arrivals = 0; // at backend servers
+    std::size_t silent_gates = 0;
+    std::optional<dispatch_attempt> other; // open beside the one that was made last
+    std::optional<dispatch_attempt> answered;
 };
 
 // The status must agree with what is known of the request: one that promises that it did not run is
@@ -123,21 +124,10 @@
     res.set_content(fmt::format("{}\n", outcome_text(it)), "text/plain");
 }
 
-// Which backend servers a request has been to, and how it may go to the next. At first it asks only
-// for free slots of servers that nobody suspects, which costs a round trip where there is none;
-// then it waits for a slot; and only when nothing else is left it goes to one that is suspected.
-struct entry::route_search {
-    std::vector<backend_server_id> reached; // it may have run there
-    std::vector<backend_server_id> full;
-    std::vector<backend_server_id> suspected;
-    std::size_t refusals = 0;
-    bool may_wait = false;
-    bool insists = false;
-};
-
 entry::entry(entry_options options, link_hub& links, router_options routing)
-    : options_(std::move(options)), links_(links), router_(routing),
-      retries_({.share = options_.retry_share})
+    : options_(std::move(options)), links_(links), self_(routing.self), router_(routing),
+      retries_({.share = options_.retry_share,
+                .floor_retries = options_.take_shared_retry ? 0 : own_floor_retries})
 {
 }
 
@@ -158,9 +148,8 @@
 {
     const std::lock_guard lock(mutex_);
     router_.update(directory);
-    if (options_.fleet_floor_retries > 0)
-        retries_.set_floor(options_.fleet_floor_retries / static_cast<double>(std::max<std::size_t>(
-                                                              directory.members().size(), 1)));
+    std::erase_if(gates_heard_,
+                  [&](const auto& it) { return directory.find(it.first) == nullptr; });
 }
 
 void entry::set_gate_reachable(vm_id gate, bool reachable)
@@ -283,21 +272,34 @@
               std::chrono::duration<double, std::milli>(boot_now() - request.start).count());
 }
 
-std::optional<route_choice> entry::choose(const admitted_request& request,
-                                          const std::vector<backend_server_id>& tried,
-                                          bool is_thorough)
+std::optional<route_choice> entry::choose(const admitted_request& request, const search_step& step)
 {
     const std::lock_guard lock(mutex_);
-    auto out = router_.choose({.service = request.service->id,
-                               .idempotent = request.idempotent,
-                               .tried = tried,
-                               .is_thorough = is_thorough},
-                              random_(), boot_now());
+    auto out =
+        router_.choose({.service = request.service->id,
+                        .idempotent = request.idempotent,
+                        .tried = step.excluded,
+                        .bytes = request.body_bytes + answers_.usual_bytes(request.route->id),
+                        .is_thorough = step.is_thorough},
+                       random_(), boot_now());
     if (out)
         router_.started(out->server);
     return out;
 }
 
+std::optional<route_choice> entry::choose_next(const admitted_request& request,
+                                               server_search& search)
+{
+    do {
+        const search_step step = search.step(boot_now());
+        if (step.pause > duration::zero())
+            std::this_thread::sleep_for(step.pause);
+        if (auto out = choose(request, step))
+            return out;
+    } while (search.none_found());
+    return std::nullopt;
+}
+
 // Claims the idempotency key of a request that must run at most once. False when the request must
 // not be sent: the answer is then written. The claim comes after the body, so that a slow caller
 // does not hold it, and before anything is sent.
@@ -370,51 +372,6 @@
     refuse(res, *refused);
 }
 
-// True when the answer is a failure of the backend server that another one may not share.
-static bool is_server_failure(const message_head& answer)
-{
-    return answer.status >= first_error_status;
-}
-
-std::optional<route_choice> entry::choose_next(const admitted_request& request,
-                                               route_search& search)
-{
-    std::vector<backend_server_id> out = search.reached;
-    out.insert(out.end(), search.suspected.begin(), search.suspected.end());
-    if (!search.may_wait) {
-        std::vector<backend_server_id> all = out;
-        all.insert(all.end(), search.full.begin(), search.full.end());
-        if (search.refusals < most_free_tries) {
-            if (auto choice = choose(request, all))
-                return choice;
-        }
-        search.may_wait = true;
-    }
-    if (auto choice = choose(request, out))
-        return choice;
-    return choose_suspected(request, search);
-}
-
-// All that are left are suspected. An idempotent request goes to the one that is least so, as it
-// may be tried again. Another first waits a little for one to come back, and then leaves it to the
-// gate of the least suspected whether there is any hope.
-std::optional<route_choice> entry::choose_suspected(const admitted_request& request,
-                                                    route_search& search)
-{
-    const duration patience =
-        std::max<duration>(request.route->target_latency / 4, shortest_patience);
-    const bool may_pause = !request.idempotent && !search.suspected.empty() && !search.insists &&
-                           boot_now() + suspect_pause - request.start <= patience;
-    if (may_pause) {
-        std::this_thread::sleep_for(suspect_pause);
-        search.suspected.clear();
-        search.full.clear();
-        return choose(request, search.reached);
-    }
-    search.insists = true;
-    return choose(request, search.reached, true);
-}
-
 // Tries backend servers in turn while the last refusal proves that the request did not run, or the
 // request is idempotent. Nothing when an answer was delivered. A run is settled as soon as its
 // status is known, whatever becomes of the body.
@@ -423,127 +380,43 @@
                                                  const httplib::ContentReader* reader,
                                                  once_hold* hold, httplib::Response& res)
 {
-    route_search search;
-    // A body that is streamed can be sent only once, so it waits where it comes first.
-    search.may_wait = reader != nullptr;
-    search.insists = reader != nullptr;
-    refusal_answer last{.reason = refusal::no_backend_server};
-    bool may_have_run = false;
-    std::size_t arrivals = 0;
-    attempt answered;
-    for (std::size_t n = 0; n < most_tries && arrivals < request.route->attempts; ++n) {
+    const attempt_place place{
+        .request = request, .head = head, .body = body, .reader = reader, .hold = hold};
+    request_progress progress{.search = server_search({.idempotent = request.idempotent,
+                                                       .is_streamed = reader != nullptr,
+                                                       .target = request.route->target_latency,
+                                                       .start = request.start,
+                                                       .is_nested = request.is_nested})};
+    for (std::size_t n = 0; n < most_tries && progress.arrivals < request.route->attempts; ++n) {
         if (hold != nullptr && boot_now() >= hold->deadline()) {
-            last = {.reason = refusal::deadline};
+            progress.last = {.reason = refusal::deadline};
             break;
         }
-        const auto choice = choose_next(request, search);
-        if (!choice)
+        const auto choice = choose_next(request, progress.search);
+        if (!choice || progress.silent_gates == most_silent_gates)
             break;
-        attempt it = try_once(request, *choice, search, head, body, reader);
-        if (it.answer) {
-            if (hold != nullptr)
-                hold->ran(it.answer->status);
-            read_small_answer(it, request.deadline);
-            learn_size(request, it.body.size());
-        }
-        finished(*choice, it);
-        if (it.answer) {
-            ++arrivals;
-            search.reached.push_back(choice->server);
-            const bool keep =
-                !request.idempotent || !is_server_failure(*it.answer) || it.body_consumed ||
-                !may_retry(request,
-                           {.reason = refusal::backend_server_error, .state = run_state::ran});
-            answered = std::move(it);
-            if (keep)
-                break;
-            may_have_run = true;
+        if (!is_gate_there(request, *choice)) {
+            ++progress.silent_gates;
+            progress.search.refused(choice->server, refusal::no_backend_server);
             continue;
         }
-        last = *it.refused;
-        if (it.body_consumed)
+        dispatch_attempt it = open_attempt(place, progress.search, *choice, false);
+        run_attempt(place, progress, it);
+        if (it.body_consumed && it.refused)
             socket_server::close_after_answer(res);
-        ++search.refusals;
-        if (last.reason == refusal::overloaded && !search.may_wait)
-            search.full.push_back(choice->server);
-        else if (last.reason == refusal::suspect && !search.insists)
-            search.suspected.push_back(choice->server);
-        else
-            search.reached.push_back(choice->server);
-        arrivals += last.state != run_state::not_run || last.reason == refusal::shed ? 1 : 0;
-        const bool first_loss = last.state != run_state::not_run && !may_have_run;
-        may_have_run |= last.state != run_state::not_run;
-        const bool again =
-            may_try_elsewhere(last) || it.is_hedged ||
-            (request.idempotent && first_loss && last.reason == refusal::backend_server_error);
-        if (!again || it.body_consumed || it.caller_left ||
-            (!it.is_hedged && !may_retry(request, last)))
+        if (!take_result(place, progress, it))
             break;
     }
+    take_other(place, progress);
     // The failure that a backend server itself reported is told rather than one of ours.
-    if (answered.answer) {
-        deliver(request, answered, head, res);
+    if (progress.answered) {
+        deliver(request, *progress.answered, head, res);
         return std::nullopt;
     }
     // What an earlier try may have run, a later refusal does not undo.
-    if (may_have_run)
-        last.state = run_state::unknown;
-    return last;
-}
-
-// A refusal by a gate costs its backend server nothing; what reaches a backend server once more
-// comes out of the budget of the service, which all nodes share.
-bool entry::may_retry(const admitted_request& request, const refusal_answer& last)
-{
-    const time_point now = boot_now();
-    const bool is_free = last.state == run_state::not_run && last.reason != refusal::shed;
-    if (is_free)
-        return now < request.deadline;
-    const std::lock_guard lock(mutex_);
-    return retries_.ask(
-               {.organisation = {}, .service = request.service->id, .deadline = request.deadline},
-               now) == retry_decision::granted;
-}
-
-void entry::finished(const route_choice& choice, const attempt& it)
-{
-    if (it.gate_failed)
-        options_.on_gate_failed(choice.gate);
-    const std::lock_guard lock(mutex_);
-    const time_point now = boot_now();
-    if (it.gate_failed)
-        router_.gate_failed(choice.gate, now);
-    router_.finished(choice.server, it.load, now);
-    if (it.refused && it.refused->reason == refusal::suspect)
-        router_.refused(choice.server, true, it.load, now);
-    else if (it.refused && it.refused->reason == refusal::overloaded)
-        router_.refused(choice.server, false, it.load, now);
-}
-
-// Streams the caller's body. False when the caller broke it off or the gate takes no more; the
-// gate's answer, if there is one, tells which.
-static bool pump(const httplib::ContentReader& reader, link_stream& stream, duration timeout)
-{
-    bool gate_left = false;
-    const bool whole = reader([&](const char* data, std::size_t n) {
-        gate_left = failed(stream.write({data, n}, boot_now() + timeout));
-        return !gate_left;
-    });
-    if (whole)
-        stream.finish();
-    else if (!gate_left)
-        stream.reset(reset_reason::cancelled);
-    return whole || gate_left;
-}
-
-static std::optional<double> load_of(const message_head& answer)
-{
-    const std::string* text = find_field(answer, load_field);
-    double out = 0;
-    if (text == nullptr)
-        return std::nullopt;
-    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), out);
-    return ec == std::errc{} ? std::optional(out) : std::nullopt;
+    if (progress.may_have_run)
+        progress.last.state = run_state::unknown;
+    return progress.last;
 }
 
 static std::uint32_t priority_of(const admitted_request& request)
@@ -553,179 +426,270 @@
     return request.route->priority;
 }
 
-// Waits for the answer's head in short steps, to notice a caller that has left.
-static result<message_head, link_error> wait_for_head(link_stream& stream, time_point deadline,
-                                                      bool& caller_left)
+dispatch_attempt entry::open_attempt(const attempt_place& place, const server_search& search,
+                                     const route_choice& choice, bool is_trial)
 {
-    while (true) {
-        const time_point step = std::min(deadline, boot_now() + caller_check_interval);
-        auto out = stream.read_head(step);
-        if (!failed(out) || error_of(out).kind != link_failure::timed_out || step == deadline)
-            return out;
-        caller_left = socket_server::peer_left();
-        if (caller_left) {
-            stream.reset(reset_reason::cancelled);
-            return out;
-        }
+    const admitted_request& request = place.request;
+    message_head head = place.head;
+    write_dispatch(
+        {.server = choice.server,
+         .gate_run = choice.gate_run,
+         .route = request.route->id,
+         .service = request.service->id,
+         .organisation = request.organisation == nullptr ? "" : request.organisation->name,
+         .caller_service = options_.local_service(),
+         .priority = priority_of(request),
+         .is_nested = request.is_nested,
+         .target = request.route->target_latency,
+         .time_left = request.deadline - boot_now(),
+         .idempotent = request.idempotent,
+         .may_wait = search.may_wait() && !is_trial,
+         .insists = search.insists() && !is_trial,
+         .is_trial = is_trial,
+         .fingerprint = request.fingerprint},
+        head);
+    const bool is_streamed = place.reader != nullptr;
+    dispatch_attempt it{.choice = choice, .start = boot_now(), .body_consumed = is_streamed};
+    it.stream = links_.open(choice.gate_link, std::move(head), place.body.empty() && !is_streamed);
+    if (!place.body.empty()) {
+        if (!failed(it.stream->write(place.body, request.deadline)))
+            it.stream->finish();
+    }
+    if (is_streamed && !pump_body(*place.reader, *it.stream, request.service->timeout)) {
+        it.caller_left = true;
+        it.refused = {.reason = refusal::bad_request, .state = run_state::unknown};
+    }
+    return it;
+}
+
+// Bytes that go to a node which died or was cut off a moment ago vanish without a word, so a gate
+// that was not heard lately is asked first.
+bool entry::is_gate_there(const admitted_request& request, const route_choice& choice)
+{
+    const duration memory = request.idempotent ? gate_memory_if_idempotent : gate_memory;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto heard = gates_heard_.find(choice.gate);
+        const bool is_recent = heard != gates_heard_.end() && boot_now() - heard->second < memory;
+        if (is_recent || choice.gate == self_)
+            return true;
     }
+    const bool answers = gate_answers(links_, choice.gate_link, gate_patience);
+    if (!answers)
+        options_.on_gate_failed(choice.gate);
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    if (answers) {
+        gates_heard_[choice.gate] = now;
+        return true;
+    }
+    router_.finished(choice.server, std::nullopt, now);
+    router_.gate_failed(choice.gate, now);
+    return false;
 }
 
-// Reads an answer ahead, up to the bound: one that breaks off there is a failed try, and no caller
-// has seen a part of it.
-void entry::read_small_answer(attempt& it, time_point deadline) const
+// When an idempotent request that is late for its kind is also sent to another server.
+time_point entry::hedge_time(const admitted_request& request, const request_progress& progress,
+                             const dispatch_attempt& it) const
 {
-    std::array<char, chunk_bytes> buf{};
-    while (it.body.size() < options_.buffered_answer_bytes) {
-        const auto n = it.stream->read(buf, deadline);
-        if (failed(n)) {
-            it.refused = {.reason = error_of(n).kind == link_failure::timed_out
-                                        ? refusal::deadline
-                                        : refusal::backend_server_error,
-                          .state = run_state::unknown};
-            it.answer.reset();
+    const bool may_hedge = options_.hedge_after > 0 && request.idempotent && !it.body_consumed &&
+                           !it.hedge_asked && !progress.other &&
+                           progress.arrivals + 2 <= request.route->attempts;
+    if (!may_hedge)
+        return time_point::max();
+    const std::lock_guard lock(mutex_);
+    const auto delay = std::chrono::duration_cast<duration>(
+        options_.hedge_after * answers_.usual_time(request.route->target_latency));
+    const bool is_in_time = delay > duration::zero() && it.start + 2 * delay < request.deadline;
+    return is_in_time ? it.start + delay : time_point::max();
+}
+
+// Waits until the attempt has ended. One that is late stays open as `other` while the next one
+// begins, if the budget has room for it; `it` is empty then.
+void entry::run_attempt(const attempt_place& place, request_progress& progress,
+                        dispatch_attempt& it)
+{
+    const time_point deadline = place.reader == nullptr
+                                    ? place.request.deadline
+                                    : boot_now() + place.request.service->timeout;
+    while (!it.refused) {
+        const time_point due = hedge_time(place.request, progress, it);
+        dispatch_attempt* other = progress.other ? &*progress.other : nullptr;
+        const wait_end end = wait_for_either(it, other, std::min(deadline, due));
+        if (end == wait_end::own || (end == wait_end::due && due >= deadline)) {
+            settle_attempt(it, options_.buffered_answer_bytes, deadline);
             return;
         }
-        if (value_of(n) == 0) {
-            it.body_is_whole = true;
+        if (end == wait_end::due) {
+            it.hedge_asked = true;
+            if (!ask_retry(place, "late"))
+                continue;
+            ++progress.arrivals;
+            progress.search.reached(it.choice.server);
+            progress.other = std::exchange(it, {});
             return;
         }
-        it.body.append(buf.data(), value_of(n));
+        if (end == wait_end::other) {
+            take_other(place, progress);
+            if (!progress.answered || !is_good(*progress.answered))
+                continue;
+        }
+        it.stream->reset(reset_reason::cancelled);
+        it.refused = {.reason = refusal::deadline, .state = run_state::unknown};
     }
 }
 
-// Usual time of answers to requests with this target latency, in seconds. Before there is a sample,
-// a target is taken for four times of it.
-static double usual_seconds(const std::map<duration, double>& known, duration target)
+// The gate of a suspected server would like to learn whether it is well: it gets the request while
+// another attempt is on its way, so that the caller need not wait for it.
+void entry::open_trial(const attempt_place& place, request_progress& progress,
+                       const dispatch_attempt& refused)
 {
-    constexpr double target_to_usual = 4;
-    const auto it = known.find(target);
-    return it != known.end() ? it->second
-                             : std::chrono::duration<double>(target).count() / target_to_usual;
+    const admitted_request& request = place.request;
+    if (!refused.trial_due || !request.idempotent || place.reader != nullptr || progress.other ||
+        progress.arrivals + 2 > request.route->attempts || !ask_retry(place, "trial"))
+        return;
+    {
+        const std::lock_guard lock(mutex_);
+        router_.started(refused.choice.server);
+    }
+    progress.other = open_attempt(place, progress.search, refused.choice, true);
+    ++progress.arrivals;
 }
 
-std::size_t entry::expected_answer_bytes(route_id route) const
+// Takes what became of the other attempt, for which it waits unless there is a good answer already.
+void entry::take_other(const attempt_place& place, request_progress& progress)
 {
-    const auto it = answer_bytes_.find(route);
-    return it == answer_bytes_.end() ? 0 : static_cast<std::size_t>(it->second);
+    if (!progress.other)
+        return;
+    dispatch_attempt it = std::move(*progress.other);
+    progress.other.reset();
+    const bool is_needed = !progress.answered || !is_good(*progress.answered);
+    if (is_needed && wait_for_either(it, nullptr, place.request.deadline) != wait_end::caller_left)
+        settle_attempt(it, options_.buffered_answer_bytes, place.request.deadline);
+    finished(place, it);
+    const bool has_arrived = !it.refused || it.refused->state != run_state::not_run ||
+                             it.refused->reason == refusal::shed;
+    progress.may_have_run |= has_arrived;
+    progress.arrivals -= has_arrived ? 0 : 1;
+    if (!is_needed)
+        return;
+    if (it.answer) {
+        learn(place.request, it);
+        if (!progress.answered || is_good(it))
+            progress.answered = std::move(it);
+    }
+    else if (it.refused && has_arrived) {
+        progress.last = *it.refused;
+    }
 }
 
-void entry::learn_size(const admitted_request& request, std::size_t bytes)
+// Takes what became of an attempt. True when another one may follow.
+bool entry::take_result(const attempt_place& place, request_progress& progress,
+                        dispatch_attempt& it)
 {
-    constexpr double weight = 0.1;
-    constexpr std::size_t most_routes = 4096;
-    const std::lock_guard lock(mutex_);
-    if (answer_bytes_.size() >= most_routes && !answer_bytes_.contains(request.route->id))
-        return;
-    double& known = answer_bytes_[request.route->id];
-    known += weight * (static_cast<double>(bytes) - known);
+    if (it.stream == nullptr)
+        return true;
+    const admitted_request& request = place.request;
+    finished(place, it);
+    if (progress.answered && is_good(*progress.answered))
+        return false;
+    if (it.answer) {
+        if (place.hold != nullptr)
+            place.hold->ran(it.answer->status);
+        learn(request, it);
+        ++progress.arrivals;
+        progress.search.reached(it.choice.server);
+        progress.may_have_run = true;
+        progress.answered = std::move(it);
+        return !is_good(*progress.answered) && request.idempotent &&
+               !progress.answered->body_consumed && !progress.other && ask_retry(place, "error");
+    }
+    progress.last = *it.refused;
+    const bool has_arrived = progress.last.state != run_state::not_run;
+    const bool is_first_loss = has_arrived && !progress.may_have_run;
+    progress.may_have_run |= has_arrived;
+    progress.arrivals += has_arrived || progress.last.reason == refusal::shed ? 1 : 0;
+    progress.search.refused(it.choice.server, progress.last.reason);
+    if (it.body_consumed || it.caller_left || (has_arrived && progress.other))
+        return false;
+    open_trial(place, progress, it);
+    const bool again =
+        may_try_elsewhere(progress.last) || (request.idempotent && is_first_loss &&
+                                             progress.last.reason == refusal::backend_server_error);
+    return again && may_retry(place, progress);
 }
 
-duration entry::hedge_delay(const admitted_request& request) const
+// A refusal by a gate costs its backend server nothing; what reaches a backend server once more
+// comes out of the budget of the service, which all nodes share.
+bool entry::may_retry(const attempt_place& place, const request_progress& progress)
 {
-    const std::lock_guard lock(mutex_);
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-        options_.hedge_after * usual_seconds(answer_seconds_, request.route->target_latency)));
+    const refusal_answer& last = progress.last;
+    const bool is_free = last.state == run_state::not_run && last.reason != refusal::shed;
+    return is_free ? progress.search.may_go_on(boot_now()) : ask_retry(place, "failed");
 }
 
-void entry::learn_time(const admitted_request& request, duration took)
+// What this node has earned by its own successes goes first.
+bool entry::ask_retry(const attempt_place& place, std::string_view cause)
 {
-    constexpr double weight = 0.05;
-    constexpr std::size_t most_targets = 64;
-    const std::lock_guard lock(mutex_);
-    const duration target = request.route->target_latency;
-    if (answer_seconds_.size() >= most_targets && !answer_seconds_.contains(target))
-        return;
-    const double usual = usual_seconds(answer_seconds_, target);
-    answer_seconds_[target] =
-        usual + weight * (std::chrono::duration<double>(took).count() - usual);
+    const admitted_request& request = place.request;
+    const time_point now = boot_now();
+    retry_decision decision = retry_decision::over_budget;
+    {
+        const std::lock_guard lock(mutex_);
+        decision = retries_.ask(
+            {.organisation = {}, .service = request.service->id, .deadline = request.deadline},
+            now);
+    }
+    bool is_shared = false;
+    if (decision == retry_decision::over_budget && options_.take_shared_retry)
+        is_shared = options_.take_shared_retry(
+            request.service->id, std::min(request.deadline, now + shared_retry_patience));
+    const bool granted = is_shared || decision == retry_decision::granted;
+    const std::string* id = find_field(place.head, options_.names.request_id);
+    log_event(event::retry_decided, "id={} service={} cause={} granted={} shared={} ms_left={:.0f}",
+              id == nullptr ? "-" : *id, request.service->name, cause, granted, is_shared,
+              std::chrono::duration<double, std::milli>(request.deadline - now).count());
+    return granted;
 }
 
-// Waits for the answer's head. An idempotent request that is late for its kind is given up for a
-// try elsewhere, if the budget has room for it.
-result<message_head, link_error> entry::wait_for_answer(const admitted_request& request,
-                                                        attempt& it, bool may_hedge,
-                                                        time_point deadline)
+void entry::learn(const admitted_request& request, const dispatch_attempt& it)
 {
-    const time_point start = boot_now();
-    const duration delay = hedge_delay(request);
-    const bool hedges =
-        may_hedge && request.idempotent && delay > duration::zero() && start + 2 * delay < deadline;
-    if (!hedges)
-        return wait_for_head(*it.stream, deadline, it.caller_left);
-    auto out = wait_for_head(*it.stream, start + delay, it.caller_left);
-    if (!failed(out)) {
-        learn_time(request, boot_now() - start);
-        return out;
-    }
-    if (error_of(out).kind != link_failure::timed_out || it.caller_left)
-        return out;
-    it.is_hedged =
-        may_retry(request, {.reason = refusal::backend_server_error, .state = run_state::unknown});
-    if (!it.is_hedged)
-        return wait_for_head(*it.stream, deadline, it.caller_left);
-    it.stream->reset(reset_reason::cancelled);
-    return out;
+    if (!is_good(it))
+        return;
+    const std::lock_guard lock(mutex_);
+    answers_.learn(request.route->id, request.route->target_latency, boot_now() - it.start,
+                   it.body.size());
 }
 
-entry::attempt entry::try_once(const admitted_request& request, const route_choice& choice,
-                               const route_search& search, const message_head& head,
-                               const std::string& body, const httplib::ContentReader* reader)
+void entry::finished(const attempt_place& place, const dispatch_attempt& it)
 {
-    message_head out = head;
-    write_dispatch(
-        {.server = choice.server,
-         .gate_run = choice.gate_run,
-         .route = request.route->id,
-         .service = request.service->id,
-         .organisation = request.organisation == nullptr ? "" : request.organisation->name,
-         .caller_service = options_.local_service(),
-         .priority = priority_of(request),
-         .target = request.route->target_latency,
-         .time_left = request.deadline - boot_now(),
-         .idempotent = request.idempotent,
-         .may_wait = search.may_wait,
-         .insists = search.insists,
-         .fingerprint = request.fingerprint},
-        out);
-    attempt it;
-    it.body_consumed = reader != nullptr;
-    it.stream = links_.open(choice.gate_link, std::move(out), body.empty() && reader == nullptr);
-    if (!body.empty()) {
-        if (!failed(it.stream->write(body, request.deadline)))
-            it.stream->finish();
-    }
-    if (reader != nullptr && !pump(*reader, *it.stream, request.service->timeout)) {
-        it.caller_left = true;
-        it.refused = {.reason = refusal::bad_request, .state = run_state::unknown};
-        return it;
+    if (it.refused && !it.gate_heard) {
+        const std::string* id = find_field(place.head, options_.names.request_id);
+        log_event(event::attempt_lost,
+                  "id={} server={:016x} gate={:016x} error={} gate_failed={} ms={:.1f}",
+                  id == nullptr ? "-" : *id, it.choice.server.value, it.choice.gate.value,
+                  name_of(it.refused->reason), it.gate_failed,
+                  std::chrono::duration<double, std::milli>(boot_now() - it.start).count());
     }
-    const time_point deadline =
-        reader == nullptr ? request.deadline : boot_now() + request.service->timeout;
-    const bool may_hedge = reader == nullptr && search.reached.size() + 1 < request.route->attempts;
-    auto answer = wait_for_answer(request, it, may_hedge, deadline);
-    if (failed(answer)) {
-        it.refused = answer_of(error_of(answer));
-        // A deadline that passes, or a caller that leaves, says nothing about the gate.
-        it.gate_failed = error_of(answer).kind == link_failure::not_sent ||
-                         error_of(answer).kind == link_failure::maybe_sent;
-        return it;
-    }
-    it.load = load_of(value_of(answer));
-    const std::string* outcome = find_field(value_of(answer), outcome_field);
-    if (outcome == nullptr || *outcome != name_of(run_state::ran)) {
-        it.refused = outcome == nullptr ? std::nullopt : parse_outcome(*outcome);
-        if (!it.refused)
-            it.refused = {.reason = refusal::backend_server_error, .state = run_state::unknown};
-        return it;
-    }
-    it.answer = std::move(value_of(answer));
-    return it;
+    if (it.gate_failed)
+        options_.on_gate_failed(it.choice.gate);
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    if (it.gate_heard)
+        gates_heard_[it.choice.gate] = now;
+    if (it.gate_failed)
+        router_.gate_failed(it.choice.gate, now);
+    router_.finished(it.choice.server, it.load, now);
+    if (it.refused && it.refused->reason == refusal::suspect)
+        router_.refused(it.choice.server, true, it.load, now);
+    else if (it.refused && it.refused->reason == refusal::overloaded)
+        router_.refused(it.choice.server, false, it.load, now);
 }
 
 // Passes the body on as it comes. Any failure on the way breaks the caller's connection, so that a
 // part is never taken for the whole.
-void entry::deliver(const admitted_request& request, const attempt& it, const message_head& head,
-                    httplib::Response& res)
+void entry::deliver(const admitted_request& request, const dispatch_attempt& it,
+                    const message_head& head, httplib::Response& res)
 {
     const message_head& answer = *it.answer;
     if (!is_server_failure(answer)) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -4,8 +4,10 @@
 // holds the request to the organisation's rate, chooses a backend server, sends the request to its
 // gate, and passes the whole answer back or refuses honestly.
 
+#include "answer_estimate.h"
 #include "caller_head.h"
 #include "dispatch.h"
+#include "dispatch_attempt.h"
 #include "fleet_config.h"
 #include "limit_entry.h"
 #include "link_hub.h"
@@ -15,6 +17,7 @@
 #include "request_metrics.h"
 #include "retry_budget.h"
 #include "router.h"
+#include "server_search.h"
 #include "types.h"
 
 #include <httplib.h>
@@ -25,6 +28,7 @@
 #include <mutex>
 #include <random>
 #include <string>
+#include <unordered_map>
 
 namespace jasminebank {
 
@@ -44,8 +48,10 @@
     std::size_t buffered_answer_bytes = 64UL * 1024; ///< answers up to this are read whole first
     /// An idempotent request that is open for this many usual times is tried elsewhere; 0: never.
     double hedge_after = 0;
-    double retry_share = 0.1;       ///< retries for each recent success of a service
-    double fleet_floor_retries = 0; ///< over all nodes, without any success; 0: 2 for each node
+    double retry_share = 0.1; ///< retries for each recent success of a service
+    /// Takes one of the retries that all nodes share for a service, waiting at most until the
+    /// deadline. Without it, this node has a few of its own.
+    std::function<bool(service_id, time_point)> take_shared_retry;
 };
 
 /// A request that may run: whose it is, where it goes.
@@ -82,8 +88,8 @@
     void set_gate_reachable(vm_id gate, bool reachable);
 
 private:
-    struct attempt;
-    struct route_search;
+    struct request_progress;
+    struct attempt_place;
 
     std::optional<refusal_answer> hold_to_rate(const admitted_request& request) const;
     std::optional<refusal_answer> admit(const caller_head& head, time_point now,
@@ -100,38 +106,37 @@
                                               const message_head& head, const std::string& body,
                                               const httplib::ContentReader* reader, once_hold* hold,
                                               httplib::Response& res);
-    std::optional<route_choice> choose(const admitted_request& request,
-                                       const std::vector<backend_server_id>& tried,
-                                       bool is_thorough = false);
-    std::optional<route_choice> choose_next(const admitted_request& request, route_search& search);
-    std::optional<route_choice> choose_suspected(const admitted_request& request,
-                                                 route_search& search);
-    attempt try_once(const admitted_request& request, const route_choice& choice,
-                     const route_search& search, const message_head& head, const std::string& body,
-                     const httplib::ContentReader* reader);
-    result<message_head, link_error> wait_for_answer(const admitted_request& request, attempt& it,
-                                                     bool may_hedge, time_point deadline);
-    duration hedge_delay(const admitted_request& request) const;
-    std::size_t expected_answer_bytes(route_id route) const;
-    void learn_size(const admitted_request& request, std::size_t bytes);
-    void learn_time(const admitted_request& request, duration took);
-    void read_small_answer(attempt& it, time_point deadline) const;
-    bool may_retry(const admitted_request& request, const refusal_answer& last);
-    void finished(const route_choice& choice, const attempt& it);
-    void deliver(const admitted_request& request, const attempt& it, const message_head& head,
-                 httplib::Response& res);
+    std::optional<route_choice> choose(const admitted_request& request, const search_step& step);
+    std::optional<route_choice> choose_next(const admitted_request& request, server_search& search);
+    bool is_gate_there(const admitted_request& request, const route_choice& choice);
+    dispatch_attempt open_attempt(const attempt_place& place, const server_search& search,
+                                  const route_choice& choice, bool is_trial);
+    time_point hedge_time(const admitted_request& request, const request_progress& progress,
+                          const dispatch_attempt& it) const;
+    void run_attempt(const attempt_place& place, request_progress& progress, dispatch_attempt& it);
+    void open_trial(const attempt_place& place, request_progress& progress,
+                    const dispatch_attempt& refused);
+    void take_other(const attempt_place& place, request_progress& progress);
+    bool take_result(const attempt_place& place, request_progress& progress, dispatch_attempt& it);
+    bool may_retry(const attempt_place& place, const request_progress& progress);
+    bool ask_retry(const attempt_place& place, std::string_view cause);
+    void learn(const admitted_request& request, const dispatch_attempt& it);
+    void finished(const attempt_place& place, const dispatch_attempt& it);
+    void deliver(const admitted_request& request, const dispatch_attempt& it,
+                 const message_head& head, httplib::Response& res);
     void note_end(const caller_head& head, const admitted_request& request,
                   const httplib::Response& res);
 
     const entry_options options_;
     request_metrics metrics_;
     link_hub& links_;
+    const vm_id self_;
     mutable std::mutex mutex_;
     std::shared_ptr<const fleet_config> config_;
     router router_;
     retry_budget retries_;
-    std::map<route_id, double> answer_bytes_;   ///< usual sizes of answers
-    std::map<duration, double> answer_seconds_; ///< usual times of answers, by target latency
+    answer_estimate answers_;
+    std::unordered_map<vm_id, time_point> gates_heard_; ///< the last sign of each
     std::mt19937_64 random_{std::random_device{}()};
 };
 
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -19,13 +19,15 @@
 
 // Tells the entry node that this gate did not run the request, or does not know.
 static void refuse(link_stream& stream, const refusal_answer& it,
-                   std::optional<double> load = std::nullopt)
+                   std::optional<double> load = std::nullopt, bool trial_due = false)
 {
     message_head head{.method = {}, .path = {}, .status = status_of(it.reason), .fields = {}};
     head.fields.push_back({.name = std::string(outcome_field), .value = outcome_text(it)});
     if (load)
         head.fields.push_back(
             {.name = std::string(load_field), .value = fmt::format("{:.3f}", *load)});
+    if (trial_due)
+        head.fields.push_back({.name = std::string(trial_field), .value = "due"});
     stream.respond(std::move(head), true);
 }
 
@@ -206,7 +208,7 @@
     backend_server& server = it->second;
     if (!request.may_wait && server.slots.running() >= record.slots)
         return refusal::overloaded;
-    if (!request.insists && !server.stalls.admits(request.idempotent, now))
+    if (!request.insists && !server.stalls.admits(request.is_trial, now))
         return refusal::suspect;
     // Nobody else wants it either; without a request now and then, the server could not show that
     // it is well again.
@@ -219,6 +221,18 @@
     return std::nullopt;
 }
 
+gate::server_load gate::look_at(backend_server_id server, time_point now) const
+{
+    server_load out{.server = server};
+    const auto it = servers_.find(server);
+    if (it == servers_.end())
+        return out;
+    out.running = it->second.slots.running();
+    out.waiting = it->second.slots.waiting();
+    out.suspicion = it->second.stalls.suspicion(now);
+    return out;
+}
+
 void gate::sort_actions(const slot_actions& actions, outcome& out, refusal reason)
 {
     for (const slot_action& action : actions) {
@@ -230,9 +244,12 @@
         const auto it = pending_.find(refused.request);
         if (it == pending_.end())
             continue;
+        const time_point now = boot_now();
         out.refused.push_back(
             {.stream = std::move(it->second.stream),
-             .reason = refused.reason == slot_refusal::deadline ? refusal::overloaded : reason});
+             .reason = refused.reason == slot_refusal::deadline ? refusal::overloaded : reason,
+             .at = look_at(it->second.request.server, now),
+             .waited = now - it->second.accepted});
         pending_.erase(it);
     }
 }
@@ -240,8 +257,10 @@
 // A waiting request that was refused has sent nothing, so the refusal is honest.
 void gate::perform(const outcome& it)
 {
-    for (const refused_stream& refused : it.refused)
+    for (const refused_stream& refused : it.refused) {
         refuse(*refused.stream, {.reason = refused.reason});
+        note_refused(*refused.stream, refused.at, name_of(refused.reason), refused.waited);
+    }
     for (const request_id id : it.started) {
         if (workers_.submit([this, id] { run(id); }))
             continue;
@@ -254,21 +273,6 @@
     }
 }
 
-// Past twice its target latency an answer is worth little, while others wait. The refusal must
-// reach the entry before the entry itself gives up, so that the caller learns that nothing ran.
-static time_point wait_limit(const dispatch& it, time_point now, time_point deadline)
-{
-    constexpr duration refusal_time = std::chrono::milliseconds(120);
-    const time_point last = deadline - refusal_time;
-    return it.target > duration::zero() ? std::min(last, now + 2 * it.target) : last;
-}
-
-// A request that a running one waits for goes first: without it, the work done so far is lost.
-static std::uint32_t rank_of(const dispatch& it)
-{
-    return it.is_nested ? 0 : 1 + it.priority;
-}
-
 void gate::accept(const std::shared_ptr<link_stream>& stream)
 {
     const auto request = read_dispatch(stream->head());
@@ -280,12 +284,17 @@
     outcome out;
     std::optional<refusal> reason;
     std::optional<double> load;
+    bool trial_due = false;
+    server_load at;
     request_id id;
     {
         const std::lock_guard lock(mutex_);
         reason = check(*request, now);
-        if (const auto it = servers_.find(request->server); reason && it != servers_.end())
+        if (const auto it = servers_.find(request->server); reason && it != servers_.end()) {
             load = load_of(it->second);
+            at = look_at(request->server, now);
+            trial_due = reason == refusal::suspect && it->second.stalls.is_trial_due(now);
+        }
         if (!reason) {
             id = request_id{next_request_++};
             const time_point deadline = now + request->time_left;
@@ -297,7 +306,7 @@
             sort_actions(
                 slots.enqueue({.request = id,
                                .organisation = id_of<organisation_id>(request->organisation),
-                               .deadline = wait_limit(*request, now, deadline),
+                               .deadline = latest_start(*request, now, deadline),
                                .rank = rank_of(*request),
                                .late_from = request->target > duration::zero()
                                                 ? now + request->target
@@ -307,7 +316,8 @@
         }
     }
     if (reason) {
-        refuse(*stream, {.reason = *reason}, load);
+        refuse(*stream, {.reason = *reason}, load, trial_due);
+        note_refused(*stream, at, name_of(*reason), duration::zero());
         return;
     }
     const bool waits = out.started.empty() && out.refused.empty();
@@ -320,6 +330,9 @@
 void gate::cancel(request_id id)
 {
     outcome out;
+    pending_request gone;
+    server_load at;
+    const time_point now = boot_now();
     {
         const std::lock_guard lock(mutex_);
         const auto it = pending_.find(id);
@@ -327,10 +340,15 @@
             return;
         const auto server = servers_.find(it->second.request.server);
         const std::size_t before = server->second.slots.waiting();
-        sort_actions(server->second.slots.cancel(id, boot_now()), out);
-        if (server->second.slots.waiting() < before)
+        sort_actions(server->second.slots.cancel(id, now), out);
+        if (server->second.slots.waiting() < before) {
+            gone = std::move(it->second);
             pending_.erase(id);
+            at = look_at(gone.request.server, now);
+        }
     }
+    if (gone.stream != nullptr)
+        note_refused(*gone.stream, at, "caller_left", now - gone.accepted);
     perform(out);
 }
 
@@ -425,6 +443,17 @@
     return std::chrono::duration<double, std::milli>(it).count();
 }
 
+void gate::note_refused(const link_stream& stream, const server_load& at, std::string_view reason,
+                        duration waited) const
+{
+    const std::string* id = find_field(stream.head(), options_.names.request_id);
+    log_event(event::dispatch_refused,
+              "id={} from={} server={:016x} reason={} waited_ms={:.1f} running={} waiting={} "
+              "suspicion={:.2f}",
+              id == nullptr ? "-" : *id, stream.peer().vm_name, at.server.value, reason,
+              milliseconds(waited), at.running, at.waiting, at.suspicion);
+}
+
 void gate::note_end(const pending_request& it, const call_result& result, bool past_deadline) const
 {
     const std::string* id = find_field(it.stream->head(), options_.names.request_id);
--- a/src/gate.h
+++ b/src/gate.h
@@ -86,10 +86,19 @@
         time_point started;
         double suspicion = 0; // of the backend server when it started
     };
+    // What a refusal was decided by.
+    struct server_load {
+        backend_server_id server;
+        std::size_t running = 0;
+        std::size_t waiting = 0;
+        double suspicion = 0;
+    };
     // What is to be done once the lock is free.
     struct refused_stream {
         std::shared_ptr<link_stream> stream;
         refusal reason = refusal::overloaded;
+        server_load at{};
+        duration waited{};
     };
     struct outcome {
         std::vector<request_id> started;
@@ -97,6 +106,9 @@
     };
 
     static double load_of(const backend_server& it);
+    server_load look_at(backend_server_id server, time_point now) const;
+    void note_refused(const link_stream& stream, const server_load& at, std::string_view reason,
+                      duration waited) const;
     std::optional<refusal> check(const dispatch& request, time_point now);
     void sort_actions(const slot_actions& actions, outcome& out,
                       refusal reason = refusal::overloaded);
--- a/src/ini_file.cpp
+++ b/src/ini_file.cpp
@@ -235,17 +235,19 @@
 
 static std::optional<duration> parse_time(std::string_view text)
 {
-    const std::size_t split = std::min(text.find_first_not_of("0123456789"), text.size());
-    const auto n = parse_whole<std::uint32_t>(text.substr(0, split));
+    constexpr double longest_minutes = 1e6; // what comes near would not fit a duration
+    const std::size_t split = std::min(text.find_first_not_of("0123456789."), text.size());
+    const auto n = parse_whole<double>(text.substr(0, split));
     const std::string_view unit = text.substr(split);
-    if (!n)
+    if (!n || *n > longest_minutes)
         return std::nullopt;
+    using std::chrono::duration_cast;
     if (unit == "ms")
-        return std::chrono::milliseconds(*n);
+        return duration_cast<duration>(std::chrono::duration<double, std::milli>(*n));
     if (unit == "s")
-        return std::chrono::seconds(*n);
+        return duration_cast<duration>(std::chrono::duration<double>(*n));
     if (unit == "min")
-        return std::chrono::minutes(*n);
+        return duration_cast<duration>(std::chrono::duration<double, std::ratio<60>>(*n));
     return std::nullopt;
 }
 
--- a/src/limit_service.cpp
+++ b/src/limit_service.cpp
@@ -48,11 +48,18 @@
     for (std::vector<rate_contract>& it : contracts_)
         it.clear();
     const std::uint32_t domains = domain_count();
-    for (const organisation_config& it : config_->organisations) {
-        rate_contract contract = contract_of(it.id, it.rate, it.burst + options_.burst_slack);
-        contract.home = suggested_home(contract, domains);
-        contracts_[shard_of(it.id, limit_shards)].push_back(contract);
+    const auto add = [&](rate_contract it) {
+        it.home = suggested_home(it, domains);
+        contracts_[shard_of(it.organisation, limit_shards)].push_back(it);
+    };
+    for (const organisation_config& it : config_->organisations)
+        add(contract_of(it.id, it.rate, it.burst + options_.burst_slack));
+    if (options_.retries.retries > 0) {
+        for (const service_config& it : config_->services)
+            add(shared_retry_contract(it.id, options_.retries));
     }
+    for (std::vector<rate_contract>& it : contracts_)
+        std::ranges::sort(it, {}, &rate_contract::organisation);
     if (const auto place = place_of(*config_, options_.domain))
         entry_.set_domain(place->index);
     for (std::uint32_t shard = 0; shard < limit_shards; ++shard)
@@ -279,6 +286,10 @@
 // go now; the thread sends the rest.
 void limit_service::settle(reaction& it)
 {
+    for (const vm_id silent : entry_.take_silent()) {
+        if (silent != options_.self.vm)
+            options_.on_silent(silent);
+    }
     bool was_refused = false;
     std::vector<vm_id> others;
     for (std::size_t n = 0; n < it.out.size(); ++n) {
--- a/src/limit_service.h
+++ b/src/limit_service.h
@@ -9,9 +9,11 @@
 #include "limit_holder.h"
 #include "limit_placement.h"
 #include "mandate_service.h"
+#include "retry_budget.h"
 
 #include <array>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -36,6 +38,10 @@
     limit_entry_options entry{.shards = limit_shards};
     /// Tokens beyond each burst, where the operators' bound leaves room for them.
     double burst_slack = 0;
+    /// Retries that all nodes share, for each service.
+    shared_retry_options retries{};
+    /// A holder has not answered in time. Runs under the service's lock.
+    std::function<void(vm_id)> on_silent = [](vm_id) {};
 };
 
 /// Messages to and from other nodes, in batches; bytes are those of the payloads.
--- a/src/link_stream.cpp
+++ b/src/link_stream.cpp
@@ -116,6 +116,19 @@
     return deadline_error();
 }
 
+bool link_stream::has_head(time_point until)
+{
+    stream_state& it = *state_;
+    std::unique_lock lock(it.mutex_);
+    return wait(lock, until, [&] { return it.head_in_ || it.is_over(); });
+}
+
+bool link_stream::withdraw_unsent()
+{
+    const std::lock_guard lock(state_->mutex_);
+    return deadline_error().kind == link_failure::not_sent;
+}
+
 // Bytes taken are told to the link, which gives that much window back to the peer.
 result<std::size_t, link_error> link_stream::read(std::span<char> buf, time_point deadline)
 {
--- a/src/link_stream.h
+++ b/src/link_stream.h
@@ -42,6 +42,11 @@
 
     /// The head of the answer; for the caller's side. May be called again.
     result<message_head, link_error> read_head(time_point deadline);
+    /// Whether `read_head` would return at once; waits until `until` for that.
+    bool has_head(time_point until);
+    /// Takes back a request that still waits for its link, so that it is known not to run. False
+    /// when it has been handed over.
+    bool withdraw_unsent();
     /// Takes received bytes, at least one; 0 is the end of a whole body. An early end is an error
     /// after the bytes that came before it.
     result<std::size_t, link_error> read(std::span<char> buf, time_point deadline);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -162,8 +162,10 @@
             .local_service = [this] { return local_service(); },
             .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
             .hedge_after = settings_.hedge_after,
-            .retry_share = settings_.retry_share,
-            .fleet_floor_retries = settings_.fleet_floor_retries},
+            .retry_share = settings_.fleet_retries > 0
+                               ? settings_.retry_share * used_part_of_retry_bound
+                               : settings_.retry_share,
+            .take_shared_retry = shared_retries()},
         *links_,
         router_options{.self = id_of<vm_id>(settings_.vm_name),
                        .domain = id_of<failure_domain_id>(settings_.failure_domain),
@@ -172,6 +174,17 @@
                        .own_domain_first = settings_.own_domain_first});
 }
 
+// Without retries that are shared, each node has a few of its own.
+std::function<bool(service_id, time_point)> node::shared_retries()
+{
+    if (settings_.fleet_retries <= 0)
+        return {};
+    return [this](service_id service, time_point deadline) {
+        const limit_verdict it = limits_->admit_blocking(shared_retries_of(service), deadline);
+        return std::holds_alternative<limit_admitted>(it);
+    };
+}
+
 void node::take_config(const std::shared_ptr<const fleet_config>& config)
 {
     entry_->set_config(config);
@@ -210,10 +223,10 @@
 {
     if (when_cut_off_ == cut_off_policy::serve)
         return true;
-    if (settings_.news_age == duration::zero())
+    if (settings_.revoke_within == duration::zero())
         return members_->may_serve();
     const auto age = members_->store_age();
-    return age && *age <= settings_.news_age;
+    return age && *age <= settings_.revoke_within * 9 / 10; // the rest is for what is on its way
 }
 
 // A node that is not among the readers reads for itself while no fresh news reaches it.
@@ -235,9 +248,17 @@
         members_->announce_shards(std::move(it));
     };
     limits_ = std::make_unique<limit_service>(
-        limit_service_options{.self = self,
-                              .domain = id_of<failure_domain_id>(settings_.failure_domain),
-                              .burst_slack = settings_.burst_slack},
+        limit_service_options{
+            .self = self,
+            .domain = id_of<failure_domain_id>(settings_.failure_domain),
+            // Half is left for what two holders grant while one takes over.
+            .burst_slack = settings_.rate_slack / 2,
+            .retries = {.retries = settings_.fleet_retries, .window = settings_.fleet_retry_window},
+            .on_silent =
+                [this](vm_id it) {
+                    relay_->suspect(it);
+                    reach_->suspect(it);
+                }},
         *relay_);
     if (platform_)
         return;
--- a/src/node.h
+++ b/src/node.h
@@ -72,6 +72,7 @@
     bool take_announcement(const announcement& it);
     bool withdraw_server(const std::string& name);
     bool is_expected(const announcement& it) const;
+    std::function<bool(service_id, time_point)> shared_retries();
     std::string local_service() const;
     bool open_members();
     bool open_doors();
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -52,16 +52,17 @@
     out.metrics = in.address("metrics", "127.0.0.1:0");
     out.backend_server = in.address("backend_server", "127.0.0.1:0");
     out.service = in.text("service", "");
-    out.news_age = in.time("news_age", 0s, 0s, 1min);
+    out.revoke_within = in.time("revoke_within", 0s, 0s, 1min);
     out.limit_holders = static_cast<std::uint32_t>(in.number("limit_holders", 1, 1, limit_shards));
     out.hedge_after = in.decimal("hedge_after", 0, 0, 1000);
     out.other_domain_penalty = in.decimal("other_domain_penalty", 1, 0, 1000);
     out.other_domain_penalty_per_mb = in.decimal("other_domain_penalty_per_mb", 0, 0, 1e6);
     out.ping_period = in.time("ping_period", 125ms, 10ms, 10s);
     out.own_domain_first = in.flag("own_domain_first", true);
-    out.burst_slack = in.decimal("burst_slack", 0, 0, 1e6);
+    out.rate_slack = in.decimal("rate_slack", 0, 0, 1e6);
     out.retry_share = in.decimal("retry_share", 0.1, 0, 1);
-    out.fleet_floor_retries = in.decimal("fleet_floor_retries", 0, 0, 1e6);
+    out.fleet_retries = in.decimal("fleet_retries", 0, 0, 1e6);
+    out.fleet_retry_window = in.time("fleet_retry_window", 10s, 1s, 10min);
 }
 
 result<node_settings, ini_error> read_node_settings(const ini_file& file)
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -41,8 +41,8 @@
     endpoint metrics;         ///< metrics and status; port 0: on `control` only
     endpoint backend_server;  ///< the only one that may announce itself here; port 0: any
     std::string service;      ///< of that backend server
-    duration news_age{};    ///< oldest proof of fresh news with which keys are taken; 0: see DESIGN
-    double burst_slack = 0; ///< tokens beyond each organisation's burst
+    duration revoke_within{}; ///< a withdrawn key stops everywhere within this time; 0: see DESIGN
+    double rate_slack = 0;    ///< requests beyond rate and burst that the operators put up with
     std::uint32_t limit_holders = 1; ///< nodes that hold the limits' buckets
     /// An idempotent request open for this many usual times is tried elsewhere; 0: never.
     double hedge_after = 0;
@@ -51,7 +51,9 @@
     duration ping_period{};                 ///< between two heartbeats that a node sends
     bool own_domain_first = true;           ///< others only when the own domain's servers are full
     double retry_share = 0.1;               ///< retries for each recent success of a service
-    double fleet_floor_retries = 0;         ///< of all nodes without any success; 0: 2 of each node
+    /// That all nodes together may send to a service in each window, whatever its successes.
+    double fleet_retries = 0;
+    duration fleet_retry_window{};
 };
 
 /// Checks a parsed file. The fleet key's file must be readable by its owner only.
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -11,6 +11,21 @@
     assert(options.share >= 0 && options.recent > duration{} && options.max_entries > 0);
 }
 
+organisation_id shared_retries_of(service_id service)
+{
+    return {mix(service.value, hash_name("retries"))};
+}
+
+// Servers begin to fail at once, so a third may go at once; the rest comes back over the window.
+rate_contract shared_retry_contract(service_id service, const shared_retry_options& options)
+{
+    const double used = options.retries * used_part_of_retry_bound;
+    const double burst = used / 3;
+    return contract_of(shared_retries_of(service),
+                       (used - burst) / std::chrono::duration<double>(options.window).count(),
+                       burst);
+}
+
 // When the table is full, the one that rested longest makes room: what
 // it loses are successes, so it errs towards fewer retries.
 retry_budget::entry& retry_budget::entry_of(organisation_id organisation, service_id service,
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -3,6 +3,7 @@
 // How many retries an organisation may have sent to a service: a share of its recent successes and
 // a small floor. Under overload, and when the deadline leaves no time, none.
 
+#include "rate_contract.h"
 #include "types.h"
 
 #include <array>
@@ -20,6 +21,19 @@
     std::size_t max_entries = 4096; ///< organisations times services; the least used go first
 };
 
+/// Part of the fleet's bound on retries that is used: what a request that runs again asks of other
+/// services counts there as retries, too, and is not foreseen.
+constexpr double used_part_of_retry_bound = 0.8;
+/// The same of the retries that all nodes share, which are handed out one by one.
+struct shared_retry_options {
+    double retries = 0; ///< that the fleet may send to a service in each window; 0: none are shared
+    duration window = std::chrono::seconds(10);
+};
+/// The name under which the limits hand out the retries that all nodes share for a service.
+organisation_id shared_retries_of(service_id service);
+/// Their rate and burst: in each window no more than the part of the bound that is used.
+rate_contract shared_retry_contract(service_id service, const shared_retry_options& options);
+
 enum class retry_decision : std::uint8_t {
     granted,
     over_budget,
@@ -42,8 +56,6 @@
 public:
     explicit retry_budget(const retry_budget_options& options = {});
 
-    /// Changes `floor_retries`, as when a floor of the fleet is shared by another number of nodes.
-    void set_floor(double floor_retries) { options_.floor_retries = floor_retries; }
     void on_success(organisation_id organisation, service_id service, time_point now);
     /// Counts the retry when it is granted.
     retry_decision ask(const retry_request& it, time_point now);
--- a/src/stall_watch.cpp
+++ b/src/stall_watch.cpp
@@ -17,7 +17,7 @@
 }
 
 stall_watch::stall_watch(const stall_watch_options& options)
-    : options_(options), odds_(options.idle_odds)
+    : options_(options), odds_(options.idle_odds), trial_interval_(options.trial_interval)
 {
 }
 
@@ -131,7 +131,13 @@
     });
 }
 
-bool stall_watch::admits(bool idempotent, time_point now)
+bool stall_watch::is_trial_due(time_point now) const
+{
+    return on_probation_ && now >= next_trial_ && !has_open_trial(now);
+}
+
+// Servers fail for some seconds, so after each trial without an answer the next one comes later.
+bool stall_watch::admits(bool is_trial, time_point now)
 {
     const double odds_of_trouble = suspicion(now);
     if (!on_probation_ && odds_of_trouble < options_.suspect_from)
@@ -139,14 +145,14 @@
     if (!on_probation_) {
         on_probation_ = true;
         probation_since_ = now;
-        next_trial_ = now + options_.trial_interval;
+        trial_interval_ = options_.trial_interval;
+        next_trial_ = now + trial_interval_;
         return false;
     }
-    if (now < next_trial_ || has_open_trial(now))
-        return false;
-    if (!idempotent && odds_of_trouble >= options_.trust_from)
+    if (!is_trial_due(now) || (!is_trial && odds_of_trouble >= options_.trust_from))
         return false;
-    next_trial_ = now + options_.trial_interval;
+    trial_interval_ = std::min(trial_interval_ * 3 / 2, options_.longest_trial_interval);
+    next_trial_ = now + trial_interval_;
     return true;
 }
 
--- a/src/stall_watch.h
+++ b/src/stall_watch.h
@@ -3,7 +3,8 @@
 // Tells from the requests that are open at one backend server whether it hangs or fails now, within
 // about the time of one ordinary answer. A request that is open for longer than such requests take
 // is evidence; an answer to a request that was sent later takes it back. Once suspected, a server
-// is on probation until it answers: it gets one request at a time, at first only idempotent ones.
+// is on probation until it answers: it gets one request at a time, at first only trials, of which
+// the same runs elsewhere.
 //
 // `failure_detector` needs many requests for a verdict that holds a server out for long. This is
 // the other end: it holds only for what is sent in the next moments, and is often wrong alone.
@@ -29,7 +30,10 @@
     double target_to_mean = 4; ///< a target latency is about this many times the usual time
     double prior_spread = 0.6; ///< of the logarithm of service times
     duration unknown_target = std::chrono::milliseconds(1000); ///< for requests without a target
-    duration trial_interval = std::chrono::milliseconds(600);
+    duration trial_interval =
+        std::chrono::milliseconds(600); ///< the first; each next one is longer
+    /// A server that is well again gets a trial within this time.
+    duration longest_trial_interval = std::chrono::milliseconds(1800);
     double suspect_from = 0.5; ///< probability from which requests go elsewhere
     double trust_from = 0.3;   ///< on probation, one that may not be repeated needs less than this
 };
@@ -52,8 +56,10 @@
     /// Probability that the next request gets no good answer.
     double suspicion(time_point now) const;
     /// Whether a request should be sent now rather than elsewhere. While the server is suspected, a
-    /// few idempotent ones are let through to learn whether it is well again.
-    bool admits(bool idempotent, time_point now);
+    /// few trials are let through to learn whether it is well again.
+    bool admits(bool is_trial, time_point now);
+    /// Whether a trial would be let through.
+    bool is_trial_due(time_point now) const;
 
 private:
     // Logarithms of service times in seconds.
@@ -82,6 +88,7 @@
     double odds_;             // at odds_at_, from requests that ended
     time_point odds_at_{};
     time_point next_trial_{};
+    duration trial_interval_;
     bool on_probation_ = false;
     time_point probation_since_{};
 };
--- /dev/null
+++ b/tests/dispatch_test.cpp
@@ -0,0 +1,47 @@
+#include "dispatch.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+RC_GTEST_PROP(dispatch, what_is_written_is_read, (std::uint64_t server, std::uint8_t flags))
+{
+    const dispatch it{.server = {server},
+                      .gate_run = {7},
+                      .route = {8},
+                      .service = {9},
+                      .organisation = "honey",
+                      .caller_service = "web",
+                      .priority = 3,
+                      .is_nested = (flags & 1U) != 0,
+                      .target = 1200ms,
+                      .time_left = 2500ms,
+                      .idempotent = (flags & 2U) != 0,
+                      .may_wait = (flags & 4U) != 0,
+                      .insists = (flags & 8U) != 0,
+                      .is_trial = (flags & 16U) != 0,
+                      .fingerprint = {.high = 1, .low = 2}};
+    message_head head;
+    write_dispatch(it, head);
+    const auto out = read_dispatch(head);
+    RC_ASSERT(out.has_value());
+    RC_ASSERT(out->server == it.server);
+    RC_ASSERT(out->organisation == it.organisation);
+    RC_ASSERT(out->target == it.target && out->time_left == it.time_left);
+    RC_ASSERT(out->is_nested == it.is_nested && out->idempotent == it.idempotent);
+    RC_ASSERT(out->may_wait == it.may_wait && out->insists == it.insists);
+    RC_ASSERT(out->is_trial == it.is_trial);
+}
+
+TEST(dispatch, waits_for_a_slot_end_with_the_target_and_before_the_deadline)
+{
+    const time_point now{1h};
+    const dispatch own{.target = 1s};
+    EXPECT_EQ(latest_start(own, now, now + 8s), now + 1s);
+    EXPECT_LT(latest_start(own, now, now + 500ms), now + 500ms);
+    const dispatch nested{.is_nested = true, .target = 300ms};
+    EXPECT_EQ(latest_start(nested, now, now + 8s), now + 600ms);
+    EXPECT_LT(rank_of(nested), rank_of({.priority = 0}));
+}
--- a/tests/once_entry_test.cpp
+++ b/tests/once_entry_test.cpp
@@ -2,6 +2,7 @@
 
 #include "entry.h"
 
+#include "reach_monitor.h"
 #include "system_clock.h"
 
 #include <gtest/gtest.h>
@@ -52,7 +53,10 @@
              .fleet_key = "fleet key of the tests",
              .on_stream = [this](std::shared_ptr<link_stream> it) { run(std::move(it)); },
              .on_control =
-                 [this](const control_request& it) { return keys_->answer(it.payload); }});
+                 [this](const control_request& it) {
+                     return it.path == reach_path ? std::optional<std::string>("-")
+                                                  : keys_->answer(it.payload);
+                 }});
         keys_ = std::make_unique<once_service>(options_of(1), *home_);
         member_directory directory;
         directory.merge({.vm = {1},
--- a/tests/retry_budget_test.cpp
+++ b/tests/retry_budget_test.cpp
@@ -107,3 +107,21 @@
                   options.share * static_cast<double>(earned) + options.floor_retries);
     }
 }
+
+// In every window, what the fleet hands out is within the bound.
+TEST(retry_budget, shared_retries_stay_within_the_bound_of_a_window)
+{
+    for (const double retries : {10.0, 62.0, 1000.0}) {
+        for (const duration window : {duration(5s), duration(10s), duration(60s)}) {
+            const rate_contract it =
+                shared_retry_contract({7}, {.retries = retries, .window = window});
+            const double in_window =
+                (static_cast<double>(it.burst) +
+                 static_cast<double>(it.rate) * std::chrono::duration<double>(window).count()) /
+                static_cast<double>(one_token);
+            EXPECT_LE(in_window, retries * used_part_of_retry_bound + 0.01);
+            EXPECT_GE(in_window, retries * used_part_of_retry_bound * 0.99);
+        }
+    }
+    EXPECT_NE(shared_retries_of({7}), shared_retries_of({8}));
+}
--- a/tests/stall_watch_test.cpp
+++ b/tests/stall_watch_test.cpp
@@ -82,6 +82,30 @@
     EXPECT_LE(trials, 10);
 }
 
+// Each trial may be lost, and servers fail for seconds; one that is well again is still found soon.
+TEST(stall_watch, trials_without_answer_become_rarer_up_to_a_bound)
+{
+    const stall_watch_options options;
+    stall_watch it(options);
+    time_point now = answer_some(it, time_point(1h), 50, 300ms);
+    it.started({1000}, read_route, target, now);
+    now += 1s;
+    ASSERT_FALSE(it.admits(true, now));
+    std::vector<time_point> trials;
+    std::uint64_t id = 2000;
+    for (const time_point end = now + 12s; now < end; now += 20ms) {
+        if (!it.is_trial_due(now) || !it.admits(true, now))
+            continue;
+        trials.push_back(now);
+        it.started({++id}, read_route, target, now);
+        it.ended({id}, request_evidence::nothing, now + 1s);
+    }
+    ASSERT_GE(trials.size(), 4U);
+    EXPECT_GT(trials[3] - trials[2], trials[1] - trials[0]);
+    for (std::size_t n = 1; n < trials.size(); ++n)
+        EXPECT_LE(trials[n] - trials[n - 1], options.longest_trial_interval + 20ms);
+}
+
 TEST(stall_watch, routes_have_usual_times_of_their_own)
 {
     stall_watch it;
