A queue refuses at once who would be answered late

Change: who could begin only so late that the answer misses its target is refused at once and goes to a shorter queue; what running requests wait for counts only its own rank as ahead of it. Test: slot_queue.refuses_at_once_what_would_be_late failed before.

--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -13,6 +13,11 @@
     return std::chrono::duration<double>(it).count();
 }
 
+static duration from_seconds(double it)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(it));
+}
+
 slot_queue::slot_queue(const slot_queue_options& options) : options_(options)
 {
     assert(options.max_waiting >= options.max_waiting_for_one);
@@ -51,8 +56,23 @@
            });
 }
 
-// The wait is foreseen from the organisation's own queue and its share of the slots. Only a request
-// that would miss its deadline by that is refused before its time.
+// What waits of the own organisation is ahead, and the slots are shared with the organisations of
+// which something waits that is not less urgent.
+duration slot_queue::expected_wait(const slot_request& it, const organisation_state& own) const
+{
+    const auto is_before = [&](const slot_request& other) { return other.rank <= it.rank; };
+    double weights = own.weight;
+    for (const organisation_state& other : organisations_) {
+        if (&other != &own && std::ranges::any_of(other.waiting, is_before))
+            weights += other.weight;
+    }
+    const double share = std::max(1U, options_.slots) * own.weight / weights;
+    const auto ahead = static_cast<double>(std::ranges::count_if(own.waiting, is_before));
+    return from_seconds((ahead + 1) * expected_seconds_ / share);
+}
+
+// Who would wait in vain, or so long that the answer comes late, is refused before its time: it may
+// go elsewhere or come back, and the slot serves another in time.
 bool slot_queue::would_miss(const slot_request& it, const organisation_state& own,
                             time_point now) const
 {
@@ -61,14 +81,11 @@
         return true;
     if (samples_ < least_samples || running_.size() < options_.slots)
         return false;
-    double weights = 0;
-    for (const organisation_state& other : organisations_) {
-        if (other.running > 0 || !other.waiting.empty() || &other == &own)
-            weights += other.weight;
-    }
-    const double share = own.weight / weights * std::max(1U, options_.slots);
-    const double ahead = static_cast<double>(own.waiting.size());
-    return ahead * expected_seconds_ / share > seconds(it.deadline - now);
+    time_point latest = it.deadline;
+    const duration expected = from_seconds(expected_seconds_);
+    if (it.late_from != time_point::max() && it.late_from - expected > now)
+        latest = std::min(latest, it.late_from - expected);
+    return now + expected_wait(it, own) > latest;
 }
 
 // The total is full: the newest request of the longest queue gives way, unless that queue is the
@@ -192,8 +209,7 @@
 // A request counts as late when the usual time would end it after its target.
 slot_queue::urgency slot_queue::urgency_of(const slot_request& it, time_point now) const
 {
-    const auto expected =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double>(expected_seconds_));
+    const duration expected = from_seconds(expected_seconds_);
     return {.rank = it.rank,
             .is_late = it.late_from != time_point::max() && now + expected > it.late_from};
 }
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -102,6 +102,7 @@
     organisation_state* find(organisation_id organisation);
     organisation_state& join(const slot_request& it);
     bool is_known(request_id request) const;
+    duration expected_wait(const slot_request& it, const organisation_state& own) const;
     bool would_miss(const slot_request& it, const organisation_state& own, time_point now) const;
     bool make_room(const organisation_state& own, slot_actions& out);
     void drop_passed(time_point now, slot_actions& out);
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -229,6 +229,34 @@
     EXPECT_EQ(server.refused, before + 1);
 }
 
+// Four slots, 20 ms a request: one that would begin later than its target leaves room for is
+// refused at once, one that a running request needs is served before all that wait.
+TEST(slot_queue, refuses_at_once_what_would_be_late)
+{
+    bench_server server;
+    for (int n = 0; n < 12; ++n) {
+        server.send(1);
+        for (int k = 0; k < 25; ++k)
+            server.step();
+    }
+    const auto send = [&](std::uint32_t rank, duration target) {
+        const request_id id{++server.requests};
+        const std::size_t before = server.refused;
+        server.take(server.queue.enqueue({.request = id,
+                                          .organisation = {rank == 0 ? 9U : 1U},
+                                          .deadline = server.now + 10s,
+                                          .rank = rank,
+                                          .late_from = server.now + target},
+                                         server.now));
+        return server.refused == before;
+    };
+    for (int n = 0; n < 4 + 20; ++n)
+        ASSERT_TRUE(send(1, 1s));
+    EXPECT_FALSE(send(1, 100ms));
+    EXPECT_TRUE(send(1, 200ms));
+    EXPECT_TRUE(send(0, 50ms));
+}
+
 TEST(slot_queue, full_queue_pushes_out_the_longest)
 {
     slot_queue queue({.slots = 1, .max_waiting = 6, .max_waiting_for_one = 5});
