--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -152,6 +152,12 @@
                   [&](const auto& it) { return directory.find(it.first) == nullptr; });
 }
 
+entry::retry_count_table entry::retry_counts() const
+{
+    const std::lock_guard lock(mutex_);
+    return retry_counts_;
+}
+
 void entry::set_gate_reachable(vm_id gate, bool reachable)
 {
     const std::lock_guard lock(mutex_);
@@ -645,6 +651,11 @@
         is_shared = options_.take_shared_retry(
             request.service->id, std::min(request.deadline, now + shared_retry_patience));
     const bool granted = is_shared || decision == retry_decision::granted;
+    {
+        const std::lock_guard lock(mutex_);
+        retry_count& counted = retry_counts_[std::string(cause)];
+        ++(granted ? counted.granted : counted.denied);
+    }
     const std::string* id = find_field(place.head, options_.names.request_id);
     log_event(event::retry_decided, "id={} service={} cause={} granted={} shared={} ms_left={:.0f}",
               id == nullptr ? "-" : *id, request.service->name, cause, granted, is_shared,
--- a/src/entry.h
+++ b/src/entry.h
@@ -80,6 +80,13 @@
     /// Takes a configuration over; older generations than the one in force are ignored.
     void set_config(std::shared_ptr<const fleet_config> config);
     std::shared_ptr<const fleet_config> config() const;
+    /// Answers to wishes for a second attempt, by why it was wished.
+    struct retry_count {
+        std::uint64_t granted = 0;
+        std::uint64_t denied = 0;
+    };
+    using retry_count_table = std::map<std::string, retry_count, std::less<>>;
+    retry_count_table retry_counts() const;
     /// What callers experienced so far.
     const request_metrics& metrics() const { return metrics_; }
     /// Takes over who stands where.
@@ -135,6 +142,7 @@
     std::shared_ptr<const fleet_config> config_;
     router router_;
     retry_budget retries_;
+    retry_count_table retry_counts_;
     answer_estimate answers_;
     std::unordered_map<vm_id, time_point> gates_heard_; ///< the last sign of each
     std::mt19937_64 random_{std::random_device{}()};
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -221,7 +221,16 @@
     return std::nullopt;
 }
 
-gate::server_load gate::look_at(backend_server_id server, time_point now) const
+std::vector<server_load> gate::loads(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<server_load> out;
+    for (const auto& [id, server] : servers_)
+        out.push_back(look_at(id, now));
+    return out;
+}
+
+server_load gate::look_at(backend_server_id server, time_point now) const
 {
     server_load out{.server = server};
     const auto it = servers_.find(server);
--- a/src/gate.h
+++ b/src/gate.h
@@ -39,6 +39,14 @@
     late,    ///< of an earlier run, or older than one that was taken: ignored
 };
 
+/// How a backend server stands just now.
+struct server_load {
+    backend_server_id server;
+    std::size_t running = 0; ///< requests
+    std::size_t waiting = 0; ///< for a slot
+    double suspicion = 0;    ///< probability that the next request gets no good answer
+};
+
 /// Thread-safe.
 class gate {
 public:
@@ -55,6 +63,8 @@
     bool set_standing(backend_server_id server, server_standing standing);
     /// Records of all backend servers that this node is the gate of.
     std::vector<server_record> servers() const;
+    /// How each of them stands.
+    std::vector<server_load> loads(time_point now) const;
     /// Takes a request from a link. Never blocks.
     void accept(const std::shared_ptr<link_stream>& stream);
     /// Refuses new requests, lets those that run finish.
@@ -86,13 +96,6 @@
         time_point started;
         double suspicion = 0; // of the backend server when it started
     };
-    // What a refusal was decided by.
-    struct server_load {
-        backend_server_id server;
-        std::size_t running = 0;
-        std::size_t waiting = 0;
-        double suspicion = 0;
-    };
     // What is to be done once the lock is free.
     struct refused_stream {
         std::shared_ptr<link_stream> stream;
--- a/src/limit_service.cpp
+++ b/src/limit_service.cpp
@@ -448,6 +448,12 @@
     return out;
 }
 
+limit_entry_counts limit_service::counts() const
+{
+    const std::lock_guard lock(mutex_);
+    return entry_.counts();
+}
+
 limit_traffic limit_service::traffic() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/limit_service.h
+++ b/src/limit_service.h
@@ -95,6 +95,8 @@
 
     budget_report report(organisation_id organisation) const;
     limit_traffic traffic() const;
+    /// What became of the requests of this node, of all organisations.
+    limit_entry_counts counts() const;
     /// Refuses who waits, and everything from then on.
     void stop();
 
--- /dev/null
+++ b/src/node_report.cpp
@@ -0,0 +1,176 @@
+// What a node tells its operators: status, tokens, metrics.
+
+#include "log.h"
+#include "node.h"
+#include "system_clock.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace jasminebank {
+
+constexpr int unknown_organisation_status = 404;
+
+static std::string_view name_of(server_standing it)
+{
+    switch (it) {
+    case server_standing::serving:
+        return "serving";
+    case server_standing::demoted:
+        return "demoted";
+    case server_standing::held_out:
+        return "held_out";
+    case server_standing::on_trial:
+        break;
+    }
+    return "on_trial";
+}
+
+static nlohmann::json servers_json(const member_record& member, const fleet_config* config)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const server_record& it : member.servers) {
+        const service_config* service =
+            config == nullptr ? nullptr : find_service(*config, it.service);
+        out.push_back({{"address", to_string(it.address)},
+                       {"service", service == nullptr ? std::string("unknown") : service->name},
+                       {"slots", it.slots},
+                       {"draining", it.draining},
+                       {"standing", name_of(it.standing)}});
+    }
+    return out;
+}
+
+void node::answer_status(httplib::Response& res)
+{
+    const auto config = entry_->config();
+    const member_status standing = members_->status();
+    nlohmann::json members = nlohmann::json::array();
+    for (const member_record& it : members_->members()) {
+        members.push_back({{"vm", it.name},
+                           {"run", it.run.value},
+                           {"link", to_string(it.link)},
+                           {"leaving", it.leaving},
+                           {"backend_servers", it.servers.size()},
+                           {"servers", servers_json(it, config.get())}});
+    }
+    nlohmann::json out{{"vm", settings_.vm_name},
+                       {"failure_domain", settings_.failure_domain},
+                       {"generation", config == nullptr ? 0 : config->generation},
+                       {"may_serve", standing.may_serve},
+                       {"hears_majority", standing.hears_majority},
+                       {"members", std::move(members)}};
+    if (standing.store_age) {
+        out["store_age_ms"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(*standing.store_age).count();
+    }
+    res.set_content(out.dump(), "application/json");
+}
+
+// Counts and traffic are of the whole node, the rest of the organisation.
+void node::answer_budget(const httplib::Request& req, httplib::Response& res)
+{
+    const std::string name = req.get_param_value("organisation");
+    const auto config = entry_->config();
+    const organisation_id id = id_of<organisation_id>(name);
+    const organisation_config* contract =
+        config == nullptr ? nullptr : find_organisation(*config, id);
+    if (contract == nullptr) {
+        res.status = unknown_organisation_status;
+        res.set_content("organisation: not in the configuration\n", "text/plain");
+        return;
+    }
+    const budget_report it = limits_->report(id);
+    nlohmann::json holders = nlohmann::json::array();
+    for (const budget_holder& holder : it.holders)
+        holders.push_back(
+            {{"failure_domain", holder.domain}, {"vm", holder.vm}, {"epoch", holder.epoch}});
+    nlohmann::json out{{"vm", settings_.vm_name},
+                       {"organisation", name},
+                       {"rate", contract->rate},
+                       {"burst", contract->burst},
+                       {"shard", it.shard},
+                       {"tokens", it.tokens},
+                       {"holders", std::move(holders)},
+                       {"counts",
+                        {{"admitted", it.entry.admitted},
+                         {"waited", it.entry.waited},
+                         {"refused", it.entry.refused},
+                         {"no_holder", it.entry.no_holder},
+                         {"requests", it.entry.requests}}},
+                       {"messages",
+                        {{"batches_out", it.traffic.batches_out},
+                         {"messages_out", it.traffic.messages_out},
+                         {"bytes_out", it.traffic.bytes_out},
+                         {"batches_in", it.traffic.batches_in},
+                         {"messages_in", it.traffic.messages_in},
+                         {"bytes_in", it.traffic.bytes_in}}}};
+    if (it.holder_tokens) {
+        out["holder"] = {{"tokens", static_cast<double>(*it.holder_tokens) / one_token},
+                         {"grants", it.holding.grants},
+                         {"refusals", it.holding.refusals},
+                         {"loans_asked", it.holding.loans_asked},
+                         {"loans_given", it.holding.loans_given}};
+    }
+    res.set_content(out.dump(), "application/json");
+}
+
+static void append_retries(std::string& out, const entry::retry_count_table& counts)
+{
+    out += "# TYPE jasminebank_retries_total counter\n";
+    for (const auto& [cause, it] : counts) {
+        const std::string_view line =
+            "jasminebank_retries_total{{cause=\"{}\",granted=\"{}\"}} {}\n";
+        out += fmt::format(fmt::runtime(line), cause, "yes", it.granted);
+        out += fmt::format(fmt::runtime(line), cause, "no", it.denied);
+    }
+}
+
+// Those that this node is the gate of.
+static void append_servers(std::string& out, const std::vector<server_load>& loads)
+{
+    const auto add = [&](std::string_view name, auto value_of_one) {
+        out += fmt::format("# TYPE jasminebank_backend_server_{} gauge\n", name);
+        for (const server_load& it : loads)
+            out += fmt::format("jasminebank_backend_server_{}{{server=\"{:016x}\"}} {}\n", name,
+                               it.server.value, value_of_one(it));
+    };
+    add("running", [](const server_load& it) { return it.running; });
+    add("waiting", [](const server_load& it) { return it.waiting; });
+    add("suspicion", [](const server_load& it) { return fmt::format("{:.3f}", it.suspicion); });
+}
+
+// Callers' experience, then what the node spends on control.
+std::string node::metrics_text() const
+{
+    const link_counters& links = links_->counters();
+    const member_status standing = members_->status();
+    const auto config = entry_->config();
+    std::string out = entry_->metrics().text();
+    const auto add = [&out](std::string_view name, std::string_view type, std::uint64_t value) {
+        out +=
+            fmt::format("# TYPE jasminebank_{} {}\njasminebank_{} {}\n", name, type, name, value);
+    };
+    add("control_link_bytes_out_total", "counter", links.control.bytes_out);
+    add("control_link_bytes_in_total", "counter", links.control.bytes_in);
+    add("request_link_bytes_out_total", "counter", links.requests.bytes_out);
+    add("request_link_bytes_in_total", "counter", links.requests.bytes_in);
+    add("datagram_bytes_out_total", "counter", standing.datagram_bytes);
+    add("links", "gauge", links.links);
+    add("members_asked", "gauge", standing.in_all.asked);
+    add("members_heard", "gauge", standing.in_all.heard);
+    add("may_serve", "gauge", standing.may_serve ? 1 : 0);
+    add("config_generation", "gauge", config == nullptr ? 0 : config->generation);
+    add("log_lines_dropped_total", "counter", dropped_log_lines());
+    const limit_entry_counts limits = limits_->counts();
+    add("limit_admitted_total", "counter", limits.admitted);
+    add("limit_waited_total", "counter", limits.waited);
+    add("limit_refused_total", "counter", limits.refused);
+    add("limit_without_holder_total", "counter", limits.no_holder);
+    add("limit_requests_total", "counter", limits.requests);
+    append_retries(out, entry_->retry_counts());
+    append_servers(out, gate_->loads(boot_now()));
+    return out;
+}
+
+} // namespace jasminebank
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -493,6 +493,23 @@
     EXPECT_TRUE(fleet.wait_until_joined({0, 1, 2}, fleet.backends().size()));
 }
 
+TEST(process, metrics_tell_of_limits_retries_and_backend_servers)
+{
+    process_fleet fleet;
+    EXPECT_TRUE(wait_until([&] {
+        return status_of(connect(fleet.callers(0))->send(request("GET", "/lids/1"))) == 200;
+    }));
+    httplib::Client client(fleet.control(0).host, fleet.control(0).port);
+    const httplib::Result answer = client.Get("/metrics");
+    ASSERT_EQ(status_of(answer), 200);
+    for (const char* name :
+         {"log_lines_dropped_total 0", "limit_admitted_total", "limit_without_holder_total",
+          "backend_server_suspicion{server=", "backend_server_running{server=",
+          "backend_server_waiting{server=", "# TYPE jasminebank_retries_total counter"})
+        EXPECT_NE(answer->body.find(name), std::string::npos) << name << '\n' << answer->body;
+}
+
+// Its status is asked until it answers: a busy machine may leave one question without an answer.
 TEST(process, a_node_with_another_fleet_key_does_not_join)
 {
     process_fleet fleet;
@@ -500,11 +517,25 @@
     fleet.use_wrong_key(2);
     fleet.cut_from_store(2);
     fleet.start_node(2);
-    EXPECT_TRUE(wait_until([&] { return fleet.status(2).is_object(); }));
+    const auto status = [&](std::size_t node) {
+        nlohmann::json out;
+        EXPECT_TRUE(wait_until([&] {
+            out = fleet.status(node);
+            return out.is_object();
+        })) << fleet.log(node);
+        return out;
+    };
     EXPECT_FALSE(wait_until(
-        [&] { return fleet.generation(2) > 0 || fleet.status(2).at("members").size() > 1; }, 4s));
-    for (const auto& member : fleet.status(0).at("members"))
-        EXPECT_TRUE(member.at("vm") != "vm2" || member.at("leaving") == true);
+        [&] {
+            const nlohmann::json it = status(2);
+            return !it.is_object() || it.at("generation") > 0 || it.at("members").size() > 1;
+        },
+        4s))
+        << fleet.log(2);
+    const nlohmann::json seen = status(0);
+    ASSERT_TRUE(seen.is_object());
+    for (const auto& member : seen.at("members"))
+        EXPECT_TRUE(member.at("vm") != "vm2" || member.at("leaving") == true) << seen.dump();
 }
 
 TEST(process, a_connection_over_the_bound_is_refused_at_once)
