A holder of the limits that does not answer is passed over

Ruled out: the planned stops themselves (their handover went well); the relay (no way leads to a dead node). Change: who leaves renewals without an answer for a second, over several ways, is passed over as a holder until it answers; shares still go to one holder at a time, so two together never have more than the whole. A way is tried for 0.1 s at least. Test: limit_delegation.a_dead_holder_is_replaced_and_holds_again_when_it_is_back failed before.

--- a/src/control_relay.cpp
+++ b/src/control_relay.cpp
@@ -15,6 +15,8 @@
 constexpr duration pass_on_timeout = std::chrono::milliseconds(300);
 // By then a probe has found out whether the direct way works.
 constexpr duration suspicion_lasts = std::chrono::seconds(1);
+// What was sent before a way was left is no evidence against the next one.
+constexpr duration least_trial_of_a_way = std::chrono::milliseconds(100);
 
 control_relay::control_relay(link_identity self, link_hub& links)
     : self_(std::move(self)), links_(links)
@@ -48,6 +50,11 @@
 {
     const std::lock_guard lock(mutex_);
     const time_point now = boot_now();
+    const auto known = suspected_.find(vm);
+    const bool is_new_way =
+        known != suspected_.end() && now < known->second - suspicion_lasts + least_trial_of_a_way;
+    if (is_new_way)
+        return;
     if (!is_direct(vm, now))
         ways_.erase(vm);
     suspected_[vm] = now + suspicion_lasts;
--- a/src/delegation_service.cpp
+++ b/src/delegation_service.cpp
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace jasminebank {
 
 using json = nlohmann::json;
@@ -107,8 +110,10 @@
             const auto stamp = failed(reply)
                                    ? std::nullopt
                                    : stamp_at(json::parse(value_of(reply), nullptr, false), 0);
-            if (!stamp)
+            if (!stamp) {
+                options_.on_silent(to);
                 return;
+            }
             const std::lock_guard lock(mutex_);
             delegation_.answered(to, group, *stamp, boot_now());
         });
@@ -152,12 +157,24 @@
     options_.on_held(std::move(held));
 }
 
+void delegation_service::note_silent(std::vector<vm_id> silent)
+{
+    std::vector<vm_id> changed;
+    std::ranges::set_symmetric_difference(silent, silent_, std::back_inserter(changed));
+    for (const vm_id it : changed)
+        log_event(std::ranges::binary_search(silent, it) ? event::holder_silent
+                                                         : event::holder_answers,
+                  "vm={:016x}", it.value);
+    silent_ = std::move(silent);
+}
+
 void delegation_service::run()
 {
     std::unique_lock lock(mutex_);
     while (!stopping_) {
         const time_point now = boot_now();
         const auto due = delegation_.tick(now);
+        note_silent(delegation_.silent());
         lock.unlock();
         for (const send_delegation& it : due)
             send(it);
--- a/src/delegation_service.h
+++ b/src/delegation_service.h
@@ -26,6 +26,8 @@
     std::function<void(const shard_terms&)> on_terms;
     /// The shards that this node holds changed. Runs on the service's thread.
     std::function<void(std::vector<held_shard>)> on_held;
+    /// A message to this node had no answer.
+    std::function<void(vm_id)> on_silent = [](vm_id) {};
 };
 
 /// Thread-safe.
@@ -49,6 +51,7 @@
     void run();
     void send(const send_delegation& it);
     void tell_terms(time_point now);
+    void note_silent(std::vector<vm_id> silent);
 
     const delegation_service_options options_;
     control_relay& relay_;
@@ -57,6 +60,7 @@
     limit_delegation delegation_;
     std::vector<std::uint64_t> epochs_; ///< by group; 0: not held. Of the thread alone
     std::uint64_t highest_epoch_ = 0;   ///< that any member announces
+    std::vector<vm_id> silent_;         ///< as logged. Of the thread alone
     bool stopping_ = false;
     std::thread thread_;
 };
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -158,6 +158,12 @@
     return retry_counts_;
 }
 
+std::unordered_map<service_id, std::size_t> entry::service_sizes() const
+{
+    const std::lock_guard lock(mutex_);
+    return router_.sizes();
+}
+
 void entry::set_gate_reachable(vm_id gate, bool reachable)
 {
     const std::lock_guard lock(mutex_);
--- a/src/entry.h
+++ b/src/entry.h
@@ -87,6 +87,8 @@
     };
     using retry_count_table = std::map<std::string, retry_count, std::less<>>;
     retry_count_table retry_counts() const;
+    /// How many backend servers of each service requests may go to.
+    std::unordered_map<service_id, std::size_t> service_sizes() const;
     /// What callers experienced so far.
     const request_metrics& metrics() const { return metrics_; }
     /// Takes over who stands where.
--- a/src/limit_delegation.cpp
+++ b/src/limit_delegation.cpp
@@ -19,12 +19,23 @@
         if (!it.leaving)
             candidates_.push_back(it.vm);
     }
+    std::erase_if(silent_, [this](const auto& it) {
+        return std::ranges::find(candidates_, it.first) == candidates_.end();
+    });
     std::erase_if(counts_, [&](const past_count& it) {
         return it.count <= members.size() || now - it.seen > options_.members_remembered;
     });
     counts_.push_back({.count = members.size(), .seen = now});
 }
 
+std::vector<vm_id> limit_delegation::silent() const
+{
+    std::vector<vm_id> out;
+    for (const auto& [vm, next] : silent_)
+        out.push_back(vm);
+    return out;
+}
+
 std::uint32_t limit_delegation::own_share() const
 {
     std::size_t most = std::max<std::size_t>(known_nodes_, 1);
@@ -38,6 +49,8 @@
     vm_id out{};
     std::uint64_t best = 0;
     for (const vm_id it : candidates_) {
+        if (silent_.contains(it))
+            continue;
         const std::uint64_t rank = mix(mix(it.value, holder_salt), group);
         if (rank >= best) {
             best = rank;
@@ -54,10 +67,33 @@
         loans_[group].until = now + options_.terms_last;
 }
 
+// All that lend to a dead holder notice it at about the same time, long before it counts as gone.
+void limit_delegation::pass_over_silent(time_point now)
+{
+    for (loan_state& loan : loans_) {
+        if (!loan.unanswered_since || now - *loan.unanswered_since < options_.silent_after)
+            continue;
+        silent_.try_emplace(loan.to, now);
+        loan.unanswered_since.reset();
+    }
+}
+
+void limit_delegation::ask_silent(std::vector<send_delegation>& out, time_point now)
+{
+    for (auto& [vm, next] : silent_) {
+        if (now < next)
+            continue;
+        next = now + options_.renew_every;
+        out.push_back({.to = vm, .body = {.group = 0, .share = 0}});
+    }
+}
+
 // A share goes to another holder only when the one before can no longer use it.
 std::vector<send_delegation> limit_delegation::tick(time_point now)
 {
     std::vector<send_delegation> out;
+    pass_over_silent(now);
+    ask_silent(out, now);
     for (std::uint32_t group = 0; group < options_.groups; ++group) {
         loan_state& loan = loans_[group];
         const vm_id holder = holder_of(group);
@@ -82,6 +118,8 @@
             loan.until = std::max(loan.until, loan.stamped_at + guarded(options_.lasts));
         else
             body.share = 0;
+        if (!loan.unanswered_since)
+            loan.unanswered_since = now;
         out.push_back({.to = holder, .body = body});
     }
     return out;
@@ -105,9 +143,11 @@
 void limit_delegation::answered(vm_id holder, std::uint32_t group, const delegation_stamp& stamp,
                                 time_point now)
 {
+    silent_.erase(holder);
     if (group >= options_.groups || loans_[group].to != holder)
         return;
     loan_state& loan = loans_[group];
+    loan.unanswered_since.reset();
     if (!loan.stamp)
         loan.next_send = now;
     loan.stamp = stamp;
--- a/src/limit_delegation.h
+++ b/src/limit_delegation.h
@@ -29,6 +29,9 @@
     duration renew_every = std::chrono::milliseconds(400);
     /// For how long a terms' end lies ahead; shares that end sooner are not counted.
     duration terms_last = std::chrono::milliseconds(250);
+    /// A holder that leaves renewals without an answer for this long, over several ways, is passed
+    /// over until it answers again.
+    duration silent_after = std::chrono::milliseconds(1000);
     duration members_remembered = std::chrono::seconds(10); ///< nodes that left count so long
 };
 
@@ -64,11 +67,13 @@
     std::vector<send_delegation> tick(time_point now);
     /// A node lends its share. The answer is a stamp for its next message.
     delegation_stamp receive(vm_id from, const delegation& it, time_point now);
-    /// The holder answered the message sent at `sent`.
+    /// A node answered; `stamp` goes with the next message to it.
     void answered(vm_id holder, std::uint32_t group, const delegation_stamp& stamp, time_point now);
 
     /// What this node may do as the holder of the group; nothing if it is not the one.
     std::optional<mandate_terms> terms(std::uint32_t group, time_point now) const;
+    /// Nodes that are passed over as holders because they do not answer, sorted.
+    std::vector<vm_id> silent() const;
     /// This node's share of everything.
     std::uint32_t own_share() const;
 
@@ -79,6 +84,7 @@
         std::optional<delegation_stamp> stamp{};
         time_point stamped_at{};
         time_point next_send{};
+        std::optional<time_point> unanswered_since{};
     };
     struct lent_share {
         std::uint32_t share = 0;
@@ -90,10 +96,13 @@
     };
 
     vm_id holder_of(std::uint32_t group) const;
+    void pass_over_silent(time_point now);
+    void ask_silent(std::vector<send_delegation>& out, time_point now);
     void take_back(std::uint32_t group, time_point now);
 
     const limit_delegation_options options_;
-    std::vector<vm_id> candidates_; // nodes that may hold, this one included unless it leaves
+    std::vector<vm_id> candidates_;      // nodes that may hold, this one included unless it leaves
+    std::map<vm_id, time_point> silent_; // passed over; when each is asked again
     std::vector<past_count> counts_;
     std::size_t known_nodes_ = 1;
     std::vector<loan_state> loans_;                 // by group
--- a/src/log.h
+++ b/src/log.h
@@ -48,6 +48,8 @@
     mandate_ended = 601,
     mandate_released = 602,
     mandate_unreadable = 603,
+    holder_silent = 604,
+    holder_answers = 605,
     once_home_began = 650,
     once_settlement_dropped = 651,
     health_changed = 700,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -253,11 +253,7 @@
             // Half is left for what two holders grant while one takes over.
             .burst_slack = settings_.rate_slack / 2,
             .retries = {.retries = settings_.fleet_retries, .window = settings_.fleet_retry_window},
-            .on_silent =
-                [this](vm_id it) {
-                    relay_->suspect(it);
-                    reach_->suspect(it);
-                }},
+            .on_silent = [this](vm_id it) { note_silent(it); }},
         *relay_);
     if (platform_)
         return;
@@ -271,6 +267,13 @@
 }
 
 // Runs once the members stand, since it tells them at once.
+// Messages take another way, and a probe finds out about the direct one.
+void node::note_silent(vm_id vm)
+{
+    relay_->suspect(vm);
+    reach_->suspect(vm);
+}
+
 void node::open_delegations()
 {
     const limit_peer self{.vm = id_of<vm_id>(settings_.vm_name), .run = run_};
@@ -279,7 +282,8 @@
             .delegation = {.self = self, .groups = settings_.limit_holders},
             .on_terms = [this](const shard_terms& it) { limits_->set_terms(it); },
             .on_held =
-                [this](std::vector<held_shard> it) { members_->announce_shards(std::move(it)); }},
+                [this](std::vector<held_shard> it) { members_->announce_shards(std::move(it)); },
+            .on_silent = [this](vm_id it) { note_silent(it); }},
         *relay_);
     delegations_->set_known_nodes(fleet_.peers.size() + 1);
 }
--- a/src/node.h
+++ b/src/node.h
@@ -63,6 +63,7 @@
     void open_gate();
     void open_entry();
     void open_limits();
+    void note_silent(vm_id vm);
     void open_delegations();
     void follow_store();
     void take_config(const std::shared_ptr<const fleet_config>& config);
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -140,6 +140,17 @@
     add("suspicion", [](const server_load& it) { return fmt::format("{:.3f}", it.suspicion); });
 }
 
+static void append_services(std::string& out, const fleet_config& config,
+                            const std::unordered_map<service_id, std::size_t>& sizes)
+{
+    out += "# TYPE jasminebank_service_backend_servers gauge\n";
+    for (const service_config& it : config.services) {
+        const auto found = sizes.find(it.id);
+        out += fmt::format("jasminebank_service_backend_servers{{service=\"{}\"}} {}\n", it.name,
+                           found == sizes.end() ? 0 : found->second);
+    }
+}
+
 // Callers' experience, then what the node spends on control.
 std::string node::metrics_text() const
 {
@@ -170,6 +181,8 @@
     add("limit_requests_total", "counter", limits.requests);
     append_retries(out, entry_->retry_counts());
     append_servers(out, gate_->loads(boot_now()));
+    if (config != nullptr)
+        append_services(out, *config, entry_->service_sizes());
     return out;
 }
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -143,6 +143,14 @@
     return is_near_better ? near->choice : any->choice;
 }
 
+std::unordered_map<service_id, std::size_t> router::sizes() const
+{
+    std::unordered_map<service_id, std::size_t> out;
+    for (const auto& [service, candidates] : services_)
+        out[service] = candidates.size();
+    return out;
+}
+
 void router::started(backend_server_id server)
 {
     const auto it = servers_.find(server);
--- a/src/router.h
+++ b/src/router.h
@@ -54,6 +54,8 @@
     /// A server for `wanted`, or nothing. `random` is any random word.
     std::optional<route_choice> choose(const route_request& wanted, std::uint64_t random,
                                        time_point now) const;
+    /// How many servers of each service this node may choose from.
+    std::unordered_map<service_id, std::size_t> sizes() const;
     /// Counts a request sent to a server.
     void started(backend_server_id server);
     /// The request ended; `load` is the share of busy slots that the gate told, if it told one.
--- a/tests/limit_delegation_test.cpp
+++ b/tests/limit_delegation_test.cpp
@@ -43,6 +43,8 @@
     {
         now += 50ms;
         for (std::size_t n = 0; n < nodes.size(); ++n) {
+            if (dead == n)
+                continue;
             for (const send_delegation& it : nodes[n].tick(now)) {
                 const duration delay =
                     is_lossy ? std::chrono::milliseconds(random() % 3000) : duration(5ms);
@@ -58,22 +60,41 @@
             const message it = sent[n];
             sent.erase(sent.begin() + static_cast<std::ptrdiff_t>(n));
             const std::size_t to = it.body.to.value - 1;
+            if (to == dead)
+                continue;
             const delegation_stamp stamp = nodes[to].receive(vm(it.from), it.body.body, now);
             nodes[it.from].answered(it.body.to, 0, stamp, now);
         }
     }
 
+    std::size_t holder() const
+    {
+        std::size_t out = 0;
+        std::uint32_t most = 0;
+        for (std::size_t n = 0; n < nodes.size(); ++n) {
+            const auto terms = nodes[n].terms(0, now);
+            if (n == dead || !terms || terms->share <= most)
+                continue;
+            most = terms->share;
+            out = n;
+        }
+        return out;
+    }
+
     // Shares that all holders together may use now, in 256ths.
     std::uint32_t shares_in_use() const
     {
         std::uint32_t out = 0;
-        for (const limit_delegation& it : nodes) {
-            const auto terms = it.terms(0, now);
+        for (std::size_t n = 0; n < nodes.size(); ++n) {
+            if (n == dead)
+                continue;
+            const auto terms = nodes[n].terms(0, now);
             out += terms ? terms->share : 0;
         }
         return out;
     }
 
+    std::size_t dead = ~std::size_t{0}; ///< hears and sends nothing
     struct message {
         std::size_t from = 0;
         send_delegation body;
@@ -126,6 +147,34 @@
 
 // Members come and go as each node sees it, messages are late, lost and out of order: the holders
 // together never use more than the whole.
+// No member list tells of it for long: those who lend to it hear no answers.
+TEST(limit_delegation, a_dead_holder_is_replaced_and_holds_again_when_it_is_back)
+{
+    delegating_fleet fleet(8, 3);
+    fleet.see({0, 1, 2, 3, 4, 5, 6, 7});
+    for (int n = 0; n < 60; ++n)
+        fleet.step(false);
+    const std::size_t first = fleet.holder();
+    ASSERT_EQ(fleet.shares_in_use(), whole_share);
+    fleet.dead = first;
+    for (int n = 0; n < 50; ++n)
+        fleet.step(false);
+    EXPECT_NE(fleet.holder(), first);
+    // Nobody lends the share of the dead node itself.
+    EXPECT_GE(fleet.shares_in_use(), whole_share * 7 / 8 - 1);
+    for (int n = 0; n < 200; ++n) {
+        fleet.step(false);
+        EXPECT_GE(fleet.shares_in_use(), whole_share * 7 / 8 - 1);
+    }
+    fleet.dead = ~std::size_t{0};
+    for (int n = 0; n < 60; ++n) {
+        fleet.step(false);
+        EXPECT_LE(fleet.shares_in_use(), whole_share);
+    }
+    EXPECT_EQ(fleet.holder(), first);
+    EXPECT_EQ(fleet.shares_in_use(), whole_share);
+}
+
 RC_GTEST_PROP(limit_delegation, holders_together_never_exceed_the_whole, (std::uint64_t seed))
 {
     std::mt19937_64 random(seed);
