--- a/tests/backend_call_test.cpp
+++ b/tests/backend_call_test.cpp
@@ -66,11 +66,12 @@
                  worker = std::thread([&, stream] {
                      const dispatch request{.time_left = 2s};
                      const std::string expected;
-                     ended.set_value(call_backend(connect_backend({"127.0.0.1", port_}), stream,
-                                                  {.deadline = boot_now() + 2s,
-                                                   .names = names,
-                                                   .request = request,
-                                                   .expected_server = expected}));
+                     ended.set_value(call_backend(
+                         connect_backend({"127.0.0.1", static_cast<std::uint16_t>(port_)}), stream,
+                         {.deadline = boot_now() + 2s,
+                          .names = names,
+                          .request = request,
+                          .expected_server = expected}));
                  });
              }});
         const auto links =
