--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -493,6 +493,25 @@
     EXPECT_TRUE(fleet.wait_until_joined({0, 1, 2}, fleet.backends().size()));
 }
 
+// Two of three backend servers are well all the while.
+TEST(process, a_paused_node_makes_no_node_refuse_an_idempotent_request)
+{
+    process_fleet fleet;
+    load_options options = fleet.load({.name = "lids"}, 9s);
+    options.targets = {fleet.callers(0), fleet.callers(1)};
+    options.rate = 60;
+    load_generator load(options);
+    auto gets = std::async(std::launch::async, [&] { return load.run(); });
+    std::this_thread::sleep_for(500ms);
+    fleet.node(2).signal(SIGSTOP);
+    std::this_thread::sleep_for(6s);
+    fleet.node(2).signal(SIGCONT);
+    const load_report report = gets.get();
+    EXPECT_EQ(report.total.count(answer_kind::refused), 0U) << reasons(report);
+    EXPECT_GT(report.total.count(answer_kind::ok), 450U) << reasons(report);
+    EXPECT_EQ(fleet.check(report, true).total(), 0U);
+}
+
 TEST(process, metrics_tell_of_limits_retries_and_backend_servers)
 {
     process_fleet fleet;
