A request that gives up on silent gates leaves no count behind

Found on reading the change: after three gates without an answer the next choice was counted as in flight and never taken back, so its server looked busier from then on; an attempt that lost the race was logged as lost; a run whose answer broke off was told to its key's home as unknown, not as run.

--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -81,6 +81,7 @@
         it.trial_due = find_field(value_of(head), trial_field) != nullptr;
         return;
     }
+    it.ran_status = value_of(head).status;
     it.answer = std::move(value_of(head));
 }
 
--- a/src/dispatch_attempt.h
+++ b/src/dispatch_attempt.h
@@ -21,6 +21,7 @@
     route_choice choice;
     std::shared_ptr<link_stream> stream;
     time_point start;
+    std::optional<int> ran_status;         ///< of an answer, also of one whose body broke off
     std::optional<message_head> answer;    ///< of the backend server
     std::optional<refusal_answer> refused; ///< by its gate, or for a failure on the way
     std::string body;                      ///< of the answer, as far as it was read ahead
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -399,13 +399,17 @@
                                                        .target = request.route->target_latency,
                                                        .start = request.start,
                                                        .is_nested = request.is_nested})};
-    for (std::size_t n = 0; n < most_tries && progress.arrivals < request.route->attempts; ++n) {
+    const auto may_try = [&] {
+        return progress.arrivals < request.route->attempts &&
+               progress.silent_gates < most_silent_gates;
+    };
+    for (std::size_t n = 0; n < most_tries && may_try(); ++n) {
         if (hold != nullptr && boot_now() >= hold->deadline()) {
             progress.last = {.reason = refusal::deadline};
             break;
         }
         const auto choice = choose_next(request, progress.search);
-        if (!choice || progress.silent_gates == most_silent_gates)
+        if (!choice)
             break;
         if (!is_gate_there(request, *choice)) {
             ++progress.silent_gates;
@@ -545,6 +549,8 @@
             take_other(place, progress);
             if (!progress.answered || !is_good(*progress.answered))
                 continue;
+            it.stream->reset(reset_reason::cancelled);
+            return;
         }
         it.stream->reset(reset_reason::cancelled);
         it.refused = {.reason = refusal::deadline, .state = run_state::unknown};
@@ -605,9 +611,9 @@
     finished(place, it);
     if (progress.answered && is_good(*progress.answered))
         return false;
+    if (place.hold != nullptr && it.ran_status)
+        place.hold->ran(*it.ran_status);
     if (it.answer) {
-        if (place.hold != nullptr)
-            place.hold->ran(it.answer->status);
         learn(request, it);
         ++progress.arrivals;
         progress.search.reached(it.choice.server);
@@ -680,7 +686,7 @@
 
 void entry::finished(const attempt_place& place, const dispatch_attempt& it)
 {
-    if (it.refused && !it.gate_heard) {
+    if (it.refused && !it.gate_heard && !it.caller_left) {
         const std::string* id = find_field(place.head, options_.names.request_id);
         log_event(event::attempt_lost,
                   "id={} server={:016x} gate={:016x} error={} gate_failed={} ms={:.1f}",
--- a/tests/control_relay_test.cpp
+++ b/tests/control_relay_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <condition_variable>
+#include <initializer_list>
 #include <mutex>
 
 using namespace jasminebank;
@@ -50,6 +51,16 @@
     std::unique_ptr<control_relay> relay;
 };
 
+// Each knows all of them.
+void meet(std::initializer_list<relay_node*> nodes)
+{
+    member_directory all;
+    for (const relay_node* it : nodes)
+        all.merge(it->record());
+    for (const relay_node* it : nodes)
+        it->relay->set_directory(all);
+}
+
 struct waiting_answer {
     void take(const result<std::string, link_error>& it)
     {
@@ -76,11 +87,7 @@
     relay_node a("a");
     relay_node b("b");
     relay_node c("c");
-    member_directory all;
-    for (const relay_node* it : {&a, &b, &c})
-        all.merge(it->record());
-    for (const relay_node* it : {&a, &b, &c})
-        it->relay->set_directory(all);
+    meet({&a, &b, &c});
     for (const bool reachable : {true, false}) {
         a.relay->set_reachable(id_of<vm_id>("c"), reachable);
         waiting_answer got;
@@ -96,11 +103,7 @@
     relay_node a("a");
     relay_node b("b");
     relay_node c("c");
-    member_directory all;
-    for (const relay_node* it : {&a, &b, &c})
-        all.merge(it->record());
-    for (const relay_node* it : {&a, &b, &c})
-        it->relay->set_directory(all);
+    meet({&a, &b, &c});
     a.links->set_cut(to_string(c.links->local()), cut_direction::both);
     a.relay->suspect(id_of<vm_id>("c"));
     waiting_answer got;
