Planned stops of real nodes: tests that account for each request

A stand-in backend server takes the time that a request asks for (?ms=N); the fleet of the tests can drain all servers but one, ask how many requests run or wait, and kill a node that has not ended some time after SIGTERM.

Settings here: closing_grace 500 ms, stop_grace 3 s, killed 3.5 s after SIGTERM.

--- a/src/fake_backend.cpp
+++ b/src/fake_backend.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t npos = std::string::npos;
 constexpr std::uint64_t part_bytes = 16ULL * 1024;
+constexpr std::uint64_t longest_ms = 3'600'000; // of a request's own time or deadline
 constexpr duration longest_hang = std::chrono::minutes(5);
 constexpr duration longest_wait = std::chrono::minutes(5);
 constexpr const char* shed_header = "X-Backend-Shed";
@@ -133,6 +134,7 @@
     httplib::Response& res;
     time_point deadline = time_point::max();
     std::uint64_t size = 0;
+    std::optional<duration> time{};
     digest body{};
     bool crashes = false;
     request_fate fate{};
@@ -360,14 +362,17 @@
                                               : std::to_string(options_.answer_bytes));
     const std::string deadline = it.req.get_header_value("Jasmine-Deadline-Ms");
     const auto left = parse_number(deadline.empty() ? "0" : deadline);
-    if (!size || *size > options_.longest_answer_bytes || !left) {
-        refuse(it.res, 400, "size or Jasmine-Deadline-Ms is not a number within bounds");
+    const auto time =
+        parse_number(it.req.has_param("ms") ? it.req.get_param_value("ms") : std::string("0"));
+    if (!size || *size > options_.longest_answer_bytes || !left || !time || *time > longest_ms) {
+        refuse(it.res, 400, "size, ms or Jasmine-Deadline-Ms is not a number within bounds");
         return false;
     }
     it.size = *size;
+    if (it.req.has_param("ms"))
+        it.time = std::chrono::milliseconds(*time);
     if (!deadline.empty())
-        it.deadline =
-            arrival + std::chrono::milliseconds(std::min<std::uint64_t>(*left, 3'600'000));
+        it.deadline = arrival + std::chrono::milliseconds(std::min(*left, longest_ms));
     return true;
 }
 
@@ -402,7 +407,7 @@
     {
         const std::lock_guard lock(mutex_);
         it.fate = draw_fate(mode_, boot_now(), random_);
-        time = it.fate.hang ? longest_hang : draw_service_time(it.fate);
+        time = it.fate.hang ? longest_hang : it.time.value_or(draw_service_time(it.fate));
     }
     const duration left =
         it.deadline == time_point::max() ? duration::max() : it.deadline - boot_now();
--- a/src/fake_backend.h
+++ b/src/fake_backend.h
@@ -11,9 +11,9 @@
 //   GET  /control/account  what was run, by request id and by idempotency key
 //   GET  /control/seen     ?text=T: in how many header lines T was seen
 //
-// A request may carry `?size=N` (bytes of the answer), `?chunked=1`, and the header
-// Jasmine-Deadline-Ms (time left). The answer copies X-Request-Id, tells the organisation that the
-// node named in X-Organisation, and its body is that of answer_body.
+// A request may carry `?size=N` (bytes of the answer), `?chunked=1`, `?ms=N` (time that it takes),
+// and the header Jasmine-Deadline-Ms (time left). The answer copies X-Request-Id, tells the
+// organisation that the node named in X-Organisation, and its body is that of answer_body.
 
 #include "announcer.h"
 #include "answer_body.h"
--- a/tests/process_fleet.cpp
+++ b/tests/process_fleet.cpp
@@ -214,7 +214,8 @@
                 "fake_backend",
                 std::vector<std::string>{"--service", it.name, "--service-time", it.service_time,
                                          "--listen", host_ + ":0", "--node", to, "--port-file",
-                                         path(name), "--slots", "8", "--waiting", "32"},
+                                         path(name), "--slots", std::to_string(options_.slots),
+                                         "--waiting", "32"},
                 path(name + ".log")));
         }
     }
@@ -266,6 +267,15 @@
     return nodes_.at(node).process->wait_for_exit(45s);
 }
 
+int process_fleet::stop_or_kill(std::size_t node, duration grace)
+{
+    child_process& it = *nodes_.at(node).process;
+    it.signal(SIGTERM);
+    if (!it.wait_for_exit(grace))
+        it.signal(SIGKILL);
+    return it.wait_for_exit(start_timeout).value_or(-1);
+}
+
 nlohmann::json process_fleet::status(std::size_t node) const
 {
     httplib::Client client(control(node).host, control(node).port);
@@ -285,6 +295,19 @@
     return answered ? it.at("generation").get<std::uint64_t>() : 0;
 }
 
+std::uint64_t process_fleet::waiting(std::size_t node) const
+{
+    httplib::Client client(control(node).host, control(node).port);
+    const httplib::Result answer = client.Get("/metrics");
+    std::istringstream in(answer ? answer->body : "");
+    std::uint64_t out = 0;
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with("jasminebank_backend_server_waiting{"))
+            out += std::strtoull(line.c_str() + line.rfind(' '), nullptr, 10);
+    }
+    return out;
+}
+
 endpoint process_fleet::backend(std::size_t node, std::size_t service) const
 {
     return backends_.at(node * options_.services.size() + service);
@@ -297,6 +320,34 @@
     EXPECT_TRUE(answer && answer->status == 200);
 }
 
+std::uint64_t process_fleet::running(const endpoint& backend) const
+{
+    httplib::Client client(backend.host, backend.port);
+    const httplib::Result answer = client.Get("/load");
+    const auto it = nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+    return it.is_object() ? it.at("running").get<std::uint64_t>() : 0;
+}
+
+void process_fleet::keep_only(std::size_t node, std::size_t service) const
+{
+    for (std::size_t n = 0; n < fleet_nodes; ++n) {
+        const endpoint it = backend(n, service);
+        httplib::Client client(it.host, it.port);
+        EXPECT_TRUE(n == node || client.Post("/control/drain"));
+    }
+    const auto draining = [&](std::size_t at) {
+        const nlohmann::json it = status(at);
+        std::size_t out = 0;
+        for (const auto& member : it.is_object() ? it.at("members") : nlohmann::json::array()) {
+            for (const auto& server : member.at("servers"))
+                out += server.at("draining") == true ? 1 : 0;
+        }
+        return out;
+    };
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        EXPECT_TRUE(wait_until([&] { return draining(n) == fleet_nodes - 1; })) << log(n);
+}
+
 void process_fleet::set_fault(const nlohmann::json& fault) const
 {
     httplib::Client client(store_.host, store_.port);
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -49,6 +49,7 @@
 struct fleet_options {
     std::vector<fleet_service> services{{.name = "lids"}, {.name = "orders", .method = "POST"}};
     std::string node_lines{}; ///< further settings of every node
+    std::size_t slots = 8;    ///< of every backend server
 };
 
 /// What a run of the operators' command line gave.
@@ -72,12 +73,17 @@
     bool wait_until_joined(const std::vector<std::size_t>& nodes, std::size_t servers);
     /// The exit code of a planned stop.
     std::optional<int> stop_node(std::size_t node);
+    /// The exit code of a planned stop under a supervisor that kills the node `grace` after
+    /// SIGTERM.
+    int stop_or_kill(std::size_t node, duration grace);
     child_process& node(std::size_t node) { return *nodes_.at(node).process; }
     endpoint callers(std::size_t node) const { return nodes_.at(node).callers; }
     endpoint links(std::size_t node) const { return nodes_.at(node).links; }
     endpoint control(std::size_t node) const { return nodes_.at(node).control; }
     nlohmann::json status(std::size_t node) const;
     std::uint64_t generation(std::size_t node) const;
+    /// Requests that wait for a slot at this node's gate.
+    std::uint64_t waiting(std::size_t node) const;
     /// Overrides the store's address in the settings, for the next start.
     void cut_from_store(std::size_t node) { nodes_.at(node).store = host_ + ":1"; }
     /// Overrides the fleet's key, for the next start.
@@ -87,6 +93,10 @@
     endpoint backend(std::size_t node, std::size_t service) const;
     const std::vector<endpoint>& backends() const { return backends_; }
     void set_mode(const endpoint& backend, const nlohmann::json& mode) const;
+    /// Requests that run at a backend server.
+    std::uint64_t running(const endpoint& backend) const;
+    /// Drains the service's backend servers except the one beside `node`; waits until all know it.
+    void keep_only(std::size_t node, std::size_t service) const;
 
     void set_fault(const nlohmann::json& fault) const;
     command_result run_command(const std::vector<std::string>& words) const;
--- /dev/null
+++ b/tests/process_stop_test.cpp
@@ -0,0 +1,372 @@
+// Planned stops of real nodes: every whole request that a caller sent is accounted for.
+
+#include "answer_body.h"
+#include "digest.h"
+#include "process_fleet.h"
+#include "system_clock.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cctype>
+#include <csignal>
+#include <future>
+#include <map>
+#include <set>
+#include <thread>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Settings of every node here, and what the supervisor goes by.
+const std::string stop_lines = "closing_grace = 500ms\nstop_grace = 3s\n";
+constexpr duration closing_grace = 500ms;
+constexpr duration stop_grace = 3s;
+// A busy machine runs a process that is due to end a little later.
+constexpr duration kill_after = stop_grace + 500ms;
+// A request that crosses the node's close ends within this time after it was sent.
+constexpr duration crossing_time = 1s;
+constexpr std::chrono::seconds answer_patience{20};
+constexpr std::uint64_t answer_bytes = 256;
+
+// One request and what its caller saw of it.
+struct exchange {
+    std::string id;
+    answer_kind kind = answer_kind::broken;
+    std::string seen{}; // status line and outcome
+    duration waited{};  // from its last byte to the end
+};
+
+// A caller's connection, byte by byte.
+class caller_connection {
+public:
+    explicit caller_connection(const endpoint& to) : sock_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const timeval limit{.tv_sec = answer_patience.count(), .tv_usec = 0};
+        setsockopt(sock_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
+        is_open_ = connect(sock_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    }
+    ~caller_connection() { close(sock_); }
+    caller_connection(const caller_connection&) = delete;
+    caller_connection& operator=(const caller_connection&) = delete;
+
+    bool is_open() const { return is_open_; }
+
+    bool send_bytes(std::string_view bytes)
+    {
+        const bool done =
+            send(sock_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == std::ssize(bytes);
+        is_open_ = is_open_ && done;
+        return done;
+    }
+
+    /// Sends the head of a request; whole when no body follows. Its id is a fresh one.
+    std::string send_head(const std::string& method, const std::string& target,
+                          std::size_t body_bytes = 0)
+    {
+        static std::atomic<std::uint64_t> next = 1;
+        const std::string id = fmt::format("stop-{}", next++);
+        send_bytes(fmt::format("{} {} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\n"
+                               "X-Request-Id: {}\r\nContent-Length: {}\r\n\r\n",
+                               method, target, honey_key, id, body_bytes));
+        sent_ = boot_now();
+        return id;
+    }
+
+    /// Ends the sending side only.
+    void end_sending() const { shutdown(sock_, SHUT_WR); }
+
+    /// Reads the answer to the request that was sent last, to its end.
+    exchange read_answer(const std::string& id, std::string_view body = {})
+    {
+        exchange out{.id = id, .seen = {}};
+        read_into(out, body);
+        out.waited = boot_now() - sent_;
+        is_open_ = is_open_ && out.kind != answer_kind::broken;
+        return out;
+    }
+
+private:
+    bool read_more()
+    {
+        std::array<char, 4096> buf{};
+        const ssize_t n = recv(sock_, buf.data(), buf.size(), 0);
+        if (n > 0)
+            in_.append(buf.data(), static_cast<std::size_t>(n));
+        return n > 0;
+    }
+
+    std::optional<std::string> read_head()
+    {
+        std::size_t end = 0;
+        while ((end = in_.find("\r\n\r\n")) == std::string::npos) {
+            if (!read_more())
+                return std::nullopt;
+        }
+        std::string out = in_.substr(0, end + 2);
+        in_.erase(0, end + 4);
+        return out;
+    }
+
+    // Names come in any case; `name` is in lower case.
+    static std::string field(const std::string& head, const std::string& name)
+    {
+        std::string lower = head;
+        std::transform(lower.begin(), lower.end(), lower.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        const std::size_t at = lower.find("\r\n" + name + ": ");
+        if (at == std::string::npos)
+            return "";
+        const std::size_t begin = at + name.size() + 4;
+        return head.substr(begin, head.find("\r\n", begin) - begin);
+    }
+
+    void read_into(exchange& out, std::string_view body)
+    {
+        auto head = read_head();
+        // Informational answers come before the final one.
+        while (head && head->starts_with("HTTP/1.1 1"))
+            head = read_head();
+        if (!head)
+            return;
+        const std::string outcome = field(*head, "jasmine-outcome");
+        out.seen = head->substr(0, head->find("\r\n")) + ", " + outcome;
+        const std::size_t length =
+            std::strtoull(field(*head, "content-length").c_str(), nullptr, 10);
+        while (in_.size() < length) {
+            if (!read_more())
+                return;
+        }
+        const std::string content = in_.substr(0, length);
+        in_.erase(0, length);
+        if (outcome.starts_with("not-run"))
+            out.kind = answer_kind::refused;
+        else if (outcome.starts_with("unknown"))
+            out.kind = answer_kind::unknown;
+        else if (!head->starts_with("HTTP/1.1 200"))
+            out.kind = answer_kind::failed;
+        else
+            out.kind =
+                field(*head, "x-request-id") == out.id &&
+                        content ==
+                            answer_body(out.id, answer_bytes, digest_of(body)).part(0, answer_bytes)
+                    ? answer_kind::ok
+                    : answer_kind::wrong;
+    }
+
+    int sock_ = -1;
+    bool is_open_ = false;
+    std::string in_;
+    time_point sent_;
+};
+
+// Requests that were sent, each on a connection of its own, and whose answers are read later.
+class open_requests {
+public:
+    explicit open_requests(const process_fleet& fleet) : fleet_(fleet) {}
+
+    void send(std::size_t count, std::size_t node, const std::string& target,
+              const std::string& method = "GET")
+    {
+        for (std::size_t n = 0; n < count; ++n) {
+            callers_.push_back(std::make_unique<caller_connection>(fleet_.callers(node)));
+            ids_.push_back(callers_.back()->send_head(method, target));
+        }
+    }
+
+    std::vector<exchange> read_answers()
+    {
+        std::vector<exchange> out;
+        for (std::size_t n = 0; n < ids_.size(); ++n)
+            out.push_back(callers_[n]->read_answer(ids_[n]));
+        return out;
+    }
+
+private:
+    const process_fleet& fleet_;
+    std::vector<std::unique_ptr<caller_connection>> callers_;
+    std::vector<std::string> ids_;
+};
+
+std::string describe(const exchange& it)
+{
+    return fmt::format("{}: {} after {:.3f} s, {}", it.id, name_of(it.kind),
+                       std::chrono::duration<double>(it.waited).count(), it.seen);
+}
+
+load_report report_of(const std::vector<exchange>& all)
+{
+    load_report out;
+    out.organisations.push_back({.name = "honey"});
+    for (const exchange& it : all)
+        out.requests.push_back({.id = it.id, .organisation = 0, .kind = it.kind});
+    return out;
+}
+
+// Backend servers that ran each request.
+using run_places = std::map<std::string, std::set<endpoint>>;
+
+run_places places_of_runs(const process_fleet& fleet)
+{
+    run_places out;
+    for (const endpoint& server : fleet.backends()) {
+        const auto account = fetch_account(server);
+        EXPECT_FALSE(failed(account));
+        if (failed(account))
+            continue;
+        for (const run_entry& it : value_of(account).by_request)
+            out[it.id].insert(server);
+    }
+    return out;
+}
+
+// Each request got its backend server's answer or an honest refusal, unless a server that hangs
+// had it, or it crossed the end of its connection and never ran.
+void expect_accounted(const process_fleet& fleet, const std::vector<exchange>& all,
+                      bool idempotent = true, const std::set<endpoint>& hanging = {})
+{
+    const run_violations broken = fleet.check(report_of(all), idempotent);
+    EXPECT_TRUE(broken.complete);
+    for (const std::string& it : broken.examples)
+        ADD_FAILURE() << it;
+    const run_places ran = places_of_runs(fleet);
+    for (const exchange& it : all) {
+        if (it.kind == answer_kind::ok || it.kind == answer_kind::refused)
+            continue;
+        const auto found = ran.find(it.id);
+        const bool has_run = found != ran.end();
+        const bool hung =
+            has_run && std::any_of(found->second.begin(), found->second.end(),
+                                   [&](const endpoint& a) { return hanging.contains(a); });
+        const bool is_answer = it.kind == answer_kind::unknown || it.kind == answer_kind::failed;
+        const bool crossed =
+            it.kind == answer_kind::broken && !has_run && it.waited < crossing_time;
+        EXPECT_TRUE((hung && is_answer) || crossed)
+            << describe(it) << (has_run ? ", ran" : ", not run");
+    }
+}
+
+std::size_t count(const std::vector<exchange>& all, answer_kind kind)
+{
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [&](const exchange& it) { return it.kind == kind; }));
+}
+
+std::string describe(const std::vector<exchange>& all)
+{
+    std::string out;
+    for (const exchange& it : all)
+        out += describe(it) + "\n";
+    return out;
+}
+
+fleet_options options_with(const std::string& timeout, std::size_t slots = 8)
+{
+    return {.services = {{.name = "lids", .timeout = timeout},
+                         {.name = "orders", .method = "POST", .timeout = timeout}},
+            .node_lines = stop_lines,
+            .slots = slots};
+}
+
+} // namespace
+
+TEST(process_stop, a_request_that_runs_at_the_signal_gets_its_servers_answer)
+{
+    process_fleet fleet(options_with("30s"));
+    open_requests open(fleet);
+    open.send(4, 0, "/lids/x?ms=1500");
+    open.send(4, 0, "/orders/x?ms=1500", "POST");
+    ASSERT_TRUE(wait_until([&] {
+        std::uint64_t running = 0;
+        for (const endpoint& it : fleet.backends())
+            running += fleet.running(it);
+        return running == 8;
+    }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    const std::vector<exchange> all = open.read_answers();
+    EXPECT_EQ(count(all, answer_kind::ok), all.size()) << describe(all);
+}
+
+// A pause past the end of the closing time lets requests and the end of idle connections meet.
+TEST(process_stop, a_first_request_that_meets_the_end_of_idle_connections_gets_its_servers_answer)
+{
+    process_fleet fleet(options_with("8s", 64));
+    constexpr std::size_t connections = 100;
+    std::vector<std::unique_ptr<caller_connection>> idle;
+    for (std::size_t n = 0; n < connections; ++n) {
+        idle.push_back(std::make_unique<caller_connection>(fleet.callers(0)));
+        const std::string id = idle.back()->send_head("GET", "/lids/x");
+        ASSERT_EQ(idle.back()->read_answer(id).kind, answer_kind::ok);
+    }
+    fleet.node(0).signal(SIGTERM);
+    ASSERT_TRUE(wait_until([&] { return fleet.log(0).find("node_stopping") != std::string::npos; },
+                           stop_grace));
+    fleet.node(0).signal(SIGSTOP);
+    std::vector<std::string> ids;
+    for (const auto& it : idle)
+        ids.push_back(it->send_head("GET", "/lids/x?ms=400"));
+    std::this_thread::sleep_for(closing_grace);
+    fleet.node(0).signal(SIGCONT);
+    std::vector<exchange> all;
+    for (std::size_t n = 0; n < connections; ++n)
+        all.push_back(idle[n]->read_answer(ids[n]));
+    EXPECT_EQ(fleet.node(0).wait_for_exit(kill_after), 0);
+    expect_accounted(fleet, all);
+    EXPECT_GT(count(all, answer_kind::ok), 0U) << describe(all);
+}
+
+TEST(process_stop, requests_that_wait_at_another_nodes_gate_are_refused_before_the_kill)
+{
+    process_fleet fleet(options_with("30s", 2));
+    fleet.keep_only(1, 0);
+    open_requests running(fleet);
+    running.send(2, 1, "/lids/x?ms=6000");
+    ASSERT_TRUE(wait_until([&] { return fleet.running(fleet.backend(1, 0)) == 2; }));
+    open_requests waiting(fleet);
+    waiting.send(4, 0, "/lids/x");
+    ASSERT_TRUE(wait_until([&] { return fleet.waiting(1) == 4; }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    const std::vector<exchange> refused = waiting.read_answers();
+    EXPECT_EQ(count(refused, answer_kind::refused), refused.size()) << describe(refused);
+    const std::vector<exchange> answered = running.read_answers();
+    EXPECT_EQ(count(answered, answer_kind::ok), answered.size()) << describe(answered);
+    EXPECT_EQ(fleet.check(report_of(refused), true).total(), 0U);
+}
+
+TEST(process_stop, a_caller_that_closes_its_connection_keeps_no_server_at_work)
+{
+    process_fleet fleet(options_with("30s"));
+    {
+        open_requests open(fleet);
+        open.send(4, 0, "/lids/x?ms=20000");
+        open.send(4, 0, "/orders/x?ms=20000", "POST");
+        ASSERT_TRUE(wait_until([&] {
+            std::uint64_t running = 0;
+            for (const endpoint& it : fleet.backends())
+                running += fleet.running(it);
+            return running == 8;
+        }));
+    }
+    EXPECT_TRUE(wait_until(
+        [&] {
+            std::uint64_t running = 0;
+            for (const endpoint& it : fleet.backends())
+                running += fleet.running(it);
+            return running == 0;
+        },
+        5s));
+}
+
