Waiting requests at the gate of a stopping node end with the kill

What callers saw: two requests hold both slots of the only backend server, eight wait at its gate, whose node gets SIGTERM. The node does not end: it is killed 3.5 s after the signal (stop_grace 3 s). Its four own callers get a closed connection after 3.55 s, four callers of another node 502 unknown, though none of the eight ran.

Cause as far as the code shows: node::stop joins the thread of the ticks first, so nobody looks at the queue any more; the gate refuses new requests only at gate::stop, after the wait for callers, and never those that wait; socket_server::stop_gently joins callers' requests without a bound.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -328,6 +328,25 @@
     EXPECT_GT(count(all, answer_kind::ok), 0U) << describe(all);
 }
 
+TEST(process_stop, requests_that_wait_at_the_stopping_nodes_gate_are_refused_before_the_kill)
+{
+    process_fleet fleet(options_with("30s", 2));
+    fleet.keep_only(0, 0);
+    open_requests running(fleet);
+    running.send(2, 1, "/lids/x?ms=20000");
+    ASSERT_TRUE(wait_until([&] { return fleet.running(fleet.backend(0, 0)) == 2; }));
+    open_requests waiting(fleet);
+    waiting.send(4, 0, "/lids/x");
+    waiting.send(4, 1, "/lids/x");
+    ASSERT_TRUE(wait_until([&] { return fleet.waiting(0) == 8; }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    const std::vector<exchange> refused = waiting.read_answers();
+    EXPECT_EQ(count(refused, answer_kind::refused), refused.size()) << describe(refused);
+    const std::vector<exchange> cut = running.read_answers();
+    EXPECT_EQ(count(cut, answer_kind::unknown), cut.size()) << describe(cut);
+    EXPECT_EQ(fleet.check(report_of(refused), true).total(), 0U);
+}
+
 TEST(process_stop, requests_that_wait_at_another_nodes_gate_are_refused_before_the_kill)
 {
     process_fleet fleet(options_with("30s", 2));
