A request at a hanging server ends with the kill of its stopping node

What callers saw: four requests (two GET, two POST, time limit 30 s) at servers that hang, SIGTERM of the node that they were sent to: killed 3.5 s later (stop_grace 3 s), all four connections closed without an answer after 3.56 s.

Cause as far as the code shows: the wait of the entry ends at the request's deadline only, and socket_server::stop_gently joins without a bound.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -365,6 +365,25 @@
     EXPECT_EQ(fleet.check(report_of(refused), true).total(), 0U);
 }
 
+TEST(process_stop, a_request_whose_server_hangs_is_told_unknown_before_the_kill)
+{
+    process_fleet fleet(options_with("30s"));
+    for (const endpoint& it : fleet.backends())
+        fleet.set_mode(it, {{"hang_share", 1}});
+    open_requests open(fleet);
+    open.send(2, 0, "/lids/x");
+    open.send(2, 0, "/orders/x", "POST");
+    ASSERT_TRUE(wait_until([&] {
+        std::uint64_t running = 0;
+        for (const endpoint& it : fleet.backends())
+            running += fleet.running(it);
+        return running == 4;
+    }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    const std::vector<exchange> all = open.read_answers();
+    EXPECT_EQ(count(all, answer_kind::unknown), all.size()) << describe(all);
+}
+
 TEST(process_stop, a_caller_that_closes_its_connection_keeps_no_server_at_work)
 {
     process_fleet fleet(options_with("30s"));
