Slow callers hold a planned stop up until the kill

Half of a head, a small body and a streamed body come a byte each 50 ms; SIGTERM. The node is killed 3.5 s later (stop_grace 3 s). A fourth request whose body gets whole during the stop has its answer.

Cause as far as the code shows: a head may take 10 s and a read of a body 30 s, and socket_server::stop_gently joins without a bound.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -384,6 +384,37 @@
     EXPECT_EQ(count(all, answer_kind::unknown), all.size()) << describe(all);
 }
 
+TEST(process_stop, callers_that_send_slowly_hold_no_stop_up)
+{
+    process_fleet fleet(options_with("30s"));
+    const endpoint to = fleet.callers(0);
+    caller_connection half_head(to);
+    half_head.send_bytes("GET /lids/x HTTP/1.1\r\nHost: x\r\n");
+    caller_connection small_body(to);
+    small_body.send_head("POST", "/orders/x", 1000);
+    caller_connection streamed_body(to);
+    streamed_body.send_head("POST", "/orders/x", 1'000'000);
+    caller_connection whole_later(to);
+    const std::string id = whole_later.send_head("POST", "/orders/x", 20);
+    std::atomic<bool> over = false;
+    const auto trickle = std::async(std::launch::async, [&] {
+        for (std::size_t sent = 0; !over; ++sent) {
+            half_head.send_bytes("X-A: b\r\n");
+            small_body.send_bytes("a");
+            streamed_body.send_bytes("a");
+            if (sent < 20)
+                whole_later.send_bytes("a");
+            std::this_thread::sleep_for(50ms);
+        }
+    });
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    over = true;
+    const exchange whole = whole_later.read_answer(id, std::string(20, 'a'));
+    EXPECT_TRUE(whole.kind == answer_kind::ok || whole.kind == answer_kind::refused)
+        << describe(whole);
+}
+
 TEST(process_stop, a_caller_that_closes_its_connection_keeps_no_server_at_work)
 {
     process_fleet fleet(options_with("30s"));
