A gate that stops while its server runs long is killed

Another node's callers have four requests at the server of the node that gets SIGTERM. The two that take 1.5 s get their answers, the two that take 20 s are told unknown, but by their own node when the link breaks: the stopping one is killed 3.5 s after the signal (stop_grace 3 s).

Cause as far as the code shows: links_->wait_idle ends after stop_grace, counted from the end of the callers' connections, and gate::stop then joins workers whose calls last until the request's deadline.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -415,6 +415,22 @@
         << describe(whole);
 }
 
+TEST(process_stop, a_gate_that_stops_answers_for_other_nodes_callers_what_its_server_runs)
+{
+    process_fleet fleet(options_with("30s"));
+    fleet.keep_only(0, 0);
+    open_requests in_time(fleet);
+    in_time.send(2, 1, "/lids/x?ms=1500");
+    open_requests too_long(fleet);
+    too_long.send(2, 1, "/lids/x?ms=20000");
+    ASSERT_TRUE(wait_until([&] { return fleet.running(fleet.backend(0, 0)) == 4; }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    const std::vector<exchange> answered = in_time.read_answers();
+    EXPECT_EQ(count(answered, answer_kind::ok), answered.size()) << describe(answered);
+    const std::vector<exchange> cut = too_long.read_answers();
+    EXPECT_EQ(count(cut, answer_kind::unknown), cut.size()) << describe(cut);
+}
+
 TEST(process_stop, a_caller_that_closes_its_connection_keeps_no_server_at_work)
 {
     process_fleet fleet(options_with("30s"));
