A caller that closes its sending side only gets a 504 after 0.1 s

A whole request, then shutdown(SHUT_WR): 504 unknown, reason deadline, after 0.101 s, while the server works on it (0.6 s of its 8 s).

Cause: socket_server::peer_left asks for POLLRDHUP, which a half-close sets as well as a close.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -431,6 +431,16 @@
     EXPECT_EQ(count(cut, answer_kind::unknown), cut.size()) << describe(cut);
 }
 
+TEST(process_stop, a_caller_that_ends_only_its_sending_side_gets_its_servers_answer)
+{
+    process_fleet fleet(options_with("8s"));
+    caller_connection caller(fleet.callers(0));
+    const std::string id = caller.send_head("GET", "/lids/x?ms=600");
+    caller.end_sending();
+    const exchange it = caller.read_answer(id);
+    EXPECT_EQ(it.kind, answer_kind::ok) << describe(it);
+}
+
 TEST(process_stop, a_caller_that_closes_its_connection_keeps_no_server_at_work)
 {
     process_fleet fleet(options_with("30s"));
