Stops in series and of all at once: requests at hanging servers get no answer

18 callers at three nodes use each connection until it is gone; a tenth of the requests is slow (0.45 s), 3 % of those at one node's servers hang (time limit 8 s). Two nodes are stopped and started in turn, then all at once. One is killed 3.5 s after SIGTERM (stop_grace 3 s); eight requests that had run end with a closed connection 4.0 to 6.6 s after they were sent. Nothing ran twice and no refused request ran.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -465,3 +465,94 @@
         5s));
 }
 
+namespace {
+
+// Callers of all nodes that use each connection until it is gone, whatever the answers say of
+// closing it, then open the next one.
+class kept_callers {
+public:
+    kept_callers(const process_fleet& fleet, std::size_t callers_of_each)
+    {
+        std::vector<endpoint> nodes;
+        for (std::size_t n = 0; n < fleet_nodes; ++n)
+            nodes.push_back(fleet.callers(n));
+        for (std::size_t n = 0; n < fleet_nodes * callers_of_each; ++n) {
+            const bool posts = n / fleet_nodes % 2 == 1;
+            callers_.push_back(std::async(std::launch::async, [this, nodes, n, posts] {
+                return posts ? call(nodes, n, "POST", "/orders/x")
+                             : call(nodes, n, "GET", "/lids/x");
+            }));
+            are_posts_.push_back(posts);
+        }
+    }
+
+    /// Ends the callers; what those saw that posted, or the others.
+    std::vector<exchange> finish(bool posts)
+    {
+        is_over_ = true;
+        std::vector<exchange> out;
+        for (std::size_t n = 0; n < callers_.size(); ++n) {
+            if (are_posts_[n] != posts)
+                continue;
+            const std::vector<exchange> seen = callers_[n].get();
+            out.insert(out.end(), seen.begin(), seen.end());
+        }
+        return out;
+    }
+
+private:
+    std::vector<exchange> call(const std::vector<endpoint>& nodes, std::size_t first,
+                               const std::string& method, const std::string& target) const
+    {
+        std::vector<exchange> out;
+        for (std::size_t n = first; !is_over_; ++n) {
+            caller_connection it(nodes[n % nodes.size()]);
+            if (!it.is_open())
+                std::this_thread::sleep_for(10ms);
+            while (it.is_open() && !is_over_)
+                out.push_back(it.read_answer(it.send_head(method, target)));
+        }
+        return out;
+    }
+
+    std::atomic<bool> is_over_ = false;
+    std::vector<std::future<std::vector<exchange>>> callers_;
+    std::vector<bool> are_posts_;
+};
+
+} // namespace
+
+TEST(process_stop, stops_in_series_and_of_all_at_once_leave_no_request_without_an_answer)
+{
+    process_fleet fleet({.services = {{.name = "lids", .service_time = "30ms"},
+                                      {.name = "orders", .method = "POST", .service_time = "30ms"}},
+                         .node_lines = stop_lines});
+    std::set<endpoint> hanging;
+    for (std::size_t n = 0; n < fleet_nodes; ++n) {
+        for (std::size_t service = 0; service < 2; ++service)
+            fleet.set_mode(fleet.backend(n, service), {{"slow_share", 0.1}, {"slow_factor", 15}});
+    }
+    for (std::size_t service = 0; service < 2; ++service) {
+        fleet.set_mode(fleet.backend(2, service), {{"hang_share", 0.03}});
+        hanging.insert(fleet.backend(2, service));
+    }
+    kept_callers callers(fleet, 6);
+    std::this_thread::sleep_for(500ms);
+    for (std::size_t n = 0; n + 1 < fleet_nodes; ++n) {
+        EXPECT_EQ(fleet.stop_or_kill(n, kill_after), 0);
+        fleet.start_node(n);
+        EXPECT_TRUE(fleet.wait_until_joined({0, 1, 2}, fleet.backends().size()));
+    }
+    std::vector<std::future<int>> stops;
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        stops.push_back(
+            std::async(std::launch::async, [&, n] { return fleet.stop_or_kill(n, kill_after); }));
+    for (auto& it : stops)
+        EXPECT_EQ(it.get(), 0);
+    const std::vector<exchange> gets = callers.finish(false);
+    const std::vector<exchange> posts = callers.finish(true);
+    EXPECT_GT(count(gets, answer_kind::ok), 100U);
+    EXPECT_GT(count(posts, answer_kind::ok), 100U);
+    expect_accounted(fleet, gets, true, hanging);
+    expect_accounted(fleet, posts, false, hanging);
+}
