--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -273,15 +273,18 @@
                      const httplib::Response& res)
 {
     const std::string* id = find_field(head.clean, options_.names.request_id);
+    const time_point now = boot_now();
     log_event(event::request_ended,
-              "id={} org={} route={} service={} generation={} status={} outcome=\"{}\" ms={:.1f}",
+              "id={} org={} route={} service={} generation={} status={} outcome=\"{}\" ms={:.1f} "
+              "ms_left={:.1f}",
               id == nullptr ? "-" : *id,
               request.organisation == nullptr ? "-" : request.organisation->name,
               request.route == nullptr ? "-" : request.route->name,
               request.service == nullptr ? "-" : request.service->name,
               request.config == nullptr ? 0 : request.config->generation, res.status,
               res.get_header_value(std::string(outcome_header)),
-              std::chrono::duration<double, std::milli>(boot_now() - request.start).count());
+              as_milliseconds(now - request.start),
+              request.deadline == time_point{} ? 0 : as_milliseconds(request.deadline - now));
 }
 
 std::optional<route_choice> entry::choose(const admitted_request& request, const search_step& step)
@@ -553,7 +556,7 @@
             return;
         }
         it.stream->reset(reset_reason::cancelled);
-        it.refused = {.reason = refusal::deadline, .state = run_state::unknown};
+        it.refused = {.reason = refusal::caller_left, .state = run_state::unknown};
     }
 }
 
@@ -671,7 +674,7 @@
     const std::string* id = find_field(place.head, options_.names.request_id);
     log_event(event::retry_decided, "id={} service={} cause={} granted={} shared={} ms_left={:.0f}",
               id == nullptr ? "-" : *id, request.service->name, cause, granted, is_shared,
-              std::chrono::duration<double, std::milli>(request.deadline - now).count());
+              as_milliseconds(request.deadline - now));
     return granted;
 }
 
@@ -692,7 +695,7 @@
                   "id={} server={:016x} gate={:016x} error={} gate_failed={} ms={:.1f}",
                   id == nullptr ? "-" : *id, it.choice.server.value, it.choice.gate.value,
                   name_of(it.refused->reason), it.gate_failed,
-                  std::chrono::duration<double, std::milli>(boot_now() - it.start).count());
+                  as_milliseconds(boot_now() - it.start));
     }
     if (it.gate_failed)
         options_.on_gate_failed(it.choice.gate);
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -447,11 +447,6 @@
     return names.at(static_cast<std::size_t>(it));
 }
 
-static double milliseconds(duration it)
-{
-    return std::chrono::duration<double, std::milli>(it).count();
-}
-
 void gate::note_refused(const link_stream& stream, const server_load& at, std::string_view reason,
                         duration waited) const
 {
@@ -460,7 +455,7 @@
               "id={} from={} server={:016x} reason={} waited_ms={:.1f} running={} waiting={} "
               "suspicion={:.2f}",
               id == nullptr ? "-" : *id, stream.peer().vm_name, at.server.value, reason,
-              milliseconds(waited), at.running, at.waiting, at.suspicion);
+              as_milliseconds(waited), at.running, at.waiting, at.suspicion);
 }
 
 void gate::note_end(const pending_request& it, const call_result& result, bool past_deadline) const
@@ -471,7 +466,7 @@
               "ms={:.1f} suspicion={:.2f} idempotent={} may_wait={} insists={}",
               id == nullptr ? "-" : *id, it.stream->peer().vm_name, it.request.server.value,
               name_of(result.end), result.status, past_deadline,
-              milliseconds(it.started - it.accepted), milliseconds(result.service_time),
+              as_milliseconds(it.started - it.accepted), as_milliseconds(result.service_time),
               it.suspicion, it.request.idempotent, it.request.may_wait, it.request.insists);
 }
 
--- a/src/log.h
+++ b/src/log.h
@@ -5,6 +5,8 @@
 // lines a second, and what is over it or over the buffer is counted and told. The catalogue,
 // docs/EVENTS.md, has a row for each number; a test compares the two.
 
+#include "types.h"
+
 #include <fmt/format.h>
 
 #include <cstdint>
@@ -89,6 +91,12 @@
 /// fields. Never blocks for the output. Safe from any thread.
 void write_log(event number, std::string_view text);
 
+/// A time as the fields of log lines tell it.
+constexpr double as_milliseconds(duration it)
+{
+    return std::chrono::duration<double, std::milli>(it).count();
+}
+
 /// Lines that were dropped since the start.
 std::uint64_t dropped_log_lines();
 
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -40,6 +40,7 @@
     suspect,              ///< the backend server may hang or fail just now
     body_too_large,       ///< the request's body is over the configured bound
     register_unavailable, ///< nobody can tell whether the idempotency key was used, or no room
+    caller_left,          ///< the caller closed its connection, so its request was cancelled
 };
 
 /// What to answer.
