A stop ends idle connections by waking their threads, not by half-closing them

Cause: stop_gently shut the reading side of idle connections down. A request whose bytes had come was served nevertheless, and peer_left() then reported the node's own half-close as the caller's leaving.

Ruled out: a caller that left (the test's callers read on), the deadline (8 s).

Change: the thread of an idle connection waits for its socket and for an event that the stop raises; a request that has come is served first. No socket is half-closed before its last answer.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -579,7 +579,11 @@
     if (mandates_ != nullptr)
         mandates_->release();
     if (callers_ != nullptr)
-        callers_->stop_gently(settings_.closing_grace);
+    {
+        callers_->announce_stop();
+        std::this_thread::sleep_for(settings_.closing_grace);
+        callers_->stop_gently();
+    }
     if (delegations_ != nullptr)
         delegations_->stop();
     links_->drain();
--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -165,7 +166,8 @@
 
 // The port is exclusive: SO_REUSEADDR alone lets a restarted server have its port back, but no
 // second server beside it. The library's default, SO_REUSEPORT, would.
-socket_server::socket_server(socket_server_options options) : options_(std::move(options))
+socket_server::socket_server(socket_server_options options)
+    : options_(std::move(options)), close_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
     set_tcp_nodelay(true);
     set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
@@ -182,6 +184,7 @@
 socket_server::~socket_server()
 {
     stop_gently();
+    close(close_fd_);
 }
 
 // The library listens with a backlog of 5; a second listen on the same socket sets a longer one.
@@ -208,33 +211,43 @@
         shutdown(listener_, SHUT_RDWR);
 }
 
-// A caller may send its next request just before it reads "Connection: close"; the grace lets such
-// requests in before idle connections are ended.
-void socket_server::stop_gently(duration grace)
+// The threads that wait for a request are told by `close_fd_` rather than by a half-closed socket,
+// which would look like a caller that has left to a request that comes just then.
+void socket_server::close_idle()
 {
     stopping_ = true;
-    std::this_thread::sleep_for(grace);
     stop_listening();
-    {
-        const std::lock_guard lock(mutex_);
-        ending_idle_ = true;
-        for (const auto& [sock, busy] : connections_) {
-            if (!busy)
-                shutdown(sock, SHUT_RD);
-        }
-    }
+    const std::uint64_t one = 1;
+    if (write(close_fd_, &one, sizeof one) < 0)
+        cut_all();
+}
+
+bool socket_server::wait_closed(time_point deadline)
+{
+    std::unique_lock lock(mutex_);
+    const duration left = std::max(deadline - boot_now(), duration::zero());
+    return ended_.wait_for(lock, left, [this] { return connections_.empty(); });
+}
+
+void socket_server::join()
+{
     if (thread_.joinable())
         thread_.join();
 }
 
+void socket_server::stop_gently()
+{
+    close_idle();
+    join();
+}
+
 void socket_server::cut_all()
 {
     stopping_ = true;
     stop_listening();
     const std::lock_guard lock(mutex_);
-    ending_idle_ = true;
-    for (const auto& [sock, busy] : connections_)
-        shutdown(sock, SHUT_RDWR);
+    for (const socket_t it : connections_)
+        shutdown(it, SHUT_RDWR);
 }
 
 endpoint socket_server::address() const
@@ -275,17 +288,18 @@
     const std::lock_guard lock(mutex_);
     if (connections_.size() >= options_.connections)
         return false;
-    connections_.emplace(sock, false);
+    connections_.insert(sock);
     return true;
 }
 
-// Busy and idle change under the lock that `stop_gently` holds, so it never cuts a request.
-void socket_server::mark(socket_t sock, bool busy)
+// False when the connection is to end: it was idle for too long, or the server closes. A request
+// that has come is served first.
+bool socket_server::wait_for_request(socket_t sock) const
 {
-    const std::lock_guard lock(mutex_);
-    connections_[sock] = busy;
-    if (!busy && ending_idle_)
-        shutdown(sock, SHUT_RD);
+    std::array<pollfd, 2> it{pollfd{.fd = sock, .events = POLLIN, .revents = 0},
+                             pollfd{.fd = close_fd_, .events = POLLIN, .revents = 0}};
+    return poll(it.data(), it.size(), to_milliseconds(options_.idle_timeout)) > 0 &&
+           (it[0].revents != 0 || wait_for(sock, POLLIN, duration::zero()));
 }
 
 void socket_server::remove_connection(socket_t sock)
@@ -293,6 +307,7 @@
     const std::lock_guard lock(mutex_);
     connections_.erase(sock);
     close(sock);
+    ended_.notify_all();
 }
 
 bool socket_server::process_and_close_socket(socket_t sock)
@@ -325,14 +340,12 @@
     };
     bool closed = false;
     while (!closed) {
-        if (!stream.has_buffered() && !wait_for(sock, POLLIN, options_.idle_timeout))
+        if (!stream.has_buffered() && !wait_for_request(sock))
             return;
-        mark(sock, true);
         stream.begin_head(options_.head_timeout, options_.head_bytes);
         closed = stopping_;
         current_ends = false;
         const bool good = process_request(stream, closed, closed, prepare);
-        mark(sock, false);
         if (!good || current_ends)
             return;
     }
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -10,13 +10,14 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <cstddef>
 #include <functional>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
-#include <unordered_map>
+#include <unordered_set>
 
 namespace jasminebank {
 
@@ -42,13 +43,20 @@
 
     /// Binds and serves on a thread of its own; false when the address cannot be had.
     bool start();
-    /// Answers for `grace` more with "Connection: close", then ends idle connections, lets requests
-    /// that run finish, and joins. Not from a handler.
-    void stop_gently(duration grace = duration::zero());
-    /// True once a stop has begun.
-    bool is_stopping() const { return stopping_; }
+    /// From now on answers say "Connection: close". Never blocks.
+    void announce_stop() { stopping_ = true; }
+    /// Takes no more connections and ends those on which no request has come. Never blocks.
+    void close_idle();
+    /// Waits until every connection has ended, at most until `deadline`; true when none is left.
+    bool wait_closed(time_point deadline);
     /// Closes the listening socket and cuts all connections at once. Fit for a handler.
     void cut_all();
+    /// Waits for the threads of a server that was told to close. Not from a handler.
+    void join();
+    /// Ends idle connections, lets requests that run finish, and joins. Not from a handler.
+    void stop_gently();
+    /// True once a stop has begun.
+    bool is_stopping() const { return stopping_; }
 
     /// The address with the real port.
     endpoint address() const;
@@ -66,7 +74,7 @@
 private:
     bool process_and_close_socket(socket_t sock) override;
     bool add_connection(socket_t sock);
-    void mark(socket_t sock, bool busy);
+    bool wait_for_request(socket_t sock) const;
     void serve(socket_t sock);
     void remove_connection(socket_t sock);
     void stop_listening();
@@ -77,9 +85,10 @@
     std::thread thread_;
     std::atomic<bool> stopping_ = false;
     std::atomic<bool> closed_ = false;
+    int close_fd_ = -1; ///< readable once idle connections are to end
     mutable std::mutex mutex_;
-    bool ending_idle_ = false;
-    std::unordered_map<socket_t, bool> connections_; // true while a request runs
+    std::condition_variable ended_;
+    std::unordered_set<socket_t> connections_;
 };
 
 } // namespace jasminebank
--- /dev/null
+++ b/tests/socket_server_test.cpp
@@ -0,0 +1,64 @@
+#include "socket_server.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <string>
+#include <thread>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Sends all of `text` on a new connection and returns what comes until the server ends it.
+std::string exchange(const endpoint& to, const std::string& text)
+{
+    const int sock = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
+    EXPECT_EQ(connect(sock, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    EXPECT_EQ(send(sock, text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
+    std::string out;
+    std::array<char, 4096> buf{};
+    ssize_t n = 0;
+    while ((n = recv(sock, buf.data(), buf.size(), 0)) > 0)
+        out.append(buf.data(), static_cast<std::size_t>(n));
+    close(sock);
+    return out;
+}
+
+} // namespace
+
+// The second request has come before the stop, and is read when idle connections have been ended.
+TEST(socket_server, a_stop_is_not_taken_for_a_caller_that_left)
+{
+    socket_server server({.listen = {.host = "127.0.0.1", .port = 0}});
+    std::atomic<bool> runs = false;
+    server.Get("/first", [&](const httplib::Request&, httplib::Response&) {
+        runs = true;
+        while (!server.is_stopping())
+            std::this_thread::sleep_for(1ms);
+        std::this_thread::sleep_for(100ms);
+    });
+    server.Get("/second", [](const httplib::Request&, httplib::Response& res) {
+        res.set_content(socket_server::peer_left() ? "caller left" : "caller waits", "text/plain");
+    });
+    ASSERT_TRUE(server.start());
+    std::thread stop([&] {
+        while (!runs)
+            std::this_thread::sleep_for(1ms);
+        server.stop_gently();
+    });
+    const std::string answers =
+        exchange(server.address(), "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+                                   "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    stop.join();
+    EXPECT_NE(answers.find("caller waits"), std::string::npos) << answers;
+}
