A planned stop has a schedule, and every wait of the node ends by it

What callers saw, on a node that was told to stop: connections closed without a word when the node was killed at the end of its grace (all 4 callers at a hanging server; 4 that waited for a slot at the node's own gate; 8 requests in stops of all nodes at once), and requests of other nodes' callers that were told unknown although they had only waited at its gate.

Cause: the stop had no end of its own. node::stop joined the callers' door without a bound, so one request at a hanging server, or a caller that sent its body byte by byte, kept it until the kill; the ticks that refuse what waits too long in the gate's queue ended first, before the requests that they serve; the gate's workers were joined before the links whose end would have freed them.

Ruled out: the deadline (8 to 30 s in the tests), servers that broke off, the load of the machine (the tests fail alone, too, and by the same place).

The gate gives back what waits when it closes; ticks, members and limits go on until the last request is gone; links end before the threads that wait for them are joined. Event 105 tells how a stop went.

--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -17,18 +17,20 @@
 
 constexpr std::size_t chunk_bytes = 16UL * 1024;
 constexpr int first_error_status = 500;
-// How often a thread that waits for an answer looks whether its caller is still there.
+// How often a thread that waits for an answer looks whether its caller is still there, and whether
+// the node is being stopped.
 constexpr duration caller_check_interval = std::chrono::milliseconds(100);
 // With two attempts open, each is looked at this often: short against a service time.
 constexpr duration turn = std::chrono::milliseconds(8);
 
-refusal_answer answer_of(const link_error& it)
+refusal_answer answer_of(const link_error& it, const answer_limit& limit)
 {
     if (!may_have_run(it))
         return {.reason = refusal::no_backend_server};
-    if (it.kind == link_failure::timed_out)
-        return {.reason = refusal::deadline, .state = run_state::unknown};
-    return {.reason = refusal::backend_server_error, .state = run_state::unknown};
+    if (it.kind != link_failure::timed_out)
+        return {.reason = refusal::backend_server_error, .state = run_state::unknown};
+    return {.reason = limit.is_by_stop() ? refusal::stopping : refusal::deadline,
+            .state = run_state::unknown};
 }
 
 std::optional<double> load_of(const message_head& answer)
@@ -41,16 +43,17 @@
     return ec == std::errc{} ? std::optional(out) : std::nullopt;
 }
 
-void read_small_answer(dispatch_attempt& it, std::size_t ahead_bytes, time_point deadline)
+void read_small_answer(dispatch_attempt& it, std::size_t ahead_bytes, const answer_limit& limit)
 {
     std::array<char, chunk_bytes> buf{};
     while (it.body.size() < ahead_bytes) {
-        const auto n = it.stream->read(buf, deadline);
+        const time_point step = std::min(limit.until(), boot_now() + caller_check_interval);
+        const auto n = it.stream->read(buf, step);
+        const bool is_late = failed(n) && error_of(n).kind == link_failure::timed_out;
+        if (is_late && boot_now() < limit.until() && !socket_server::peer_left())
+            continue;
         if (failed(n)) {
-            it.refused = {.reason = error_of(n).kind == link_failure::timed_out
-                                        ? refusal::deadline
-                                        : refusal::backend_server_error,
-                          .state = run_state::unknown};
+            it.refused = answer_of(error_of(n), limit);
             it.answer.reset();
             return;
         }
@@ -62,10 +65,11 @@
     }
 }
 
-void take_head(dispatch_attempt& it, result<message_head, link_error> head)
+void take_head(dispatch_attempt& it, result<message_head, link_error> head,
+               const answer_limit& limit)
 {
     if (failed(head)) {
-        it.refused = answer_of(error_of(head));
+        it.refused = answer_of(error_of(head), limit);
         // A deadline that passes, or a caller that leaves, says nothing about the gate.
         it.gate_failed = error_of(head).kind == link_failure::not_sent ||
                          error_of(head).kind == link_failure::maybe_sent;
@@ -99,18 +103,20 @@
 
 // A request that still waits for its link when the caller is looked for is withdrawn, so that it
 // goes elsewhere.
-wait_end wait_for_either(dispatch_attempt& own, dispatch_attempt* other, time_point until)
+wait_end wait_for_either(dispatch_attempt& own, dispatch_attempt* other, const answer_limit& limit,
+                         time_point until)
 {
     time_point next_check = boot_now() + caller_check_interval;
     while (true) {
+        const time_point end = std::min(until, limit.until());
         const time_point step =
-            std::min({until, next_check, other == nullptr ? time_point::max() : boot_now() + turn});
+            std::min({end, next_check, other == nullptr ? time_point::max() : boot_now() + turn});
         if (own.stream->has_head(step))
             return wait_end::own;
         const time_point now = boot_now();
         if (other != nullptr && other->stream->has_head(now))
             return wait_end::other;
-        if (now >= until)
+        if (now >= end)
             return wait_end::due;
         if (now < next_check)
             continue;
@@ -124,11 +130,11 @@
     }
 }
 
-void settle_attempt(dispatch_attempt& it, std::size_t ahead_bytes, time_point deadline)
+void settle_attempt(dispatch_attempt& it, std::size_t ahead_bytes, const answer_limit& limit)
 {
-    take_head(it, it.stream->read_head(boot_now()));
+    take_head(it, it.stream->read_head(boot_now()), limit);
     if (it.answer)
-        read_small_answer(it, ahead_bytes, deadline);
+        read_small_answer(it, ahead_bytes, limit);
 }
 
 bool gate_answers(link_hub& links, const endpoint& link, duration patience)
--- a/src/dispatch_attempt.h
+++ b/src/dispatch_attempt.h
@@ -7,6 +7,7 @@
 #include "link_stream.h"
 #include "refusal.h"
 #include "router.h"
+#include "stop_schedule.h"
 #include "types.h"
 
 #include <httplib.h>
@@ -44,16 +45,17 @@
 enum class wait_end : std::uint8_t {
     own,         ///< the head of the answer is there, or the stream ended
     other,       ///< the same of the other attempt
-    due,         ///< the time came
+    due,         ///< the time came, or the limit of the request
     caller_left, ///< nobody waits for the answer any more
 };
 
-/// Waits until `until`. `other` may be empty.
-wait_end wait_for_either(dispatch_attempt& own, dispatch_attempt* other, time_point until);
+/// Waits until `until`, but no longer than the limit allows. `other` may be empty.
+wait_end wait_for_either(dispatch_attempt& own, dispatch_attempt* other, const answer_limit& limit,
+                         time_point until = time_point::max());
 
 /// Takes the head that has come, or what went wrong; then an answer's body, up to `ahead_bytes`, so
 /// that one that breaks off there is a failed attempt of which no caller has seen a part.
-void settle_attempt(dispatch_attempt& it, std::size_t ahead_bytes, time_point deadline);
+void settle_attempt(dispatch_attempt& it, std::size_t ahead_bytes, const answer_limit& limit);
 
 /// Whether the node at `link` answers within `patience`: bytes that are sent to one that was cut
 /// off a moment ago are not known to be lost.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -330,7 +330,8 @@
     }
     if (!value_of(identity))
         return true;
-    once_ticket ticket = options_.once->claim(*value_of(identity), request.deadline);
+    once_ticket ticket =
+        options_.once->claim(*value_of(identity), answer_limit(request.deadline, stop_).until());
     if (std::holds_alternative<once_granted>(ticket.answer)) {
         request.deadline = std::min(request.deadline, ticket.deadline);
         hold = std::make_unique<once_hold>(*options_.once, std::move(ticket));
@@ -402,9 +403,10 @@
                                                        .target = request.route->target_latency,
                                                        .start = request.start,
                                                        .is_nested = request.is_nested})};
+    const answer_limit limit(request.deadline, stop_);
     const auto may_try = [&] {
         return progress.arrivals < request.route->attempts &&
-               progress.silent_gates < most_silent_gates;
+               progress.silent_gates < most_silent_gates && boot_now() < limit.until();
     };
     for (std::size_t n = 0; n < most_tries && may_try(); ++n) {
         if (hold != nullptr && boot_now() >= hold->deadline()) {
@@ -449,6 +451,7 @@
                                      const route_choice& choice, bool is_trial)
 {
     const admitted_request& request = place.request;
+    const answer_limit limit(request.deadline, stop_);
     message_head head = place.head;
     write_dispatch(
         {.server = choice.server,
@@ -460,7 +463,7 @@
          .priority = priority_of(request),
          .is_nested = request.is_nested,
          .target = request.route->target_latency,
-         .time_left = request.deadline - boot_now(),
+         .time_left = limit.until() - boot_now(),
          .idempotent = request.idempotent,
          .may_wait = search.may_wait() && !is_trial,
          .insists = search.insists() && !is_trial,
@@ -471,7 +474,7 @@
     dispatch_attempt it{.choice = choice, .start = boot_now(), .body_consumed = is_streamed};
     it.stream = links_.open(choice.gate_link, std::move(head), place.body.empty() && !is_streamed);
     if (!place.body.empty()) {
-        if (!failed(it.stream->write(place.body, request.deadline)))
+        if (!failed(it.stream->write(place.body, limit.until())))
             it.stream->finish();
     }
     if (is_streamed && !pump_body(*place.reader, *it.stream, request.service->timeout)) {
@@ -528,15 +531,15 @@
 void entry::run_attempt(const attempt_place& place, request_progress& progress,
                         dispatch_attempt& it)
 {
-    const time_point deadline = place.reader == nullptr
-                                    ? place.request.deadline
-                                    : boot_now() + place.request.service->timeout;
+    const answer_limit limit(place.reader == nullptr ? place.request.deadline
+                                                     : boot_now() + place.request.service->timeout,
+                             stop_);
     while (!it.refused) {
         const time_point due = hedge_time(place.request, progress, it);
         dispatch_attempt* other = progress.other ? &*progress.other : nullptr;
-        const wait_end end = wait_for_either(it, other, std::min(deadline, due));
-        if (end == wait_end::own || (end == wait_end::due && due >= deadline)) {
-            settle_attempt(it, options_.buffered_answer_bytes, deadline);
+        const wait_end end = wait_for_either(it, other, limit, due);
+        if (end == wait_end::own || (end == wait_end::due && boot_now() >= limit.until())) {
+            settle_attempt(it, options_.buffered_answer_bytes, limit);
             return;
         }
         if (end == wait_end::due) {
@@ -585,8 +588,9 @@
     dispatch_attempt it = std::move(*progress.other);
     progress.other.reset();
     const bool is_needed = !progress.answered || !is_good(*progress.answered);
-    if (is_needed && wait_for_either(it, nullptr, place.request.deadline) != wait_end::caller_left)
-        settle_attempt(it, options_.buffered_answer_bytes, place.request.deadline);
+    const answer_limit limit(place.request.deadline, stop_);
+    if (is_needed && wait_for_either(it, nullptr, limit) != wait_end::caller_left)
+        settle_attempt(it, options_.buffered_answer_bytes, limit);
     finished(place, it);
     const bool has_arrived = !it.refused || it.refused->state != run_state::not_run ||
                              it.refused->reason == refusal::shed;
--- a/src/entry.h
+++ b/src/entry.h
@@ -18,6 +18,7 @@
 #include "retry_budget.h"
 #include "router.h"
 #include "server_search.h"
+#include "stop_schedule.h"
 #include "types.h"
 
 #include <httplib.h>
@@ -91,6 +92,8 @@
     std::unordered_map<service_id, std::size_t> service_sizes() const;
     /// What callers experienced so far.
     const request_metrics& metrics() const { return metrics_; }
+    /// A planned stop has begun: what is open at `last_answer` gets an honest answer then.
+    void begin_stop(time_point last_answer) { stop_.begin(last_answer); }
     /// Takes over who stands where.
     void set_directory(const member_directory& directory);
     /// Whether the link to a gate works, as a probe has found.
@@ -137,6 +140,7 @@
                   const httplib::Response& res);
 
     const entry_options options_;
+    stop_clock stop_;
     request_metrics metrics_;
     link_hub& links_;
     const vm_id self_;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -557,12 +557,22 @@
     perform(out);
 }
 
-void gate::stop()
+// What waits may still find a place elsewhere.
+void gate::close()
 {
+    outcome out;
     {
         const std::lock_guard lock(mutex_);
         stopping_ = true;
+        for (auto& [id, server] : servers_)
+            sort_actions(server.slots.refuse_waiting(), out, refusal::stopping);
     }
+    perform(out);
+}
+
+void gate::stop()
+{
+    close();
     workers_.stop();
 }
 
--- a/src/gate.h
+++ b/src/gate.h
@@ -67,7 +67,9 @@
     std::vector<server_load> loads(time_point now) const;
     /// Takes a request from a link. Never blocks.
     void accept(const std::shared_ptr<link_stream>& stream);
-    /// Refuses new requests, lets those that run finish.
+    /// Refuses new requests and those that wait; what runs goes on. Never blocks.
+    void close();
+    /// Closes and waits for what runs.
     void stop();
 
 private:
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -21,6 +21,7 @@
     event_entry{event::node_stopped, severity::info, "node_stopped"},
     event_entry{event::settings_rejected, severity::error, "settings_rejected"},
     event_entry{event::settings_reloaded, severity::info, "settings_reloaded"},
+    event_entry{event::node_drained, severity::info, "node_drained"},
     event_entry{event::log_lines_dropped, severity::warning, "log_lines_dropped"},
     event_entry{event::store_joined, severity::info, "store_joined"},
     event_entry{event::store_away, severity::warning, "store_away"},
--- a/src/log.h
+++ b/src/log.h
@@ -25,6 +25,7 @@
     node_stopped = 102,
     settings_rejected = 103,
     settings_reloaded = 104,
+    node_drained = 105,
     log_lines_dropped = 110,
     store_joined = 120,
     store_away = 121,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -21,7 +21,7 @@
 constexpr duration longest_news_age = std::chrono::seconds(2);
 constexpr int ok_status = 200;
 constexpr int unavailable_status = 503;
-// A planned stop waits this long, from its beginning, for the mandates to be given up.
+// A planned stop waits this long, once it is drained, for the mandates to be given up.
 constexpr duration release_grace = std::chrono::seconds(2);
 
 // What a caller over the bound on connections gets, at once.
@@ -488,12 +488,7 @@
 
 void node::publish_servers()
 {
-    bool leaving = false;
-    {
-        const std::lock_guard lock(mutex_);
-        leaving = stopping_;
-    }
-    members_->announce(gate_->servers(), leaving);
+    members_->announce(gate_->servers(), leaving_);
 }
 
 // Streams may come before all parts of the node stand.
@@ -559,50 +554,67 @@
         .callers = callers_->address(), .links = links_->local(), .control = control_->address()};
 }
 
-// Peers hear first, so that no new work comes; then callers' connections end, then what other nodes
-// still run here, then the links.
+// Peers hear first, so that they send their requests elsewhere, and callers are told to close. What
+// was taken on until `closing` has the rest of the grace to end in; then it gets an honest answer.
+// Everything that decides about open requests goes on until they are gone.
 void node::stop()
 {
-    {
-        const std::lock_guard lock(mutex_);
-        if (stopping_ || links_ == nullptr)
-            return;
-        stopping_ = true;
-    }
-    wake_.notify_all();
-    leaving_ = true;
-    if (ticks_.joinable())
-        ticks_.join();
+    if (links_ == nullptr || leaving_.exchange(true))
+        return;
+    const time_point now = boot_now();
+    const stop_schedule plan = plan_stop(now, stop_grace_.load(), settings_.closing_grace);
+    if (entry_ != nullptr)
+        entry_->begin_stop(plan.last_answer);
     if (members_ != nullptr)
         publish_servers();
-    const time_point released_by = boot_now() + release_grace;
     if (mandates_ != nullptr)
         mandates_->release();
     if (callers_ != nullptr)
-    {
         callers_->announce_stop();
-        std::this_thread::sleep_for(settings_.closing_grace);
-        callers_->stop_gently();
+    std::this_thread::sleep_for(plan.closing - now);
+    gate_->close();
+    if (callers_ != nullptr)
+        callers_->close_idle();
+    links_->drain();
+    const bool is_answered = callers_ == nullptr || callers_->wait_closed(plan.cut);
+    if (!is_answered)
+        callers_->cut_all();
+    const bool is_idle = links_->wait_idle(plan.cut);
+    log_event(event::node_drained, "callers_answered={} links_idle={} ms={:.0f} ms_left={:.0f}",
+              is_answered, is_idle, as_milliseconds(boot_now() - now),
+              as_milliseconds(plan.end - boot_now()));
+    stop_parts(std::min(boot_now() + release_grace, plan.end));
+}
+
+// The links end before the threads that wait for them are joined.
+void node::stop_parts(time_point released_by)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
     }
+    wake_.notify_all();
+    if (ticks_.joinable())
+        ticks_.join();
     if (delegations_ != nullptr)
         delegations_->stop();
-    links_->drain();
-    links_->wait_idle(boot_now() + stop_grace_.load());
-    gate_->stop();
     if (mandates_ != nullptr)
         mandates_->stop(released_by);
     limits_->stop();
-    if (session_ != nullptr)
-        session_->leave();
     if (members_ != nullptr)
         members_->stop();
     health_->stop();
     links_->stop();
+    if (callers_ != nullptr)
+        callers_->join();
+    gate_->stop();
     follower_.reset();
     for (socket_server* it : {control_.get(), metrics_door_.get(), ready_door_.get()}) {
         if (it != nullptr)
             it->stop_gently();
     }
+    if (session_ != nullptr)
+        session_->leave();
 }
 
 } // namespace jasminebank
--- a/src/node.h
+++ b/src/node.h
@@ -21,6 +21,7 @@
 #include "poison_service.h"
 #include "reach_monitor.h"
 #include "socket_server.h"
+#include "stop_schedule.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -52,7 +53,8 @@
     node_ports ports() const;
     /// Takes over what may change while it runs: `when_cut_off` and `stop_grace`.
     void reload(const node_settings& settings);
-    /// Ends after the requests that run; blocks until then, at most the grace of the settings.
+    /// Ends after the requests that run, which get honest answers before the grace of the settings
+    /// is over; blocks until then.
     void stop();
 
 private:
@@ -87,6 +89,7 @@
     std::optional<std::string> answer_control(const control_request& request);
     void publish_servers();
     void run_ticks();
+    void stop_parts(time_point released_by);
 
     node_settings settings_;
     const incarnation run_;
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -32,8 +32,8 @@
     std::size_t waiting_requests = 256;            ///< requests that wait for slots at this gate
     duration backend_idle{};     ///< a kept connection to a backend server is dropped after
     duration announcement_ttl{}; ///< a backend server not heard this long is gone
-    duration stop_grace{};       ///< a planned stop waits this long for requests
-    duration closing_grace{};    ///< a planned stop still answers on new connections this long
+    duration stop_grace{};       ///< from the signal until the process has ended
+    duration closing_grace{};    ///< of it, how long new requests are taken; half of it at most
     cut_off_policy when_cut_off = cut_off_policy::refuse;
 
     bool on_platform = false; ///< the store, configuration and backend server are the platform's
