--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -79,7 +79,7 @@
                           std::size_t body_bytes = 0)
     {
         static std::atomic<std::uint64_t> next = 1;
-        const std::string id = fmt::format("stop-{}", next++);
+        std::string id = fmt::format("stop-{}", next++);
         send_bytes(fmt::format("{} {} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\n"
                                "X-Request-Id: {}\r\nContent-Length: {}\r\n\r\n",
                                method, target, honey_key, id, body_bytes));
@@ -333,6 +333,7 @@
         answers.push_back(
             std::async(std::launch::async, [&, n] { return idle[n]->read_answer(ids[n]); }));
     std::vector<exchange> all;
+    all.reserve(connections);
     for (auto& it : answers)
         all.push_back(it.get());
     EXPECT_EQ(fleet.node(0).wait_for_exit(kill_after), 0);
