Requests of a stopping node that wait at another node's gate end with the kill

What callers saw: the only backend server is beside another node and its two slots are taken for 6 s; four requests of the stopping node wait there, four more are sent after SIGTERM on connections that were open. The node is killed 3.5 s after the signal (stop_grace 3 s), all eight callers get a closed connection.

The test of this before passed for another reason: the gate suspected a server with requests that long and refused what waited after 0.885 s. It is replaced; the route now has a target latency of 20 s, so that only the stop can end the wait. What waited there before the stop may be told unknown, since it may get its slot when its entry gives it up; what came after the signal must be refused or answered. The test of the stopping node's own gate has the same servers, and callers that send after the signal as well.

Answers are read as they come, a thread each, so that the time until a connection's end is the caller's and not the reader's.

--- a/tests/process_fleet.cpp
+++ b/tests/process_fleet.cpp
@@ -157,8 +157,9 @@
     std::string text = "[fleet]\nfailure_domains = d0, d1, d2\n";
     for (const fleet_service& it : options_.services) {
         text += fmt::format("[service {0}]\ntimeout = {2}\nfloor_slots = 4\n"
-                            "[route {0}]\npath = /{0}/\nmethods = {1}\nservice = {0}\n",
-                            it.name, it.method, it.timeout);
+                            "[route {0}]\npath = /{0}/\nmethods = {1}\nservice = {0}\n"
+                            "target_latency = {3}\n",
+                            it.name, it.method, it.timeout, it.target);
     }
     text += fmt::format("[organisation honey]\nrate = 2000\nburst = 4000\nkey.test = {}\n",
                         to_hex(digest_of(honey_key)));
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -44,6 +44,7 @@
     std::string method = "GET";
     std::string service_time = "5ms";
     std::string timeout = "8s";
+    std::string target = "0s"; ///< target latency; 0: none
 };
 
 struct fleet_options {
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -174,32 +174,50 @@
     time_point sent_;
 };
 
-// Requests that were sent, each on a connection of its own, and whose answers are read later.
+// Requests that were sent, each on a connection of its own; a thread reads each answer as it comes.
 class open_requests {
 public:
     explicit open_requests(const process_fleet& fleet) : fleet_(fleet) {}
 
-    void send(std::size_t count, std::size_t node, const std::string& target,
-              const std::string& method = "GET")
+    /// Connections on which nothing is sent yet.
+    void open(std::size_t count, std::size_t node)
     {
-        for (std::size_t n = 0; n < count; ++n) {
+        for (std::size_t n = 0; n < count; ++n)
             callers_.push_back(std::make_unique<caller_connection>(fleet_.callers(node)));
-            ids_.push_back(callers_.back()->send_head(method, target));
+    }
+
+    /// A request on each connection that has none.
+    void send(const std::string& target, const std::string& method = "GET")
+    {
+        while (answers_.size() < callers_.size()) {
+            caller_connection& it = *callers_[answers_.size()];
+            answers_.push_back(
+                std::async(std::launch::async, [&it, id = it.send_head(method, target)] {
+                    return it.read_answer(id);
+                }));
         }
     }
 
+    void send(std::size_t count, std::size_t node, const std::string& target,
+              const std::string& method = "GET")
+    {
+        open(count, node);
+        send(target, method);
+    }
+
     std::vector<exchange> read_answers()
     {
         std::vector<exchange> out;
-        for (std::size_t n = 0; n < ids_.size(); ++n)
-            out.push_back(callers_[n]->read_answer(ids_[n]));
+        out.reserve(answers_.size());
+        for (auto& it : answers_)
+            out.push_back(it.get());
         return out;
     }
 
 private:
     const process_fleet& fleet_;
     std::vector<std::unique_ptr<caller_connection>> callers_;
-    std::vector<std::string> ids_;
+    std::vector<std::future<exchange>> answers_;
 };
 
 std::string describe(const exchange& it)
@@ -208,6 +226,15 @@
                        std::chrono::duration<double>(it.waited).count(), it.seen);
 }
 
+// Requests that run at all backend servers together.
+std::uint64_t running_in(const process_fleet& fleet)
+{
+    std::uint64_t out = 0;
+    for (const endpoint& it : fleet.backends())
+        out += fleet.running(it);
+    return out;
+}
+
 load_report report_of(const std::vector<exchange>& all)
 {
     load_report out;
@@ -280,6 +307,25 @@
     return out;
 }
 
+// Servers whose slots are taken for long without being suspected.
+fleet_options options_with_full_servers()
+{
+    return {.services = {{.name = "lids", .timeout = "30s", .target = "20s"}},
+            .node_lines = stop_lines,
+            .slots = 2};
+}
+
+// Stops a node; `late` requests are sent as soon as it knows.
+int stop_and_send(process_fleet& fleet, std::size_t node, open_requests& late)
+{
+    auto code =
+        std::async(std::launch::async, [&] { return fleet.stop_or_kill(node, kill_after); });
+    EXPECT_TRUE(
+        wait_until([&] { return fleet.log(node).find("node_stopping") != std::string::npos; }));
+    late.send("/lids/x");
+    return code.get();
+}
+
 fleet_options options_with(const std::string& timeout, std::size_t slots = 8)
 {
     return {.services = {{.name = "lids", .timeout = timeout},
@@ -296,12 +342,7 @@
     open_requests open(fleet);
     open.send(4, 0, "/lids/x?ms=1500");
     open.send(4, 0, "/orders/x?ms=1500", "POST");
-    ASSERT_TRUE(wait_until([&] {
-        std::uint64_t running = 0;
-        for (const endpoint& it : fleet.backends())
-            running += fleet.running(it);
-        return running == 8;
-    }));
+    ASSERT_TRUE(wait_until([&] { return running_in(fleet) == 8; }));
     EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
     const std::vector<exchange> all = open.read_answers();
     EXPECT_EQ(count(all, answer_kind::ok), all.size()) << describe(all);
@@ -322,16 +363,13 @@
     }
     fleet.node(0).signal(SIGTERM);
     time_point next = boot_now() + closing_grace - first_before_end;
-    std::vector<std::string> ids;
+    std::vector<std::future<exchange>> answers;
     for (const auto& it : idle) {
         std::this_thread::sleep_for(next - boot_now());
-        ids.push_back(it->send_head("GET", "/lids/x?ms=400"));
+        const std::string id = it->send_head("GET", "/lids/x?ms=400");
+        answers.push_back(std::async(std::launch::async, [&, id] { return it->read_answer(id); }));
         next += between_two;
     }
-    std::vector<std::future<exchange>> answers;
-    for (std::size_t n = 0; n < connections; ++n)
-        answers.push_back(
-            std::async(std::launch::async, [&, n] { return idle[n]->read_answer(ids[n]); }));
     std::vector<exchange> all;
     all.reserve(connections);
     for (auto& it : answers)
@@ -343,39 +381,47 @@
 
 TEST(process_stop, requests_that_wait_at_the_stopping_nodes_gate_are_refused_before_the_kill)
 {
-    process_fleet fleet(options_with("30s", 2));
+    process_fleet fleet(options_with_full_servers());
     fleet.keep_only(0, 0);
     open_requests running(fleet);
     running.send(2, 1, "/lids/x?ms=20000");
     ASSERT_TRUE(wait_until([&] { return fleet.running(fleet.backend(0, 0)) == 2; }));
+    open_requests late(fleet);
+    late.open(4, 0);
     open_requests waiting(fleet);
     waiting.send(4, 0, "/lids/x");
     waiting.send(4, 1, "/lids/x");
     ASSERT_TRUE(wait_until([&] { return fleet.waiting(0) == 8; }));
-    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    EXPECT_EQ(stop_and_send(fleet, 0, late), 0);
     const std::vector<exchange> refused = waiting.read_answers();
     EXPECT_EQ(count(refused, answer_kind::refused), refused.size()) << describe(refused);
+    expect_accounted(fleet, late.read_answers());
     const std::vector<exchange> cut = running.read_answers();
     EXPECT_EQ(count(cut, answer_kind::unknown), cut.size()) << describe(cut);
     EXPECT_EQ(fleet.check(report_of(refused), true).total(), 0U);
 }
 
-TEST(process_stop, requests_that_wait_at_another_nodes_gate_are_refused_before_the_kill)
+// What waited there before the stop may have got its slot when its entry gives it up.
+TEST(process_stop, requests_that_wait_at_another_nodes_gate_are_answered_before_the_kill)
 {
-    process_fleet fleet(options_with("30s", 2));
+    process_fleet fleet(options_with_full_servers());
     fleet.keep_only(1, 0);
     open_requests running(fleet);
     running.send(2, 1, "/lids/x?ms=6000");
     ASSERT_TRUE(wait_until([&] { return fleet.running(fleet.backend(1, 0)) == 2; }));
+    open_requests late(fleet);
+    late.open(4, 0);
     open_requests waiting(fleet);
     waiting.send(4, 0, "/lids/x");
     ASSERT_TRUE(wait_until([&] { return fleet.waiting(1) == 4; }));
-    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
-    const std::vector<exchange> refused = waiting.read_answers();
-    EXPECT_EQ(count(refused, answer_kind::refused), refused.size()) << describe(refused);
+    EXPECT_EQ(stop_and_send(fleet, 0, late), 0);
+    const std::vector<exchange> told = waiting.read_answers();
+    EXPECT_EQ(count(told, answer_kind::refused) + count(told, answer_kind::unknown), told.size())
+        << describe(told);
+    EXPECT_EQ(fleet.check(report_of(told), true).total(), 0U);
+    expect_accounted(fleet, late.read_answers());
     const std::vector<exchange> answered = running.read_answers();
     EXPECT_EQ(count(answered, answer_kind::ok), answered.size()) << describe(answered);
-    EXPECT_EQ(fleet.check(report_of(refused), true).total(), 0U);
 }
 
 TEST(process_stop, a_request_whose_server_hangs_is_told_unknown_before_the_kill)
@@ -386,12 +432,7 @@
     open_requests open(fleet);
     open.send(2, 0, "/lids/x");
     open.send(2, 0, "/orders/x", "POST");
-    ASSERT_TRUE(wait_until([&] {
-        std::uint64_t running = 0;
-        for (const endpoint& it : fleet.backends())
-            running += fleet.running(it);
-        return running == 4;
-    }));
+    ASSERT_TRUE(wait_until([&] { return running_in(fleet) == 4; }));
     EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
     const std::vector<exchange> all = open.read_answers();
     EXPECT_EQ(count(all, answer_kind::unknown), all.size()) << describe(all);
@@ -458,24 +499,15 @@
 {
     process_fleet fleet(options_with("30s"));
     {
-        open_requests open(fleet);
-        open.send(4, 0, "/lids/x?ms=20000");
-        open.send(4, 0, "/orders/x?ms=20000", "POST");
-        ASSERT_TRUE(wait_until([&] {
-            std::uint64_t running = 0;
-            for (const endpoint& it : fleet.backends())
-                running += fleet.running(it);
-            return running == 8;
-        }));
+        std::vector<std::unique_ptr<caller_connection>> open;
+        for (std::size_t n = 0; n < 8; ++n) {
+            open.push_back(std::make_unique<caller_connection>(fleet.callers(0)));
+            open.back()->send_head(n % 2 == 0 ? "GET" : "POST",
+                                   n % 2 == 0 ? "/lids/x?ms=20000" : "/orders/x?ms=20000");
+        }
+        ASSERT_TRUE(wait_until([&] { return running_in(fleet) == 8; }));
     }
-    EXPECT_TRUE(wait_until(
-        [&] {
-            std::uint64_t running = 0;
-            for (const endpoint& it : fleet.backends())
-                running += fleet.running(it);
-            return running == 0;
-        },
-        5s));
+    EXPECT_TRUE(wait_until([&] { return running_in(fleet) == 0; }, 5s));
 }
 
 namespace {
