Callers that close during a planned stop keep no server at work: test

Guards rule GONE while the handling of half-closed callers changes: eight callers close while their requests run for 30 s, once in a node that serves and once in one that stops (stop_grace 20 s); no server is at work 5 s later, and the stopping node ends by itself. The first is the test that one caller had before, renamed.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -495,19 +495,45 @@
     EXPECT_EQ(it.kind, answer_kind::ok) << describe(it);
 }
 
-TEST(process_stop, a_caller_that_closes_its_connection_keeps_no_server_at_work)
+namespace {
+
+// Callers whose requests run for longer than any test, until these are closed.
+std::vector<std::unique_ptr<caller_connection>> send_endless(const process_fleet& fleet)
 {
-    process_fleet fleet(options_with("30s"));
-    {
-        std::vector<std::unique_ptr<caller_connection>> open;
-        for (std::size_t n = 0; n < 8; ++n) {
-            open.push_back(std::make_unique<caller_connection>(fleet.callers(0)));
-            open.back()->send_head(n % 2 == 0 ? "GET" : "POST",
-                                   n % 2 == 0 ? "/lids/x?ms=20000" : "/orders/x?ms=20000");
-        }
-        ASSERT_TRUE(wait_until([&] { return running_in(fleet) == 8; }));
+    constexpr std::size_t callers = 8;
+    std::vector<std::unique_ptr<caller_connection>> out;
+    out.reserve(callers);
+    for (std::size_t n = 0; n < callers; ++n) {
+        out.push_back(std::make_unique<caller_connection>(fleet.callers(0)));
+        out.back()->send_head(n % 2 == 0 ? "GET" : "POST",
+                              n % 2 == 0 ? "/lids/x?ms=30000" : "/orders/x?ms=30000");
     }
+    EXPECT_TRUE(wait_until([&] { return running_in(fleet) == callers; }));
+    return out;
+}
+
+} // namespace
+
+TEST(process_stop, callers_that_close_their_connections_keep_no_server_at_work)
+{
+    process_fleet fleet(options_with("30s"));
+    auto callers = send_endless(fleet);
+    callers.clear();
+    EXPECT_TRUE(wait_until([&] { return running_in(fleet) == 0; }, 5s));
+}
+
+TEST(process_stop, callers_that_close_their_connections_during_a_stop_keep_no_server_at_work)
+{
+    fleet_options options = options_with("30s");
+    options.node_lines = "closing_grace = 500ms\nstop_grace = 20s\n";
+    process_fleet fleet(options);
+    auto callers = send_endless(fleet);
+    fleet.node(0).signal(SIGTERM);
+    EXPECT_FALSE(fleet.node(0).wait_for_exit(1s));
+    EXPECT_EQ(running_in(fleet), callers.size());
+    callers.clear();
     EXPECT_TRUE(wait_until([&] { return running_in(fleet) == 0; }, 5s));
+    EXPECT_EQ(fleet.node(0).wait_for_exit(20s), 0);
 }
 
 namespace {
