A backend server's bytes without end hold no call and end no node

Callers saw: a backend server in trouble may send bytes that are no answer without end, in a head or a body. The call then lasted past its deadline for as long as bytes came, its slot was never free again, and the caller of a streamed answer waited with it. Worse, a whole status line of some thousand bytes ended the node's process.

Cause: the HTTP library's read timeout is for single reads, and its lines have no bound. An answer without length that was cut at the deadline could not be told from a whole one.

Change: bounded_client is the library's client with a stream of ours (socket_stream, until now a part of socket_server): every read and write ends at the call's deadline, a status line has at most 512 bytes, other lines 8 KiB (the library drops longer fields anyway), a head 64 KiB, which is what callers may send. A refusal's body, which nobody reads, may have 64 KiB. Over a bound the call ends at once as no_answer or cut_answer with an unknown outcome, which counts as a failure of the server; at the deadline as before. dispatch_ended tells over_bound. A connection whose last read held more than the answer is not used again; the library dropped these bytes and kept the connection.

Ruled out: cutting by call_deadlines, which sees the deadline but neither the size of a head nor a line, and ends an answer without length like its sender.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -24,6 +24,8 @@
 // The library's timers may fire this much early.
 constexpr duration deadline_slack = std::chrono::milliseconds(5);
 constexpr std::size_t chunk_bytes = 16UL * 1024;
+// Of a refusal's body, which nobody reads: a page of text, not a transfer.
+constexpr std::size_t most_shed_bytes = 64UL * 1024;
 constexpr int first_success_status = 200;
 constexpr int no_content_status = 204;
 constexpr int first_redirect_status = 300;
@@ -67,10 +69,10 @@
     }
 
     // The held end of the answer goes on only if nothing more came than was announced.
-    call_result finish(const httplib::Result& answer, const httplib::Client& client,
+    call_result finish(const httplib::Result& answer, const bounded_client& client,
                        duration service_time)
     {
-        surplus_ = answer && has_unread_bytes(client);
+        surplus_ = answer && client.has_unread_bytes();
         if (answer && !surplus_ && !held_.empty() &&
             failed(stream_->write(held_, options_.deadline)))
             caller_left_ = true;
@@ -78,9 +80,10 @@
                         .status = status_,
                         .answered = answered_,
                         .timed_out = boot_now() + deadline_slack >= options_.deadline,
+                        .over_bound = over_bound_ || client.was_over_bound(),
                         .service_time = service_time};
         out.may_reuse = (out.end == call_end::whole_answer || out.end == call_end::shed) &&
-                        !ends_connection(answer.value());
+                        !client.dropped_bytes() && !ends_connection(answer.value());
         if (out.end == call_end::whole_answer && !answer_ended_)
             stream_->finish();
         return out;
@@ -172,8 +175,11 @@
 
     bool pass_on(const char* data, std::size_t n)
     {
-        if (shed_)
-            return true;
+        if (shed_) {
+            shed_bytes_ += n;
+            over_bound_ = shed_bytes_ > most_shed_bytes;
+            return !over_bound_;
+        }
         if (left_ != std::string::npos)
             left_ -= n;
         if (left_ == 0) {
@@ -211,6 +217,8 @@
     bool answered_ = false;
     bool answer_ended_ = false;
     bool surplus_ = false;
+    bool over_bound_ = false;
+    std::size_t shed_bytes_ = 0;
     std::size_t left_ = std::string::npos; // of the announced length
     std::string held_;                     // the last bytes of the announced length
     bool caller_left_ = false;
@@ -234,41 +242,24 @@
     return connected;
 }
 
-std::shared_ptr<httplib::Client> connect_backend(const endpoint& address)
+std::shared_ptr<bounded_client> connect_backend(const endpoint& address)
 {
-    auto out = std::make_shared<httplib::Client>(address.host, address.port);
+    auto out = std::make_shared<bounded_client>(address);
     out->set_connection_timeout(connect_timeout);
-    out->set_keep_alive(true);
-    out->set_tcp_nodelay(true);
-    out->set_decompress(false);
     out->set_url_encode(false);
     out->set_follow_location(false);
     return out;
 }
 
-// Bytes that nobody asked for belong to an answer that is longer than it announced; they must
-// neither pass for the head of the next answer, nor the first part for the whole.
-bool has_unread_bytes(const httplib::Client& client)
-{
-    const socket_t sock = client.socket();
-    char byte = 0;
-    return sock != INVALID_SOCKET && recv(sock, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 // The caller's cancellation shuts the connection down, which ends whatever the library waits for.
-call_result call_backend(const std::shared_ptr<httplib::Client>& client,
+call_result call_backend(const std::shared_ptr<bounded_client>& client,
                          const std::shared_ptr<link_stream>& stream,
                          const backend_call_options& options)
 {
     const time_point start = boot_now();
-    const duration left =
-        std::max<duration>(options.deadline - start, std::chrono::milliseconds(1));
-    client->set_read_timeout(left);
-    client->set_write_timeout(left);
     backend_exchange exchange(stream, options);
-    const httplib::Request request = exchange.request();
     stream->on_cancel([client] { client->stop(); });
-    const httplib::Result answer = client->send(request);
+    const httplib::Result answer = client->send_until(exchange.request(), options.deadline);
     stream->on_cancel({});
     return exchange.finish(answer, *client, boot_now() - start);
 }
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -3,14 +3,13 @@
 // One request to a backend server over HTTP, its body and answer streamed between the link and the
 // backend server's connection.
 
+#include "bounded_client.h"
 #include "dispatch.h"
 #include "endpoint.h"
 #include "header_names.h"
 #include "link_stream.h"
 #include "types.h"
 
-#include <httplib.h>
-
 #include <memory>
 
 namespace jasminebank {
@@ -32,6 +31,7 @@
     bool answered = false;   ///< the head of the answer went to the caller
     bool may_reuse = false;  ///< the connection was read to the answer's end
     bool timed_out = false;  ///< no answer, or not its end, by the deadline
+    bool over_bound = false; ///< a line, the head or a refusal's body was too long
     duration service_time{}; ///< from the start of sending to the end of the answer
 };
 
@@ -44,17 +44,14 @@
 };
 
 /// Makes a connection object for a backend server; it connects on first use.
-std::shared_ptr<httplib::Client> connect_backend(const endpoint& address);
-
-/// True if a connection between two requests holds bytes: it cannot be used again.
-bool has_unread_bytes(const httplib::Client& client);
+std::shared_ptr<bounded_client> connect_backend(const endpoint& address);
 
 /// True when something accepts connections at the address; waits a moment at most.
 bool accepts_connections(const endpoint& address);
 
 /// Runs the request of `stream` on `client` and passes the answer on. A refusal is left to the
 /// caller of this function: the stream is untouched unless `answered`.
-call_result call_backend(const std::shared_ptr<httplib::Client>& client,
+call_result call_backend(const std::shared_ptr<bounded_client>& client,
                          const std::shared_ptr<link_stream>& stream,
                          const backend_call_options& options);
 
--- /dev/null
+++ b/src/bounded_client.cpp
@@ -0,0 +1,54 @@
+#include "bounded_client.h"
+
+#include "system_clock.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminebank {
+
+bounded_client::bounded_client(const endpoint& server) : ClientImpl(server.host, server.port)
+{
+    set_keep_alive(true);
+    set_tcp_nodelay(true);
+    set_decompress(false);
+}
+
+httplib::Result bounded_client::send_until(httplib::Request request, time_point deadline)
+{
+    deadline_ = deadline;
+    over_bound_ = false;
+    dropped_bytes_ = false;
+    request.response_handler =
+        [this, take_head = std::move(request.response_handler)](const httplib::Response& res) {
+            current_->end_head();
+            return !take_head || take_head(res);
+        };
+    return send(request);
+}
+
+// The library's own stream would wait for each read anew, and not tell what it read beyond the
+// answer's end.
+bool bounded_client::process_socket(const Socket& socket,
+                                    std::function<bool(httplib::Stream& strm)> callback)
+{
+    socket_stream stream(socket.sock, duration::max(), deadline_);
+    stream.begin_head(deadline_, answer_head_bytes, status_line_bytes);
+    current_ = &stream;
+    const bool good = callback(stream);
+    current_ = nullptr;
+    over_bound_ = stream.is_over_bound();
+    dropped_bytes_ = stream.has_buffered();
+    return good;
+}
+
+bool bounded_client::has_unread_bytes() const
+{
+    const socket_t sock = socket();
+    char byte = 0;
+    return sock != INVALID_SOCKET && recv(sock, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+} // namespace jasminebank
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -361,12 +361,12 @@
     perform(out);
 }
 
-std::shared_ptr<httplib::Client> gate::take_connection(backend_server& server)
+std::shared_ptr<bounded_client> gate::take_connection(backend_server& server)
 {
     while (!server.idle.empty()) {
-        std::shared_ptr<httplib::Client> out = std::move(server.idle.back().client);
+        std::shared_ptr<bounded_client> out = std::move(server.idle.back().client);
         server.idle.pop_back();
-        if (!has_unread_bytes(*out))
+        if (!out->has_unread_bytes())
             return out;
     }
     return connect_backend(server.record.address);
@@ -467,10 +467,10 @@
 {
     const std::string* id = find_field(it.stream->head(), options_.names.request_id);
     log_event(event::dispatch_ended,
-              "id={} from={} server={:016x} end={} status={} past_deadline={} waited_ms={:.1f} "
-              "ms={:.1f} suspicion={:.2f} idempotent={} may_wait={} insists={}",
+              "id={} from={} server={:016x} end={} status={} past_deadline={} over_bound={} "
+              "waited_ms={:.1f} ms={:.1f} suspicion={:.2f} idempotent={} may_wait={} insists={}",
               id == nullptr ? "-" : *id, it.stream->peer().vm_name, it.request.server.value,
-              name_of(result.end), result.status, past_deadline,
+              name_of(result.end), result.status, past_deadline, result.over_bound,
               milliseconds(it.started - it.accepted), milliseconds(result.service_time),
               it.suspicion, it.request.idempotent, it.request.may_wait, it.request.insists);
 }
@@ -478,7 +478,7 @@
 void gate::run(request_id id)
 {
     pending_request it;
-    std::shared_ptr<httplib::Client> client;
+    std::shared_ptr<bounded_client> client;
     double load = 0;
     std::string name;
     {
@@ -544,7 +544,7 @@
 
 // A connection whose answer was not read to its end is dropped: what is left of that answer must
 // never reach another caller.
-void gate::finish(request_id id, const pending_request& it, std::shared_ptr<httplib::Client> client,
+void gate::finish(request_id id, const pending_request& it, std::shared_ptr<bounded_client> client,
                   const call_result& result)
 {
     answer_for(*it.stream, result, result.timed_out);
--- a/src/gate.h
+++ b/src/gate.h
@@ -72,7 +72,7 @@
 
 private:
     struct idle_connection {
-        std::shared_ptr<httplib::Client> client;
+        std::shared_ptr<bounded_client> client;
         time_point since;
     };
     struct backend_server {
@@ -121,8 +121,8 @@
     void run(request_id id);
     void note_end(const pending_request& it, const call_result& result, bool past_deadline) const;
     bool died_of(const pending_request& it, const call_result& result);
-    std::shared_ptr<httplib::Client> take_connection(backend_server& server);
-    void finish(request_id id, const pending_request& it, std::shared_ptr<httplib::Client> client,
+    std::shared_ptr<bounded_client> take_connection(backend_server& server);
+    void finish(request_id id, const pending_request& it, std::shared_ptr<bounded_client> client,
                 const call_result& result);
 
     const gate_options options_;
--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -1,17 +1,15 @@
 #include "socket_server.h"
 
 #include "small_stack_pool.h"
+#include "socket_stream.h"
 #include "system_clock.h"
 
-#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
-#include <cstring>
 #include <limits>
 #include <string_view>
 
@@ -28,109 +26,6 @@
 thread_local socket_t current_socket = INVALID_SOCKET;
 thread_local bool current_ends = false;
 
-int to_milliseconds(duration time)
-{
-    return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(time).count());
-}
-
-bool wait_for(socket_t sock, short events, duration time)
-{
-    pollfd it{.fd = sock, .events = events, .revents = 0};
-    return poll(&it, 1, to_milliseconds(time)) > 0;
-}
-
-// The stream that cpp-httplib reads requests from and writes answers to.
-class socket_stream : public httplib::Stream {
-public:
-    socket_stream(socket_t sock, duration timeout) : sock_(sock), timeout_(timeout) {}
-
-    /// From here on a slow or endless head fails: it has `time` and `bytes` in all.
-    void begin_head(duration time, std::size_t bytes)
-    {
-        in_head_ = true;
-        head_end_ = boot_now() + time;
-        head_bytes_left_ = bytes;
-    }
-    void end_head() { in_head_ = false; }
-
-    bool has_buffered() const { return begin_ < end_; }
-    bool is_readable() const override
-    {
-        if (has_buffered())
-            return true;
-        const duration left = in_head_ ? std::min(timeout_, head_end_ - boot_now()) : timeout_;
-        return left > duration::zero() && wait_for(sock_, POLLIN, left);
-    }
-    bool is_writable() const override { return wait_for(sock_, POLLOUT, timeout_); }
-    socket_t socket() const override { return sock_; }
-
-    // The library asks for single bytes of the header; they come from a buffer.
-    ssize_t read(char* ptr, std::size_t size) override
-    {
-        if (in_head_ && head_bytes_left_ == 0)
-            return -1;
-        if (!has_buffered()) {
-            if (!is_readable())
-                return -1;
-            const ssize_t n = recv(sock_, buf_.data(), buf_.size(), 0);
-            if (n <= 0)
-                return n;
-            begin_ = 0;
-            end_ = static_cast<std::size_t>(n);
-        }
-        const std::size_t n = std::min(size, end_ - begin_);
-        std::memcpy(ptr, buf_.data() + begin_, n);
-        begin_ += n;
-        head_bytes_left_ -= std::min(n, head_bytes_left_);
-        return static_cast<ssize_t>(n);
-    }
-
-    ssize_t write(const char* ptr, std::size_t size) override
-    {
-        std::size_t done = 0;
-        while (done < size) {
-            if (!is_writable())
-                return -1;
-            const ssize_t n = send(sock_, ptr + done, size - done, MSG_NOSIGNAL);
-            if (n <= 0)
-                return -1;
-            done += static_cast<std::size_t>(n);
-        }
-        return static_cast<ssize_t>(size);
-    }
-
-    void get_remote_ip_and_port(std::string& ip, int& port) const override
-    {
-        name_of(getpeername, ip, port);
-    }
-    void get_local_ip_and_port(std::string& ip, int& port) const override
-    {
-        name_of(getsockname, ip, port);
-    }
-
-private:
-    template <class Call>
-    void name_of(Call call, std::string& ip, int& port) const
-    {
-        sockaddr_in it{};
-        socklen_t n = sizeof it;
-        std::array<char, INET_ADDRSTRLEN> text{};
-        if (call(sock_, reinterpret_cast<sockaddr*>(&it), &n) != 0)
-            return;
-        ip = inet_ntop(AF_INET, &it.sin_addr, text.data(), text.size());
-        port = ntohs(it.sin_port);
-    }
-
-    socket_t sock_;
-    duration timeout_;
-    std::array<char, read_buffer_bytes> buf_{};
-    std::size_t begin_ = 0;
-    std::size_t end_ = 0;
-    bool in_head_ = false;
-    time_point head_end_;
-    std::size_t head_bytes_left_ = 0;
-};
-
 // Closing a socket with unread bytes makes the kernel discard the answer that is still on its way.
 // So the sending side is closed first, and what the peer still sends is read for a moment.
 void finish_answer(socket_t sock)
@@ -138,7 +33,7 @@
     std::array<char, read_buffer_bytes> buf{};
     const time_point end = boot_now() + linger_time;
     shutdown(sock, SHUT_WR);
-    while (boot_now() < end && wait_for(sock, POLLIN, end - boot_now())) {
+    while (boot_now() < end && wait_for_events(sock, POLLIN, end - boot_now())) {
         if (recv(sock, buf.data(), buf.size(), 0) <= 0)
             return;
     }
@@ -250,12 +145,12 @@
 
 bool socket_server::peer_left()
 {
-    return wait_for(current_socket, POLLRDHUP, duration::zero());
+    return wait_for_events(current_socket, POLLRDHUP, duration::zero());
 }
 
 bool socket_server::wait_for_peer_to_leave(duration time)
 {
-    return wait_for(current_socket, POLLRDHUP, time);
+    return wait_for_events(current_socket, POLLRDHUP, time);
 }
 
 // The caller is told, so that it sends no further request that would be lost.
@@ -325,10 +220,11 @@
     };
     bool closed = false;
     while (!closed) {
-        if (!stream.has_buffered() && !wait_for(sock, POLLIN, options_.idle_timeout))
+        if (!stream.has_buffered() && !wait_for_events(sock, POLLIN, options_.idle_timeout))
             return;
         mark(sock, true);
-        stream.begin_head(options_.head_timeout, options_.head_bytes);
+        stream.begin_head(boot_now() + options_.head_timeout, options_.head_bytes,
+                          options_.head_bytes);
         closed = stopping_;
         current_ends = false;
         const bool good = process_request(stream, closed, closed, prepare);
--- /dev/null
+++ b/src/socket_stream.cpp
@@ -0,0 +1,132 @@
+#include "socket_stream.h"
+
+#include "system_clock.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <limits>
+
+namespace jasminebank {
+
+bool wait_for_events(socket_t sock, short events, duration time)
+{
+    using std::chrono::milliseconds;
+    const auto wait = std::clamp<milliseconds::rep>(std::chrono::ceil<milliseconds>(time).count(),
+                                                    0, std::numeric_limits<int>::max());
+    pollfd it{.fd = sock, .events = events, .revents = 0};
+    return poll(&it, 1, static_cast<int>(wait)) > 0;
+}
+
+socket_stream::socket_stream(socket_t sock, duration timeout, time_point deadline)
+    : sock_(sock), timeout_(timeout), deadline_(deadline)
+{
+}
+
+void socket_stream::begin_head(time_point end, std::size_t bytes, std::size_t first_line_bytes)
+{
+    in_head_ = true;
+    head_end_ = end;
+    head_bytes_left_ = bytes;
+    line_bytes_ = 0;
+    line_bound_ = first_line_bytes;
+}
+
+duration socket_stream::time_left() const
+{
+    const time_point end = in_head_ ? std::min(deadline_, head_end_) : deadline_;
+    return end == time_point::max() ? timeout_ : std::min(timeout_, end - boot_now());
+}
+
+bool socket_stream::is_readable() const
+{
+    const duration left = time_left();
+    return left > duration::zero() && (has_buffered() || wait_for_events(sock_, POLLIN, left));
+}
+
+bool socket_stream::is_writable() const
+{
+    const duration left = time_left();
+    return left > duration::zero() && wait_for_events(sock_, POLLOUT, left);
+}
+
+// The library asks for lines byte by byte and for bodies in larger pieces. The last piece of a body
+// may be one byte, too, but at most a line end lies between two such pieces.
+bool socket_stream::take_from_bounds(std::size_t asked, std::size_t n, bool ends_line)
+{
+    if (asked == 1 && line_bytes_ >= line_bound_)
+        return false;
+    if (in_head_ && head_bytes_left_ < n)
+        return false;
+    head_bytes_left_ -= in_head_ ? n : 0;
+    const bool goes_on = asked == 1 && !ends_line;
+    line_bytes_ = goes_on ? line_bytes_ + 1 : 0;
+    if (!goes_on)
+        line_bound_ = longest_line_bytes;
+    return true;
+}
+
+ssize_t socket_stream::read(char* ptr, std::size_t size)
+{
+    if (over_bound_ || !is_readable())
+        return -1;
+    if (!has_buffered()) {
+        const ssize_t n = recv(sock_, buf_.data(), buf_.size(), 0);
+        if (n <= 0)
+            return n;
+        begin_ = 0;
+        end_ = static_cast<std::size_t>(n);
+    }
+    const std::size_t n = std::min(size, end_ - begin_);
+    if (!take_from_bounds(size, n, buf_[begin_] == '\n')) {
+        over_bound_ = true;
+        return -1;
+    }
+    std::memcpy(ptr, buf_.data() + begin_, n);
+    begin_ += n;
+    return static_cast<ssize_t>(n);
+}
+
+ssize_t socket_stream::write(const char* ptr, std::size_t size)
+{
+    std::size_t done = 0;
+    while (done < size) {
+        if (!is_writable())
+            return -1;
+        const ssize_t n = send(sock_, ptr + done, size - done, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (n < 0 && (errno == EAGAIN || errno == EINTR))
+            continue;
+        if (n <= 0)
+            return -1;
+        done += static_cast<std::size_t>(n);
+    }
+    return static_cast<ssize_t>(size);
+}
+
+template <class Call>
+static void name_of(socket_t sock, Call call, std::string& ip, int& port)
+{
+    sockaddr_in it{};
+    socklen_t n = sizeof it;
+    std::array<char, INET_ADDRSTRLEN> text{};
+    if (call(sock, reinterpret_cast<sockaddr*>(&it), &n) != 0)
+        return;
+    ip = inet_ntop(AF_INET, &it.sin_addr, text.data(), text.size());
+    port = ntohs(it.sin_port);
+}
+
+void socket_stream::get_remote_ip_and_port(std::string& ip, int& port) const
+{
+    name_of(sock_, getpeername, ip, port);
+}
+
+void socket_stream::get_local_ip_and_port(std::string& ip, int& port) const
+{
+    name_of(sock_, getsockname, ip, port);
+}
+
+} // namespace jasminebank
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -1,9 +1,11 @@
 // The fleet's promises, with real processes that are stopped, killed, paused and cut off.
 
 #include "process_fleet.h"
+#include "raw_server.h"
 #include "system_clock.h"
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <httplib.h>
 #include <sys/socket.h>
@@ -595,3 +597,71 @@
     EXPECT_GT(report.total.count(answer_kind::ok), 500U) << reasons(report);
     EXPECT_EQ(broken.total(), 0U) << examples(broken);
 }
+
+// One server beside node 0 is in trouble; its requests are never whole, never said not to have run.
+TEST(process, a_backend_server_that_sends_bytes_without_end_holds_no_request_and_ends_no_node)
+{
+    constexpr std::size_t rounds = 4;
+    std::atomic<std::size_t> next = 0;
+    const raw_server bad("127.0.0.1", 30s, [&](raw_connection& to) {
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        switch (next++ % rounds) {
+        case 0:
+            to.send("HTTP/1.1 200 " + std::string(20'000, 'x') + "\r\n\r\n");
+            break;
+        case 1:
+            to.send(head);
+            to.send_without_end("x-a: 1\r\n", std::size_t{64} << 20);
+            break;
+        case 2:
+            to.send(head);
+            to.send_without_end("x-a: 1\r\n", 0);
+            break;
+        default:
+            to.send(head + "Content-Length: 100000\r\n\r\n");
+            to.send_without_end("x", 0);
+        }
+    });
+    process_fleet fleet({.services = {{.name = "orders", .method = "POST", .timeout = "2s"}}});
+    const std::string announcement = nlohmann::json{
+        {"service", "orders"},
+        {"address", to_string(bad.address())},
+        {"slots", 1}}.dump();
+    std::size_t unknown = 0;
+    const auto ask = [&] {
+        const auto told =
+            connect(fleet.control(0))->Post("/announce", announcement, "application/json");
+        EXPECT_TRUE(told && told->status == 200);
+        const time_point start = boot_now();
+        const auto answer = connect(fleet.callers(0))->send(request("POST", "/orders/1"));
+        EXPECT_LT(boot_now() - start, 10s);
+        ASSERT_TRUE(answer);
+        const std::string outcome = answer->get_header_value("Jasmine-Outcome");
+        unknown += outcome.starts_with("unknown") ? 1 : 0;
+        if (answer->status != 200) {
+            EXPECT_TRUE(answer->status == 502 || answer->status == 504 ||
+                        outcome.starts_with("not-run"))
+                << answer->status << " " << outcome;
+        }
+        else {
+            EXPECT_EQ(answer->body.find('x'), std::string::npos);
+        }
+    };
+    for (const time_point end = boot_now() + 60s; boot_now() < end && next < rounds;) {
+        ask();
+        std::this_thread::sleep_for(20ms);
+    }
+    EXPECT_GE(next, rounds);
+    EXPECT_GE(unknown, rounds);
+    EXPECT_EQ(bad.held_too_long(), 0U);
+    EXPECT_FALSE(fleet.node(0).wait_for_exit(0s).has_value()) << fleet.log(0);
+    const std::string id =
+        fmt::format("{:016x}", id_of<backend_server_id>(to_string(bad.address())).value);
+    EXPECT_NE(fleet.log(0).find("name=health_changed detail=\"backend server " + id),
+              std::string::npos); // what it did is evidence against it
+    EXPECT_TRUE(wait_until([&] {  // its only slot is free again
+        const auto metrics = connect(fleet.control(0))->Get("/metrics");
+        return metrics && metrics->body.find("backend_server_running{server=\"" + id + "\"} 0\n") !=
+                              std::string::npos;
+    }));
+}
