--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -353,8 +353,8 @@
 {
     process_fleet fleet(options_with("8s", 150));
     constexpr std::size_t connections = 400;
-    constexpr duration first_before_end = 10ms;
-    constexpr duration between_two = 150us;
+    constexpr duration first_before_end = 5ms;
+    constexpr duration between_two = 75us;
     std::vector<std::unique_ptr<caller_connection>> idle;
     for (std::size_t n = 0; n < connections; ++n) {
         idle.push_back(std::make_unique<caller_connection>(fleet.callers(0)));
