A caller that ends only its sending side gets its answer

What callers saw: a whole request, then shutdown(SHUT_WR): 504 unknown after 0.101 s, while the backend server was at work on it.

Cause: peer_left took a FIN for a close; until something is written the two look the same.

Ruled out: taking no FIN for leaving, since a caller that has closed would keep its backend server at work until the answer is written.

Change: at the first FIN within a request the entry writes `102 Processing`, which HTTP/1.1 allows before the final response. A caller that has closed answers with a reset, which the next look 100 ms later finds; one that still reads skips it. HTTP/1.0 knows no interim responses; there a FIN is a close.

--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <limits>
 #include <string_view>
+#include <utility>
 
 namespace jasminebank {
 
@@ -26,6 +27,10 @@
 
 thread_local socket_t current_socket = INVALID_SOCKET;
 thread_local bool current_ends = false;
+// Of this thread's request: whether an interim response may come before the final one, and has.
+thread_local bool current_takes_interim = false;
+thread_local bool current_is_probed = false;
+constexpr std::string_view interim_response = "HTTP/1.1 102 Processing\r\n\r\n";
 
 // Closing a socket with unread bytes makes the kernel discard the answer that is still on its way.
 // So the sending side is closed first, and what the peer still sends is read for a moment.
@@ -156,9 +161,19 @@
     return connections_.size();
 }
 
+// A FIN tells only that nothing more comes. A peer that has closed answers the interim response
+// with a reset; one that still reads skips it.
 bool socket_server::peer_left()
 {
-    return wait_for_events(current_socket, POLLRDHUP, duration::zero());
+    pollfd it{.fd = current_socket, .events = POLLRDHUP, .revents = 0};
+    if (poll(&it, 1, 0) <= 0)
+        return false;
+    if ((it.revents & (POLLERR | POLLHUP)) != 0 || !current_takes_interim)
+        return true;
+    if (!std::exchange(current_is_probed, true))
+        return send(current_socket, interim_response.data(), interim_response.size(),
+                    MSG_NOSIGNAL | MSG_DONTWAIT) < 0;
+    return false;
 }
 
 bool socket_server::wait_for_peer_to_leave(duration time)
@@ -231,6 +246,7 @@
     const auto prepare = [&](httplib::Request& req) {
         stream.end_head();
         prepare_request(req);
+        current_takes_interim = req.version == "HTTP/1.1";
         if (options_.prepare)
             options_.prepare(req);
     };
@@ -242,6 +258,7 @@
                           options_.head_bytes);
         closed = stopping_;
         current_ends = false;
+        current_is_probed = false;
         const bool good = process_request(stream, closed, closed, prepare);
         if (!good || current_ends)
             return;
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -62,7 +62,9 @@
     endpoint address() const;
     /// Open connections.
     std::size_t open_connections() const;
-    /// True once the peer of this thread's request has closed or half-closed its connection.
+    /// True once the peer of this thread's request has closed its connection. The first call after
+    /// a FIN only asks, with an interim response: a peer that ended its sending side alone is still
+    /// there. Not once the final response has begun.
     static bool peer_left();
     /// Waits for `time`, or less when the peer leaves; true when it left.
     static bool wait_for_peer_to_leave(duration time);
