A late request is kept at the server that works on it: regression tests

Ruled out: a caller that is taken to have left.

The tests: refusals by gates do not make a request late sooner; an attempt at work is kept when the retry is granted and there is no other server, the other refuses (eight refusals), fails with a 500, its gate is silent or resets, its link breaks.

The rig opens its links before a test begins.

--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -1,12 +1,19 @@
 #include "entry.h"
 
+#include "dispatch_attempt.h"
 #include "link_hub.h"
+#include "system_clock.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <atomic>
 #include <functional>
+#include <future>
+#include <mutex>
 #include <optional>
+#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace jasminebank;
@@ -30,47 +37,52 @@
     return std::make_shared<const fleet_config>(std::move(value_of(config)));
 }
 
-// A gate with two backend servers, of which it plays the part itself.
-member_directory directory_of(const endpoint& link)
+// How many there are; the backend servers are dealt out to the gates in turn.
+struct rig_layout {
+    std::size_t gates = 1;
+    std::size_t servers = 2;
+};
+
+constexpr std::uint64_t first_server = 5;
+
+// Gates with backend servers, of which they play the part themselves.
+member_directory directory_of(const std::vector<std::unique_ptr<link_hub>>& gates,
+                              std::size_t servers)
 {
-    const auto server = [](std::uint64_t n) {
-        return server_record{.id = {n},
-                             .service = id_of<service_id>("web"),
-                             .address = {"127.0.0.1", 1},
-                             .slots = 4};
-    };
     member_directory out;
-    out.merge({.vm = {1},
-               .name = "gate",
-               .run = {1},
-               .version = 1,
-               .link = link,
-               .domain = {1},
-               .servers = {server(5), server(6)}});
+    for (std::size_t n = 0; n < gates.size(); ++n) {
+        std::vector<server_record> own;
+        for (std::size_t it = n; it < servers; it += gates.size())
+            own.push_back({.id = {first_server + it},
+                           .service = id_of<service_id>("web"),
+                           .address = {"127.0.0.1", 1},
+                           .slots = 4});
+        out.merge({.vm = {10 + n},
+                   .name = "gate",
+                   .run = {1},
+                   .version = 1,
+                   .link = gates.at(n)->local(),
+                   .domain = {1},
+                   .servers = std::move(own)});
+    }
     return out;
 }
 
-// A gate that answers dispatches as the test wants, and an entry with a link to it.
+// Gates that answer dispatches as the test wants, and an entry with links to them.
 class entry_rig {
 public:
     using answerer = std::function<void(const dispatch&, const std::shared_ptr<link_stream>&)>;
 
-    explicit entry_rig(answerer gate, entry_options options = {})
-        : gate_(link_hub::start(
-              {.self = {.vm_name = "gate", .run = {1}},
-               .fleet_key = fleet_key,
-               .on_stream =
-                   [this, gate = std::move(gate)](const std::shared_ptr<link_stream>& stream) {
-                       const auto it = read_dispatch(stream->head());
-                       ASSERT_TRUE(it.has_value());
-                       gate(*it, stream);
-                   },
-               .on_control = [this](const control_request&) -> std::optional<std::string> {
-                   return is_silent ? std::nullopt : std::optional<std::string>("-");
-               }})),
-          links_(
+    explicit entry_rig(const answerer& gate, entry_options options = {},
+                       const rig_layout& layout = {})
+        : links_(
               link_hub::start({.self = {.vm_name = "entry", .run = {1}}, .fleet_key = fleet_key}))
     {
+        for (std::size_t n = 0; n < layout.gates; ++n)
+            gates_.push_back(start_gate(gate));
+        // The time of a new connection is none of what the tests are about.
+        for (const auto& it : gates_)
+            EXPECT_TRUE(gate_answers(*links_, it->local(), 10s));
         options.may_serve = [] { return true; };
         options.take_token = [](auto, auto) { return limit_admitted{}; };
         options.poisoned_for = [](auto) { return duration::zero(); };
@@ -78,12 +90,13 @@
         entry_ = std::make_unique<entry>(std::move(options), *links_,
                                          router_options{.self = {2}, .domain = {1}});
         entry_->set_config(configuration());
-        entry_->set_directory(directory_of(gate_->local()));
+        entry_->set_directory(directory_of(gates_, layout.servers));
     }
     ~entry_rig()
     {
         links_->stop();
-        gate_->stop();
+        for (const auto& gate : gates_)
+            gate->stop();
     }
 
     httplib::Response send(const std::string& method, const std::string& caller_key = key)
@@ -99,26 +112,52 @@
         return res;
     }
 
+    /// Breaks the links to the gate of a backend server.
+    void stop_gate_of(backend_server_id it)
+    {
+        gates_.at((it.value - first_server) % gates_.size())->stop();
+    }
+
     std::atomic<int> retries = 0;        ///< asked of those that all nodes share
-    std::atomic<bool> is_silent = false; ///< the gate's node answers no probe
+    std::atomic<bool> is_silent = false; ///< the gates' nodes answer no probe
 
 private:
-    std::unique_ptr<link_hub> gate_;
+    std::unique_ptr<link_hub> start_gate(const answerer& gate)
+    {
+        return link_hub::start(
+            {.self = {.vm_name = "gate", .run = {1}},
+             .fleet_key = fleet_key,
+             .on_stream =
+                 [gate](const std::shared_ptr<link_stream>& stream) {
+                     const auto it = read_dispatch(stream->head());
+                     ASSERT_TRUE(it.has_value());
+                     gate(*it, stream);
+                 },
+             .on_control = [this](const control_request&) -> std::optional<std::string> {
+                 return is_silent ? std::nullopt : std::optional<std::string>("-");
+             }});
+    }
+
+    std::vector<std::unique_ptr<link_hub>> gates_;
     std::unique_ptr<link_hub> links_;
     std::unique_ptr<entry> entry_;
 };
 
-void refuse(link_stream& stream, refusal reason, bool trial_due = false)
+void refuse(link_stream& stream, const refusal_answer& it, bool trial_due = false)
 {
     message_head head;
     head.status = 503;
-    head.fields.push_back(
-        {.name = std::string(outcome_field), .value = outcome_text({.reason = reason})});
+    head.fields.push_back({.name = std::string(outcome_field), .value = outcome_text(it)});
     if (trial_due)
         head.fields.push_back({.name = std::string(trial_field), .value = "due"});
     stream.respond(std::move(head), true);
 }
 
+void refuse(link_stream& stream, refusal reason, bool trial_due = false)
+{
+    refuse(stream, refusal_answer{.reason = reason}, trial_due);
+}
+
 void answer(link_stream& stream, int status, const std::string& mark)
 {
     message_head head;
@@ -129,6 +168,58 @@
     stream.respond(std::move(head), true);
 }
 
+// A request that is late at the first server that gets it. That server works until the test says
+// so; other dispatches go to `elsewhere`.
+class late_request {
+public:
+    explicit late_request(const rig_layout& layout, entry_rig::answerer elsewhere = {})
+        : elsewhere_(std::move(elsewhere)),
+          rig([this](const dispatch& it,
+                     const std::shared_ptr<link_stream>& stream) { take(it, stream); },
+              {.on_gate_failed = [this](vm_id) { ++failed_gates; }, .hedge_after = 0.1}, layout)
+    {
+    }
+
+    /// Sends it; the first server answers some time after `is_due`.
+    httplib::Response send(const std::function<bool()>& is_due)
+    {
+        const std::jthread server([&](const std::stop_token& stop) {
+            while (!stop.stop_requested() && !is_due())
+                std::this_thread::sleep_for(1ms);
+            std::this_thread::sleep_for(50ms);
+            const std::lock_guard lock(mutex_);
+            if (first_ != nullptr)
+                answer(*first_, 200, "first");
+        });
+        return rig.send("GET");
+    }
+
+private:
+    void take(const dispatch& it, const std::shared_ptr<link_stream>& stream)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            if (first_ == nullptr) {
+                first_ = stream;
+                rig.is_silent = is_silent_elsewhere;
+                return;
+            }
+        }
+        elsewhere_(it, stream);
+        ++elsewhere;
+    }
+
+    std::mutex mutex_;
+    std::shared_ptr<link_stream> first_;
+    entry_rig::answerer elsewhere_;
+
+public:
+    std::atomic<int> elsewhere = 0;    ///< dispatches to other servers
+    std::atomic<int> failed_gates = 0; ///< as the entry reported
+    bool is_silent_elsewhere = false;  ///< the nodes of other gates answer no probe
+    entry_rig rig;
+};
+
 } // namespace
 
 // The first try ends without an answer, the second is refused: the first may still have run.
@@ -276,3 +367,121 @@
     rig.is_silent = true;
     EXPECT_EQ(rig.send("POST").status, 200);
 }
+
+// Refusals come within a millisecond; nothing else was learned yet, so a part of the target counts.
+TEST(entry, refusals_of_gates_do_not_make_a_request_late_sooner)
+{
+    constexpr auto late = 500ms; // 2 times a quarter of the target latency
+    std::atomic<bool> is_well = false;
+    std::promise<std::shared_ptr<link_stream>> taken;
+    std::optional<time_point> sent_elsewhere;
+    entry_rig rig(
+        [&](const dispatch&, const std::shared_ptr<link_stream>& stream) {
+            if (is_well.exchange(false))
+                return taken.set_value(stream);
+            sent_elsewhere = boot_now();
+            refuse(*stream, refusal::overloaded);
+        },
+        {.hedge_after = 2});
+    for (int n = 0; n < 20; ++n)
+        EXPECT_EQ(rig.send("GET").status, 503);
+    sent_elsewhere.reset();
+    is_well = true;
+    const std::jthread server([&] {
+        auto stream = taken.get_future();
+        if (stream.wait_for(5s) != std::future_status::ready)
+            return;
+        std::this_thread::sleep_for(late + 300ms);
+        answer(*stream.get(), 200, "first");
+    });
+    const time_point start = boot_now();
+    const httplib::Response res = rig.send("GET");
+    EXPECT_EQ(res.status, 200);
+    EXPECT_EQ(res.get_header_value("x-mark"), "first");
+    if (sent_elsewhere)
+        EXPECT_GE(*sent_elsewhere - start, late);
+}
+
+TEST(entry, a_late_request_is_not_given_up_while_its_server_works_and_there_is_no_other)
+{
+    late_request it({.servers = 1});
+    const httplib::Response res = it.send([&] { return it.rig.retries > 0; });
+    EXPECT_EQ(res.status, 200);
+    EXPECT_EQ(res.get_header_value("x-mark"), "first");
+    EXPECT_EQ(it.elsewhere, 0);
+}
+
+class late_request_refused : public testing::TestWithParam<refusal_answer> {};
+
+TEST_P(late_request_refused, is_not_given_up_while_its_server_works)
+{
+    late_request it({}, [](const dispatch&, const std::shared_ptr<link_stream>& stream) {
+        refuse(*stream, GetParam());
+    });
+    const httplib::Response res = it.send([&] { return it.elsewhere > 0; });
+    EXPECT_EQ(res.status, 200);
+    EXPECT_EQ(res.get_header_value("x-mark"), "first");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    entry, late_request_refused,
+    testing::Values(
+        refusal_answer{.reason = refusal::overloaded}, refusal_answer{.reason = refusal::suspect},
+        refusal_answer{.reason = refusal::stopping}, refusal_answer{.reason = refusal::shed},
+        refusal_answer{.reason = refusal::no_backend_server},
+        refusal_answer{.reason = refusal::deadline},
+        refusal_answer{.reason = refusal::deadline, .state = run_state::unknown},
+        refusal_answer{.reason = refusal::backend_server_error, .state = run_state::unknown}),
+    [](const auto& it) {
+        return fmt::format("{}_{}", name_of(it.param.reason),
+                           it.param.state == run_state::not_run ? "not_run" : "unknown");
+    });
+
+TEST(entry, a_late_request_is_not_given_up_while_its_server_works_and_another_fails)
+{
+    late_request it({}, [](const dispatch&, const std::shared_ptr<link_stream>& stream) {
+        answer(*stream, 500, "second");
+    });
+    const httplib::Response res = it.send([&] { return it.elsewhere > 0; });
+    EXPECT_EQ(res.status, 200);
+    EXPECT_EQ(res.get_header_value("x-mark"), "first");
+}
+
+TEST(entry, a_late_request_is_not_given_up_while_its_server_works_and_another_gate_is_silent)
+{
+    late_request it({.gates = 2});
+    it.is_silent_elsewhere = true;
+    const httplib::Response res = it.send([&] { return it.failed_gates > 0; });
+    EXPECT_EQ(res.status, 200);
+    EXPECT_EQ(res.get_header_value("x-mark"), "first");
+    EXPECT_EQ(it.elsewhere, 0);
+}
+
+TEST(entry, a_late_request_is_not_given_up_while_its_server_works_and_another_link_breaks)
+{
+    std::atomic<std::uint64_t> second = 0;
+    std::shared_ptr<link_stream> open;
+    late_request it({.gates = 2},
+                    [&](const dispatch& to, const std::shared_ptr<link_stream>& stream) {
+                        open = stream;
+                        second = to.server.value;
+                    });
+    bool is_stopped = false;
+    const httplib::Response res = it.send([&] {
+        if (second != 0 && !std::exchange(is_stopped, true))
+            it.rig.stop_gate_of({second});
+        return it.failed_gates > 0;
+    });
+    EXPECT_EQ(res.status, 200);
+    EXPECT_EQ(res.get_header_value("x-mark"), "first");
+}
+
+TEST(entry, a_late_request_is_not_given_up_while_its_server_works_and_another_gate_resets)
+{
+    late_request it({}, [](const dispatch&, const std::shared_ptr<link_stream>& stream) {
+        stream->reset(reset_reason::internal_error);
+    });
+    const httplib::Response res = it.send([&] { return it.elsewhere > 0; });
+    EXPECT_EQ(res.status, 200);
+    EXPECT_EQ(res.get_header_value("x-mark"), "first");
+}
