Answers of the store have bounded heads, and none is whole by its deadline's cut

An answer without length that was still coming at its deadline passed for whole: call_deadlines shut the connection down, and the library took the end of input for the answer's end.

Change: http_pool uses bounded_client; call_deadlines, with its thread, is gone. A head over its bound is too_large. A kept connection that holds bytes, or had some beyond the last answer, is not used again.

--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -24,24 +24,21 @@
     return out;
 }
 
-std::unique_ptr<httplib::Client> http_pool::take()
+std::unique_ptr<bounded_client> http_pool::take()
 {
     {
         const std::lock_guard lock(mutex_);
-        if (!idle_.empty()) {
+        while (!idle_.empty()) {
             auto client = std::move(idle_.back());
             idle_.pop_back();
-            return client;
+            if (!client->has_unread_bytes())
+                return client;
         }
     }
-    auto client = std::make_unique<httplib::Client>(options_.server.host, options_.server.port);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_decompress(false);
-    return client;
+    return std::make_unique<bounded_client>(options_.server);
 }
 
-void http_pool::give_back(std::unique_ptr<httplib::Client> client)
+void http_pool::give_back(std::unique_ptr<bounded_client> client)
 {
     const std::lock_guard lock(mutex_);
     if (idle_.size() < options_.max_idle_connections)
@@ -57,8 +54,8 @@
     return late ? http_failure::late : http_failure::broken;
 }
 
-// The library's read timeout is for each read; `call_deadlines` holds the whole to the deadline. A
-// client that failed is thrown away, and with it a connection whose answer was not read to its end.
+// A client that failed is thrown away, and with it a connection whose answer was not read to its
+// end.
 result<http_answer, http_failure> http_pool::post(const std::string& path, const std::string& body,
                                                   time_point deadline)
 {
@@ -72,8 +69,6 @@
                                std::chrono::milliseconds(1));
     auto client = take();
     client->set_connection_timeout(std::min<duration>(left, options_.connect_timeout));
-    client->set_read_timeout(left);
-    client->set_write_timeout(left);
 
     http_answer answer;
     bool too_large = false;
@@ -87,17 +82,13 @@
     request.method = method;
     if (body.empty())
         request.headers.erase("Content-Type");
-    httplib::Response response;
-    httplib::Error error = httplib::Error::Success;
-    bool answered = false;
-    {
-        const call_deadlines::guard guard(deadlines_, *client, deadline);
-        answered = client->send(request, response, error);
-    }
-    if (!answered)
-        return failure_of(error, too_large, boot_now() >= deadline);
-    give_back(std::move(client));
-    answer.status = response.status;
+    const httplib::Result sent = client->send_until(std::move(request), deadline);
+    if (!sent)
+        return failure_of(sent.error(), too_large || client->was_over_bound(),
+                          boot_now() >= deadline);
+    answer.status = sent->status;
+    if (!client->dropped_bytes())
+        give_back(std::move(client));
     return answer;
 }
 
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -3,7 +3,7 @@
 // Kept HTTP connections to one server, for short calls from many threads. A request is sent at most
 // once; whether a failed one may have been received is told.
 
-#include "call_deadlines.h"
+#include "bounded_client.h"
 #include "endpoint.h"
 #include "result.h"
 #include "types.h"
@@ -33,7 +33,7 @@
     not_sent,  ///< no connection: the server has seen nothing
     broken,    ///< the connection ended before the whole answer
     late,      ///< no whole answer by the deadline
-    too_large, ///< the answer is larger than allowed
+    too_large, ///< the answer, or its head, is larger than allowed
 };
 
 /// Thread-safe.
@@ -50,13 +50,12 @@
                                            time_point deadline);
 
 private:
-    std::unique_ptr<httplib::Client> take();
-    void give_back(std::unique_ptr<httplib::Client> client);
+    std::unique_ptr<bounded_client> take();
+    void give_back(std::unique_ptr<bounded_client> client);
 
     http_pool_options options_;
-    call_deadlines deadlines_;
     std::mutex mutex_;
-    std::vector<std::unique_ptr<httplib::Client>> idle_;
+    std::vector<std::unique_ptr<bounded_client>> idle_;
 };
 
 /// A JSON request whose answer goes to `receiver` piece by piece.
--- a/tests/endless_answer_test.cpp
+++ b/tests/endless_answer_test.cpp
@@ -3,6 +3,7 @@
 
 #include "backend_call.h"
 
+#include "http_pool.h"
 #include "link_hub.h"
 #include "raw_server.h"
 #include "refusal.h"
@@ -286,3 +287,37 @@
     });
     EXPECT_FALSE(call(server, 10s).call.may_reuse);
 }
+
+// Calls to the store and other servers of the platform.
+class endless_answer_to_pool : public testing::TestWithParam<trouble> {};
+
+TEST_P(endless_answer_to_pool, is_cut_and_no_answer)
+{
+    const raw_server server = server_of(GetParam());
+    http_pool pool({.server = server.address()});
+    const time_point start = boot_now();
+    const auto answer = pool.post("/a", "{}", start + 3s);
+    EXPECT_LT(boot_now() - start, 12s);
+    ASSERT_TRUE(failed(answer));
+    EXPECT_EQ(error_of(answer),
+              GetParam().fast == no_fast_bytes ? http_failure::late : http_failure::too_large);
+    EXPECT_EQ(server.held_too_long(), 0U);
+    EXPECT_LT(server.bytes_sent(), most_sent_bytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    endless_answer, endless_answer_to_pool,
+    testing::Values(
+        trouble{.name = "status_line", .begin = "HTTP/1.1 200 ", .again = block},
+        trouble{.name = "fields", .begin = "HTTP/1.1 200 OK\r\n", .again = "x-a: 1\r\n"},
+        trouble{.name = "one_field", .begin = "HTTP/1.1 200 OK\r\nx-a: ", .again = block},
+        trouble{.name = "body", .begin = "HTTP/1.1 200 OK\r\n\r\n", .again = block},
+        trouble{.name = "slow_head",
+                .begin = "HTTP/1.1 200 OK\r\n",
+                .again = "x-a: 1\r\n",
+                .fast = no_fast_bytes},
+        trouble{.name = "slow_body",
+                .begin = "HTTP/1.1 200 OK\r\n\r\n",
+                .again = "1",
+                .fast = no_fast_bytes}),
+    test_name);
