A caller's bytes without end hold its request to its deadline, and end no node

Callers saw: nothing but their own; a caller whose body came a byte now and then held a thread of its node for as long as it liked, also long past its deadline (nothing but single reads had a bound of 30 s). A chunk's size without end grew the node's memory. At doors whose paths the library matches (control, ready) a path of some thousand bytes ended the process: the same recursion on a stack of 256 KiB as for status lines. The callers' door is not open to that, it routes all paths as "/".

Change: no byte of a body is read after the request's deadline; the caller gets 504, or its own close first (not run when the body was read ahead, else unknown). Control calls have 10 s, other doors 5 min. Paths over 512 bytes match no route of the node's own.

Not done: a body in chunks is not held to the bound on a body's bytes, only to the deadline.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -339,6 +339,12 @@
     return false;
 }
 
+// Why a body did not come whole: nothing of it is read after the deadline.
+refusal entry::broken_body(const admitted_request& request)
+{
+    return boot_now() >= request.deadline ? refusal::deadline : refusal::bad_request;
+}
+
 // Small bodies are read whole first: a slow caller then holds no slot of a backend server, and the
 // request may be tried again elsewhere. Longer ones are streamed and get one try.
 void entry::forward(admitted_request& request, const message_head& head, httplib::Response& res,
@@ -346,6 +352,7 @@
 {
     const auto length = length_of(head);
     const bool buffered = reader == nullptr || (length && *length <= options_.buffered_body_bytes);
+    socket_server::end_reading_at(request.deadline);
     std::string body;
     if (buffered && reader != nullptr && *length > 0) {
         const bool whole = (*reader)([&body](const char* data, std::size_t n) {
@@ -354,7 +361,7 @@
         });
         if (!whole) {
             socket_server::close_after_answer(res);
-            refuse(res, {.reason = refusal::bad_request});
+            refuse(res, {.reason = broken_body(request)});
             return;
         }
     }
@@ -473,7 +480,7 @@
     }
     if (is_streamed && !pump_body(*place.reader, *it.stream, request.service->timeout)) {
         it.caller_left = true;
-        it.refused = {.reason = refusal::bad_request, .state = run_state::unknown};
+        it.refused = {.reason = broken_body(request), .state = run_state::unknown};
     }
     return it;
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -103,6 +103,7 @@
     std::optional<refusal_answer> hold_to_rate(const admitted_request& request) const;
     std::optional<refusal_answer> admit(const caller_head& head, time_point now,
                                         admitted_request& out);
+    static refusal broken_body(const admitted_request& request);
     std::optional<refusal_answer> identify(const caller_head& head, admitted_request& out) const;
     void refuse(httplib::Response& res, const refusal_answer& it) const;
     void serve(const caller_head& head, httplib::Response& res,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -14,6 +14,8 @@
 // Idempotency keys that a home keeps for one shard; an entry takes about 200 bytes.
 constexpr std::size_t keys_of_a_shard = 16'384;
 constexpr std::size_t control_connections = 128;
+// Bodies of control calls are announcements of a few hundred bytes, sent beside the node.
+constexpr duration control_body_timeout = std::chrono::seconds(10);
 constexpr duration caller_idle_timeout = std::chrono::minutes(1);
 constexpr duration caller_io_timeout = std::chrono::seconds(30);
 // A node that no reader's news has reached for this long reads the configuration itself. Well above
@@ -359,17 +361,23 @@
                               .refusal = over_bound_answer(),
                               .prepare = [](httplib::Request& req) { req.path.assign(1, '/'); }});
     control_ = std::make_unique<socket_server>(
-        socket_server_options{.listen = settings_.control, .connections = control_connections});
+        socket_server_options{.listen = settings_.control,
+                              .connections = control_connections,
+                              .body_timeout = control_body_timeout});
     add_caller_routes();
     add_control_routes(*control_);
     if (settings_.metrics.port != 0) {
         metrics_door_ = std::make_unique<socket_server>(
-            socket_server_options{.listen = settings_.metrics, .connections = control_connections});
+            socket_server_options{.listen = settings_.metrics,
+                                  .connections = control_connections,
+                                  .body_timeout = control_body_timeout});
         add_control_routes(*metrics_door_);
     }
     if (settings_.ready.port != 0) {
         ready_door_ = std::make_unique<socket_server>(
-            socket_server_options{.listen = settings_.ready, .connections = control_connections});
+            socket_server_options{.listen = settings_.ready,
+                                  .connections = control_connections,
+                                  .body_timeout = control_body_timeout});
         ready_door_->Get(".*", [this](const httplib::Request&, httplib::Response& res) {
             res.status = !leaving_ && entry_->config() != nullptr ? ok_status : unavailable_status;
         });
--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t refusing_threads = 8;
 
 thread_local socket_t current_socket = INVALID_SOCKET;
+thread_local socket_stream* current_stream = nullptr;
 thread_local bool current_ends = false;
 
 // Closing a socket with unread bytes makes the kernel discard the answer that is still on its way.
@@ -39,6 +40,10 @@
     }
 }
 
+// The library matches paths by recursion, one step a byte, on a stack of 256 KiB, which holds over
+// a thousand of them. No route of a node's own is nearly as long.
+constexpr std::size_t longest_routed_path = 512;
+
 // The library would parse multipart bodies, pack and unpack compressed ones and cut answers to
 // ranges; bytes pass here as they were sent, so the headers that cause it are put aside. And it
 // would read a body without a length until the connection ends, where there is none.
@@ -54,6 +59,8 @@
             req.set_header(raw_name, value);
     }
     req.ranges.clear();
+    if (req.path.size() > longest_routed_path)
+        req.path.clear();
 }
 
 } // namespace
@@ -160,6 +167,12 @@
     res.set_header("Connection", "close");
 }
 
+void socket_server::end_reading_at(time_point it)
+{
+    if (current_stream != nullptr)
+        current_stream->set_read_deadline(it);
+}
+
 void socket_server::cut_current()
 {
     shutdown(current_socket, SHUT_RDWR);
@@ -203,6 +216,7 @@
     setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
     current_socket = sock;
     serve(sock);
+    current_stream = nullptr;
     finish_answer(sock);
     remove_connection(sock);
     return true;
@@ -214,15 +228,18 @@
     socket_stream stream(sock, options_.io_timeout);
     const auto prepare = [&](httplib::Request& req) {
         stream.end_head();
+        stream.set_read_deadline(boot_now() + options_.body_timeout);
         prepare_request(req);
         if (options_.prepare)
             options_.prepare(req);
     };
+    current_stream = &stream;
     bool closed = false;
     while (!closed) {
         if (!stream.has_buffered() && !wait_for_events(sock, POLLIN, options_.idle_timeout))
             return;
         mark(sock, true);
+        stream.set_read_deadline(time_point::max());
         stream.begin_head(boot_now() + options_.head_timeout, options_.head_bytes,
                           options_.head_bytes);
         closed = stopping_;
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -27,6 +27,7 @@
     duration io_timeout = std::chrono::seconds(30);   ///< one read or write
     duration head_timeout = std::chrono::seconds(10); ///< from first byte to the end of the head
     std::size_t head_bytes = 64UL * 1024;             ///< request line and headers together
+    duration body_timeout = std::chrono::minutes(5);  ///< from the end of the head to the body's
     std::string refusal{}; ///< whole answer for a connection over the bound
     std::function<void(httplib::Request&)> prepare{}; ///< sees each request before it is routed
 };
@@ -60,6 +61,8 @@
     static bool wait_for_peer_to_leave(duration time);
     /// Ends the connection of this thread's request after its answer, which says so.
     static void close_after_answer(httplib::Response& res);
+    /// No byte of this thread's request is read after `it`: the library's reader then fails.
+    static void end_reading_at(time_point it);
     /// Cuts the connection of this thread's request.
     static void cut_current();
 
--- a/src/socket_stream.cpp
+++ b/src/socket_stream.cpp
@@ -36,21 +36,26 @@
     line_bound_ = first_line_bytes;
 }
 
-duration socket_stream::time_left() const
+duration socket_stream::time_until(time_point end) const
 {
-    const time_point end = in_head_ ? std::min(deadline_, head_end_) : deadline_;
     return end == time_point::max() ? timeout_ : std::min(timeout_, end - boot_now());
 }
 
+duration socket_stream::reading_time() const
+{
+    const time_point end = std::min(deadline_, read_deadline_);
+    return time_until(in_head_ ? std::min(end, head_end_) : end);
+}
+
 bool socket_stream::is_readable() const
 {
-    const duration left = time_left();
+    const duration left = reading_time();
     return left > duration::zero() && (has_buffered() || wait_for_events(sock_, POLLIN, left));
 }
 
 bool socket_stream::is_writable() const
 {
-    const duration left = time_left();
+    const duration left = time_until(deadline_);
     return left > duration::zero() && wait_for_events(sock_, POLLOUT, left);
 }
 
--- a/src/socket_stream.h
+++ b/src/socket_stream.h
@@ -23,7 +23,8 @@
     /// One read or write waits for `timeout` at most, and none beyond `deadline`.
     socket_stream(socket_t sock, duration timeout, time_point deadline = time_point::max());
 
-    void set_deadline(time_point it) { deadline_ = it; }
+    /// No read waits beyond `it`; writes still have the stream's own deadline.
+    void set_read_deadline(time_point it) { read_deadline_ = it; }
     /// From here on a head is read: until `end`, `bytes` in all, `first_line_bytes` in its first
     /// line.
     void begin_head(time_point end, std::size_t bytes, std::size_t first_line_bytes);
@@ -42,12 +43,14 @@
     void get_local_ip_and_port(std::string& ip, int& port) const override;
 
 private:
-    duration time_left() const;
+    duration time_until(time_point end) const;
+    duration reading_time() const;
     bool take_from_bounds(std::size_t asked, std::size_t n, bool ends_line);
 
     socket_t sock_;
     duration timeout_;
     time_point deadline_;
+    time_point read_deadline_ = time_point::max();
     std::array<char, 4096> buf_{};
     std::size_t begin_ = 0;
     std::size_t end_ = 0;
--- /dev/null
+++ b/tests/endless_request_test.cpp
@@ -0,0 +1,115 @@
+// Callers that send bytes without end, or so slowly that their request never ends.
+
+#include "process_fleet.h"
+#include "socket_server.h"
+#include "system_clock.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <thread>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct seen_by_caller {
+    std::string answer; ///< its first bytes; empty when the connection was only closed
+    std::size_t sent = 0;
+    bool ended = false;
+};
+
+// Sends `begin`, then `again` with `pause` between, until the server answers or closes.
+seen_by_caller send_without_end(const endpoint& to, const std::string& begin,
+                                const std::string& again, duration pause, duration patience)
+{
+    const int sock = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
+    seen_by_caller out;
+    if (connect(sock, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        close(sock);
+        return out;
+    }
+    constexpr std::size_t most_bytes = std::size_t{64} << 20;
+    const std::string* text = &begin;
+    for (const time_point end = boot_now() + patience; !out.ended && boot_now() < end;) {
+        pollfd it{.fd = sock, .events = POLLIN, .revents = 0};
+        if (poll(&it, 1, 0) > 0) {
+            std::array<char, 1024> buf{};
+            const ssize_t n = recv(sock, buf.data(), buf.size(), 0);
+            out.answer.assign(buf.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+            out.ended = true;
+        }
+        else {
+            const ssize_t n = send(sock, text->data(), text->size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            out.sent += static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+            std::this_thread::sleep_for(n > 0 && out.sent < most_bytes ? pause : 20ms);
+            text = &again;
+        }
+    }
+    close(sock);
+    return out;
+}
+
+} // namespace
+
+TEST(endless_request, a_body_that_does_not_end_is_read_until_the_deadline_only)
+{
+    process_fleet fleet({.services = {{.name = "orders", .method = "POST", .timeout = "1s"}}});
+    const std::string head =
+        "POST /orders/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + honey_key + "\r\n";
+    struct body {
+        std::string name;
+        std::string head;
+        std::string again;
+    };
+    for (const body& it : {body{"of a small length", "Content-Length: 1000\r\n\r\n", "x"},
+                           body{"of a large length", "Content-Length: 100000000\r\n\r\n", "x"},
+                           body{"in chunks", "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"}}) {
+        SCOPED_TRACE(it.name);
+        const seen_by_caller seen =
+            send_without_end(fleet.callers(0), head + it.head, it.again, 50ms, 12s);
+        EXPECT_TRUE(seen.ended);
+        EXPECT_TRUE(seen.answer.empty() || seen.answer.starts_with("HTTP/1.1 504")) << seen.answer;
+    }
+}
+
+TEST(endless_request, the_size_of_a_chunk_has_a_bound)
+{
+    socket_server server({.listen = {.host = "127.0.0.1", .port = 0}});
+    server.Post("/", [](const httplib::Request&, httplib::Response& res,
+                        const httplib::ContentReader& reader) {
+        const bool whole = reader([](const char*, std::size_t) { return true; });
+        res.status = whole ? 200 : 400;
+        socket_server::close_after_answer(res);
+    });
+    ASSERT_TRUE(server.start());
+    const seen_by_caller seen = send_without_end(
+        server.address(), "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        std::string(16384, 'x'), 0ms, 12s);
+    EXPECT_TRUE(seen.ended);
+    EXPECT_LT(seen.sent, std::size_t{32} << 20);
+}
+
+// The library matches paths by recursion, one step a byte.
+TEST(endless_request, a_long_path_does_not_overflow_the_stack)
+{
+    socket_server server({.listen = {.host = "127.0.0.1", .port = 0}});
+    server.Get("/a/([^/]+)", [](const httplib::Request&, httplib::Response& res) {
+        res.set_content("a", "text/plain");
+    });
+    ASSERT_TRUE(server.start());
+    httplib::Client client(server.address().host, server.address().port);
+    const auto answer = client.Get("/a/" + std::string(8000, 'x'));
+    EXPECT_TRUE(answer && answer->status == 404);
+    const auto next = client.Get("/a/x");
+    EXPECT_TRUE(next && next->status == 200);
+}
