--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t refusing_threads = 8;
 
 thread_local socket_t current_socket = INVALID_SOCKET;
+thread_local socket_stream* current_stream = nullptr;
 thread_local bool current_ends = false;
 // Of this thread's request: whether an interim response may come before the final one, and has.
 thread_local bool current_takes_interim = false;
@@ -45,6 +46,10 @@
     }
 }
 
+// The library matches paths by recursion, one step a byte, on a stack of 256 KiB, which holds over
+// a thousand of them. No route of a node's own is nearly as long.
+constexpr std::size_t longest_routed_path = 512;
+
 // The library would parse multipart bodies, pack and unpack compressed ones and cut answers to
 // ranges; bytes pass here as they were sent, so the headers that cause it are put aside. And it
 // would read a body without a length until the connection ends, where there is none.
@@ -60,6 +65,8 @@
             req.set_header(raw_name, value);
     }
     req.ranges.clear();
+    if (req.path.size() > longest_routed_path)
+        req.path.clear();
 }
 
 } // namespace
@@ -188,6 +195,12 @@
     res.set_header("Connection", "close");
 }
 
+void socket_server::end_reading_at(time_point it)
+{
+    if (current_stream != nullptr)
+        current_stream->set_read_deadline(it);
+}
+
 void socket_server::cut_current()
 {
     shutdown(current_socket, SHUT_RDWR);
@@ -234,6 +247,7 @@
     setsockopt(sock, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
     current_socket = sock;
     serve(sock);
+    current_stream = nullptr;
     finish_answer(sock);
     remove_connection(sock);
     return true;
@@ -245,15 +259,18 @@
     socket_stream stream(sock, options_.io_timeout);
     const auto prepare = [&](httplib::Request& req) {
         stream.end_head();
+        stream.set_read_deadline(boot_now() + options_.body_timeout);
         prepare_request(req);
         current_takes_interim = req.version == "HTTP/1.1";
         if (options_.prepare)
             options_.prepare(req);
     };
+    current_stream = &stream;
     bool closed = false;
     while (!closed) {
         if (!stream.has_buffered() && !wait_for_request(sock))
             return;
+        stream.set_read_deadline(time_point::max());
         stream.begin_head(boot_now() + options_.head_timeout, options_.head_bytes,
                           options_.head_bytes);
         closed = stopping_;
