--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -1,19 +1,19 @@
 #include "socket_server.h"
 
 #include "small_stack_pool.h"
+#include "socket_stream.h"
 #include "system_clock.h"
 
-#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <array>
-#include <cstring>
 #include <limits>
 #include <string_view>
+#include <utility>
 
 namespace jasminebank {
 
@@ -27,109 +27,10 @@
 
 thread_local socket_t current_socket = INVALID_SOCKET;
 thread_local bool current_ends = false;
-
-int to_milliseconds(duration time)
-{
-    return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(time).count());
-}
-
-bool wait_for(socket_t sock, short events, duration time)
-{
-    pollfd it{.fd = sock, .events = events, .revents = 0};
-    return poll(&it, 1, to_milliseconds(time)) > 0;
-}
-
-// The stream that cpp-httplib reads requests from and writes answers to.
-class socket_stream : public httplib::Stream {
-public:
-    socket_stream(socket_t sock, duration timeout) : sock_(sock), timeout_(timeout) {}
-
-    /// From here on a slow or endless head fails: it has `time` and `bytes` in all.
-    void begin_head(duration time, std::size_t bytes)
-    {
-        in_head_ = true;
-        head_end_ = boot_now() + time;
-        head_bytes_left_ = bytes;
-    }
-    void end_head() { in_head_ = false; }
-
-    bool has_buffered() const { return begin_ < end_; }
-    bool is_readable() const override
-    {
-        if (has_buffered())
-            return true;
-        const duration left = in_head_ ? std::min(timeout_, head_end_ - boot_now()) : timeout_;
-        return left > duration::zero() && wait_for(sock_, POLLIN, left);
-    }
-    bool is_writable() const override { return wait_for(sock_, POLLOUT, timeout_); }
-    socket_t socket() const override { return sock_; }
-
-    // The library asks for single bytes of the header; they come from a buffer.
-    ssize_t read(char* ptr, std::size_t size) override
-    {
-        if (in_head_ && head_bytes_left_ == 0)
-            return -1;
-        if (!has_buffered()) {
-            if (!is_readable())
-                return -1;
-            const ssize_t n = recv(sock_, buf_.data(), buf_.size(), 0);
-            if (n <= 0)
-                return n;
-            begin_ = 0;
-            end_ = static_cast<std::size_t>(n);
-        }
-        const std::size_t n = std::min(size, end_ - begin_);
-        std::memcpy(ptr, buf_.data() + begin_, n);
-        begin_ += n;
-        head_bytes_left_ -= std::min(n, head_bytes_left_);
-        return static_cast<ssize_t>(n);
-    }
-
-    ssize_t write(const char* ptr, std::size_t size) override
-    {
-        std::size_t done = 0;
-        while (done < size) {
-            if (!is_writable())
-                return -1;
-            const ssize_t n = send(sock_, ptr + done, size - done, MSG_NOSIGNAL);
-            if (n <= 0)
-                return -1;
-            done += static_cast<std::size_t>(n);
-        }
-        return static_cast<ssize_t>(size);
-    }
-
-    void get_remote_ip_and_port(std::string& ip, int& port) const override
-    {
-        name_of(getpeername, ip, port);
-    }
-    void get_local_ip_and_port(std::string& ip, int& port) const override
-    {
-        name_of(getsockname, ip, port);
-    }
-
-private:
-    template <class Call>
-    void name_of(Call call, std::string& ip, int& port) const
-    {
-        sockaddr_in it{};
-        socklen_t n = sizeof it;
-        std::array<char, INET_ADDRSTRLEN> text{};
-        if (call(sock_, reinterpret_cast<sockaddr*>(&it), &n) != 0)
-            return;
-        ip = inet_ntop(AF_INET, &it.sin_addr, text.data(), text.size());
-        port = ntohs(it.sin_port);
-    }
-
-    socket_t sock_;
-    duration timeout_;
-    std::array<char, read_buffer_bytes> buf_{};
-    std::size_t begin_ = 0;
-    std::size_t end_ = 0;
-    bool in_head_ = false;
-    time_point head_end_;
-    std::size_t head_bytes_left_ = 0;
-};
+// Of this thread's request: whether an interim response may come before the final one, and has.
+thread_local bool current_takes_interim = false;
+thread_local bool current_is_probed = false;
+constexpr std::string_view interim_response = "HTTP/1.1 102 Processing\r\n\r\n";
 
 // Closing a socket with unread bytes makes the kernel discard the answer that is still on its way.
 // So the sending side is closed first, and what the peer still sends is read for a moment.
@@ -138,7 +39,7 @@
     std::array<char, read_buffer_bytes> buf{};
     const time_point end = boot_now() + linger_time;
     shutdown(sock, SHUT_WR);
-    while (boot_now() < end && wait_for(sock, POLLIN, end - boot_now())) {
+    while (boot_now() < end && wait_for_events(sock, POLLIN, end - boot_now())) {
         if (recv(sock, buf.data(), buf.size(), 0) <= 0)
             return;
     }
@@ -165,7 +66,8 @@
 
 // The port is exclusive: SO_REUSEADDR alone lets a restarted server have its port back, but no
 // second server beside it. The library's default, SO_REUSEPORT, would.
-socket_server::socket_server(socket_server_options options) : options_(std::move(options))
+socket_server::socket_server(socket_server_options options)
+    : options_(std::move(options)), close_fd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
     set_tcp_nodelay(true);
     set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
@@ -182,6 +84,7 @@
 socket_server::~socket_server()
 {
     stop_gently();
+    close(close_fd_);
 }
 
 // The library listens with a backlog of 5; a second listen on the same socket sets a longer one.
@@ -208,33 +111,43 @@
         shutdown(listener_, SHUT_RDWR);
 }
 
-// A caller may send its next request just before it reads "Connection: close"; the grace lets such
-// requests in before idle connections are ended.
-void socket_server::stop_gently(duration grace)
+// The threads that wait for a request are told by `close_fd_` rather than by a half-closed socket,
+// which would look like a caller that has left to a request that comes just then.
+void socket_server::close_idle()
 {
     stopping_ = true;
-    std::this_thread::sleep_for(grace);
     stop_listening();
-    {
-        const std::lock_guard lock(mutex_);
-        ending_idle_ = true;
-        for (const auto& [sock, busy] : connections_) {
-            if (!busy)
-                shutdown(sock, SHUT_RD);
-        }
-    }
+    const std::uint64_t one = 1;
+    if (write(close_fd_, &one, sizeof one) < 0)
+        cut_all();
+}
+
+bool socket_server::wait_closed(time_point deadline)
+{
+    std::unique_lock lock(mutex_);
+    const duration left = std::max(deadline - boot_now(), duration::zero());
+    return ended_.wait_for(lock, left, [this] { return connections_.empty(); });
+}
+
+void socket_server::join()
+{
     if (thread_.joinable())
         thread_.join();
 }
 
+void socket_server::stop_gently()
+{
+    close_idle();
+    join();
+}
+
 void socket_server::cut_all()
 {
     stopping_ = true;
     stop_listening();
     const std::lock_guard lock(mutex_);
-    ending_idle_ = true;
-    for (const auto& [sock, busy] : connections_)
-        shutdown(sock, SHUT_RDWR);
+    for (const socket_t it : connections_)
+        shutdown(it, SHUT_RDWR);
 }
 
 endpoint socket_server::address() const
@@ -248,14 +161,24 @@
     return connections_.size();
 }
 
+// A FIN tells only that nothing more comes. A peer that has closed answers the interim response
+// with a reset; one that still reads skips it.
 bool socket_server::peer_left()
 {
-    return wait_for(current_socket, POLLRDHUP, duration::zero());
+    pollfd it{.fd = current_socket, .events = POLLRDHUP, .revents = 0};
+    if (poll(&it, 1, 0) <= 0)
+        return false;
+    if ((it.revents & (POLLERR | POLLHUP)) != 0 || !current_takes_interim)
+        return true;
+    if (!std::exchange(current_is_probed, true))
+        return send(current_socket, interim_response.data(), interim_response.size(),
+                    MSG_NOSIGNAL | MSG_DONTWAIT) < 0;
+    return false;
 }
 
 bool socket_server::wait_for_peer_to_leave(duration time)
 {
-    return wait_for(current_socket, POLLRDHUP, time);
+    return wait_for_events(current_socket, POLLRDHUP, time);
 }
 
 // The caller is told, so that it sends no further request that would be lost.
@@ -275,17 +198,19 @@
     const std::lock_guard lock(mutex_);
     if (connections_.size() >= options_.connections)
         return false;
-    connections_.emplace(sock, false);
+    connections_.insert(sock);
     return true;
 }
 
-// Busy and idle change under the lock that `stop_gently` holds, so it never cuts a request.
-void socket_server::mark(socket_t sock, bool busy)
+// False when the connection is to end: it was idle for too long, or the server closes. A request
+// that has come is served first.
+bool socket_server::wait_for_request(socket_t sock) const
 {
-    const std::lock_guard lock(mutex_);
-    connections_[sock] = busy;
-    if (!busy && ending_idle_)
-        shutdown(sock, SHUT_RD);
+    std::array<pollfd, 2> it{pollfd{.fd = sock, .events = POLLIN, .revents = 0},
+                             pollfd{.fd = close_fd_, .events = POLLIN, .revents = 0}};
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(options_.idle_timeout);
+    return poll(it.data(), it.size(), static_cast<int>(wait.count())) > 0 &&
+           (it[0].revents != 0 || wait_for_events(sock, POLLIN, duration::zero()));
 }
 
 void socket_server::remove_connection(socket_t sock)
@@ -293,6 +218,7 @@
     const std::lock_guard lock(mutex_);
     connections_.erase(sock);
     close(sock);
+    ended_.notify_all();
 }
 
 bool socket_server::process_and_close_socket(socket_t sock)
@@ -320,19 +246,20 @@
     const auto prepare = [&](httplib::Request& req) {
         stream.end_head();
         prepare_request(req);
+        current_takes_interim = req.version == "HTTP/1.1";
         if (options_.prepare)
             options_.prepare(req);
     };
     bool closed = false;
     while (!closed) {
-        if (!stream.has_buffered() && !wait_for(sock, POLLIN, options_.idle_timeout))
+        if (!stream.has_buffered() && !wait_for_request(sock))
             return;
-        mark(sock, true);
-        stream.begin_head(options_.head_timeout, options_.head_bytes);
+        stream.begin_head(boot_now() + options_.head_timeout, options_.head_bytes,
+                          options_.head_bytes);
         closed = stopping_;
         current_ends = false;
+        current_is_probed = false;
         const bool good = process_request(stream, closed, closed, prepare);
-        mark(sock, false);
         if (!good || current_ends)
             return;
     }
