--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -27,10 +27,6 @@
 constexpr std::size_t most_tries = 24;
 // Retries of a service that a node has without any success, where none are shared.
 constexpr double own_floor_retries = 2;
-// A gate that was heard this recently is taken to be there still. A request that must not be
-// repeated is lost with its gate, others may still be sent elsewhere as well.
-constexpr duration gate_memory = std::chrono::milliseconds(300);
-constexpr duration gate_memory_if_idempotent = std::chrono::seconds(1);
 // Several round trips between failure domains and the pauses of a busy VM, and a small part of what
 // a caller waits.
 constexpr duration gate_patience = std::chrono::milliseconds(150);
@@ -343,6 +339,12 @@
     return false;
 }
 
+// Why a body did not come whole: nothing of it is read after the deadline.
+refusal entry::broken_body(const admitted_request& request)
+{
+    return boot_now() >= request.deadline ? refusal::deadline : refusal::bad_request;
+}
+
 // Small bodies are read whole first: a slow caller then holds no slot of a backend server, and the
 // request may be tried again elsewhere. Longer ones are streamed and get one try.
 void entry::forward(admitted_request& request, const message_head& head, httplib::Response& res,
@@ -350,6 +352,7 @@
 {
     const auto length = length_of(head);
     const bool buffered = reader == nullptr || (length && *length <= options_.buffered_body_bytes);
+    socket_server::end_reading_at(request.deadline);
     std::string body;
     if (buffered && reader != nullptr && *length > 0) {
         const bool whole = (*reader)([&body](const char* data, std::size_t n) {
@@ -358,7 +361,7 @@
         });
         if (!whole) {
             socket_server::close_after_answer(res);
-            refuse(res, {.reason = refusal::bad_request});
+            refuse(res, {.reason = broken_body(request)});
             return;
         }
     }
@@ -479,7 +482,7 @@
     }
     if (is_streamed && !pump_body(*place.reader, *it.stream, request.service->timeout)) {
         it.caller_left = true;
-        it.refused = {.reason = refusal::bad_request, .state = run_state::unknown};
+        it.refused = {.reason = broken_body(request), .state = run_state::unknown};
     }
     return it;
 }
@@ -488,7 +491,8 @@
 // that was not heard lately is asked first.
 bool entry::is_gate_there(const admitted_request& request, const route_choice& choice)
 {
-    const duration memory = request.idempotent ? gate_memory_if_idempotent : gate_memory;
+    const duration memory =
+        request.idempotent ? options_.gate_memory_if_idempotent : options_.gate_memory;
     {
         const std::lock_guard lock(mutex_);
         const auto heard = gates_heard_.find(choice.gate);
@@ -714,6 +718,8 @@
         router_.refused(it.choice.server, true, it.load, now);
     else if (it.refused && it.refused->reason == refusal::overloaded)
         router_.refused(it.choice.server, false, it.load, now);
+    else if (it.refused && it.refused->reason == refusal::stopping)
+        router_.gate_closed(it.choice.gate, it.choice.gate_run);
 }
 
 // Passes the body on as it comes. Any failure on the way breaks the caller's connection, so that a
