A node that is stopped before it has joined its fleet ends at once

What an operator saw, by the code: a node that starts while the platform's store is away tries to join until it can; SIGTERM is blocked by then and taken up only after the start, so the process is killed at the end of its grace. No caller is served by then, but a stop takes the whole grace.

Change: joining is given up once SIGTERM or SIGINT is pending; the process ends with 0. On the code before, join() had no way to end but the store's return.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -48,10 +48,12 @@
 }
 
 std::unique_ptr<node> node::start(const node_settings& settings, incarnation run,
-                                  std::optional<platform_parts> platform)
+                                  std::optional<platform_parts> platform,
+                                  std::function<bool()> is_cancelled)
 {
     std::unique_ptr<node> out(new node(settings, run, std::move(platform)));
-    if (!out->join_fleet() || !out->open_links() || !out->open_members() || !out->open_doors())
+    if (!out->join_fleet(std::move(is_cancelled)) || !out->open_links() || !out->open_members() ||
+        !out->open_doors())
         return nullptr;
     if (out->session_ != nullptr)
         out->session_->start();
@@ -65,7 +67,7 @@
 }
 
 // The fleet's key and the addresses of others come from the platform's store, where there is one.
-bool node::join_fleet()
+bool node::join_fleet(std::function<bool()> is_cancelled)
 {
     if (!platform_) {
         fleet_ = {.fleet_key = settings_.fleet_key, .peers = settings_.peers};
@@ -77,7 +79,8 @@
          .config_key = platform_->config_key,
          .must_read = [this] { return must_read_config(); },
          .on_config = [this](const std::string& text) { return feed_->take(text); },
-         .on_store_heard = [this](time_point at) { members_->store_heard(at); }},
+         .on_store_heard = [this](time_point at) { members_->store_heard(at); },
+         .is_cancelled = std::move(is_cancelled)},
         settings_.store.front());
     auto joined = session_->join();
     if (!joined)
--- a/src/node.h
+++ b/src/node.h
@@ -42,9 +42,11 @@
 class node {
 public:
     /// Binds all addresses and starts; nothing if one cannot be had, which is logged.
-    /// With `platform`, waits until the store of the platform has let it join.
-    static std::unique_ptr<node> start(const node_settings& settings, incarnation run,
-                                       std::optional<platform_parts> platform = std::nullopt);
+    /// With `platform`, waits until the store of the platform has let it join, or `is_cancelled`.
+    static std::unique_ptr<node> start(
+        const node_settings& settings, incarnation run,
+        std::optional<platform_parts> platform = std::nullopt,
+        std::function<bool()> is_cancelled = [] { return false; });
     /// A planned stop: no request is cut.
     ~node();
     node(const node&) = delete;
@@ -60,7 +62,7 @@
 private:
     node(node_settings settings, incarnation run, std::optional<platform_parts> platform);
 
-    bool join_fleet();
+    bool join_fleet(std::function<bool()> is_cancelled);
     bool open_links();
     void open_gate();
     void open_entry();
--- a/src/node_main.cpp
+++ b/src/node_main.cpp
@@ -69,6 +69,14 @@
     log_event(event::settings_reloaded, "{}", path);
 }
 
+// Signals are blocked while the node starts, and a store that is away may hold that up.
+bool is_stop_pending()
+{
+    sigset_t pending;
+    sigpending(&pending);
+    return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
 int serve(const node_settings& settings, const std::string& path)
 {
     sigset_t signals;
@@ -81,7 +89,12 @@
     mallopt(M_ARENA_MAX, malloc_arenas);
     const auto it =
         node::start(settings, this_run(),
-                    settings.on_platform ? std::optional(platform::make_parts()) : std::nullopt);
+                    settings.on_platform ? std::optional(platform::make_parts()) : std::nullopt,
+                    is_stop_pending);
+    if (it == nullptr && is_stop_pending()) {
+        log_event(event::node_stopped, "{}: before it had joined", settings.vm_name);
+        return EXIT_SUCCESS;
+    }
     if (it == nullptr)
         return EXIT_FAILURE;
     const node_ports ports = it->ports();
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -56,13 +56,15 @@
     std::function<bool(const std::string&)> on_config;
     /// What was read by a call sent at this time is in force.
     std::function<void(time_point)> on_store_heard;
+    /// True once the process is to end: joining is given up.
+    std::function<bool()> is_cancelled = [] { return false; };
 };
 
 /// A session without the type of its store.
 class store_session_base {
 public:
     virtual ~store_session_base() = default;
-    /// Joins the fleet, trying again until it works; nothing after `stop`.
+    /// Joins the fleet, trying again until it works; nothing after `stop`, or once cancelled.
     virtual std::optional<joined_fleet> join() = 0;
     /// Begins to read the configuration on a thread of its own. After `join`.
     virtual void start() = 0;
@@ -89,8 +91,7 @@
                 log_event(event::store_joined, "peers={}", out->peers.size());
                 return out;
             }
-            std::unique_lock lock(mutex_);
-            if (wake_.wait_for(lock, wait, [this] { return stopping_; }))
+            if (!wait_to_retry(boot_now() + wait))
                 return std::nullopt;
             wait = std::min(wait * 2, options_.read_interval * 4);
         }
@@ -120,6 +121,16 @@
     }
 
 private:
+    // False when joining is to be given up.
+    bool wait_to_retry(time_point until)
+    {
+        constexpr duration longest_step = std::chrono::milliseconds(100);
+        std::unique_lock lock(mutex_);
+        while (!stopping_ && !options_.is_cancelled() && boot_now() < until)
+            wake_.wait_for(lock, std::min(until - boot_now(), longest_step));
+        return !stopping_ && !options_.is_cancelled();
+    }
+
     static std::string random_key()
     {
         std::array<unsigned char, 24> bytes{};
