The gates of nodes that stop are not taken for a sign of being cut off

What callers saw, in the test: a request that could have waited for a slot was refused no_backend_server after 0.3 ms, because three nodes that were being stopped had not answered before.

Cause: an entry that finds three gates silent holds itself for cut off. A node that has told that it leaves is expected to fall silent.

Change: such a gate is not counted and not probed; it gets nothing more in that run, as after a refusal for stopping.

Evidence: entry.nodes_that_stop_are_not_taken_for_a_sign_that_this_one_is_cut_off failed before (503, three reports of failed gates) and passes now.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -30,7 +30,8 @@
 // Several round trips between failure domains and the pauses of a busy VM, and a small part of what
 // a caller waits.
 constexpr duration gate_patience = std::chrono::milliseconds(150);
-// After so many gates without an answer it is this node that is cut off.
+// After so many gates without an answer it is this node that is cut off. Those of nodes that are
+// being stopped are expected to fall silent.
 constexpr std::size_t most_silent_gates = 3;
 // A retry that all nodes share is asked of another node for at most this long.
 constexpr duration shared_retry_patience = std::chrono::milliseconds(60);
@@ -420,7 +421,7 @@
         if (!choice)
             break;
         if (!is_gate_there(request, *choice)) {
-            ++progress.silent_gates;
+            progress.silent_gates += choice->is_leaving ? 0 : 1;
             progress.search.refused(choice->server, refusal::no_backend_server);
             continue;
         }
@@ -501,7 +502,7 @@
             return true;
     }
     const bool answers = gate_answers(links_, choice.gate_link, gate_patience);
-    if (!answers)
+    if (!answers && !choice.is_leaving)
         options_.on_gate_failed(choice.gate);
     const std::lock_guard lock(mutex_);
     const time_point now = boot_now();
@@ -510,7 +511,10 @@
         return true;
     }
     router_.finished(choice.server, std::nullopt, now);
-    router_.gate_failed(choice.gate, now);
+    if (choice.is_leaving)
+        router_.gate_closed(choice.gate, choice.gate_run);
+    else
+        router_.gate_failed(choice.gate, now);
     return false;
 }
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -31,11 +31,11 @@
             if (it.draining || it.standing == server_standing::held_out)
                 continue;
             auto& candidates = (member.leaving ? leaving : services)[it.service];
-            candidates.push_back({.choice = {it.id, member.vm, member.run, member.link},
-                                  .domain = member.domain,
-                                  .slots = std::max<std::uint32_t>(it.slots, 1),
-                                  .standing = it.standing,
-                                  .is_leaving = member.leaving});
+            candidates.push_back(
+                {.choice = {it.id, member.vm, member.run, member.link, member.leaving},
+                 .domain = member.domain,
+                 .slots = std::max<std::uint32_t>(it.slots, 1),
+                 .standing = it.standing});
         }
     }
     for (auto& [service, candidates] : services)
@@ -89,7 +89,7 @@
     if (it.domain != options_.domain)
         out += options_.other_domain_penalty +
                options_.other_domain_penalty_per_mb * static_cast<double>(bytes) / 1e6;
-    if (it.is_leaving)
+    if (it.choice.is_leaving)
         out += options_.leaving_penalty;
     if (it.standing == server_standing::demoted)
         out += demoted_penalty;
@@ -108,7 +108,8 @@
     if (unreachable_gates_.contains(it.choice.gate))
         return false;
     const auto closed = closed_gates_.find(it.choice.gate);
-    if (it.is_leaving && closed != closed_gates_.end() && closed->second == it.choice.gate_run)
+    if (it.choice.is_leaving && closed != closed_gates_.end() &&
+        closed->second == it.choice.gate_run)
         return false;
     const auto paused = paused_gates_.find(it.choice.gate);
     return paused == paused_gates_.end() || paused->second <= now;
--- a/src/router.h
+++ b/src/router.h
@@ -43,6 +43,7 @@
     vm_id gate;
     incarnation gate_run;
     endpoint gate_link;
+    bool is_leaving = false; ///< the gate's node is being stopped
 };
 
 /// One node's view of the backend servers. Not thread-safe.
@@ -79,7 +80,6 @@
         failure_domain_id domain;
         std::uint32_t slots = 1;
         server_standing standing = server_standing::serving;
-        bool is_leaving = false; // its node is being stopped
     };
     struct server_state {
         std::uint32_t in_flight = 0;
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -41,6 +41,7 @@
 struct rig_layout {
     std::size_t gates = 1;
     std::size_t servers = 2;
+    std::size_t gone = 0; ///< nodes that are leaving and do not answer any more, a server each
 };
 
 constexpr std::uint64_t first_server = 5;
@@ -90,7 +91,21 @@
         entry_ = std::make_unique<entry>(std::move(options), *links_,
                                          router_options{.self = {2}, .domain = {1}});
         entry_->set_config(configuration());
-        entry_->set_directory(directory_of(gates_, layout.servers));
+        member_directory directory = directory_of(gates_, layout.servers);
+        for (std::size_t n = 0; n < layout.gone; ++n) {
+            directory.merge({.vm = {100 + n},
+                             .name = "gone",
+                             .run = {1},
+                             .version = 1,
+                             .link = {.host = "127.0.0.1", .port = 1},
+                             .domain = {1},
+                             .leaving = true,
+                             .servers = {{.id = {100 + n},
+                                          .service = id_of<service_id>("web"),
+                                          .address = {"127.0.0.1", 1},
+                                          .slots = 4}}});
+        }
+        entry_->set_directory(directory);
     }
     ~entry_rig()
     {
@@ -495,3 +510,19 @@
     EXPECT_EQ(res.status, 200);
     EXPECT_EQ(res.get_header_value("x-mark"), "first");
 }
+
+// The one server has no free slot at first; the request may wait for one there.
+TEST(entry, nodes_that_stop_are_not_taken_for_a_sign_that_this_one_is_cut_off)
+{
+    std::atomic<int> failures = 0;
+    entry_rig rig(
+        [](const dispatch& it, const std::shared_ptr<link_stream>& stream) {
+            if (it.may_wait)
+                answer(*stream, 200, "");
+            else
+                refuse(*stream, refusal::overloaded);
+        },
+        {.on_gate_failed = [&](vm_id) { ++failures; }}, {.servers = 1, .gone = 6});
+    EXPECT_EQ(rig.send("GET").status, 200);
+    EXPECT_EQ(failures, 0);
+}
