A body that its gate does not take yet is waited for like an answer

What callers saw, in the test: at a node that stops, a request with a body of 400 KB that waits for a slot at another node's gate ended with a closed connection after 3.17 s of a grace of 3 s; one of 1000 bytes was told unknown. Found by review of the schedule of stops.

Cause: a link's stream takes 256 KiB and a window of 32 KiB without a reader. The entry waited for more room with the deadline that held when the write began, and looked for neither the stop nor its caller meanwhile.

Change: write_body writes what there is room for and looks for both in between; uploads that are streamed use it, too.

--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -157,11 +157,26 @@
     return own->answered.value_or(false);
 }
 
-bool pump_body(const httplib::ContentReader& reader, link_stream& stream, duration timeout)
+bool write_body(link_stream& stream, std::span<const char> bytes, const answer_limit& limit)
+{
+    while (!bytes.empty()) {
+        const time_point step = std::min(limit.until(), boot_now() + caller_check_interval);
+        const auto n = stream.write_some(bytes, step);
+        if (failed(n))
+            return false;
+        if (value_of(n) == 0 && (boot_now() >= limit.until() || socket_server::peer_left()))
+            return false;
+        bytes = bytes.subspan(value_of(n));
+    }
+    return true;
+}
+
+bool pump_body(const httplib::ContentReader& reader, link_stream& stream, duration timeout,
+               const stop_clock& stop)
 {
     bool gate_left = false;
     const bool whole = reader([&](const char* data, std::size_t n) {
-        gate_left = failed(stream.write({data, n}, boot_now() + timeout));
+        gate_left = !write_body(stream, {data, n}, answer_limit(boot_now() + timeout, stop));
         return !gate_left;
     });
     if (whole)
--- a/src/dispatch_attempt.h
+++ b/src/dispatch_attempt.h
@@ -14,6 +14,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace jasminebank {
@@ -61,8 +62,13 @@
 /// off a moment ago are not known to be lost.
 bool gate_answers(link_hub& links, const endpoint& link, duration patience);
 
+/// Writes a whole body; false when the gate or the caller left, or the limit has come. Looks for
+/// them while it waits for the gate to take more.
+bool write_body(link_stream& stream, std::span<const char> bytes, const answer_limit& limit);
+
 /// Streams the caller's body. False when the caller broke it off or the gate takes no more; the
 /// gate's answer, if there is one, tells which.
-bool pump_body(const httplib::ContentReader& reader, link_stream& stream, duration timeout);
+bool pump_body(const httplib::ContentReader& reader, link_stream& stream, duration timeout,
+               const stop_clock& stop);
 
 } // namespace jasminebank
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -478,10 +478,10 @@
     dispatch_attempt it{.choice = choice, .start = boot_now(), .body_consumed = is_streamed};
     it.stream = links_.open(choice.gate_link, std::move(head), place.body.empty() && !is_streamed);
     if (!place.body.empty()) {
-        if (!failed(it.stream->write(place.body, limit.until())))
+        if (write_body(*it.stream, place.body, limit))
             it.stream->finish();
     }
-    if (is_streamed && !pump_body(*place.reader, *it.stream, request.service->timeout)) {
+    if (is_streamed && !pump_body(*place.reader, *it.stream, request.service->timeout, stop_)) {
         it.caller_left = true;
         it.refused = {.reason = broken_body(request), .state = run_state::unknown};
     }
--- a/src/link_stream.cpp
+++ b/src/link_stream.cpp
@@ -52,24 +52,36 @@
     return *it.error_;
 }
 
-result<ok, link_error> link_stream::write(std::span<const char> bytes, time_point deadline)
+result<std::size_t, link_error> link_stream::write_some(std::span<const char> bytes,
+                                                        time_point until)
 {
     stream_state& it = *state_;
     std::unique_lock lock(it.mutex_);
+    const std::size_t limit = it.limits_.buffer_bytes;
+    const bool is_ready = wait(
+        lock, until, [&] { return it.is_over() || it.is_out_ended_ || it.out_.size() < limit; });
+    if (it.is_over() || it.is_out_ended_)
+        return it.error_.value_or(already_ended);
+    if (!is_ready)
+        return std::size_t{0};
+    const std::size_t n = std::min(bytes.size(), limit - it.out_.size());
+    it.out_.push(bytes.first(n));
+    it.has_output_ = true;
+    it.mark_locked();
+    return n;
+}
+
+result<ok, link_error> link_stream::write(std::span<const char> bytes, time_point deadline)
+{
     while (!bytes.empty()) {
-        const std::size_t limit = it.limits_.buffer_bytes;
-        const bool is_ready = wait(lock, deadline, [&] {
-            return it.is_over() || it.is_out_ended_ || it.out_.size() < limit;
-        });
-        if (it.is_over() || it.is_out_ended_)
-            return it.error_.value_or(already_ended);
-        if (!is_ready)
+        const auto n = write_some(bytes, deadline);
+        if (failed(n))
+            return error_of(n);
+        if (value_of(n) == 0) {
+            const std::lock_guard lock(state_->mutex_);
             return deadline_error();
-        const std::size_t n = std::min(bytes.size(), limit - it.out_.size());
-        it.out_.push(bytes.first(n));
-        it.has_output_ = true;
-        it.mark_locked();
-        bytes = bytes.subspan(n);
+        }
+        bytes = bytes.subspan(value_of(n));
     }
     return ok{};
 }
--- a/src/link_stream.h
+++ b/src/link_stream.h
@@ -32,6 +32,8 @@
 
     /// Queues all of `bytes` for the peer, waiting while the stream's buffer is full.
     result<ok, link_error> write(std::span<const char> bytes, time_point deadline);
+    /// Writes as much as there is room for; 0 when there was none until `until`. Withdraws nothing.
+    result<std::size_t, link_error> write_some(std::span<const char> bytes, time_point until);
     /// A literal would be sent with its final zero byte; pass a std::string_view.
     result<ok, link_error> write(const char* text, time_point deadline) = delete;
     /// Ends this side's body.
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -627,3 +627,34 @@
     expect_accounted(fleet, gets, true, hanging);
     expect_accounted(fleet, posts, false, hanging);
 }
+
+TEST(process_stop, a_large_body_that_waits_at_another_nodes_gate_is_told_before_the_kill)
+{
+    process_fleet fleet(
+        {.services = {{.name = "lids", .timeout = "30s", .target = "20s"},
+                      {.name = "orders", .method = "POST", .timeout = "30s", .target = "20s"}},
+         .node_lines = stop_lines,
+         .slots = 2});
+    fleet.keep_only(1, 1);
+    open_requests running(fleet);
+    running.send(2, 1, "/orders/x?ms=6000", "POST");
+    ASSERT_TRUE(wait_until([&] { return fleet.running(fleet.backend(1, 1)) == 2; }));
+    caller_connection small(fleet.callers(0));
+    caller_connection large(fleet.callers(0));
+    const std::string small_body(1000, 'a');
+    const std::string large_body(400'000, 'a'); // more than a link's buffer and window hold
+    const std::string small_id = small.send_head("POST", "/orders/x", small_body.size());
+    small.send_bytes(small_body);
+    const std::string large_id = large.send_head("POST", "/orders/x", large_body.size());
+    large.send_bytes(large_body);
+    auto small_answer =
+        std::async(std::launch::async, [&] { return small.read_answer(small_id, small_body); });
+    auto large_answer =
+        std::async(std::launch::async, [&] { return large.read_answer(large_id, large_body); });
+    ASSERT_TRUE(wait_until([&] { return fleet.waiting(1) == 2; }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    for (const exchange& it : {small_answer.get(), large_answer.get()})
+        EXPECT_TRUE(it.kind == answer_kind::unknown || it.kind == answer_kind::refused)
+            << describe(it);
+    running.read_answers();
+}
