A request's cancellation is listened for before a worker can start it

Found by review: gate::accept set the listener of a waiting request after it had let go of the lock. A request that another one's end had started meanwhile then lost its worker's listener: its server worked on after the caller had left, and a stop waited for it. By reading; the window is too short for a test that does not depend on the scheduler.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -296,6 +296,12 @@
     bool trial_due = false;
     server_load at;
     request_id id;
+    {
+        const std::lock_guard lock(mutex_);
+        id = request_id{next_request_++};
+    }
+    // Before another thread can start the request, whose worker listens for itself from then on.
+    stream->on_cancel([this, id] { cancel(id); });
     {
         const std::lock_guard lock(mutex_);
         reason = check(*request, now);
@@ -305,7 +311,6 @@
             trial_due = reason == refusal::suspect && it->second.stalls.is_trial_due(now);
         }
         if (!reason) {
-            id = request_id{next_request_++};
             const time_point deadline = now + request->time_left;
             pending_.emplace(id, pending_request{.stream = stream,
                                                  .request = *request,
@@ -329,10 +334,7 @@
         note_refused(*stream, at, name_of(*reason), duration::zero());
         return;
     }
-    const bool waits = out.started.empty() && out.refused.empty();
     perform(out);
-    if (waits)
-        stream->on_cancel([this, id] { cancel(id); });
 }
 
 // The caller of a waiting request left. One that has got its slot meanwhile is ended by its worker.
