The members' socket outlives their stop

Found by review: step() looks at the socket under the lock and perform() uses it after it; stop() destroyed it in between. The store's session, the control door and the links may still bring news then, the first since a planned stop leaves the store last; the process would have ended by a signal after its last answer. The socket now goes with the object.

--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -27,8 +27,10 @@
 member_service::~member_service()
 {
     stop();
+    socket_.reset();
 }
 
+// The socket stays until the end: other threads may be about to send.
 void member_service::stop()
 {
     {
@@ -40,7 +42,6 @@
     wake_.notify_all();
     if (thread_.joinable())
         thread_.join();
-    socket_.reset();
 }
 
 // Decides under the lock and acts without it.
