The end of a stop is bounded at every door

Found by review, with trials on one door: a status connection whose peer does not close held the end of a stop for 0.5 s, one byte of a head for 10.4 s, one door after the other; a caller's connection accepted just as the last one ended was never cut and could hold it for as long. The last answers were out by then, so the kill cost no caller anything, but the process did not end by itself.

Change: all doors close at once, are waited for until the end of the grace, and cut; a door that has been cut takes no more connections.

Evidence: the tests of planned stops pass as before; no test of its own.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace jasminebank {
 
@@ -590,17 +591,17 @@
         callers_->close_idle();
     links_->drain();
     const bool is_answered = callers_ == nullptr || callers_->wait_closed(plan.cut);
-    if (!is_answered)
+    if (callers_ != nullptr)
         callers_->cut_all();
     const bool is_idle = links_->wait_idle(plan.cut);
     log_event(event::node_drained, "callers_answered={} links_idle={} ms={:.0f} ms_left={:.0f}",
               is_answered, is_idle, as_milliseconds(boot_now() - now),
               as_milliseconds(plan.end - boot_now()));
-    stop_parts(std::min(boot_now() + release_grace, plan.end));
+    stop_parts(plan);
 }
 
 // The links end before the threads that wait for them are joined.
-void node::stop_parts(time_point released_by)
+void node::stop_parts(const stop_schedule& plan)
 {
     {
         const std::lock_guard lock(mutex_);
@@ -612,7 +613,7 @@
     if (delegations_ != nullptr)
         delegations_->stop();
     if (mandates_ != nullptr)
-        mandates_->stop(released_by);
+        mandates_->stop(std::min(boot_now() + release_grace, plan.end));
     limits_->stop();
     if (members_ != nullptr)
         members_->stop();
@@ -622,12 +623,26 @@
         callers_->join();
     gate_->stop();
     follower_.reset();
-    for (socket_server* it : {control_.get(), metrics_door_.get(), ready_door_.get()}) {
-        if (it != nullptr)
-            it->stop_gently();
-    }
+    close_other_doors(plan.end);
     if (session_ != nullptr)
         session_->leave();
 }
 
+// Those who ask for the status keep their connections open.
+void node::close_other_doors(time_point deadline)
+{
+    const std::array doors{control_.get(), metrics_door_.get(), ready_door_.get()};
+    for (socket_server* it : doors) {
+        if (it != nullptr)
+            it->close_idle();
+    }
+    for (socket_server* it : doors) {
+        if (it == nullptr)
+            continue;
+        it->wait_closed(deadline);
+        it->cut_all();
+        it->join();
+    }
+}
+
 } // namespace jasminebank
--- a/src/node.h
+++ b/src/node.h
@@ -91,7 +91,8 @@
     std::optional<std::string> answer_control(const control_request& request);
     void publish_servers();
     void run_ticks();
-    void stop_parts(time_point released_by);
+    void stop_parts(const stop_schedule& plan);
+    void close_other_doors(time_point deadline);
 
     node_settings settings_;
     const incarnation run_;
--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -153,6 +153,7 @@
     stopping_ = true;
     stop_listening();
     const std::lock_guard lock(mutex_);
+    is_cut_ = true;
     for (const socket_t it : connections_)
         shutdown(it, SHUT_RDWR);
 }
@@ -209,7 +210,7 @@
 bool socket_server::add_connection(socket_t sock)
 {
     const std::lock_guard lock(mutex_);
-    if (connections_.size() >= options_.connections)
+    if (is_cut_ || connections_.size() >= options_.connections)
         return false;
     connections_.insert(sock);
     return true;
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -94,6 +94,7 @@
     mutable std::mutex mutex_;
     std::condition_variable ended_;
     std::unordered_set<socket_t> connections_;
+    bool is_cut_ = false; ///< new connections are refused
 };
 
 } // namespace jasminebank
