A caller that closes after a half-close is found to have left

A full send buffer counted as a caller that left, and a part of the interim response would have spoiled the final one.

Change: each second look writes an interim response, the next one sees whether the peer has gone; a full buffer says nothing; a part that was sent ends the connection.

Evidence: socket_server.a_peer_that_closes_after_its_half_close_is_found_to_have_ left and .a_peer_that_goes_on_reading_after_its_half_close_is_there.

--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <limits>
 #include <string_view>
 #include <utility>
@@ -28,9 +29,12 @@
 thread_local socket_t current_socket = INVALID_SOCKET;
 thread_local socket_stream* current_stream = nullptr;
 thread_local bool current_ends = false;
-// Of this thread's request: whether an interim response may come before the final one, and has.
+// Of this thread's request: whether an interim response may come before the final one, and how
+// often its peer was looked for after a FIN.
 thread_local bool current_takes_interim = false;
-thread_local bool current_is_probed = false;
+thread_local unsigned current_looks = 0;
+// The look after a probe finds its effect; a peer may close long after its FIN.
+constexpr unsigned looks_for_a_probe = 2;
 constexpr std::string_view interim_response = "HTTP/1.1 102 Processing\r\n\r\n";
 
 // Closing a socket with unread bytes makes the kernel discard the answer that is still on its way.
@@ -178,10 +182,15 @@
         return false;
     if ((it.revents & (POLLERR | POLLHUP)) != 0 || !current_takes_interim)
         return true;
-    if (!std::exchange(current_is_probed, true))
-        return send(current_socket, interim_response.data(), interim_response.size(),
-                    MSG_NOSIGNAL | MSG_DONTWAIT) < 0;
-    return false;
+    if (current_looks++ % looks_for_a_probe != 0)
+        return false;
+    const ssize_t n = send(current_socket, interim_response.data(), interim_response.size(),
+                           MSG_NOSIGNAL | MSG_DONTWAIT);
+    const bool is_full = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (is_full || n == static_cast<ssize_t>(interim_response.size()))
+        return false;
+    cut_current(); // a part of a response would spoil the next one
+    return true;
 }
 
 bool socket_server::wait_for_peer_to_leave(duration time)
@@ -276,7 +285,7 @@
                           options_.head_bytes);
         closed = stopping_;
         current_ends = false;
-        current_is_probed = false;
+        current_looks = 0;
         const bool good = process_request(stream, closed, closed, prepare);
         if (!good || current_ends)
             return;
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -63,9 +63,9 @@
     endpoint address() const;
     /// Open connections.
     std::size_t open_connections() const;
-    /// True once the peer of this thread's request has closed its connection. The first call after
-    /// a FIN only asks, with an interim response: a peer that ended its sending side alone is still
-    /// there. Not once the final response has begun.
+    /// True once the peer of this thread's request has closed its connection. After a FIN each
+    /// second call only asks, with an interim response, and the next one tells: a peer that ended
+    /// its sending side alone is still there. Not once the final response has begun.
     static bool peer_left();
     /// Waits for `time`, or less when the peer leaves; true when it left.
     static bool wait_for_peer_to_leave(duration time);
--- a/tests/socket_server_test.cpp
+++ b/tests/socket_server_test.cpp
@@ -7,6 +7,8 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -15,8 +17,7 @@
 
 namespace {
 
-// Sends all of `text` on a new connection and returns what comes until the server ends it.
-std::string exchange(const endpoint& to, const std::string& text)
+int connect_to(const endpoint& to)
 {
     const int sock = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
@@ -24,6 +25,13 @@
     address.sin_port = htons(to.port);
     inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
     EXPECT_EQ(connect(sock, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
+    return sock;
+}
+
+// Sends all of `text` on a new connection and returns what comes until the server ends it.
+std::string exchange(const endpoint& to, const std::string& text)
+{
+    const int sock = connect_to(to);
     EXPECT_EQ(send(sock, text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
     std::string out;
     std::array<char, 4096> buf{};
@@ -61,4 +69,50 @@
                                    "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
     stop.join();
     EXPECT_NE(answers.find("caller waits"), std::string::npos) << answers;
+    // Nothing made the server doubt that its peer is there.
+    EXPECT_EQ(answers.find("102 Processing"), std::string::npos) << answers;
+}
+
+namespace {
+
+// Whether the server finds, within some looks, that the peer of a long request has left. `leave`
+// gets the socket after the request and a first interim response.
+bool finds_that_peer_left(const std::function<void(int)>& leave)
+{
+    constexpr int looks = 20;
+    socket_server server({.listen = {.host = "127.0.0.1", .port = 0}});
+    std::promise<bool> found;
+    server.Get("/long", [&](const httplib::Request&, httplib::Response&) {
+        bool left = false;
+        for (int n = 0; n < looks && !left; ++n) {
+            std::this_thread::sleep_for(20ms);
+            left = socket_server::peer_left();
+        }
+        found.set_value(left);
+    });
+    EXPECT_TRUE(server.start());
+    const int sock = connect_to(server.address());
+    const std::string text = "GET /long HTTP/1.1\r\nHost: a\r\n\r\n";
+    EXPECT_EQ(send(sock, text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
+    shutdown(sock, SHUT_WR);
+    std::array<char, 256> buf{};
+    EXPECT_GT(recv(sock, buf.data(), buf.size(), 0), 0);
+    leave(sock);
+    const bool out = found.get_future().get();
+    server.stop_gently();
+    return out;
+}
+
+} // namespace
+
+TEST(socket_server, a_peer_that_closes_after_its_half_close_is_found_to_have_left)
+{
+    EXPECT_TRUE(finds_that_peer_left([](int sock) { close(sock); }));
+}
+
+TEST(socket_server, a_peer_that_goes_on_reading_after_its_half_close_is_there)
+{
+    int kept = -1;
+    EXPECT_FALSE(finds_that_peer_left([&](int sock) { kept = sock; }));
+    close(kept);
 }
