An answer at the end of a stop is told as stopping, also when the gate was first

Found by review: a stopping node tells gates its last answers as the deadline, and a gate mostly comes to it a few milliseconds before the entry; the request was then logged as a deadline that passed, which the log is to tell apart.

Change: where the stop comes before the deadline, an open outcome at its end has the reason stopping. The status stays an open one. The tests of stops gain a lower bound: what runs has five sixths of the grace, and a request that ends late in it gets its server's answer.

Left: the gate still counts such a request as hung at its server.

--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -135,6 +135,10 @@
     take_head(it, it.stream->read_head(boot_now()), limit);
     if (it.answer)
         read_small_answer(it, ahead_bytes, limit);
+    // The gate was told of the limit, and may have come to it first.
+    const bool is_over = it.refused && it.refused->reason == refusal::deadline;
+    if (is_over && it.refused->state != run_state::not_run && limit.is_by_stop())
+        it.refused->reason = refusal::stopping;
 }
 
 bool gate_answers(link_hub& links, const endpoint& link, duration patience)
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -436,6 +436,21 @@
     EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
     const std::vector<exchange> all = open.read_answers();
     EXPECT_EQ(count(all, answer_kind::unknown), all.size()) << describe(all);
+    // Servers that are at work have most of the grace to end in.
+    for (const exchange& it : all)
+        EXPECT_GE(it.waited, stop_grace * 5 / 6) << describe(all);
+}
+
+TEST(process_stop, a_request_that_ends_late_in_the_grace_gets_its_servers_answer)
+{
+    process_fleet fleet(options_with("30s"));
+    open_requests open(fleet);
+    open.send(2, 0, "/lids/x?ms=2200");
+    open.send(2, 0, "/orders/x?ms=2200", "POST");
+    ASSERT_TRUE(wait_until([&] { return running_in(fleet) == 4; }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    const std::vector<exchange> all = open.read_answers();
+    EXPECT_EQ(count(all, answer_kind::ok), all.size()) << describe(all);
 }
 
 TEST(process_stop, callers_that_send_slowly_hold_no_stop_up)
