--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -436,6 +436,21 @@
     EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
     const std::vector<exchange> all = open.read_answers();
     EXPECT_EQ(count(all, answer_kind::unknown), all.size()) << describe(all);
+    // Servers that are at work have most of the grace to end in.
+    for (const exchange& it : all)
+        EXPECT_GE(it.waited, stop_grace * 5 / 6) << describe(all);
+}
+
+TEST(process_stop, a_request_that_ends_late_in_the_grace_gets_its_servers_answer)
+{
+    process_fleet fleet(options_with("30s"));
+    open_requests open(fleet);
+    open.send(2, 0, "/lids/x?ms=2200");
+    open.send(2, 0, "/orders/x?ms=2200", "POST");
+    ASSERT_TRUE(wait_until([&] { return running_in(fleet) == 4; }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    const std::vector<exchange> all = open.read_answers();
+    EXPECT_EQ(count(all, answer_kind::ok), all.size()) << describe(all);
 }
 
 TEST(process_stop, callers_that_send_slowly_hold_no_stop_up)
@@ -627,3 +642,34 @@
     expect_accounted(fleet, gets, true, hanging);
     expect_accounted(fleet, posts, false, hanging);
 }
+
+TEST(process_stop, a_large_body_that_waits_at_another_nodes_gate_is_told_before_the_kill)
+{
+    process_fleet fleet(
+        {.services = {{.name = "lids", .timeout = "30s", .target = "20s"},
+                      {.name = "orders", .method = "POST", .timeout = "30s", .target = "20s"}},
+         .node_lines = stop_lines,
+         .slots = 2});
+    fleet.keep_only(1, 1);
+    open_requests running(fleet);
+    running.send(2, 1, "/orders/x?ms=6000", "POST");
+    ASSERT_TRUE(wait_until([&] { return fleet.running(fleet.backend(1, 1)) == 2; }));
+    caller_connection small(fleet.callers(0));
+    caller_connection large(fleet.callers(0));
+    const std::string small_body(1000, 'a');
+    const std::string large_body(400'000, 'a'); // more than a link's buffer and window hold
+    const std::string small_id = small.send_head("POST", "/orders/x", small_body.size());
+    small.send_bytes(small_body);
+    const std::string large_id = large.send_head("POST", "/orders/x", large_body.size());
+    large.send_bytes(large_body);
+    auto small_answer =
+        std::async(std::launch::async, [&] { return small.read_answer(small_id, small_body); });
+    auto large_answer =
+        std::async(std::launch::async, [&] { return large.read_answer(large_id, large_body); });
+    ASSERT_TRUE(wait_until([&] { return fleet.waiting(1) == 2; }));
+    EXPECT_EQ(fleet.stop_or_kill(0, kill_after), 0);
+    for (const exchange& it : {small_answer.get(), large_answer.get()})
+        EXPECT_TRUE(it.kind == answer_kind::unknown || it.kind == answer_kind::refused)
+            << describe(it);
+    running.read_answers();
+}
