Query other gates only where the detector's verdicts are acted upon

Cause: on the platform a gate's verdicts are neither stored nor published, yet each suspicion still queried all gates of the service, every answer with its statistics. Change: health_options::queries_peers, false on a platform.

--- a/src/health_service.cpp
+++ b/src/health_service.cpp
@@ -194,6 +194,8 @@
 void health_service::poll(service_state& state, const peer_query& query, time_point now)
 {
     state.next_poll = now + poll_interval;
+    if (!options_.queries_peers)
+        return;
     const service_id service = query.service;
     const std::string query_text = encode_health_query(query);
     for (const peer_gate& gate : state.gates) {
--- a/src/health_service.h
+++ b/src/health_service.h
@@ -34,6 +34,8 @@
     vm_id self;
     incarnation run;
     std::vector<endpoint> store;
+    /// False where verdicts are not acted upon: the other gates of a service are then not queried.
+    bool queries_peers = true;
     /// Called when the standing of a backend server changes, on the service's tick thread.
     std::function<void(backend_server_id, server_standing)> on_standing_changed;
 };
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -122,6 +122,7 @@
         health_options{.self = id_of<vm_id>(settings_.vm_name),
                        .run = run_,
                        .store = platform_ ? std::vector<endpoint>{} : settings_.store,
+                       .queries_peers = !platform_,
                        .on_standing_changed =
                            [this](backend_server_id server, server_standing standing) {
                                // On a platform, a gate's verdicts (server_standing) are valid only
