Few contacts between failure domains for membership

Cause: every node pinged all others and sent each change to three random ones, so two thirds of these datagrams crossed between three domains, four fifths between five; and a round of pings, which removing a dead member needs, lasted 18 s with 92 members. Change: domain_contacts assigns each member of another domain to three pingers of the own one; a change crosses from the node where it began to one member of each other domain, and once more on average. Whether half of the fleet answers is judged by domain, so that a domain that is cut off removes nobody. Only on a platform. Ruled out: pinging no other domain (a node could not tell that it is cut off).

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership.h"
 
+#include "domain_contacts.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -53,17 +55,23 @@
     send(target.link, make_heartbeat(heartbeat_kind::ping, sequence, now), out);
 }
 
+// Outcomes of members that this node pings no longer are dropped, as they would stay what they are.
+void membership::choose_round_targets()
+{
+    round_targets_ = ping_targets(directory_.members(), self_, options_.pingers_per_remote_member);
+    if (options_.pingers_per_remote_member > 0)
+        std::erase_if(peers_, [this](const auto& it) {
+            return std::ranges::find(round_targets_, it.first) == round_targets_.end();
+        });
+    std::shuffle(round_targets_.begin(), round_targets_.end(), random_);
+}
+
 // Pings the next member of a shuffled round. Every member is pinged once per round, so a failed one
 // is detected within a bounded time, which independent random choices would not ensure.
 void membership::ping_next(time_point now, membership_actions& out)
 {
-    if (round_targets_.empty()) {
-        for (const member_record& it : directory_.members()) {
-            if (it.vm != self_.vm)
-                round_targets_.push_back(it.vm);
-        }
-        std::shuffle(round_targets_.begin(), round_targets_.end(), random_);
-    }
+    if (round_targets_.empty())
+        choose_round_targets();
     while (!round_targets_.empty()) {
         const member_record* it = directory_.find(round_targets_.back());
         round_targets_.pop_back();
@@ -195,7 +203,7 @@
         return;
     self_.version = version + 1;
     directory_.merge(self_);
-    gossip({self_}, now, out);
+    gossip({self_}, true, now, out);
 }
 
 void membership::process_suspects(const heartbeat& it, time_point now, membership_actions& out)
@@ -211,11 +219,12 @@
 // Sends the records to a few random members at once. Members that gossip misses get them in an
 // exchange, when they see a differing digest. Without records only the generation and the
 // suspicions are sent.
-void membership::gossip(std::vector<member_record> records, time_point now, membership_actions& out)
+void membership::gossip(std::vector<member_record> records, bool is_origin, time_point now,
+                        membership_actions& out)
 {
     std::erase_if(records,
                   [](const member_record& it) { return it.servers.size() > max_gossip_servers; });
-    for (const member_record* to : random_members(options_.gossip_fanout)) {
+    for (const member_record* to : gossip_targets(is_origin)) {
         for (const member_record& it : records) {
             heartbeat body = make_heartbeat(heartbeat_kind::gossip, 0, now);
             body.records.push_back(it);
@@ -242,7 +251,7 @@
     if (updated.empty())
         return;
     out.emplace_back(directory_changed{});
-    gossip(std::move(updated), now, out);
+    gossip(std::move(updated), false, now, out);
 }
 
 // An ack to a ping that another node requested is passed on to that node, without the store age. An
@@ -370,7 +379,7 @@
     ++self_.version;
     directory_.merge(self_);
     out.emplace_back(directory_changed{});
-    gossip({self_}, now, out);
+    gossip({self_}, true, now, out);
     return out;
 }
 
@@ -394,7 +403,7 @@
     if (generation == generation_)
         return out;
     generation_ = generation;
-    gossip({}, now, out);
+    gossip({}, false, now, out);
     return out;
 }
 
@@ -423,9 +432,42 @@
     return out;
 }
 
+// Only some members of other domains are pinged, so the outcomes of each domain stand for all of
+// its members. A domain of which nobody has been pinged yet says nothing.
+reachability membership::reachability_by_domain() const
+{
+    struct domain_count {
+        std::size_t members = 0;
+        std::size_t pinged = 0;
+        std::size_t answered = 0;
+    };
+    std::map<failure_domain_id, domain_count> domains;
+    for (const member_record& it : directory_.members()) {
+        if (it.vm == self_.vm)
+            continue;
+        domain_count& domain = domains[it.domain];
+        ++domain.members;
+        const auto peer = peers_.find(it.vm);
+        if (peer == peers_.end())
+            continue;
+        ++domain.pinged;
+        domain.answered += peer->second.answered || !peer->second.has_outcome ? 1 : 0;
+    }
+    reachability out;
+    for (const auto& [id, it] : domains) {
+        if (it.pinged == 0)
+            continue;
+        out.pinged += it.members;
+        out.answered += it.members * it.answered / it.pinged;
+    }
+    return out;
+}
+
 // A member without a ping outcome counts as answered: it has just joined.
 reachability membership::overall_reachability() const
 {
+    if (options_.pingers_per_remote_member > 0)
+        return reachability_by_domain();
     reachability out;
     for (const auto& [vm, it] : peers_) {
         ++out.pinged;
@@ -483,6 +525,24 @@
     return higher_ranked < count;
 }
 
+// In the own domain a change spreads from node to node. The node where it began sends it to each
+// other domain, and so does about one of those that pass it on, in case the first message is lost.
+std::vector<const member_record*> membership::gossip_targets(bool is_origin)
+{
+    if (options_.pingers_per_remote_member == 0)
+        return random_members(options_.gossip_fanout);
+    const std::uint64_t random = random_();
+    std::vector<const member_record*> out =
+        random_domain_members(directory_.members(), self_, options_.gossip_fanout, random);
+    const std::size_t own_domain = domain_size(directory_.members(), self_.domain);
+    if (is_origin || mix(random, own_domain) % std::max<std::size_t>(own_domain, 1) == 0) {
+        for (const member_record* it :
+             one_member_of_each_other_domain(directory_.members(), self_, random))
+            out.push_back(it);
+    }
+    return out;
+}
+
 std::vector<const member_record*> membership::random_members(std::size_t count)
 {
     std::vector<const member_record*> out;
--- a/src/membership.h
+++ b/src/membership.h
@@ -41,6 +41,9 @@
     duration join_interval = std::chrono::milliseconds(150); ///< of pings to seeds, of exchanges
     std::size_t relay_count = 3;   ///< nodes requested to ping an unresponsive one
     std::size_t gossip_fanout = 3; ///< nodes to which a change is sent immediately
+    /// Each member of another failure domain is pinged by this many nodes of the own domain instead
+    /// of all, and changes cross between domains on few ways. 0: domains make no difference.
+    std::size_t pingers_per_remote_member = 0;
 };
 
 /// Send a datagram.
@@ -160,10 +163,14 @@
     void merge_records(std::span<const member_record> records, time_point now,
                        membership_actions& out);
     void refute(std::uint64_t version, time_point now, membership_actions& out);
-    void gossip(std::vector<member_record> records, time_point now, membership_actions& out);
+    void gossip(std::vector<member_record> records, bool is_origin, time_point now,
+                membership_actions& out);
     void compare_with_sender(const endpoint& from, const heartbeat& it, time_point now,
                              membership_actions& out);
     std::vector<const member_record*> random_members(std::size_t count);
+    std::vector<const member_record*> gossip_targets(bool is_origin);
+    void choose_round_targets();
+    reachability reachability_by_domain() const;
     void record_ping_outcome(const ping_state& it, bool answered);
     bool is_joining(time_point now) const;
     bool all_pinged_since(time_point since) const;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -23,6 +23,9 @@
 // configuration itself. Well above the time that a store contact takes to become known to all
 // nodes, and well below the time after which API keys are refused.
 constexpr duration max_store_contact_age = std::chrono::seconds(2);
+// Nodes of each failure domain that ping a member of another one. More than one, so that a single
+// cut link does not make a suspect.
+constexpr std::size_t remote_member_pingers = 3;
 constexpr int ok_status = 200;
 constexpr int unavailable_status = 503;
 // After draining, a planned stop waits this long for the leases to be released.
@@ -335,7 +338,9 @@
             .membership = {.self = self,
                            .seeds = fleet_.peers,
                            .random_seed = run_.value,
-                           .ping_interval = settings_.ping_period},
+                           .ping_interval = settings_.ping_period,
+                           .pingers_per_remote_member =
+                               platform_ ? remote_member_pingers : std::size_t{0}},
             .fleet_key = fleet_.fleet_key,
             .watchers_per_domain = platform_ ? std::size_t{1} : std::size_t{2},
             .on_directory_change = [this](const member_directory& it) { apply_directory(it); },
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -17,7 +17,9 @@
 // Simulates a few nodes and the datagrams between them. Each cut blocks one direction.
 class simulated_fleet {
 public:
-    explicit simulated_fleet(std::size_t size, std::uint64_t seed = 1)
+    explicit simulated_fleet(std::size_t size, std::uint64_t seed = 1,
+                             std::size_t pingers_per_remote_member = 0)
+        : pingers(pingers_per_remote_member)
     {
         for (std::size_t n = 0; n < size; ++n)
             nodes.push_back(start(n, seed + n));
@@ -35,7 +37,8 @@
                                     .domain = {n % 3},
                                     .servers = {}},
                            .seeds = {link(0), link(1)},
-                           .random_seed = seed},
+                           .random_seed = seed,
+                           .pingers_per_remote_member = pingers},
                           now);
     }
 
@@ -83,6 +86,8 @@
         for (int rounds = 0; rounds < 4; ++rounds) {
             const auto sent = std::exchange(queue, {});
             for (const datagram& it : sent) {
+                if (it.from % 3 != it.to % 3)
+                    bytes_between_domains += it.bytes.size();
                 if (is_cut(it.from, it.to))
                     continue;
                 const auto body = decode_heartbeat(it.bytes, fleet_key);
@@ -103,6 +108,8 @@
         return nodes[a].directory().find(nodes[b].self().vm) != nullptr;
     }
 
+    std::size_t pingers; ///< per member of another domain
+    std::size_t bytes_between_domains = 0;
     struct datagram {
         std::size_t from;
         std::size_t to;
@@ -272,3 +279,46 @@
     }
     EXPECT_EQ(known, 400U);
 }
+
+// With few contacts between failure domains, all members are still known and a killed one is still
+// removed, for less than half of the bytes between domains.
+TEST(membership, few_contacts_between_domains_suffice)
+{
+    std::array<std::size_t, 2> bytes{};
+    for (const std::size_t pingers : {0U, 3U}) {
+        simulated_fleet fleet(45, 7, pingers);
+        fleet.run(5s);
+        for (std::size_t n = 0; n < 45; ++n)
+            ASSERT_EQ(fleet.nodes[n].directory().members().size(), 45U) << n;
+        fleet.bytes_between_domains = 0;
+        for (std::size_t n = 0; n < 10; ++n) {
+            fleet.perform(
+                n, fleet.nodes[n].announce({server_record{.id = {n + 1}}}, false, fleet.now));
+            fleet.run(1s);
+        }
+        bytes.at(pingers == 0 ? 0 : 1) = fleet.bytes_between_domains;
+        for (std::size_t n = 0; n < 45; ++n)
+            EXPECT_EQ(fleet.nodes[n].directory().digest(), fleet.nodes[0].directory().digest());
+        fleet.alive[10] = false;
+        fleet.run(20s);
+        for (std::size_t n = 0; n < 45; ++n)
+            EXPECT_TRUE(n == 10 || !fleet.knows(n, 10)) << n << " with " << pingers;
+    }
+    EXPECT_LT(bytes[1], bytes[0] / 2);
+}
+
+// A domain that is cut off is the smaller part of the fleet: it must not take the others for gone.
+TEST(membership, domain_that_is_cut_off_removes_no_member)
+{
+    simulated_fleet fleet(30, 3, 3);
+    fleet.run(5s);
+    for (std::size_t a = 0; a < 30; a += 3) {
+        for (std::size_t b = 0; b < 30; ++b) {
+            if (b % 3 != 0)
+                fleet.cut_between(a, b);
+        }
+    }
+    fleet.run(30s);
+    for (std::size_t a = 0; a < 30; a += 3)
+        EXPECT_EQ(fleet.nodes[a].directory().members().size(), 30U) << a;
+}
