A holder of the limits in each failure domain

Cause: one holder for the fleet made every token of two thirds of the nodes cross between domains, and its loss stopped all limited requests for two seconds. Change: a node delegates its share to a holder of its own domain; the holders lend tokens to each other, as holders with leases do, and a node whose holder does not answer requests tokens from those of the other domains. Ruled out: homes for small contracts (a home would have the shares of its own domain only). Conclusion: kept for the loss of one holder; the bound holds by the property holders_of_domains_never_exceed_the_whole.

--- a/src/delegation_service.cpp
+++ b/src/delegation_service.cpp
@@ -89,6 +89,12 @@
     delegation_.set_known_node_count(count);
 }
 
+void delegation_service::set_reachable(vm_id vm, bool reachable)
+{
+    const std::lock_guard lock(mutex_);
+    delegation_.set_reachable(vm, reachable);
+}
+
 std::string delegation_service::answer(const control_request& request)
 {
     const auto it = decode_delegation(request.payload);
@@ -149,17 +155,21 @@
 void delegation_service::publish_holders(time_point now)
 {
     for (std::uint32_t group = 0; group < options_.delegation.groups; ++group) {
-        vm_id holder{};
+        std::vector<vm_id> holders;
         {
             const std::lock_guard lock(mutex_);
-            holder = delegation_.usable_holder(group, now).value_or(vm_id{});
+            holders = delegation_.lenders(group);
+            holders.insert(holders.begin(),
+                           delegation_.usable_holder(group, now).value_or(vm_id{}));
         }
-        if (holder == published_holders_[group])
+        std::vector<vm_id>& published = published_holders_[group];
+        if (holders == published)
             continue;
-        published_holders_[group] = holder;
-        log_event(event::holder_selected, "group={} vm={:016x}", group, holder.value);
+        if (published.empty() || published.front() != holders.front())
+            log_event(event::holder_selected, "group={} vm={:016x}", group, holders.front().value);
+        published = holders;
         for (std::uint32_t shard = group; shard < limit_shards; shard += options_.delegation.groups)
-            options_.on_holder(shard, holder);
+            options_.on_holders(shard, holders);
     }
 }
 
--- a/src/delegation_service.h
+++ b/src/delegation_service.h
@@ -24,9 +24,10 @@
     limit_delegation_options delegation;
     /// Called when the terms of a shard changed or were renewed, on the service's thread.
     std::function<void(const shard_terms&)> on_terms;
-    /// Called when the node from which the tokens of a shard are requested changed, on the
-    /// service's thread; vm 0 while no holder answers.
-    std::function<void(std::uint32_t shard, vm_id holder)> on_holder;
+    /// Called when the nodes from which the tokens of a shard are requested changed, on the
+    /// service's thread: first the holder of the own failure domain, vm 0 while none answers, then
+    /// those of the others.
+    std::function<void(std::uint32_t shard, const std::vector<vm_id>& holders)> on_holders;
     /// Called when a message to this node was not answered.
     std::function<void(vm_id)> on_no_response = [](vm_id) {};
 };
@@ -43,6 +44,8 @@
     void set_directory(const member_directory& directory);
     /// Sets the number of nodes known by their entries in the store.
     void set_known_node_count(std::size_t count);
+    /// Sets whether a node answers on its link.
+    void set_reachable(vm_id vm, bool reachable);
     /// Handles another node's delegation and returns the stamp for its next one.
     std::string answer(const control_request& request);
     void stop();
@@ -59,11 +62,11 @@
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     limit_delegation delegation_;
-    std::vector<std::uint64_t> epochs_;      ///< by group; 0: not held. Thread only
-    std::uint64_t highest_epoch_ = 0;        ///< used so far; thread only
-    std::vector<vm_id> published_holders_;   ///< by group; thread only
-    std::vector<vm_id> logged_unresponsive_; ///< last logged state; thread only
-    bool is_due_ = false;                    ///< a message is to be sent before the next tick
+    std::vector<std::uint64_t> epochs_;                 ///< by group; 0: not held. Thread only
+    std::uint64_t highest_epoch_ = 0;                   ///< used so far; thread only
+    std::vector<std::vector<vm_id>> published_holders_; ///< by group; thread only
+    std::vector<vm_id> logged_unresponsive_;            ///< last logged state; thread only
+    bool is_due_ = false; ///< a message is to be sent before the next tick
     bool stopping_ = false;
     std::thread thread_;
 };
--- a/src/limit_delegation.cpp
+++ b/src/limit_delegation.cpp
@@ -1,6 +1,7 @@
 #include "limit_delegation.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace jasminebank {
 
@@ -16,10 +17,17 @@
 void limit_delegation::set_members(std::span<const member_record> members, time_point now)
 {
     candidates_.clear();
+    remote_candidates_.clear();
+    std::vector<vm_id> all;
     for (const member_record& it : members) {
-        if (!it.leaving)
-            candidates_.push_back(it.vm);
+        if (it.leaving)
+            continue;
+        all.push_back(it.vm);
+        (it.domain == options_.domain ? candidates_ : remote_candidates_[it.domain])
+            .push_back(it.vm);
     }
+    if (candidates_.empty())
+        candidates_ = std::move(all);
     std::erase_if(unresponsive_, [this](const auto& it) {
         return std::ranges::find(candidates_, it.first) == candidates_.end();
     });
@@ -45,11 +53,32 @@
     return static_cast<std::uint32_t>(total_shares / most);
 }
 
-vm_id limit_delegation::holder_of(std::uint32_t group) const
+std::vector<vm_id> limit_delegation::lenders(std::uint32_t group) const
+{
+    std::vector<vm_id> out;
+    for (const auto& [domain, candidates] : remote_candidates_) {
+        std::vector<vm_id> reachable;
+        std::ranges::copy_if(candidates, std::back_inserter(reachable),
+                             [this](vm_id it) { return !unreachable_.contains(it); });
+        if (const vm_id best = best_candidate(reachable, group); best != vm_id{})
+            out.push_back(best);
+    }
+    return out;
+}
+
+void limit_delegation::set_reachable(vm_id vm, bool reachable)
+{
+    if (reachable)
+        unreachable_.erase(vm);
+    else
+        unreachable_.insert(vm);
+}
+
+vm_id limit_delegation::best_candidate(std::span<const vm_id> candidates, std::uint32_t group) const
 {
     vm_id out{};
     std::uint64_t best = 0;
-    for (const vm_id it : candidates_) {
+    for (const vm_id it : candidates) {
         if (unresponsive_.contains(it))
             continue;
         const std::uint64_t rank = mix(mix(it.value, holder_salt), group);
--- a/src/limit_delegation.h
+++ b/src/limit_delegation.h
@@ -1,10 +1,11 @@
 #pragma once
 
-// Selects the holder of the rate limits where no lease is kept in the store. Every node owns an
+// Selects the holders of the rate limits where no lease is kept in the store. Every node owns an
 // equal share of all contracts and delegates it, for a short time, to the node that a rendezvous
-// hash over the members selects. A holder may use only the shares that are delegated to it at that
-// time, so two holders, as in a network partition or while members join and leave, together never
-// use more than the whole.
+// hash over the members of its failure domain selects. The holders of the domains lend tokens to
+// each other, so that few messages cross between domains. A holder may use only the shares that are
+// delegated to it at that time, so two holders, as in a network partition or while members join and
+// leave, together never use more than the whole.
 //
 // A node requests tokens from the node to which it delegates, never from one that is only said to
 // be a holder: the record of a dead node may outlive it by many seconds. A node is a holder as long
@@ -19,6 +20,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -29,6 +31,7 @@
 
 struct limit_delegation_options {
     limit_peer self;
+    failure_domain_id domain{};
     std::uint32_t groups = 1; ///< organisations are divided into this many groups, each
                               ///< with its own holder
     duration ttl = std::chrono::milliseconds(1200); ///< of a delegated share
@@ -86,6 +89,11 @@
     /// The node from which this node requests the tokens of the group. Nothing while no holder has
     /// answered yet, or the holder does not answer.
     std::optional<vm_id> usable_holder(std::uint32_t group, time_point now) const;
+    /// The likely holder of the group in each other failure domain, in the order of the domains'
+    /// ids.
+    std::vector<vm_id> lenders(std::uint32_t group) const;
+    /// Sets whether a node answers on its link; one that does not is no lender.
+    void set_reachable(vm_id vm, bool reachable);
     /// The terms of this node as a holder of the group; nothing if no share is delegated to it.
     std::optional<lease_terms> terms(std::uint32_t group, time_point now) const;
     /// Nodes that are excluded as holders because they do not answer, sorted.
@@ -125,7 +133,8 @@
         time_point seen{};
     };
 
-    vm_id holder_of(std::uint32_t group) const;
+    vm_id best_candidate(std::span<const vm_id> candidates, std::uint32_t group) const;
+    vm_id holder_of(std::uint32_t group) const { return best_candidate(candidates_, group); }
     void mark_unresponsive(time_point now);
     void probe_unresponsive(std::vector<outgoing_delegation>& out, time_point now);
     void readmit_if_answering(vm_id vm, time_point now);
@@ -134,7 +143,11 @@
     void revoke_self_delegation(std::uint32_t group, time_point now);
 
     const limit_delegation_options options_;
-    std::vector<vm_id> candidates_; // possible holders; this node too unless it leaves
+    // Possible holders of the own domain; this node too unless it leaves. Those of all domains if
+    // the own one has none.
+    std::vector<vm_id> candidates_;
+    std::map<failure_domain_id, std::vector<vm_id>> remote_candidates_;
+    std::set<vm_id> unreachable_;
     std::map<vm_id, exclusion> unresponsive_;
     std::vector<observed_count> observed_counts_;
     std::size_t known_node_count_ = 1;
--- a/src/limit_service.cpp
+++ b/src/limit_service.cpp
@@ -94,10 +94,10 @@
     update_known_holders();
 }
 
-void limit_service::set_holder(std::uint32_t shard, vm_id holder)
+void limit_service::set_holders(std::uint32_t shard, std::vector<vm_id> holders)
 {
     const std::lock_guard lock(mutex_);
-    selected_holders_[shard] = holder;
+    selected_holders_[shard] = std::move(holders);
     update_known_holders();
 }
 
@@ -151,15 +151,17 @@
     return out;
 }
 
-// A selected holder serves all failure domains.
 std::vector<shard_holder> limit_service::current_holders(std::uint32_t shard) const
 {
     const auto& selected = selected_holders_[shard];
     if (!selected)
         return find_holders(shard, *config_, members_);
-    if (*selected == vm_id{})
-        return {};
-    return {{.domain = 0, .vm = *selected, .epoch = 0}};
+    std::vector<shard_holder> out;
+    for (std::size_t n = 0; n < selected->size(); ++n) {
+        if (selected->at(n) != vm_id{})
+            out.push_back({.domain = static_cast<std::uint32_t>(n), .vm = selected->at(n)});
+    }
+    return out;
 }
 
 void limit_service::update_known_holders()
@@ -168,7 +170,8 @@
         return;
     for (std::uint32_t shard = 0; shard < limit_shards; ++shard) {
         known_holders_[shard] = current_holders(shard);
-        std::vector<vm_id> holders = holders_by_domain(known_holders_[shard]);
+        std::vector<vm_id> holders =
+            selected_holders_[shard].value_or(holders_by_domain(known_holders_[shard]));
         entry_.set_holders(shard, holders);
         std::erase(holders, options_.self.vm);
         std::erase(holders, vm_id{});
@@ -365,6 +368,8 @@
     if (failed(reply)) {
         if (error_of(reply).kind != link_failure::timed_out)
             entry_.on_link_lost(from, it.now, it.out, it.finished);
+        else
+            options_.on_no_response(from);
         apply_effects(it);
         return;
     }
--- a/src/limit_service.h
+++ b/src/limit_service.h
@@ -90,9 +90,10 @@
     /// Sets the share of one shard that this node may use as its holder.
     void set_terms(const shard_terms& it);
 
-    /// Sets the node from which the tokens of a shard are requested; vm 0 if none answers. From
-    /// then on, the holders that members announce are not used for this shard.
-    void set_holder(std::uint32_t shard, vm_id holder);
+    /// Sets the nodes from which the tokens of a shard are requested, the preferred one first; vm 0
+    /// stands for one that does not answer. From then on, the holders that members announce are not
+    /// used for this shard.
+    void set_holders(std::uint32_t shard, std::vector<vm_id> holders);
 
     /// Takes a token for one request. Waits at most until `deadline` and makes at most
     /// `max_attempts` attempts; never returns limit_waiting.
@@ -160,7 +161,7 @@
     std::condition_variable wake_;
     std::shared_ptr<const fleet_config> config_;
     std::array<std::vector<rate_contract>, limit_shards> contracts_;
-    std::array<std::optional<vm_id>, limit_shards> selected_holders_;
+    std::array<std::optional<std::vector<vm_id>>, limit_shards> selected_holders_;
     std::vector<member_record> members_;
     std::unordered_map<vm_id, peer_state> peers_;
     std::array<std::vector<shard_holder>, limit_shards> known_holders_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -147,6 +147,8 @@
                                   [this](vm_id vm, bool answers) {
                                       entry_->set_gate_reachable(vm, answers);
                                       relay_->set_reachable(vm, answers);
+                                      if (delegations_ != nullptr)
+                                          delegations_->set_reachable(vm, answers);
                                   }},
         *links_);
 }
@@ -298,10 +300,12 @@
     delegations_ = std::make_unique<delegation_service>(
         delegation_service_options{
             // Each group of organisations has its own holder.
-            .delegation = {.self = self, .groups = settings_.limit_holders},
+            .delegation = {.self = self,
+                           .domain = id_of<failure_domain_id>(settings_.failure_domain),
+                           .groups = settings_.limit_holders},
             .on_terms = [this](const shard_terms& it) { limits_->set_terms(it); },
-            .on_holder = [this](std::uint32_t shard,
-                                vm_id holder) { limits_->set_holder(shard, holder); },
+            .on_holders = [this](std::uint32_t shard,
+                                 const std::vector<vm_id>& it) { limits_->set_holders(shard, it); },
             .on_no_response = [this](vm_id it) { suspect_node(it); }},
         *relay_);
     delegations_->set_known_node_count(fleet_.peers.size() + 1);
--- a/tests/limit_delegation_test.cpp
+++ b/tests/limit_delegation_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <random>
 
@@ -20,11 +21,12 @@
 // reordered.
 class delegating_fleet {
 public:
-    delegating_fleet(std::size_t size, std::uint64_t seed) : random(seed)
+    delegating_fleet(std::size_t size, std::uint64_t seed, std::size_t domain_count = 1)
+        : random(seed), domains(domain_count)
     {
         for (std::size_t n = 0; n < size; ++n) {
-            nodes.emplace_back(
-                limit_delegation_options{.self = {.vm = vm(n), .run = {1}}, .groups = 1});
+            nodes.emplace_back(limit_delegation_options{
+                .self = {.vm = vm(n), .run = {1}}, .domain = {n % domains}, .groups = 1});
             nodes.back().set_known_node_count(size);
         }
     }
@@ -35,7 +37,11 @@
         std::vector<member_record> members;
         members.reserve(visible.size());
         for (const std::size_t n : visible)
-            members.push_back({.vm = vm(n), .name = "vm" + std::to_string(n), .run = {1}});
+            members.push_back({.vm = vm(n),
+                               .name = "vm" + std::to_string(n),
+                               .run = {1},
+                               .link = {},
+                               .domain = {n % domains}});
         for (const std::size_t n : visible)
             nodes[n].set_members(members, now);
     }
@@ -130,6 +136,7 @@
     };
 
     std::mt19937_64 random;
+    std::size_t domains; ///< node n is in domain n % domains
     time_point now{1h};
     std::vector<limit_delegation> nodes;
     std::deque<in_flight_message> in_flight;
@@ -321,3 +328,60 @@
     }
     EXPECT_EQ(selected, 0);
 }
+
+// Each failure domain has a holder with the shares of its nodes, and every node knows the holders
+// of the other domains as lenders. The loss of one holder costs the tokens of its domain only, and
+// for about two seconds.
+TEST(limit_delegation, each_domain_has_a_holder_and_knows_the_others_as_lenders)
+{
+    delegating_fleet fleet(30, 9, 3);
+    fleet.set_visible_members(index_range(0, 30));
+    for (int n = 0; n < 60; ++n)
+        fleet.advance(false);
+    EXPECT_GE(fleet.shares_in_use(), whole_share - 3);
+    std::vector<vm_id> holders;
+    for (std::size_t n = 0; n < 30; ++n) {
+        const auto terms = fleet.nodes[n].terms(0, fleet.now);
+        if (!terms)
+            continue;
+        holders.push_back(vm(n));
+        EXPECT_GE(terms->share, whole_share / 3);
+    }
+    ASSERT_EQ(holders.size(), 3U);
+    for (std::size_t n = 0; n < 30; ++n) {
+        const auto own = fleet.nodes[n].usable_holder(0, fleet.now);
+        ASSERT_TRUE(own);
+        EXPECT_EQ((own->value - 1) % 3, n % 3);
+        const std::vector<vm_id> lenders = fleet.nodes[n].lenders(0);
+        ASSERT_EQ(lenders.size(), 2U);
+        for (const vm_id it : lenders)
+            EXPECT_NE(std::ranges::find(holders, it), holders.end());
+    }
+    fleet.stopped_node = holders[0].value - 1;
+    for (int n = 0; n < 50; ++n) {
+        fleet.advance(false);
+        EXPECT_GE(fleet.shares_in_use(), whole_share * 2 / 3 - 2);
+    }
+    EXPECT_GE(fleet.shares_in_use(), whole_share * 29 / 30 - 3);
+}
+
+// As for one domain, but each domain has its holders.
+RC_GTEST_PROP(limit_delegation, holders_of_domains_never_exceed_the_whole, (std::uint64_t seed))
+{
+    std::mt19937_64 random(seed);
+    constexpr std::size_t size = 9;
+    delegating_fleet fleet(size, seed, 3);
+    fleet.set_visible_members(index_range(0, size));
+    for (int n = 0; n < 400; ++n) {
+        if (random() % 20 == 0) {
+            std::vector<std::size_t> visible;
+            for (std::size_t it = 0; it < size; ++it) {
+                if (random() % 2 == 0)
+                    visible.push_back(it);
+            }
+            fleet.set_visible_members(visible);
+        }
+        fleet.advance(true);
+        RC_ASSERT(fleet.shares_in_use() <= whole_share);
+    }
+}
