--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -233,8 +233,8 @@
     const auto* refused = std::get_if<limit_refused>(&verdict);
     if (refused == nullptr)
         return std::nullopt;
-    return refusal_answer{.reason = refused->no_holder ? refusal::limits_unavailable
-                                                       : refusal::over_rate,
+    return refusal_answer{.reason =
+                              refused->no_holder ? refusal::limits_unavailable : refusal::over_rate,
                           .retry_after = refused->retry_after};
 }
 
