--- a/src/domain_contacts.cpp
+++ b/src/domain_contacts.cpp
@@ -83,6 +83,7 @@
             domains[it.domain].push_back(&it);
     }
     std::vector<const member_record*> out;
+    out.reserve(domains.size());
     for (const auto& [id, it] : domains)
         out.push_back(it[mix(random, id.value) % it.size()]);
     return out;
--- a/tests/limit_delegation_test.cpp
+++ b/tests/limit_delegation_test.cpp
@@ -51,10 +51,14 @@
                                            std::size_t dead)
     {
         std::vector<member_record> members;
+        members.reserve(visible.size() + dead);
+        const auto add = [&](std::size_t n, const std::string& name) {
+            members.push_back({.vm = vm(n), .name = name, .run = {1}, .link = {}, .domain = {}});
+        };
         for (const std::size_t n : visible)
-            members.push_back({.vm = vm(n), .name = "vm" + std::to_string(n), .run = {1}});
+            add(n, "vm" + std::to_string(n));
         for (std::size_t n = 0; n < dead; ++n)
-            members.push_back({.vm = vm(nodes.size() + n), .name = "dead", .run = {1}});
+            add(nodes.size() + n, "dead");
         for (const std::size_t n : visible)
             nodes[n].set_members(members, now);
     }
