Log what the answers of a backend server say about the work it takes

Which answers name a limit, and whether a gate knew of it when it let a request through, could not be told from the logs. The two fields are decoded once (header_names, server_notice) and written with each attempt (event 410); the stand-in backend server can say both. Nothing acts upon them yet.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -85,7 +85,8 @@
                         .head_forwarded = head_forwarded_,
                         .timed_out = boot_now() + timer_tolerance >= options_.deadline,
                         .size_limit_exceeded = size_limit_exceeded_ || client.exceeded_size_limit(),
-                        .service_time = service_time};
+                        .service_time = service_time,
+                        .notice = notice_};
         out.connection_reusable =
             (out.outcome == call_outcome::whole_answer || out.outcome == call_outcome::shed) &&
             !client.has_discarded_bytes() && !closes_connection(answer.value());
@@ -138,6 +139,8 @@
         status_ = res.status;
         const bool proves_not_run = res.has_header(options_.names.not_run);
         misdirected_ = res.status == misdirected_status && !options_.expected_server.empty();
+        if (!misdirected_)
+            notice_ = notice_of(res);
         if (proves_not_run || misdirected_) {
             shed_ = true;
             return true;
@@ -175,6 +178,16 @@
                res.get_header_value(options_.names.request_id) != *sent_id;
     }
 
+    std::optional<server_notice> notice_of(const httplib::Response& res) const
+    {
+        const auto value_of = [&](const std::string& name) {
+            const auto it = res.headers.find(name);
+            return it == res.headers.end() ? std::nullopt
+                                           : std::optional<std::string_view>(it->second);
+        };
+        return parse_notice(value_of(options_.names.max_rate), value_of(options_.names.leaving));
+    }
+
     static bool claims_not_executed(int status)
     {
         return status == 408 || status == misdirected_status || status == 429 || status == 503;
@@ -225,6 +238,7 @@
     bool ended_with_head_ = false;
     bool has_extra_bytes_ = false;
     bool size_limit_exceeded_ = false;
+    std::optional<server_notice> notice_;
     std::size_t shed_body_bytes_ = 0;
     std::size_t content_bytes_left_ = std::string::npos; // of Content-Length; npos: none given
     std::string last_bytes_; // received, not yet forwarded; see `finish`
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -9,6 +9,7 @@
 #include "endpoint.h"
 #include "header_names.h"
 #include "link_stream.h"
+#include "server_notice.h"
 #include "types.h"
 
 #include <memory>
@@ -35,6 +36,9 @@
     bool timed_out = false;           ///< the deadline had passed when the call ended
     bool size_limit_exceeded = false; ///< a line, the head or the body of a refusal was too long
     duration service_time{};          ///< from the start of the call to its end
+    /// What the answer says about the work that the server takes; nothing without a valid answer of
+    /// the server, or if the fields are malformed.
+    std::optional<server_notice> notice{};
 };
 
 struct backend_call_options {
--- a/src/backend_mode.cpp
+++ b/src/backend_mode.cpp
@@ -102,6 +102,8 @@
     in.number("wrong_length_share", out.wrong_length_share, 0, 1);
     in.number("wrong_body_share", out.wrong_body_share, 0, 1);
     in.number("hang_share", out.hang_share, 0, 1);
+    in.number("max_rate", out.max_rate, -1, std::numeric_limits<std::int32_t>::max());
+    in.flag("leaving", out.leaving);
     in.text("crash_text", out.crash_text);
     in.time("flap_period_ms", out.flap_period);
     in.flag("honest_health", out.honest_health);
--- a/src/backend_mode.h
+++ b/src/backend_mode.h
@@ -22,6 +22,8 @@
     double wrong_length_share = 0; ///< Content-Length smaller than the body sent
     double wrong_body_share = 0;   ///< response body generated for another request id
     double hang_share = 0;         ///< no response until disconnect, deadline or 5 minutes
+    double max_rate = -1;          ///< named in each answer; negative: none is named
+    bool leaving = false;          ///< said in each answer
     std::string crash_text{};      ///< crash on a request with this text in a header or its body
     duration flap_period{};        ///< faults active in the first half of each period; 0: always
     bool honest_health = false;    ///< /health returns 503 while draining or faults are active
--- a/src/fake_backend.cpp
+++ b/src/fake_backend.cpp
@@ -21,6 +21,8 @@
 constexpr duration max_hang_time = std::chrono::minutes(5);
 constexpr duration max_slot_wait = std::chrono::minutes(5);
 constexpr const char* shed_header = "X-Backend-Shed";
+constexpr const char* max_rate_header = "X-Backend-Max-Rate";
+constexpr const char* leaving_header = "X-Backend-Leaving";
 constexpr const char* content_type = "application/octet-stream";
 
 // Computes the digest of a body and searches it for a text while it is received, so that uploads
@@ -312,12 +314,23 @@
     server_.Delete(".*", with_body);
 }
 
+// Says in the answer what the mode names of the work that this server takes.
+void fake_backend::add_notice(httplib::Response& res)
+{
+    const std::lock_guard lock(mutex_);
+    if (mode_.max_rate >= 0)
+        res.set_header(max_rate_header, fmt::format("{:g}", mode_.max_rate));
+    if (mode_.leaving)
+        res.set_header(leaving_header, "1");
+}
+
 // Runs the request in a slot, or sheds it with a response that says that it did not run. The slot
 // is released once the request has run; sending the response body needs none.
 void fake_backend::handle(const httplib::Request& req, httplib::Response& res,
                           const httplib::ContentReader* reader)
 {
     pending_request it{.req = req, .res = res};
+    add_notice(res);
     if (!read_request(it, reader))
         return;
     const duration max_wait =
--- a/src/fake_backend.h
+++ b/src/fake_backend.h
@@ -87,6 +87,7 @@
     void add_control_routes();
     void handle(const httplib::Request& req, httplib::Response& res,
                 const httplib::ContentReader* reader);
+    void add_notice(httplib::Response& res);
     bool read_request(pending_request& it, const httplib::ContentReader* reader);
     void run(pending_request& it);
     void answer(pending_request& it);
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -469,18 +469,24 @@
               as_milliseconds(waited), load_now.running, load_now.waiting, load_now.suspicion);
 }
 
+static std::string text_of_rate(const std::optional<server_notice>& it)
+{
+    return it && it->max_rate ? fmt::format("{:g}", *it->max_rate) : "-";
+}
+
 void gate::log_dispatch_end(const pending_request& it, const call_result& result,
                             bool past_deadline) const
 {
     const std::string* id = find_field(it.stream->head(), options_.names.request_id);
     log_event(event::dispatch_ended,
               "id={} from={} server={:016x} end={} status={} past_deadline={} over_bound={} "
-              "waited_ms={:.1f} ms={:.1f} suspicion={:.2f} idempotent={} may_wait={} insists={}",
+              "waited_ms={:.1f} ms={:.1f} suspicion={:.2f} idempotent={} may_wait={} insists={} "
+              "max_rate={} leaving={}",
               id == nullptr ? "-" : *id, it.stream->peer().vm_name, it.request.server.value,
               name_of(result.outcome), result.status, past_deadline, result.size_limit_exceeded,
               as_milliseconds(it.started - it.accepted), as_milliseconds(result.service_time),
-              it.suspicion, it.request.idempotent, it.request.may_queue,
-              it.request.allow_suspected);
+              it.suspicion, it.request.idempotent, it.request.may_queue, it.request.allow_suspected,
+              text_of_rate(result.notice), result.notice && result.notice->is_leaving);
 }
 
 void gate::run(request_id id)
--- a/src/header_names.h
+++ b/src/header_names.h
@@ -24,6 +24,10 @@
     std::string expected_server{};
     /// Present in an answer of a backend server that did not run the request.
     std::string not_run = "x-backend-shed";
+    /// Requests a second that the backend server takes from the whole fleet, in its answers.
+    std::string max_rate = "x-backend-max-rate";
+    /// "1" in the answers of a backend server that takes no new requests.
+    std::string leaving = "x-backend-leaving";
     /// Present in each successful answer of a backend server; a success without it counts as
     /// incomplete. Empty: not used.
     std::string success_mark{};
