--- /dev/null
+++ b/tests/server_limit_test.cpp
@@ -0,0 +1,136 @@
+// What backend servers say in their answers about the work that they take, kept by node processes
+// under load.
+
+#include "process_fleet.h"
+#include "run_account.h"
+#include "system_clock.h"
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include <csignal>
+#include <future>
+#include <thread>
+#include <vector>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double max_rate = 2;
+// The users' bound: in any 4 s at most one and a half times the rate, and 5 requests.
+constexpr duration bound_window = 4s;
+constexpr std::uint64_t bound_requests = 17;
+constexpr duration load_time = 8s;
+constexpr double load_rate = 60;
+
+struct run_sample {
+    time_point before;
+    time_point after;
+    std::uint64_t runs = 0;
+};
+
+std::uint64_t runs_of(const endpoint& backend)
+{
+    httplib::Client client(backend.host, backend.port);
+    const httplib::Result answer = client.Get("/control/account?id=none");
+    const auto it = nlohmann::json::parse(answer ? answer->body : "", nullptr, false);
+    EXPECT_TRUE(it.is_object());
+    return it.is_object() ? it.at("runs").get<std::uint64_t>() : 0;
+}
+
+// Most requests that ran between two samples at most `bound_window` apart.
+std::uint64_t most_in_a_window(const std::vector<run_sample>& samples)
+{
+    std::uint64_t out = 0;
+    for (std::size_t a = 0; a < samples.size(); ++a) {
+        for (std::size_t b = a; b < samples.size(); ++b) {
+            if (samples[b].after - samples[a].before <= bound_window)
+                out = std::max(out, samples[b].runs - samples[a].runs);
+        }
+    }
+    return out;
+}
+
+std::vector<run_sample> sample_runs(const endpoint& backend, duration time)
+{
+    constexpr duration sample_interval = 100ms;
+    std::vector<run_sample> out;
+    for (const time_point end = boot_now() + time; boot_now() < end;) {
+        const time_point before = boot_now();
+        const std::uint64_t runs = runs_of(backend);
+        out.push_back({.before = before, .after = boot_now(), .runs = runs});
+        std::this_thread::sleep_for(sample_interval);
+    }
+    return out;
+}
+
+class server_limit : public testing::Test {
+protected:
+    // Sends requests to all nodes until the backend server has run one.
+    void run_one_request()
+    {
+        const std::uint64_t before = runs_of(limited);
+        ASSERT_TRUE(wait_until([&] {
+            for (std::size_t n = 0; n < fleet_nodes; ++n) {
+                httplib::Client client(fleet.callers(n).host, fleet.callers(n).port);
+                client.Get("/lids/x", {{"Authorization", "Bearer " + honey_key}});
+            }
+            return runs_of(limited) > before;
+        }));
+    }
+
+    void SetUp() override
+    {
+        fleet.set_mode(limited, {{"max_rate", max_rate}});
+        run_one_request();
+    }
+
+    std::future<load_report> start_load()
+    {
+        load_options options = fleet.load({.name = "lids"}, load_time);
+        options.rate = load_rate;
+        return std::async(std::launch::async, [options] { return load_generator(options).run(); });
+    }
+
+    process_fleet fleet{{.services = {{.name = "lids"}}}};
+    const endpoint limited = fleet.backend(0, 0);
+};
+
+} // namespace
+
+TEST_F(server_limit, backend_server_gets_no_more_than_the_rate_that_it_named)
+{
+    auto load = start_load();
+    const auto samples = sample_runs(limited, load_time);
+    const load_report report = load.get();
+    EXPECT_LE(most_in_a_window(samples), bound_requests);
+    EXPECT_EQ(report.total.count(answer_kind::ok), report.total.sent);
+    fleet.set_mode(limited, nlohmann::json::object());
+    const std::uint64_t before = runs_of(limited);
+    EXPECT_EQ(start_load().get().total.count(answer_kind::broken), 0U);
+    EXPECT_GT(runs_of(limited) - before, bound_requests) << "the limit was not lifted";
+}
+
+TEST_F(server_limit, restart_of_the_node_does_not_forget_the_rate)
+{
+    auto load = start_load();
+    auto counted = std::async(std::launch::async, [&] { return sample_runs(limited, load_time); });
+    std::this_thread::sleep_for(load_time / 4);
+    fleet.node(0).signal(SIGKILL);
+    ASSERT_TRUE(fleet.node(0).wait_for_exit(20s).has_value());
+    fleet.start_node(0);
+    load.get();
+    EXPECT_LE(most_in_a_window(counted.get()), bound_requests);
+}
+
+TEST_F(server_limit, backend_server_that_says_it_is_leaving_gets_no_new_requests)
+{
+    fleet.set_mode(limited, {{"leaving", true}});
+    run_one_request();
+    const std::uint64_t before = runs_of(limited);
+    const load_report report = start_load().get();
+    EXPECT_EQ(runs_of(limited), before);
+    EXPECT_EQ(report.total.count(answer_kind::ok), report.total.sent);
+}
