Start no more requests at a backend server than it says that it takes

What was seen: backend servers that name a rate in their answers got up to five times as much, from all entries. Cause: nobody read the field; the gate, the only way to a server, limits slots, not starts (class: a signal of the server that is passed on and not acted upon). Now the gate keeps what the answers of a run say (notice_record) and paces starts to it (start_pacer, in slot_queue): at most the rate, with one second's requests at once. What cannot start in time at that rate is refused at once, also among those that wait when the limit is named, and goes to another server; the server counts as full for the router. An answer without the field lifts the limit only if its request was sent after the limit was named, since answers overtake each other; a restart of the server lifts it.

Ruled out: several gates that each keep the limit (one gate a server). A limit of 0 would never be lifted, since only answers lift it: one request in 5 s is sent.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -44,8 +44,8 @@
     stop();
 }
 
-// A restarted backend server gets neither the idle connections nor the suspicion of the earlier
-// run. An announcement that arrives after a newer one is ignored. If the backend server is
+// A restarted backend server gets neither the idle connections, the suspicion nor the limit of the
+// earlier run. An announcement that arrives after a newer one is ignored. If the backend server is
 // draining, the requests that wait for it are refused.
 announcement_result gate::announce(const announcement& it, time_point now)
 {
@@ -70,6 +70,8 @@
         if (server.run != it.run || server.name != it.name) {
             server.idle.clear();
             server.stalls = stall_watch();
+            server.notices = notice_record();
+            collect_actions(server.slots.set_start_rate(std::nullopt, now), out);
         }
         changed = is_new || server.record != record;
         server.record = record;
@@ -185,12 +187,16 @@
     return out;
 }
 
-// Running and waiting requests per slot, plus the probability that the next request fails. Not less
-// than 0, without an upper limit.
+// Running and waiting requests per slot, plus the probability that the next request fails. A server
+// whose rate allows no request now counts as full at least. Not less than 0, without an upper
+// limit.
 double gate::load_factor(const backend_server& it)
 {
-    const double busy = static_cast<double>(it.slots.running() + it.slots.waiting());
-    return busy / std::max<std::uint32_t>(it.record.slots, 1) + it.stalls.suspicion(boot_now());
+    const time_point now = boot_now();
+    const double busy = static_cast<double>(it.slots.running() + it.slots.waiting()) /
+                        std::max<std::uint32_t>(it.record.slots, 1);
+    const bool is_full = busy < 1 && !it.slots.may_start(now);
+    return (is_full ? 1 : busy) + it.stalls.suspicion(now);
 }
 
 // Returns why the request is refused, or nothing if it is admitted. Everything that keeps a request
@@ -212,7 +218,8 @@
     if (!health_.admits(request.server, request.idempotent))
         return refusal::overloaded;
     backend_server& server = it->second;
-    if (!request.may_queue && server.slots.running() >= record.slots)
+    if (!request.may_queue &&
+        (server.slots.running() >= record.slots || !server.slots.may_start(now)))
         return refusal::overloaded;
     if (!request.allow_suspected && !server.stalls.admits(request.is_trial, now))
         return refusal::suspect;
@@ -469,9 +476,9 @@
               as_milliseconds(waited), load_now.running, load_now.waiting, load_now.suspicion);
 }
 
-static std::string text_of_rate(const std::optional<server_notice>& it)
+static std::string text_of_rate(std::optional<double> it)
 {
-    return it && it->max_rate ? fmt::format("{:g}", *it->max_rate) : "-";
+    return it ? fmt::format("{:g}", *it) : "-";
 }
 
 void gate::log_dispatch_end(const pending_request& it, const call_result& result,
@@ -486,7 +493,8 @@
               name_of(result.outcome), result.status, past_deadline, result.size_limit_exceeded,
               as_milliseconds(it.started - it.accepted), as_milliseconds(result.service_time),
               it.suspicion, it.request.idempotent, it.request.may_queue, it.request.allow_suspected,
-              text_of_rate(result.notice), result.notice && result.notice->is_leaving);
+              text_of_rate(result.notice ? result.notice->max_rate : std::nullopt),
+              result.notice && result.notice->is_leaving);
 }
 
 void gate::run(request_id id)
@@ -501,6 +509,7 @@
         backend_server& server = servers_.at(it.request.server);
         client = acquire_connection(server);
         name = server.name;
+        it.server_run = server.run;
         load = load_factor(server);
     }
     it.stream->on_cancel({});
@@ -532,6 +541,7 @@
         mark_lost(it, result.outcome);
     const bool past_deadline = result.timed_out;
     log_dispatch_end(it, result, past_deadline);
+    apply_notice(it, result);
     const bool died = !past_deadline && detect_death(it, result);
     health_.finished({.request = id,
                       .outcome = classify_outcome(result, past_deadline),
@@ -539,6 +549,30 @@
     finish(id, it, std::move(client), result);
 }
 
+// The notice is applied before the answer's slot is given to the next request.
+void gate::apply_notice(const pending_request& it, const call_result& result)
+{
+    deferred_actions out;
+    std::optional<double> max_rate;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = servers_.find(it.request.server);
+        if (!result.notice || found == servers_.end() || found->second.run != it.server_run)
+            return;
+        backend_server& server = found->second;
+        const time_point now = boot_now();
+        const std::optional<double> before = server.notices.max_rate();
+        server.notices.answered(*result.notice, it.started, now);
+        max_rate = server.notices.max_rate();
+        if (max_rate == before)
+            return;
+        collect_actions(server.slots.set_start_rate(max_rate, now), out);
+    }
+    log_event(event::backend_server_limited, "server={:016x} max_rate={}", it.request.server.value,
+              text_of_rate(max_rate));
+    perform(out);
+}
+
 static request_evidence classify_evidence(const call_result& it)
 {
     switch (it.outcome) {
--- a/src/gate.h
+++ b/src/gate.h
@@ -10,6 +10,7 @@
 #include "dispatch.h"
 #include "health_service.h"
 #include "link_stream.h"
+#include "notice_record.h"
 #include "poison_service.h"
 #include "refusal.h"
 #include "slot_queue.h"
@@ -88,6 +89,7 @@
         time_point last_announced;
         slot_queue slots;
         stall_watch stalls;
+        notice_record notices;
         time_point last_admitted{};
         std::vector<idle_connection> idle;
     };
@@ -98,7 +100,8 @@
         time_point deadline;
         time_point accepted;
         time_point started;
-        double suspicion = 0; // of the backend server when the request started
+        double suspicion = 0;   // of the backend server when the request started
+        incarnation server_run; // of the backend server when the request started
     };
     // A refusal to send once the mutex is released.
     struct refused_stream {
@@ -128,6 +131,7 @@
                           bool past_deadline) const;
     bool detect_death(const pending_request& it, const call_result& result);
     std::shared_ptr<bounded_client> acquire_connection(backend_server& server);
+    void apply_notice(const pending_request& it, const call_result& result);
     void finish(request_id id, const pending_request& it, std::shared_ptr<bounded_client> client,
                 const call_result& result);
 
--- a/src/log.h
+++ b/src/log.h
@@ -60,8 +60,9 @@
     standing_changed = 701,    ///< a `server_standing`
     backend_server_died = 702, ///< crashed while it ran a request
     backend_server_changed = 703,
-    backend_server_lost = 704,   ///< no longer found at its address
-    announcement_rejected = 705, ///< registration of a backend server
+    backend_server_lost = 704,    ///< no longer found at its address
+    announcement_rejected = 705,  ///< registration of a backend server
+    backend_server_limited = 706, ///< named another rate of requests that it takes
     gate_unreachable = 710,
     gate_reachable = 711,
     relay_taken = 720, ///< relay: node that forwards control messages to another
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -4,9 +4,11 @@
 // requests wait in one bounded queue per organisation. A free slot goes to the waiting requests of
 // the lowest rank number; among these, to requests that can still meet their soft deadline; and
 // among these, to the organisation with the least slot time used relative to its weight (start-time
-// fair queueing), however many requests each organisation sends.
+// fair queueing), however many requests each organisation sends. If the backend server has named
+// the rate that it takes, requests also wait for their turn at that rate.
 
 #include "request_outcome.h"
+#include "start_pacer.h"
 #include "types.h"
 
 #include <cstdint>
@@ -54,7 +56,8 @@
 using slot_actions = std::vector<slot_action>;
 
 /// The slots and waiting requests of one backend server. A request is started at most once, and not
-/// after it was refused or cancelled. No slot is free while a request waits.
+/// after it was refused or cancelled. While a request waits, all slots are in use or the rate
+/// allows none to start.
 class slot_queue {
 public:
     explicit slot_queue(const slot_queue_options& options = {});
@@ -71,6 +74,11 @@
     slot_actions tick(time_point now);
     /// Sets the number of slots. Running requests continue even if it is lower than their number.
     slot_actions set_slots(std::uint32_t slots, time_point now);
+    /// Sets the rate of started requests, see `start_pacer`. Refuses the waiting requests that can
+    /// no longer start in time.
+    slot_actions set_start_rate(std::optional<double> rate, time_point now);
+    /// Whether a request that is enqueued now starts at once.
+    bool may_start(time_point now) const;
 
     std::size_t running() const { return running_.size(); }
     std::size_t waiting() const { return waiting_; }
@@ -104,6 +112,9 @@
     organisation_state* find(organisation_id organisation);
     organisation_state& activate(const slot_request& it);
     bool is_known(request_id request) const;
+    time_point latest_useful_start(const slot_request& it, time_point now) const;
+    std::size_t count_ahead(std::uint32_t rank) const;
+    void refuse_beyond_rate(time_point now, slot_actions& out);
     duration expected_wait(const slot_request& it, const organisation_state& own) const;
     bool would_miss_deadline(const slot_request& it, const organisation_state& own,
                              time_point now) const;
@@ -120,6 +131,7 @@
     double virtual_time_ = 0;       // highest `weighted_use` at which a request was started
     double expected_service_s_ = 0; // moving average of the time a request holds its slot
     std::uint64_t samples_ = 0;
+    start_pacer pacer_;
 };
 
 } // namespace jasminebank
