Refuse a request that others overtake beyond the named rate at once

Cause: a request that waits for its turn at a paced server was judged on arrival only. Now the waiting requests are judged again whenever one is added or time passes; what can no longer start in time is refused as not run.

--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -148,6 +148,7 @@
         ++waiting_;
     }
     start_waiting(now, out);
+    refuse_beyond_rate(now, out);
     erase_idle();
     return out;
 }
@@ -204,6 +205,7 @@
     slot_actions out;
     refuse_expired(now, out);
     start_waiting(now, out);
+    refuse_beyond_rate(now, out);
     erase_idle();
     return out;
 }
@@ -217,11 +219,7 @@
 slot_actions slot_queue::set_start_rate(std::optional<double> rate, time_point now)
 {
     pacer_.set_rate(rate, now);
-    slot_actions out;
-    refuse_beyond_rate(now, out);
-    slot_actions further = tick(now);
-    out.insert(out.end(), further.begin(), further.end());
-    return out;
+    return tick(now);
 }
 
 bool slot_queue::may_start(time_point now) const
@@ -233,6 +231,8 @@
 // the ones with the earliest deadlines.
 void slot_queue::refuse_beyond_rate(time_point now, slot_actions& out)
 {
+    if (waiting_ == 0 || !pacer_.is_limited())
+        return;
     std::vector<slot_request> waiting;
     for (const organisation_state& it : organisations_)
         waiting.insert(waiting.end(), it.waiting.begin(), it.waiting.end());
--- a/src/start_pacer.h
+++ b/src/start_pacer.h
@@ -16,6 +16,7 @@
     /// Sets the rate in requests a second; nothing: no limit. A new limit allows no request at
     /// once.
     void set_rate(std::optional<double> rate, time_point now);
+    bool is_limited() const { return bucket_.has_value(); }
     /// Whether a request may start now.
     bool may_start(time_point now) const;
     /// Counts a started request.
--- a/tests/start_pacer_test.cpp
+++ b/tests/start_pacer_test.cpp
@@ -93,6 +93,24 @@
     EXPECT_EQ(queue.waiting(), 2U);
 }
 
+TEST(start_pacer, request_that_others_overtake_is_refused_before_its_deadline)
+{
+    slot_queue queue({.slots = 4});
+    const time_point now{1h};
+    queue.set_start_rate(1.0, now);
+    EXPECT_TRUE(
+        queue
+            .enqueue({.request = {1}, .organisation = {1}, .deadline = now + 1500ms, .rank = 2},
+                     now)
+            .empty());
+    const auto actions = queue.enqueue(
+        {.request = {2}, .organisation = {2}, .deadline = now + 1500ms, .rank = 1}, now);
+    ASSERT_EQ(actions.size(), 1U);
+    const auto* refused = std::get_if<refuse_request>(&actions.front());
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->request.value, 1U);
+}
+
 TEST(start_pacer, server_that_takes_nothing_gets_a_request_now_and_then)
 {
     start_pacer it;
