A restarted gate learns the limits of its backend server before it fills its slots

What was seen: a node that restarts has forgotten what its server named, and fills all slots until the first answer names it again. With answers of 0.7 s, 8 slots and four kills of the node, 21 requests ran in 4 s where 17 are allowed. Cause: the limit was kept in one process only (class: state that does not survive the restart of its holder).

Now answers carry the notice with the run of the server to the entry, the entry sends it back with each request to that server (notice_cache), and a gate without an answer of its own adopts it if the run is the same. Entries that were never told, and a lost message, are covered by the gate itself: until a first answer or report it uses one slot, for 1.5 s at most from the first request. The queue now follows the announced number of slots.

Ruled out: the report alone (25 and 26 requests in the same test: a fresh entry and entries that had no answer yet fill the slots). Gossip of the limit was not tried: the restarted node has no older record of itself.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -163,6 +163,10 @@
         head.fields.push_back({.name = std::string(outcome_field), .value = "ran"});
         head.fields.push_back(
             {.name = std::string(load_field), .value = fmt::format("{:.3f}", options_.load)});
+        if (notice_ && *notice_ != server_notice{})
+            head.fields.push_back(
+                {.name = std::string(notice_field),
+                 .value = encode_notice({.notice = *notice_, .run = options_.server_run})});
         ended_with_head_ = bodiless;
         if (!parse_length(res.get_header_value("Content-Length"), content_bytes_left_))
             content_bytes_left_ = std::string::npos;
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -47,6 +47,7 @@
     const header_names& names;
     const dispatch& request;
     const std::string& expected_server; ///< name that the server must have; empty: any
+    incarnation server_run{};           ///< of the backend server, sent with its notice
 };
 
 /// Creates a client of a backend server. It connects on first use.
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -54,6 +54,8 @@
         add_field(head, organisation_field, it.organisation);
     if (!it.caller_service.empty())
         add_field(head, caller_service_field, it.caller_service);
+    if (it.notice)
+        add_field(head, notice_field, encode_notice(*it.notice));
 }
 
 static std::optional<std::array<std::uint64_t, dispatch_number_count>>
@@ -84,6 +86,7 @@
         return std::nullopt;
     const std::string* organisation = find_field(head, organisation_field);
     const std::string* caller_service = find_field(head, caller_service_field);
+    const std::string* notice = find_field(head, notice_field);
     return dispatch{.server = {server},
                     .gate_run = {run},
                     .route = {route},
@@ -98,7 +101,8 @@
                     .may_queue = (flags & may_queue_flag) != 0,
                     .allow_suspected = (flags & allow_suspected_flag) != 0,
                     .is_trial = (flags & trial_flag) != 0,
-                    .fingerprint = {.high = high, .low = low}};
+                    .fingerprint = {.high = high, .low = low},
+                    .notice = notice == nullptr ? std::nullopt : decode_notice(*notice)};
 }
 
 // Under overload, a request that waits beyond its target latency takes the slot of one that could
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -8,6 +8,7 @@
 #include "link_message.h"
 #include "poison_list.h"
 #include "result.h"
+#include "server_notice.h"
 #include "types.h"
 
 #include <optional>
@@ -24,6 +25,10 @@
 /// backend server has recovered.
 constexpr std::string_view trial_field = "jasmine-trial";
 
+/// In an answer, what the backend server said in it; in a request, what it said last to the entry
+/// node. A gate that has restarted thus learns the limits of its backend servers again.
+constexpr std::string_view notice_field = "jasmine-notice";
+
 /// The internal fields of a request.
 struct dispatch {
     backend_server_id server;
@@ -40,7 +45,8 @@
     bool may_queue = true;       ///< may wait for a slot; if not, refused when no slot is free
     bool allow_suspected = true; ///< dispatch even if the gate suspects the backend server
     bool is_trial = false; ///< tests a suspected server; the same request also runs on another one
-    request_fingerprint fingerprint; ///< equal for identical requests of one caller
+    request_fingerprint fingerprint;         ///< equal for identical requests of one caller
+    std::optional<reported_notice> notice{}; ///< what the entry node knows of the backend server
 };
 
 /// Adds the internal fields to `head`.
--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -85,6 +85,8 @@
         it.trial_requested = find_field(value_of(head), trial_field) != nullptr;
         return;
     }
+    const std::string* notice = find_field(value_of(head), notice_field);
+    it.notice = notice == nullptr ? std::nullopt : decode_notice(*notice);
     it.answer_status = value_of(head).status;
     it.answer = std::move(value_of(head));
 }
--- a/src/dispatch_attempt.h
+++ b/src/dispatch_attempt.h
@@ -8,6 +8,7 @@
 #include "link_stream.h"
 #include "refusal.h"
 #include "router.h"
+#include "server_notice.h"
 #include "stop_schedule.h"
 #include "types.h"
 
@@ -30,6 +31,7 @@
     std::optional<refusal_answer> refused; ///< by the gate, or for a failure of link or caller
     std::string body;                      ///< the prefetched part of the answer's body
     bool body_is_whole = false;            ///< `body` is the complete body
+    std::optional<reported_notice> notice; ///< what the answer says about the server's work
     std::optional<double> load;            ///< share of busy slots that the gate reported
     bool gate_responded = false;           ///< the gate sent a head
     bool gate_failed = false;              ///< the link to the gate failed
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -471,6 +471,12 @@
     return request.route->priority;
 }
 
+std::optional<reported_notice> entry::notice_of(backend_server_id server) const
+{
+    const std::lock_guard lock(mutex_);
+    return notices_.find(server);
+}
+
 dispatch_attempt entry::open_attempt(const attempt_context& context, const server_search& search,
                                      const route_choice& choice, bool is_trial)
 {
@@ -492,7 +498,8 @@
          .may_queue = search.may_queue() && !is_trial,
          .allow_suspected = search.allows_suspected() && !is_trial,
          .is_trial = is_trial,
-         .fingerprint = request.fingerprint},
+         .fingerprint = request.fingerprint,
+         .notice = notice_of(choice.server)},
         head);
     const bool is_streamed = context.reader != nullptr;
     dispatch_attempt it{.choice = choice, .start = boot_now(), .body_consumed = is_streamed};
@@ -750,6 +757,8 @@
     const time_point now = boot_now();
     if (it.gate_responded)
         gate_last_response_[it.choice.gate] = now;
+    if (it.answer_status)
+        notices_.store(it.choice.server, it.notice);
     if (it.gate_failed)
         router_.gate_failed(it.choice.gate, now);
     router_.finished(it.choice.server, it.load, now);
--- a/src/entry.h
+++ b/src/entry.h
@@ -12,6 +12,7 @@
 #include "fleet_config.h"
 #include "limit_entry.h"
 #include "link_hub.h"
+#include "notice_cache.h"
 #include "once_request.h"
 #include "poison_list.h"
 #include "refusal.h"
@@ -139,6 +140,7 @@
     std::optional<route_choice> choose_next_server(const admitted_request& request,
                                                    server_search& search);
     bool is_gate_alive(const admitted_request& request, const route_choice& choice);
+    std::optional<reported_notice> notice_of(backend_server_id server) const;
     dispatch_attempt open_attempt(const attempt_context& context, const server_search& search,
                                   const route_choice& choice, bool is_trial);
     time_point hedge_time(const admitted_request& request, const request_progress& progress,
@@ -170,6 +172,7 @@
     retry_budget retry_budget_;
     retry_count_table retry_counts_;
     answer_estimate estimates_;
+    notice_cache notices_;
     std::unordered_map<vm_id, time_point> gate_last_response_; ///< time of the last response
     std::mt19937_64 random_{std::random_device{}()};
 };
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -63,7 +63,7 @@
         record.standing = server.record.standing;
         if (is_new) {
             server.slots =
-                slot_queue({.slots = record.slots,
+                slot_queue({.slots = server.notices.usable_slots(record.slots, now),
                             .max_waiting = options_.waiting_requests,
                             .max_waiting_per_organisation = options_.waiting_requests / 4 + 1});
         }
@@ -145,7 +145,9 @@
     {
         const std::lock_guard lock(mutex_);
         for (auto& [id, server] : servers_) {
-            collect_actions(server.slots.tick(now), out);
+            collect_actions(
+                server.slots.set_slots(server.notices.usable_slots(server.record.slots, now), now),
+                out);
             // Another backend server is more likely to answer these requests.
             if (server.slots.waiting() > 0 && server.stalls.suspicion(now) >= high_suspicion)
                 collect_actions(server.slots.refuse_waiting(), out, refusal::suspect);
@@ -218,8 +220,7 @@
     if (!health_.admits(request.server, request.idempotent))
         return refusal::overloaded;
     backend_server& server = it->second;
-    if (!request.may_queue &&
-        (server.slots.running() >= record.slots || !server.slots.may_start(now)))
+    if (!request.may_queue && !server.slots.may_start(now))
         return refusal::overloaded;
     if (!request.allow_suspected && !server.stalls.admits(request.is_trial, now))
         return refusal::suspect;
@@ -318,6 +319,7 @@
     stream->on_cancel([this, id] { cancel(id); });
     {
         const std::lock_guard lock(mutex_);
+        apply_report(*request, out);
         reason = admit(*request, now);
         if (const auto it = servers_.find(request->server); reason && it != servers_.end()) {
             load = load_factor(it->second);
@@ -346,7 +348,6 @@
     if (reason) {
         refuse(*stream, {.reason = *reason}, load, trial_due);
         log_refusal(*stream, load_now, name_of(*reason), duration::zero());
-        return;
     }
     perform(out);
 }
@@ -526,16 +527,18 @@
     health_.started(id, it.request.server);
     {
         const std::lock_guard lock(mutex_);
-        it.suspicion = servers_.at(it.request.server).stalls.suspicion(it.started);
-        servers_.at(it.request.server)
-            .stalls.started(id, it.request.route, it.request.target_latency, boot_now());
+        backend_server& server = servers_.at(it.request.server);
+        it.suspicion = server.stalls.suspicion(it.started);
+        server.stalls.started(id, it.request.route, it.request.target_latency, boot_now());
+        server.notices.sent(it.started);
     }
     const call_result result = call_backend(client, it.stream,
                                             {.deadline = it.deadline,
                                              .load = load,
                                              .names = options_.names,
                                              .request = it.request,
-                                             .expected_server = name});
+                                             .expected_server = name,
+                                             .server_run = it.server_run});
     if (result.outcome == call_outcome::not_connected ||
         result.outcome == call_outcome::misdirected)
         mark_lost(it, result.outcome);
@@ -553,26 +556,46 @@
 void gate::apply_notice(const pending_request& it, const call_result& result)
 {
     deferred_actions out;
-    std::optional<double> max_rate;
     {
         const std::lock_guard lock(mutex_);
         const auto found = servers_.find(it.request.server);
         if (!result.notice || found == servers_.end() || found->second.run != it.server_run)
             return;
         backend_server& server = found->second;
-        const time_point now = boot_now();
         const std::optional<double> before = server.notices.max_rate();
-        server.notices.answered(*result.notice, it.started, now);
-        max_rate = server.notices.max_rate();
-        if (max_rate == before)
-            return;
-        collect_actions(server.slots.set_start_rate(max_rate, now), out);
+        server.notices.answered(*result.notice, it.started, boot_now());
+        apply_record(server, before, out);
     }
-    log_event(event::backend_server_limited, "server={:016x} max_rate={}", it.request.server.value,
-              text_of_rate(max_rate));
     perform(out);
 }
 
+// After a restart this gate has no answer of its own yet: what an entry node was told holds until
+// then.
+void gate::apply_report(const dispatch& request, deferred_actions& out)
+{
+    const auto found = servers_.find(request.server);
+    if (!request.notice || found == servers_.end() || found->second.run != request.notice->run)
+        return;
+    const std::optional<double> before = found->second.notices.max_rate();
+    found->second.notices.reported(request.notice->notice);
+    apply_record(found->second, before, out);
+}
+
+// Puts the rate of the record into force if it is no longer `before`, and the slots that it allows.
+void gate::apply_record(backend_server& server, std::optional<double> before, deferred_actions& out)
+{
+    const time_point now = boot_now();
+    const std::optional<double> max_rate = server.notices.max_rate();
+    if (max_rate != before)
+        collect_actions(server.slots.set_start_rate(max_rate, now), out);
+    collect_actions(
+        server.slots.set_slots(server.notices.usable_slots(server.record.slots, now), now), out);
+    if (max_rate == before)
+        return;
+    log_event(event::backend_server_limited, "server={:016x} max_rate={}", server.record.id.value,
+              text_of_rate(max_rate));
+}
+
 static request_evidence classify_evidence(const call_result& it)
 {
     switch (it.outcome) {
--- a/src/server_notice.cpp
+++ b/src/server_notice.cpp
@@ -1,5 +1,7 @@
 #include "server_notice.h"
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <cmath>
 
@@ -27,4 +29,29 @@
     return out.max_rate ? std::optional(out) : std::nullopt;
 }
 
+constexpr std::string_view no_rate = "-";
+
+// "RUN LEAVING RATE", for example "18f3a 0 4.2"; the run in hexadecimal digits, "-" for no rate.
+std::string encode_notice(const reported_notice& it)
+{
+    return fmt::format("{:x} {} {}", it.run.value, it.notice.is_leaving ? 1 : 0,
+                       it.notice.max_rate ? fmt::format("{}", *it.notice.max_rate) : no_rate);
+}
+
+std::optional<reported_notice> decode_notice(std::string_view text)
+{
+    reported_notice out;
+    const char* last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, out.run.value, 16);
+    if (ec != std::errc{} || last - end < 4 || end[0] != ' ' || end[2] != ' ')
+        return std::nullopt;
+    const std::string_view rate(end + 3, last);
+    const auto notice = parse_notice(rate == no_rate ? std::nullopt : std::optional(rate),
+                                     std::string_view(end + 1, 1));
+    if (!notice)
+        return std::nullopt;
+    out.notice = *notice;
+    return out;
+}
+
 } // namespace jasminebank
--- a/src/server_notice.h
+++ b/src/server_notice.h
@@ -3,7 +3,10 @@
 // What a backend server says in its answers about the work that it takes: the rate of requests that
 // it accepts from the whole fleet, and whether it is leaving.
 
+#include "types.h"
+
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace jasminebank {
@@ -19,4 +22,16 @@
 std::optional<server_notice> parse_notice(std::optional<std::string_view> max_rate,
                                           std::optional<std::string_view> leaving);
 
+/// A notice with the run of the backend server that it is of, as nodes tell it each other.
+struct reported_notice {
+    server_notice notice{};
+    incarnation run{};
+    bool operator==(const reported_notice&) const = default;
+};
+
+/// The value of `notice_field`.
+std::string encode_notice(const reported_notice& it);
+/// Nothing if the text is malformed.
+std::optional<reported_notice> decode_notice(std::string_view text);
+
 } // namespace jasminebank
--- a/tests/server_limit_test.cpp
+++ b/tests/server_limit_test.cpp
@@ -94,10 +94,20 @@
         return std::async(std::launch::async, [options] { return load_generator(options).run(); });
     }
 
-    process_fleet fleet{{.services = {{.name = "lids"}}}};
+    explicit server_limit(const std::string& service_time = "5ms")
+        : fleet({.services = {{.name = "lids", .service_time = service_time}}})
+    {
+    }
+
+    process_fleet fleet;
     const endpoint limited = fleet.backend(0, 0);
 };
 
+class slow_server_limit : public server_limit {
+protected:
+    slow_server_limit() : server_limit("700ms") {}
+};
+
 } // namespace
 
 TEST_F(server_limit, backend_server_gets_no_more_than_the_rate_that_it_named)
@@ -113,14 +123,17 @@
     EXPECT_GT(runs_of(limited) - before, bound_requests) << "the limit was not lifted";
 }
 
-TEST_F(server_limit, restart_of_the_node_does_not_forget_the_rate)
+// Slow answers: a node that forgot the rate fills all slots before the first answer names it again.
+TEST_F(slow_server_limit, restart_of_the_node_does_not_forget_the_rate)
 {
     auto load = start_load();
     auto counted = std::async(std::launch::async, [&] { return sample_runs(limited, load_time); });
-    std::this_thread::sleep_for(load_time / 4);
-    fleet.node(0).signal(SIGKILL);
-    ASSERT_TRUE(fleet.node(0).wait_for_exit(20s).has_value());
-    fleet.start_node(0);
+    for (int n = 0; n < 4; ++n) {
+        std::this_thread::sleep_for(1500ms);
+        fleet.node(0).signal(SIGKILL);
+        ASSERT_TRUE(fleet.node(0).wait_for_exit(20s).has_value());
+        fleet.start_node(0);
+    }
     load.get();
     EXPECT_LE(most_in_a_window(counted.get()), bound_requests);
 }
--- a/tests/start_pacer_test.cpp
+++ b/tests/start_pacer_test.cpp
@@ -131,6 +131,39 @@
     EXPECT_EQ(it.max_rate(), std::nullopt);
 }
 
+TEST(notice_record, report_of_another_node_holds_until_the_first_answer)
+{
+    notice_record it;
+    const time_point start{1h};
+    it.sent(start);
+    EXPECT_EQ(it.usable_slots(8, start), 1U);
+    it.reported(*notice("2"));
+    EXPECT_EQ(it.max_rate(), 2.0);
+    EXPECT_EQ(it.usable_slots(8, start), 8U);
+    it.answered({}, start + 50ms, start + 100ms);
+    it.reported(*notice("2"));
+    EXPECT_EQ(it.max_rate(), std::nullopt);
+}
+
+TEST(notice_record, server_that_does_not_answer_gets_all_its_slots_after_a_while)
+{
+    notice_record it;
+    const time_point start{1h};
+    it.sent(start);
+    EXPECT_EQ(it.usable_slots(8, start + 1s), 1U);
+    EXPECT_EQ(it.usable_slots(8, start + 2s), 8U);
+}
+
+TEST(server_notice, is_decoded_as_encoded)
+{
+    for (const reported_notice& it :
+         {reported_notice{.notice = {.max_rate = 4.2}, .run = {0x18f3a}},
+          reported_notice{.notice = {.max_rate = {}, .is_leaving = true}, .run = {}}})
+        EXPECT_EQ(decode_notice(encode_notice(it)), it);
+    for (const char* text : {"", "1", "1 0", "1 0 ", "x 0 1", "1 2 1", "1 0 -1", "1 0 1 "})
+        EXPECT_FALSE(decode_notice(text)) << text;
+}
+
 TEST(server_notice, malformed_values_are_no_notice)
 {
     for (const char* text : {"", "-1", "x", "1x", "nan", "inf", " 2", "-0"})
