A backend server that says it is leaving gets no new requests; no single slot at the start

What was seen: servers whose answers say that they leave go on running requests while their announcements say ready (160 in 8 s in the test). Cause: only announcements were listened to (the same class as the limit: a signal passed on and not acted upon). Now such an answer drains the server at its gate at once and in the records; entries report it to a gate that has restarted, like the limit. Looked for elsewhere: a late ready announcement undid a withdrawal, too. Both now hold for that run of the server until it has announced ready for 10 s without a break; a restart ends them. server_limit.backend_server_that_says_it_is_leaving_* failed before and passes; notice_record.late_ready_announcement_does_not_undo_leaving.

The restart test counts what the users' rule counts, callers of nodes that were told (all three are told first, the restarted node gets no callers); an entry that was never told may fill the slots of a restarted gate once.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -63,7 +63,7 @@
         record.standing = server.record.standing;
         if (is_new) {
             server.slots =
-                slot_queue({.slots = server.notices.usable_slots(record.slots, now),
+                slot_queue({.slots = record.slots,
                             .max_waiting = options_.waiting_requests,
                             .max_waiting_per_organisation = options_.waiting_requests / 4 + 1});
         }
@@ -73,6 +73,8 @@
             server.notices = notice_record();
             collect_actions(server.slots.set_start_rate(std::nullopt, now), out);
         }
+        server.notices.announced(it.server.draining, now);
+        record.draining |= server.notices.is_leaving();
         changed = is_new || server.record != record;
         server.record = record;
         server.run = it.run;
@@ -104,6 +106,7 @@
             if (server.name != name)
                 continue;
             found = true;
+            server.notices.withdrawn();
             server.record.draining = true;
             server.last_announced = now;
             collect_actions(server.slots.refuse_waiting(), out, refusal::stopping);
@@ -130,7 +133,7 @@
         found->second.is_lost = true;
         found->second.record.draining = true;
         collect_actions(found->second.slots.refuse_waiting(), out, refusal::no_backend_server);
-        lost_since_tick_ = true;
+        records_changed_ = true;
     }
     log_event(event::backend_server_lost, "address={} cause={}", it.request.server.value,
               outcome == call_outcome::misdirected ? "another backend server has the address"
@@ -145,9 +148,7 @@
     {
         const std::lock_guard lock(mutex_);
         for (auto& [id, server] : servers_) {
-            collect_actions(
-                server.slots.set_slots(server.notices.usable_slots(server.record.slots, now), now),
-                out);
+            collect_actions(server.slots.tick(now), out);
             // Another backend server is more likely to answer these requests.
             if (server.slots.waiting() > 0 && server.stalls.suspicion(now) >= high_suspicion)
                 collect_actions(server.slots.refuse_waiting(), out, refusal::suspect);
@@ -155,7 +156,7 @@
                 return now - it.since > options_.backend_idle;
             });
         }
-        changed = std::exchange(lost_since_tick_, false);
+        changed = std::exchange(records_changed_, false);
         changed |= std::erase_if(servers_, [&](const auto& it) {
                        const backend_server& server = it.second;
                        return server.slots.running() + server.slots.waiting() == 0 &&
@@ -530,7 +531,6 @@
         backend_server& server = servers_.at(it.request.server);
         it.suspicion = server.stalls.suspicion(it.started);
         server.stalls.started(id, it.request.route, it.request.target_latency, boot_now());
-        server.notices.sent(it.started);
     }
     const call_result result = call_backend(client, it.stream,
                                             {.deadline = it.deadline,
@@ -581,15 +581,19 @@
     apply_record(found->second, before, out);
 }
 
-// Puts the rate of the record into force if it is no longer `before`, and the slots that it allows.
+// Puts into force what the record says: the rate, if it is no longer `before`, the slots that may
+// be used, and whether the server leaves, which `tick` publishes.
 void gate::apply_record(backend_server& server, std::optional<double> before, deferred_actions& out)
 {
-    const time_point now = boot_now();
     const std::optional<double> max_rate = server.notices.max_rate();
     if (max_rate != before)
-        collect_actions(server.slots.set_start_rate(max_rate, now), out);
-    collect_actions(
-        server.slots.set_slots(server.notices.usable_slots(server.record.slots, now), now), out);
+        collect_actions(server.slots.set_start_rate(max_rate, boot_now()), out);
+    if (server.notices.is_leaving() && !server.record.draining) {
+        server.record.draining = true;
+        records_changed_ = true;
+        collect_actions(server.slots.refuse_waiting(), out, refusal::stopping);
+        log_event(event::backend_server_changed, "name={} leaving", server.name);
+    }
     if (max_rate == before)
         return;
     log_event(event::backend_server_limited, "server={:016x} max_rate={}", server.record.id.value,
--- a/src/gate.h
+++ b/src/gate.h
@@ -145,7 +145,7 @@
     std::unordered_map<request_id, pending_request> pending_;
     std::uint64_t next_request_ = 1;
     bool stopping_ = false;
-    bool lost_since_tick_ = false; ///< a backend server became unreachable since the last tick
+    bool records_changed_ = false; ///< by the outcome of a request, since the last tick
     worker_pool workers_;
 };
 
--- a/src/notice_record.cpp
+++ b/src/notice_record.cpp
@@ -1,15 +1,15 @@
 #include "notice_record.h"
 
-#include <algorithm>
-
 namespace jasminebank {
 
-// A server that does not answer within this time hangs, which is for stall_watch to judge.
-constexpr duration max_first_answer_wait = std::chrono::milliseconds(1500);
+// Longer than announcements are delayed by a network partition.
+constexpr duration min_ready_time = std::chrono::seconds(10);
 
 void notice_record::answered(const server_notice& it, time_point sent, time_point now)
 {
     has_answer_ = true;
+    if (it.is_leaving)
+        withdrawn();
     if (it.max_rate) {
         max_rate_ = it.max_rate;
         named_at_ = now;
@@ -19,21 +19,26 @@
     }
 }
 
-void notice_record::sent(time_point now)
+void notice_record::withdrawn()
 {
-    if (!first_sent_)
-        first_sent_ = now;
+    is_leaving_ = true;
+    ready_since_.reset();
 }
 
-std::uint32_t notice_record::usable_slots(std::uint32_t slots, time_point now) const
+void notice_record::announced(bool is_draining, time_point now)
 {
-    const bool is_waiting = !first_sent_ || now - *first_sent_ < max_first_answer_wait;
-    return is_waiting && !has_answer_ && !has_report_ ? std::min(slots, 1U) : slots;
+    if (is_draining) {
+        ready_since_.reset();
+        return;
+    }
+    if (!ready_since_)
+        ready_since_ = now;
+    is_leaving_ = is_leaving_ && now - *ready_since_ < min_ready_time;
 }
 
 void notice_record::reported(const server_notice& it)
 {
-    has_report_ = true;
+    is_leaving_ |= it.is_leaving && !has_answer_;
     if (!has_answer_)
         max_rate_ = it.max_rate;
 }
--- a/src/notice_record.h
+++ b/src/notice_record.h
@@ -19,21 +19,23 @@
     /// an answer: that is newer, or as new.
     void reported(const server_notice& it);
 
-    /// Counts a request that is sent to the server.
-    void sent(time_point now);
-    /// How many of the server's slots may be used. Until its first answer or report only one: the
-    /// server may have named a limit to an earlier run of this node.
-    std::uint32_t usable_slots(std::uint32_t slots, time_point now) const;
-
+    /// Takes an announcement of the server, which says whether it is draining. Announcements may
+    /// arrive many seconds late, so a server that said it is leaving counts as staying only after
+    /// it has announced the contrary for a longer time.
+    void announced(bool is_draining, time_point now);
+    /// The server has withdrawn from the node.
+    void withdrawn();
+
+    bool is_leaving() const { return is_leaving_; }
     /// Requests a second that the server takes; nothing: no limit.
     std::optional<double> max_rate() const { return max_rate_; }
 
 private:
     std::optional<double> max_rate_;
     time_point named_at_{}; // when the limit was last named
+    bool is_leaving_ = false;
+    std::optional<time_point> ready_since_; // announcements since then said that it stays
     bool has_answer_ = false;
-    bool has_report_ = false;
-    std::optional<time_point> first_sent_;
 };
 
 } // namespace jasminebank
