Read the configuration by its value, not by its revision

What callers may see: after the store came back from an older copy, a change that it confirmed is not in force until the next one, and a withdrawn key goes on working. Cause: a reader compared the revision of the value with the one that it had read last; a restored store gives revisions out again, for other values, and the reader reported the old configuration as confirmed (class: an identity that is taken from a counter that can go back). Now each value read goes to config_feed, which compares texts; a rejected text is kept, so that it is decoded and logged once.

restored_store.configuration_at_a_revision_given_out_again_is_read failed before (not read in 10 s) and passes.

--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -24,8 +24,11 @@
         if (text == text_)
             return true;
     }
+    if (text == rejected_text_)
+        return false;
     auto config = options_.decode(text);
     if (failed(config)) {
+        rejected_text_ = text;
         log_event(event::config_rejected, "field=\"{}\" allowed=\"{}\"", error_of(config).field,
                   error_of(config).allowed);
         return false;
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -48,7 +48,8 @@
 private:
     const config_feed_options options_;
     link_hub& links_;
-    std::mutex apply_mutex_; ///< serialises apply(); locked before mutex_
+    std::mutex apply_mutex_;    ///< serialises apply(); locked before mutex_
+    std::string rejected_text_; ///< the last invalid value, logged once; guarded by apply_mutex_
     mutable std::mutex mutex_;
     std::string text_;
     std::uint64_t generation_ = 0;
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -55,8 +55,9 @@
     duration entry_ttl = std::chrono::seconds(60);
     /// Returns true while this node must read the configuration itself.
     std::function<bool()> must_read_config;
-    /// Called with the value of the configuration when it was read for the first time or has
-    /// changed. Returns true if that configuration is in force, newly or already.
+    /// Called with the value of the configuration after each read. Returns true if that
+    /// configuration is in force, newly or already. Values are compared, not their revisions: a
+    /// store that was restored from an older copy gives revisions out again.
     std::function<bool(const std::string&)> on_config;
     /// Called after each read that found the configuration in force here to be that of the store,
     /// or the store to hold none; the argument is the time at which the read was sent.
@@ -241,11 +242,7 @@
         on_call_succeeded();
         bool in_force = true;
         if (!value_of(read).entries.empty()) {
-            const store_entry& entry = value_of(read).entries.front();
-            if (entry.mod_revision != config_revision_)
-                config_in_force_ = options_.on_config(entry.value);
-            config_revision_ = entry.mod_revision;
-            in_force = config_in_force_;
+            in_force = options_.on_config(value_of(read).entries.front().value);
         }
         if (in_force)
             options_.on_config_confirmed(sent_at);
@@ -297,8 +294,6 @@
     const std::string member_key_;
     lease_id lease_{};
     time_point next_renewal_{};
-    store_revision config_revision_ = -1;
-    bool config_in_force_ = false;
     bool is_unreachable_ = false;
     bool must_check_lease_ = false;
     std::mutex mutex_;
