Write the member entry and the fleet key again after a store went back

What callers may see: a node that starts after such a return finds no fleet key, makes another one and stays alone; or it finds no peers. Cause: entries are written once and then only their lease is renewed; the key is written by the first node only (class: state that is assumed to be kept because its write was acknowledged). Now the adapter tells the era of the store's answers; when it rises, the session takes a new lease (the id of the old one may be another node's by now), writes its entry, and writes the fleet key, also over one that a node made meanwhile. For a second a read configuration is no proof of being the newest. The new event 123 tells a restore from an ordinary outage.

--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -87,6 +87,7 @@
         return classify_failure(sent.error(), too_large || client->exceeded_size_limit(),
                                 boot_now() >= deadline);
     answer.status = sent->status;
+    answer.headers = sent->headers;
     if (!client->has_discarded_bytes())
         release_client(std::move(client));
     return answer;
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -27,6 +27,7 @@
 struct http_answer {
     int status = 0;
     std::string body;
+    httplib::Headers headers{};
 };
 
 enum class http_failure : std::uint8_t {
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -26,6 +26,7 @@
     event_entry{event::store_joined, severity::info, "store_joined"},
     event_entry{event::store_away, severity::warning, "store_away"},
     event_entry{event::store_back, severity::info, "store_back"},
+    event_entry{event::store_restored, severity::warning, "store_restored"},
     event_entry{event::link_listening, severity::info, "link_listening"},
     event_entry{event::link_opened, severity::info, "link_opened"},
     event_entry{event::link_closed, severity::info, "link_closed"},
--- a/src/log.h
+++ b/src/log.h
@@ -30,6 +30,7 @@
     store_joined = 120, ///< joined the fleet by means of the store
     store_away = 121,
     store_back = 122,
+    store_restored = 123, ///< the store came back from an older copy
     link_listening = 200,
     link_opened = 201,
     link_closed = 202,
--- a/src/memory_store.h
+++ b/src/memory_store.h
@@ -25,6 +25,7 @@
     result<store_lease, store_error> grant_lease(duration ttl);
     result<store_lease, store_error> keep_lease_alive(lease_id lease);
     result<ok, store_error> revoke_lease(lease_id lease);
+    std::uint64_t era() const { return 0; }
 
 private:
     std::optional<store_error> check_read_faults();
--- a/src/store_messages.h
+++ b/src/store_messages.h
@@ -13,8 +13,9 @@
 
 namespace jasminebank {
 
-/// Revision of the store: increases by one with every transaction that changes a key and never
-/// decreases. An answer with a lower revision than an earlier answer is therefore stale.
+/// Revision of the store: increases by one with every transaction that changes a key. Within an era
+/// of the store it never decreases, so an answer with a lower revision than an earlier one is
+/// stale.
 using store_revision = std::int64_t;
 
 /// Identifies a lease of the store; 0 means no lease.
@@ -143,6 +144,10 @@
     {
         it.revoke_lease(lease)
         } -> std::same_as<result<ok, store_error>>;
+    // Number of restores from an older copy, as of the newest answer; 0 if the store does not tell.
+    {
+        it.era()
+        } -> std::same_as<std::uint64_t>;
 };
 
 } // namespace jasminebank
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -9,6 +9,7 @@
 #include "endpoint.h"
 #include "jitter_backoff.h"
 #include "log.h"
+#include "store_era.h"
 #include "store_messages.h"
 #include "system_clock.h"
 #include "types.h"
@@ -96,6 +97,7 @@
         while (true) {
             if (auto out = try_join()) {
                 log_event(event::store_joined, "peers={}", out->peers.size());
+                fleet_key_ = out->fleet_key;
                 return out;
             }
             if (!wait_unless_cancelled(boot_now() + wait))
@@ -157,6 +159,10 @@
 
     void on_call_succeeded()
     {
+        if (era_.observe(store_->era(), boot_now())) {
+            log_event(event::store_restored, "era={}", store_->era());
+            must_write_again_ = true;
+        }
         if (!std::exchange(is_unreachable_, false))
             return;
         log_event(event::store_back, "lease={}", lease_.value);
@@ -244,7 +250,7 @@
         if (!value_of(read).entries.empty()) {
             in_force = options_.on_config(value_of(read).entries.front().value);
         }
-        if (in_force)
+        if (in_force && era_.is_settled(sent_at))
             options_.on_config_confirmed(sent_at);
         return true;
     }
@@ -269,6 +275,37 @@
             next_renewal_ = boot_now() + options_.read_interval;
     }
 
+    // Writes what a restored store may have lost. The old lease is forgotten, not renewed: its id
+    // may have been given to another node.
+    void write_again()
+    {
+        lease_ = {};
+        must_write_again_ = !put_member_entry() || !put_fleet_key();
+    }
+
+    // A key made by a node that started while the key was lost is replaced: the fleet uses this
+    // one.
+    bool put_fleet_key()
+    {
+        const std::string name(fleet_key_key);
+        const auto found = store_->range(store_key_range{.key = name, .range_end = {}});
+        if (failed(found)) {
+            on_call_failed("fleet key", error_of(found));
+            return false;
+        }
+        const auto& entries = value_of(found).entries;
+        if (!entries.empty() && entries.front().value == fleet_key_)
+            return true;
+        const store_compare expected =
+            entries.empty() ? absent(name) : unchanged_since(name, entries.front().mod_revision);
+        const auto done = store_->commit({.compares = {expected},
+                                          .puts = {{.key = name, .value = fleet_key_, .lease = {}}},
+                                          .deletes = {}});
+        if (failed(done))
+            on_call_failed("fleet key", error_of(done));
+        return !failed(done) && value_of(done).succeeded;
+    }
+
     void run()
     {
         std::unique_lock lock(mutex_);
@@ -282,6 +319,8 @@
                                  : std::min(retry * 2, options_.read_interval * 4);
                 wait = was_read ? options_.read_interval : retry;
             }
+            if (must_write_again_ && !is_unreachable_)
+                write_again();
             if (boot_now() >= next_renewal_ || (must_check_lease_ && !is_unreachable_))
                 renew_member_entry();
             lock.lock();
@@ -296,6 +335,9 @@
     time_point next_renewal_{};
     bool is_unreachable_ = false;
     bool must_check_lease_ = false;
+    store_era era_;
+    std::string fleet_key_;
+    bool must_write_again_ = false;
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_ = false;
