An older configuration is no proof; a node that joins waits for the fleet after a restore

(1) config_feed reported an older value as confirmed, and membership took the age of the store's news from members with an older configuration: with a store that went back, either proves nothing, and a withdrawn key would work on beyond its bound. Both now count for the generation in force only; event 503 tells an older value. (2) A node that starts in the moment in which the store has no key or no other member made a key at once; unless the whole fleet starts for the first time (new setting first_start, from the platform's), it waits up to 3 s for the fleet to write them again.

--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -36,8 +36,14 @@
     const auto fresh = std::make_shared<const fleet_config>(std::move(value_of(config)));
     {
         const std::lock_guard lock(mutex_);
-        if (fresh->generation <= generation_)
+        if (fresh->generation == generation_)
             return true;
+        if (fresh->generation < generation_) {
+            log_event(event::config_outdated, "generation={} in_force={}", fresh->generation,
+                      generation_);
+            rejected_text_ = text;
+            return false;
+        }
         generation_ = fresh->generation;
         text_ = text;
     }
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -36,7 +36,8 @@
     config_feed(config_feed_options options, link_hub& links);
 
     /// Decodes `text` and puts it into force unless its generation is old. True if it, or a
-    /// configuration of the same or a newer generation, is now in force; false if it is invalid.
+    /// configuration of the same generation, is now in force; false if it is invalid or older, as
+    /// in a store that was restored from an older copy.
     bool apply(const std::string& text);
     /// Requests a newer configuration from the node at `peer`, unless a request is pending. Does
     /// not block.
@@ -48,8 +49,9 @@
 private:
     const config_feed_options options_;
     link_hub& links_;
-    std::mutex apply_mutex_;    ///< serialises apply(); locked before mutex_
-    std::string rejected_text_; ///< the last invalid value, logged once; guarded by apply_mutex_
+    std::mutex apply_mutex_; ///< serialises apply(); locked before mutex_
+    std::string
+        rejected_text_; ///< the last invalid or older value, logged once; guarded by apply_mutex_
     mutable std::mutex mutex_;
     std::string text_;
     std::uint64_t generation_ = 0;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -44,6 +44,7 @@
     event_entry{event::config_in_force, severity::info, "config_in_force"},
     event_entry{event::config_rejected, severity::error, "config_rejected"},
     event_entry{event::config_unreadable, severity::warning, "config_unreadable"},
+    event_entry{event::config_outdated, severity::warning, "config_outdated"},
     event_entry{event::mandate_taken, severity::info, "mandate_taken"},
     event_entry{event::mandate_ended, severity::warning, "mandate_ended"},
     event_entry{event::mandate_released, severity::info, "mandate_released"},
--- a/src/log.h
+++ b/src/log.h
@@ -48,7 +48,8 @@
     config_in_force = 500,
     config_rejected = 501,
     config_unreadable = 502,
-    mandate_taken = 600, ///< mandate: the leases on rate limit shards that this node holds
+    config_outdated = 503, ///< older than the one in force
+    mandate_taken = 600,   ///< mandate: the leases on rate limit shards that this node holds
     mandate_ended = 601,
     mandate_released = 602,
     mandate_unreadable = 603,
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -282,7 +282,7 @@
     const bool direct = peer != nullptr && peer->link == from;
     if (direct)
         record_ping_outcome(*ping, true);
-    if (direct && it.store_age && it.generation <= generation_)
+    if (direct && it.store_age && it.generation == generation_)
         record_store_contact(ping->sent - *it.store_age);
     pings_.erase(ping);
 }
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -83,6 +83,7 @@
         {.vm_name = settings_.vm_name,
          .link = settings_.links,
          .config_key = platform_->config_key,
+         .first_start = settings_.first_start,
          .must_read_config = [this] { return must_read_config(); },
          .on_config = [this](const std::string& text) { return feed_->apply(text); },
          .on_config_confirmed = [this](time_point at) { members_->record_store_contact(at); },
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -87,6 +87,7 @@
     out.store = in.addresses("store");
     out.peers = in.addresses("peers");
     out.on_platform = in.flag("platform", false);
+    out.first_start = in.flag("first_start", true);
     if (!out.on_platform)
         out.fleet_key = read_fleet_key(in);
     else if (out.store.size() != 1)
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -37,6 +37,7 @@
     cut_off_policy when_cut_off = cut_off_policy::refuse;
 
     bool on_platform = false;        ///< use the platform's store and protocols
+    bool first_start = true;         ///< no other node has run before
     endpoint ready;                  ///< readiness check for load balancers; port 0: none
     endpoint metrics;                ///< also serves metrics and status; port 0: none
     endpoint backend_server;         ///< only this one may announce itself; port 0: any
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -54,6 +54,10 @@
     /// TTL of the member entry. The entry only helps joining nodes to find peers, so one that
     /// outlives its node does no harm.
     duration entry_ttl = std::chrono::seconds(60);
+    /// Whether the whole fleet starts for the first time. If not, a node that finds no fleet key or
+    /// no other member waits for `fleet_wait`: the fleet writes both again after a restore.
+    bool first_start = true;
+    duration fleet_wait = std::chrono::seconds(3);
     /// Returns true while this node must read the configuration itself.
     std::function<bool()> must_read_config;
     /// Called with the value of the configuration after each read. Returns true if that
@@ -189,11 +193,22 @@
             if (it.key.starts_with(fleet_members_prefix) && it.key != member_key_ && peer)
                 out.peers.push_back(*peer);
         }
+        if (must_wait_for_fleet(out, boot_now()))
+            return std::nullopt;
         if (out.fleet_key.empty() && !create_fleet_key(out.fleet_key))
             return std::nullopt;
         return out;
     }
 
+    bool must_wait_for_fleet(const joined_fleet& found, time_point now)
+    {
+        if (options_.first_start || (!found.fleet_key.empty() && !found.peers.empty()))
+            return false;
+        if (!alone_since_)
+            alone_since_ = now;
+        return now - *alone_since_ < options_.fleet_wait;
+    }
+
     bool put_member_entry()
     {
         if (lease_ == lease_id{}) {
@@ -336,6 +351,7 @@
     bool is_unreachable_ = false;
     bool must_check_lease_ = false;
     store_era era_;
+    std::optional<time_point> alone_since_; // the store has shown no fleet since then
     std::string fleet_key_;
     bool must_write_again_ = false;
     std::mutex mutex_;
