--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -24,11 +24,11 @@
         if (text == text_)
             return true;
     }
-    if (text == rejected_text_)
+    if (text == ignored_text_)
         return false;
     auto config = options_.decode(text);
     if (failed(config)) {
-        rejected_text_ = text;
+        ignored_text_ = text;
         log_event(event::config_rejected, "field=\"{}\" allowed=\"{}\"", error_of(config).field,
                   error_of(config).allowed);
         return false;
@@ -41,7 +41,7 @@
         if (fresh->generation < generation_) {
             log_event(event::config_outdated, "generation={} in_force={}", fresh->generation,
                       generation_);
-            rejected_text_ = text;
+            ignored_text_ = text;
             return false;
         }
         generation_ = fresh->generation;
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -51,7 +51,7 @@
     link_hub& links_;
     std::mutex apply_mutex_; ///< serialises apply(); locked before mutex_
     std::string
-        rejected_text_; ///< the last invalid or older value, logged once; guarded by apply_mutex_
+        ignored_text_; ///< the last invalid or older value, logged once; guarded by apply_mutex_
     mutable std::mutex mutex_;
     std::string text_;
     std::uint64_t generation_ = 0;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -544,7 +544,7 @@
         mark_lost(it, result.outcome);
     const bool past_deadline = result.timed_out;
     log_dispatch_end(it, result, past_deadline);
-    apply_notice(it, result);
+    apply_answer(it, result);
     const bool died = !past_deadline && detect_death(it, result);
     health_.finished({.request = id,
                       .outcome = classify_outcome(result, past_deadline),
@@ -553,7 +553,7 @@
 }
 
 // The notice is applied before the answer's slot is given to the next request.
-void gate::apply_notice(const pending_request& it, const call_result& result)
+void gate::apply_answer(const pending_request& it, const call_result& result)
 {
     deferred_actions out;
     {
@@ -564,7 +564,7 @@
         backend_server& server = found->second;
         const std::optional<double> before = server.notices.max_rate();
         server.notices.answered(*result.notice, it.started, boot_now());
-        apply_record(server, before, out);
+        apply_notices(server, before, out);
     }
     perform(out);
 }
@@ -578,12 +578,13 @@
         return;
     const std::optional<double> before = found->second.notices.max_rate();
     found->second.notices.reported(request.notice->notice);
-    apply_record(found->second, before, out);
+    apply_notices(found->second, before, out);
 }
 
-// Puts into force what the record says: the rate, if it is no longer `before`, the slots that may
-// be used, and whether the server leaves, which `tick` publishes.
-void gate::apply_record(backend_server& server, std::optional<double> before, deferred_actions& out)
+// Puts into force what the notices say: the rate, if it is no longer `before`, and whether the
+// server leaves, which `tick` publishes.
+void gate::apply_notices(backend_server& server, std::optional<double> before,
+                         deferred_actions& out)
 {
     const std::optional<double> max_rate = server.notices.max_rate();
     if (max_rate != before)
--- a/src/gate.h
+++ b/src/gate.h
@@ -131,9 +131,9 @@
                           bool past_deadline) const;
     bool detect_death(const pending_request& it, const call_result& result);
     std::shared_ptr<bounded_client> acquire_connection(backend_server& server);
-    void apply_record(backend_server& server, std::optional<double> before, deferred_actions& out);
+    void apply_notices(backend_server& server, std::optional<double> before, deferred_actions& out);
     void apply_report(const dispatch& request, deferred_actions& out);
-    void apply_notice(const pending_request& it, const call_result& result);
+    void apply_answer(const pending_request& it, const call_result& result);
     void finish(request_id id, const pending_request& it, std::shared_ptr<bounded_client> client,
                 const call_result& result);
 
