Forward answers to HEAD and answers 204, and check them like others

A backend server's answer to HEAD, or with status 204, never reached the caller. The HTTP library calls its response handler only before a body, so the head was neither checked (id, success mark, proof of a refusal) nor forwarded, and the call counted as a whole answer.

--- a/src/bounded_client.cpp
+++ b/src/bounded_client.cpp
@@ -25,8 +25,10 @@
     size_limit_exceeded_ = false;
     has_discarded_bytes_ = false;
     is_whole_ = false;
-    request.response_handler = [this, on_response_head = std::move(request.response_handler)](
-                                   const httplib::Response& res) {
+    const httplib::ResponseHandler on_response_head = std::move(request.response_handler);
+    bool has_seen_head = false;
+    request.response_handler = [&](const httplib::Response& res) {
+        has_seen_head = true;
         current_stream_->end_head();
         // The library takes interim answers other than 100 as final.
         return res.status >= first_final_status && (!on_response_head || on_response_head(res));
@@ -34,6 +36,10 @@
     httplib::Result out = send(request);
     if (out && !is_whole_)
         return {nullptr, httplib::Error::Read};
+    // The library calls the handler only before a body.
+    const bool must_call = out && !has_seen_head && on_response_head;
+    if (must_call && !on_response_head(*out))
+        return {nullptr, httplib::Error::Canceled};
     return out;
 }
 
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -186,6 +186,9 @@
         answer_case{"empty_field", ok_head + "x-a:\r\nContent-Length: 5\r\n\r\nwhole"},
         answer_case{"after_an_interim_answer",
                     "HTTP/1.1 100 Continue\r\n\r\n" + ok_head + "Content-Length: 5\r\n\r\nwhole"},
+        answer_case{"head_request", ok_head + "Content-Length: 5\r\n\r\n", "HEAD", ""},
+        answer_case{"no_content",
+                    "HTTP/1.1 204 No Content\r\nx-request-id: r1\r\nx-mark: m\r\n\r\n", "GET", ""},
         answer_case{"not_modified", "HTTP/1.1 304 Not Modified\r\nx-request-id: r1\r\n\r\n", "GET",
                     ""}),
     test_name);
