A caller's request that is malformed or not read to its end closes its connection

With raw bytes to the callers' address: lengths with a bare LF or without a colon were skipped, the request ran without its body, and the body was read as the next request (request smuggling). An upload that ended with its connection inside a chunk's line end ran and got 200. A length that can't be parsed got 502 in place of 400 at once. The body of a GET was read as a request, too.

Cause and class as for answers: what the library had not complained of was taken as read to its end. Here: whoever was not read to the end gets "Connection: close" with the answer, in one place of socket_server, which all HTTP addresses of a node use; a GET, HEAD or OPTIONS with a body is refused as malformed; answers that the library makes itself say that the request was not run.

--- a/src/caller_head.cpp
+++ b/src/caller_head.cpp
@@ -92,6 +92,17 @@
     return lengths + encodings <= 1 && (encoding == nullptr || lower(*encoding) == "chunked");
 }
 
+// The HTTP library does not read the body of a request with such a method.
+bool has_unread_body(const message_head& head)
+{
+    constexpr std::array<std::string_view, 3> bodiless_methods{"GET", "HEAD", "OPTIONS"};
+    const std::string* length = find_field(head, "content-length");
+    const bool has_body =
+        (length != nullptr && *length != "0") || find_field(head, "transfer-encoding") != nullptr;
+    return has_body && std::find(bodiless_methods.begin(), bodiless_methods.end(), head.method) !=
+                           bodiless_methods.end();
+}
+
 std::optional<refusal> extract_key(const message_head& head, std::string& key)
 {
     for (const header_field& it : head.fields) {
@@ -164,7 +175,7 @@
 {
     for (header_field& it : head.fields)
         it.name = lower(std::move(it.name));
-    if (!has_unambiguous_length(head))
+    if (!has_unambiguous_length(head) || has_unread_body(head))
         return refusal::bad_request;
     std::string key;
     caller_head out;
--- a/src/caller_head.h
+++ b/src/caller_head.h
@@ -25,8 +25,9 @@
 };
 
 /// Parses a request head. Refuses two different keys, a key that also occurs in another field or in
-/// the request target (also percent-encoded), contradictory lengths, and fields that a link cannot
-/// carry. Drops the fields of `names` that only the fleet may set.
+/// the request target (also percent-encoded), contradictory lengths, a body where the method has
+/// none, and fields that a link cannot carry. Drops the fields of `names` that only the fleet may
+/// set.
 result<caller_head, refusal> split_caller_head(message_head head, const header_names& names = {});
 
 } // namespace jasminebank
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -27,6 +27,7 @@
 // cut link does not make a suspect.
 constexpr std::size_t remote_member_pingers = 3;
 constexpr int ok_status = 200;
+constexpr int first_server_error_status = 500;
 constexpr int unavailable_status = 503;
 // After draining, a planned stop waits this long for the leases to be released.
 constexpr duration lease_release_timeout = std::chrono::seconds(2);
@@ -429,6 +430,14 @@
                                   const httplib::ContentReader& reader) {
         entry_->handle(req, res, &reader);
     };
+    // The HTTP library answers some requests itself, such as one with a malformed head.
+    const httplib::Server::HandlerWithResponse add_outcome = [](const auto&, auto& res) {
+        if (res.status < first_server_error_status && !res.has_header(std::string(outcome_header)))
+            res.set_header(std::string(outcome_header),
+                           outcome_text({.reason = refusal::bad_request}));
+        return httplib::Server::HandlerResponse::Unhandled;
+    };
+    callers_->set_error_handler(add_outcome);
     callers_->Get("/", plain);
     callers_->Options("/", plain);
     callers_->Post("/", with_body);
--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -85,6 +85,11 @@
 {
     set_tcp_nodelay(true);
     set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
+    // Called when the head of an answer is about to be written.
+    set_post_routing_handler([](const httplib::Request&, httplib::Response& res) {
+        if (must_close())
+            close_after_answer(res);
+    });
     set_socket_options([this](socket_t sock) {
         const int yes = 1;
         setsockopt(sock, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
@@ -205,6 +210,8 @@
 void socket_server::close_after_answer(httplib::Response& res)
 {
     current_closes = true;
+    res.headers.erase("Connection");
+    res.headers.erase("Keep-Alive");
     res.set_header("Connection", "close");
 }
 
@@ -228,6 +235,13 @@
     return true;
 }
 
+// What follows a request that is malformed, or whose body was not read, is not the beginning of
+// another request.
+bool socket_server::must_close()
+{
+    return !current_stream->framing().is_whole();
+}
+
 // Waits for the first byte of a request. False if the connection is to be closed: it was idle for
 // too long, or the server is closing and no request has arrived.
 bool socket_server::wait_for_request(socket_t sock) const
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -75,6 +75,7 @@
     /// sees none.
     static bool wait_for_disconnect(duration time);
     /// Closes the connection of this thread's request after its answer, which announces the close.
+    /// The server does so itself if the request was not read to its end.
     static void close_after_answer(httplib::Response& res);
     /// Makes reads of this thread's request fail after `it`.
     static void set_request_read_deadline(time_point it);
@@ -84,6 +85,7 @@
 private:
     bool process_and_close_socket(socket_t sock) override;
     bool add_connection(socket_t sock);
+    static bool must_close();
     bool wait_for_request(socket_t sock) const;
     void serve(socket_t sock);
     void remove_connection(socket_t sock);
--- a/tests/caller_head_test.cpp
+++ b/tests/caller_head_test.cpp
@@ -100,3 +100,22 @@
         EXPECT_TRUE(failed(split_caller_head(head("/", {{"x-api-key", key}, bad})))) << bad.name;
     }
 }
+
+TEST(caller_head, rejects_a_body_where_the_method_has_none)
+{
+    for (const char* method : {"GET", "HEAD", "OPTIONS"}) {
+        for (const header_field& field :
+             {header_field{"Content-Length", "5"}, header_field{"Transfer-Encoding", "chunked"}}) {
+            message_head it = head("/a", {{"X-Api-Key", key}, field});
+            it.method = method;
+            const auto refused = split_caller_head(it);
+            ASSERT_TRUE(failed(refused)) << method;
+            EXPECT_EQ(error_of(refused), refusal::bad_request);
+            it.method = "DELETE";
+            EXPECT_FALSE(failed(split_caller_head(it)));
+        }
+        message_head it = head("/a", {{"X-Api-Key", key}, {"Content-Length", "0"}});
+        it.method = method;
+        EXPECT_FALSE(failed(split_caller_head(it)));
+    }
+}
--- a/tests/message_framing_test.cpp
+++ b/tests/message_framing_test.cpp
@@ -1,5 +1,5 @@
-// Property tests of the check that a message was read to its end; broken_answer_test has
-// the single cases.
+// Property tests of the check that a message was read to its end; broken_answer_test and
+// broken_request_test have the single cases.
 
 #include "message_framing.h"
 
