An answer on a kept connection must carry the id of its request

A backend server that wrote an earlier refusal once more on a kept connection made the gate report "not run" for a request that this server was running: with the same id if a request was tried again, and with no id at all for any request. Such a request could run at a second server (TWICE), or its caller was told to try again (REFUSED). Copies of other answers were taken alike.

Cause: an answer without an id counted as the request's own, and an id could be sent twice on a connection. Class: HTTP/1.1 has no sign of its own that an answer belongs to a request.

connection_ids decides, without a socket: an id is sent once on a connection; without an id on either side only the first answer of a connection is the request's own; a connection is kept only after an answer with the id of its request.

Ruled out: health of backend servers is not asked for by HTTP, announcements come on connections of their own.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -43,9 +43,11 @@
 // State of one call, used by the HTTP library's callbacks. They all run on the calling thread.
 class backend_exchange {
 public:
-    backend_exchange(std::shared_ptr<link_stream> stream, const backend_call_options& options)
-        : stream_(std::move(stream)), options_(options)
+    backend_exchange(std::shared_ptr<link_stream> stream, connection_ids& ids,
+                     const backend_call_options& options)
+        : stream_(std::move(stream)), ids_(ids), options_(options)
     {
+        ids_.sent(find_field(stream_->head(), options_.names.request_id));
     }
 
     httplib::Request request()
@@ -91,7 +93,8 @@
                         .notice = notice_};
         out.connection_reusable =
             (out.outcome == call_outcome::whole_answer || out.outcome == call_outcome::shed) &&
-            !client.has_discarded_bytes() && !closes_connection(answer.value());
+            !client.has_discarded_bytes() && !closes_connection(answer.value()) &&
+            ids_.may_be_kept(id_of_answer(answer.value()));
         if (out.outcome == call_outcome::whole_answer && !ended_with_head_)
             stream_->finish();
         return out;
@@ -138,11 +141,11 @@
 
     // Returns whether to go on reading. A refusal with proof that the request did not run is not
     // forwarded, because another backend server may run the request. The call fails on an answer
-    // to another request, on a status that claims without proof that the request did not run, and
-    // on a success without the success mark.
+    // that may belong to another request, on a status that claims without proof that the request
+    // did not run, and on a success without the success mark.
     bool on_response_head(const httplib::Response& res)
     {
-        if (answers_other_request(res))
+        if (!ids_.is_own(id_of_answer(res)))
             return false;
         status_ = res.status;
         const bool proves_not_run = res.has_header(options_.names.not_run);
@@ -182,12 +185,11 @@
         return head_forwarded_;
     }
 
-    // True for a delayed answer to an earlier request on the same connection.
-    bool answers_other_request(const httplib::Response& res) const
+    // Null if the answer has none.
+    const std::string* id_of_answer(const httplib::Response& res) const
     {
-        const std::string* sent_id = find_field(stream_->head(), options_.names.request_id);
-        return sent_id != nullptr && res.has_header(options_.names.request_id) &&
-               res.get_header_value(options_.names.request_id) != *sent_id;
+        const auto it = res.headers.find(options_.names.request_id);
+        return it == res.headers.end() ? nullptr : &it->second;
     }
 
     std::optional<server_notice> notice_of(const httplib::Response& res) const
@@ -242,6 +244,7 @@
     }
 
     std::shared_ptr<link_stream> stream_;
+    connection_ids& ids_; // of the connection
     backend_call_options options_;
     int status_ = 0;
     bool shed_ = false;
@@ -275,26 +278,30 @@
     return connected;
 }
 
-std::shared_ptr<bounded_client> make_backend_client(const endpoint& address)
+backend_connection::backend_connection(const endpoint& address) : client(address)
 {
-    auto out = std::make_shared<bounded_client>(address);
-    out->set_connection_timeout(connect_timeout);
-    out->set_url_encode(false);
-    out->set_follow_location(false);
-    return out;
+    client.set_connection_timeout(connect_timeout);
+    client.set_url_encode(false);
+    client.set_follow_location(false);
+}
+
+std::shared_ptr<backend_connection> make_backend_connection(const endpoint& address)
+{
+    return std::make_shared<backend_connection>(address);
 }
 
 // On cancellation by the caller the connection is shut down, which ends any wait of the library.
-call_result call_backend(const std::shared_ptr<bounded_client>& client,
+call_result call_backend(const std::shared_ptr<backend_connection>& connection,
                          const std::shared_ptr<link_stream>& stream,
                          const backend_call_options& options)
 {
     const time_point start = boot_now();
-    backend_exchange exchange(stream, options);
-    stream->on_cancel([client] { client->stop(); });
-    const httplib::Result answer = client->send_until(exchange.request(), options.deadline);
+    backend_exchange exchange(stream, connection->ids, options);
+    stream->on_cancel([connection] { connection->client.stop(); });
+    const httplib::Result answer =
+        connection->client.send_until(exchange.request(), options.deadline);
     stream->on_cancel({});
-    return exchange.finish(answer, *client, boot_now() - start);
+    return exchange.finish(answer, connection->client, boot_now() - start);
 }
 
 } // namespace jasminebank
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -5,6 +5,7 @@
 // backend server.
 
 #include "bounded_client.h"
+#include "connection_ids.h"
 #include "dispatch.h"
 #include "endpoint.h"
 #include "header_names.h"
@@ -30,9 +31,10 @@
 
 struct call_result {
     call_outcome outcome = call_outcome::no_answer;
-    int status = 0;                   ///< of the answer; 0 if its head was not received
-    bool head_forwarded = false;      ///< the head of the answer was sent to the caller
-    bool connection_reusable = false; ///< the answer was read to its end and no further
+    int status = 0;              ///< of the answer; 0 if its head was not received
+    bool head_forwarded = false; ///< the head of the answer was sent to the caller
+    /// The answer was read to its end and no further, and has the id of its request.
+    bool connection_reusable = false;
     bool timed_out = false;           ///< the deadline had passed when the call ended
     bool size_limit_exceeded = false; ///< a line, the head or the body of a refusal was too long
     duration service_time{};          ///< from the start of the call to its end
@@ -50,16 +52,23 @@
     incarnation server_run{};           ///< of the backend server, sent with its notice
 };
 
-/// Creates a client of a backend server. It connects on first use.
-std::shared_ptr<bounded_client> make_backend_client(const endpoint& address);
+/// A connection to a backend server, which carries one request at a time. Connects on first use.
+struct backend_connection {
+    explicit backend_connection(const endpoint& address);
+
+    bounded_client client;
+    connection_ids ids;
+};
+
+std::shared_ptr<backend_connection> make_backend_connection(const endpoint& address);
 
 /// True if a TCP connection to the address is accepted within the connect timeout.
 bool accepts_connections(const endpoint& address);
 
-/// Runs the request of `stream` on `client` and forwards the answer. Nothing is written to the
-/// stream unless `head_forwarded` is set; otherwise the caller of this function must send a
-/// refusal.
-call_result call_backend(const std::shared_ptr<bounded_client>& client,
+/// Runs the request of `stream` on `connection`, whose ids must allow it, and forwards the answer.
+/// Nothing is written to the stream unless `head_forwarded` is set; otherwise the caller of this
+/// function must send a refusal.
+call_result call_backend(const std::shared_ptr<backend_connection>& connection,
                          const std::shared_ptr<link_stream>& stream,
                          const backend_call_options& options);
 
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -380,15 +380,21 @@
     perform(out);
 }
 
-std::shared_ptr<bounded_client> gate::acquire_connection(backend_server& server)
-{
-    while (!server.idle.empty()) {
-        std::shared_ptr<bounded_client> out = std::move(server.idle.back().client);
-        server.idle.pop_back();
-        if (!out->has_unread_bytes())
+// Takes the idle connection that was used last among those that may carry the request.
+std::shared_ptr<backend_connection> gate::acquire_connection(backend_server& server,
+                                                             const message_head& head) const
+{
+    const std::string* id = find_field(head, options_.names.request_id);
+    for (auto it = server.idle.end(); it != server.idle.begin();) {
+        --it;
+        if (!it->connection->ids.may_send(id))
+            continue;
+        std::shared_ptr<backend_connection> out = std::move(it->connection);
+        it = server.idle.erase(it);
+        if (!out->client.has_unread_bytes())
             return out;
     }
-    return make_backend_client(server.record.address);
+    return make_backend_connection(server.record.address);
 }
 
 static request_outcome classify_outcome(const call_result& it, bool past_deadline)
@@ -502,14 +508,14 @@
 void gate::run(request_id id)
 {
     pending_request it;
-    std::shared_ptr<bounded_client> client;
+    std::shared_ptr<backend_connection> connection;
     double load = 0;
     std::string name;
     {
         const std::lock_guard lock(mutex_);
         it = pending_.at(id);
         backend_server& server = servers_.at(it.request.server);
-        client = acquire_connection(server);
+        connection = acquire_connection(server, it.stream->head());
         name = server.name;
         it.server_run = server.run;
         load = load_factor(server);
@@ -532,7 +538,7 @@
         it.suspicion = server.stalls.suspicion(it.started);
         server.stalls.started(id, it.request.route, it.request.target_latency, boot_now());
     }
-    const call_result result = call_backend(client, it.stream,
+    const call_result result = call_backend(connection, it.stream,
                                             {.deadline = it.deadline,
                                              .load = load,
                                              .names = options_.names,
@@ -549,7 +555,7 @@
     health_.finished({.request = id,
                       .outcome = classify_outcome(result, past_deadline),
                       .suspected_poison = died});
-    finish(id, it, std::move(client), result);
+    finish(id, it, std::move(connection), result);
 }
 
 // The notice is applied before the answer's slot is given to the next request.
@@ -622,8 +628,8 @@
 
 // A connection whose answer was not read to its end is closed: the rest of that answer must never
 // reach another caller.
-void gate::finish(request_id id, const pending_request& it, std::shared_ptr<bounded_client> client,
-                  const call_result& result)
+void gate::finish(request_id id, const pending_request& it,
+                  std::shared_ptr<backend_connection> connection, const call_result& result)
 {
     respond_to_failure(*it.stream, result, result.timed_out);
     deferred_actions out;
@@ -632,9 +638,9 @@
         const time_point now = boot_now();
         backend_server& server = servers_.at(it.request.server);
         server.stalls.ended(id, classify_evidence(result), now);
-        if (result.connection_reusable && client != nullptr &&
+        if (result.connection_reusable && connection != nullptr &&
             server.idle.size() < server.record.slots)
-            server.idle.push_back({.client = std::move(client), .since = now});
+            server.idle.push_back({.connection = std::move(connection), .since = now});
         pending_.erase(id);
         collect_actions(server.slots.finished(id, now), out);
     }
--- a/src/gate.h
+++ b/src/gate.h
@@ -77,7 +77,7 @@
 
 private:
     struct idle_connection {
-        std::shared_ptr<bounded_client> client;
+        std::shared_ptr<backend_connection> connection;
         time_point since;
     };
     struct backend_server {
@@ -130,12 +130,13 @@
     void log_dispatch_end(const pending_request& it, const call_result& result,
                           bool past_deadline) const;
     bool detect_death(const pending_request& it, const call_result& result);
-    std::shared_ptr<bounded_client> acquire_connection(backend_server& server);
+    std::shared_ptr<backend_connection> acquire_connection(backend_server& server,
+                                                           const message_head& head) const;
     void apply_notices(backend_server& server, std::optional<double> before, deferred_actions& out);
     void apply_report(const dispatch& request, deferred_actions& out);
     void apply_answer(const pending_request& it, const call_result& result);
-    void finish(request_id id, const pending_request& it, std::shared_ptr<bounded_client> client,
-                const call_result& result);
+    void finish(request_id id, const pending_request& it,
+                std::shared_ptr<backend_connection> connection, const call_result& result);
 
     const gate_options options_;
     health_service& health_;
--- a/tests/backend_call_test.cpp
+++ b/tests/backend_call_test.cpp
@@ -67,7 +67,7 @@
                      const dispatch request{.time_left = 2s};
                      const std::string expected_server_name;
                      ended.set_value(call_backend(
-                         make_backend_client({"127.0.0.1", static_cast<std::uint16_t>(port_)}),
+                         make_backend_connection({"127.0.0.1", static_cast<std::uint16_t>(port_)}),
                          stream,
                          {.deadline = boot_now() + 2s,
                           .names = names,
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -42,7 +42,7 @@
                                  const dispatch request{.time_left = time_limit};
                                  const std::string expected_server;
                                  const call_result out =
-                                     call_backend(make_backend_client(server.address()), it,
+                                     call_backend(make_backend_connection(server.address()), it,
                                                   {.deadline = boot_now() + time_limit,
                                                    .names = names,
                                                    .request = request,
--- a/tests/endless_answer_test.cpp
+++ b/tests/endless_answer_test.cpp
@@ -63,11 +63,12 @@
                                  const std::string expected;
                                  const time_point start = boot_now();
                                  observed_call out;
-                                 out.call = call_backend(make_backend_client(server.address()), it,
-                                                         {.deadline = start + time_limit,
-                                                          .names = names,
-                                                          .request = request,
-                                                          .expected_server = expected});
+                                 out.call =
+                                     call_backend(make_backend_connection(server.address()), it,
+                                                  {.deadline = start + time_limit,
+                                                   .names = names,
+                                                   .request = request,
+                                                   .expected_server = expected});
                                  out.took = boot_now() - start;
                                  it.reset();
                                  ended.set_value(out);
--- a/tests/raw_server.cpp
+++ b/tests/raw_server.cpp
@@ -19,11 +19,30 @@
 
 constexpr duration poll_interval = 20ms;
 
-raw_connection::raw_connection(int sock, time_point deadline, std::atomic<std::size_t>& sent)
-    : sock_(sock), deadline_(deadline), sent_(sent)
+raw_connection::raw_connection(int sock, time_point deadline, std::atomic<std::size_t>& sent,
+                               std::string head)
+    : sock_(sock), deadline_(deadline), sent_(sent), head_(std::move(head))
 {
 }
 
+bool raw_connection::receive_head()
+{
+    head_.clear();
+    std::array<char, 4096> buf{};
+    while (head_.find("\r\n\r\n") == std::string::npos) {
+        if (boot_now() >= deadline_)
+            return false;
+        pollfd it{.fd = sock_, .events = POLLIN, .revents = 0};
+        if (poll(&it, 1, static_cast<int>(poll_interval / 1ms)) <= 0)
+            continue;
+        const ssize_t n = recv(sock_, buf.data(), buf.size(), 0);
+        if (n <= 0)
+            return false;
+        head_.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    return true;
+}
+
 bool raw_connection::send(std::string_view text)
 {
     while (!text.empty()) {
@@ -107,7 +126,7 @@
     }
     if (n > 0) {
         ++requests_;
-        raw_connection it(sock, boot_now() + connection_timeout_, sent_);
+        raw_connection it(sock, boot_now() + connection_timeout_, sent_, head);
         handler_(it);
         timed_out_connections_ += it.has_timed_out() ? 1 : 0;
     }
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -18,8 +18,14 @@
 /// A connection on which the head of a request has been received.
 class raw_connection {
 public:
-    raw_connection(int sock, time_point deadline, std::atomic<std::size_t>& sent);
+    raw_connection(int sock, time_point deadline, std::atomic<std::size_t>& sent, std::string head);
 
+    /// Of the last request.
+    const std::string& head() const { return head_; }
+
+    /// Waits for the head of a further request; false if the peer has closed the connection or the
+    /// deadline has passed. No body may follow the head.
+    bool receive_head();
     /// Sends all of `text`; false if the peer has closed the connection or the deadline has passed.
     bool send(std::string_view text);
     /// Sends `text` repeatedly until `send` fails, pausing each time after `unpaced_bytes`.
@@ -31,6 +37,7 @@
     int sock_;
     time_point deadline_;
     std::atomic<std::size_t>& sent_;
+    std::string head_;
     bool has_timed_out_ = false;
 };
 
