The pool of store connections drops a connection after a refusal

The store's answers carry no id. A copy of a refusal (429, 503, 412, 404), written late, would be the answer to the next call: a change that was made would be reported as not made.

A connection is now kept only after a success. A late copy of a success can still be taken for the next answer; the answer that is due then shows as bytes that belong to no request, and the connection is closed before the next call.

Test: kept_connection.copied_refusal_is_not_the_answer_to_the_next_call_of_a_pool failed before for all four statuses.

--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -9,6 +9,9 @@
 
 using namespace std::chrono_literals;
 
+constexpr int first_success_status = 200;
+constexpr int first_redirect_status = 300;
+
 http_pool::http_pool(const http_pool_options& options) : options_(options) {}
 
 // "identity" requests an uncompressed answer, so that its size on the wire is its real size.
@@ -88,7 +91,11 @@
                                 boot_now() >= deadline);
     answer.status = sent->status;
     answer.headers = sent->headers;
-    if (!client->has_discarded_bytes())
+    // A late copy of a refusal would be taken for the answer to a later request, which may have
+    // been executed.
+    const bool is_success =
+        answer.status >= first_success_status && answer.status < first_redirect_status;
+    if (is_success && !client->has_discarded_bytes())
         release_client(std::move(client));
     return answer;
 }
--- a/tests/kept_connection_test.cpp
+++ b/tests/kept_connection_test.cpp
@@ -2,6 +2,7 @@
 // the next request is due.
 
 #include "gate.h"
+#include "http_pool.h"
 #include "link_hub.h"
 #include "raw_server.h"
 #include "system_clock.h"
@@ -201,6 +202,23 @@
     EXPECT_TRUE(is_not_run(fleet.send("r1")));
 }
 
+// A store that writes a refusal once more: the next change would be reported as not made.
+TEST(kept_connection, copied_refusal_is_not_the_answer_to_the_next_call_of_a_pool)
+{
+    for (const int status : {429, 503, 412, 404}) {
+        SCOPED_TRACE(status);
+        repeating_server server(answer_text(status, ""), answer_text(status, ""),
+                                answer_text(200, ""));
+        http_pool pool({.server = server.address()});
+        for (const int expected : {status, 200}) {
+            const auto answer = pool.send("GET", "/a", "", boot_now() + time_limit);
+            ASSERT_FALSE(failed(answer));
+            EXPECT_EQ(value_of(answer).status, expected);
+        }
+        EXPECT_EQ(server.runs(), 1);
+    }
+}
+
 // The gate may still hold a connection when the next request arrives, but opens one a slot at most.
 TEST(kept_connection, requests_with_ids_of_their_own_share_connections)
 {
