Refuse requests that arrive completely after the closing grace of a stop

In a planned stop, callers who had sent the beginning of a request and finished it late in the grace were taken and passed on, and broken off at its end: 503 with an unknown outcome, at servers that were at work on them.

Cause: the end of acceptance was applied to connections that wait for the first byte of a request, not to a head or a body that was under way. Class: a bound that is checked where a wait begins and not where it ends.

stop_deadline now has both bounds, and the entry asks it when a head and when a buffered body is complete. Such a request is refused at once as not run, so the caller can go elsewhere.

Left as it is: a body that is streamed to its server as it arrives (longer than buffered_body_bytes, or in chunks) was passed on with its head, and has until the answer deadline, half of the grace or more.

Tests: process_stop.requests_completed_after_the_closing_grace_* (heads and bodies, real processes) failed before: 2.7 s after SIGTERM "unknown; reason=stopping" and "not-run; reason=no_backend_server" in turn, and the requests had run; stop_schedule.requests_are_accepted_*.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -193,6 +193,8 @@
                                            admitted_request& out)
 {
     out.start = now;
+    if (!stop_.accepts(now))
+        return refusal_answer{.reason = refusal::stopping};
     out.config = config();
     if (out.config == nullptr)
         return refusal_answer{.reason = refusal::no_configuration};
@@ -382,6 +384,10 @@
             refuse(res, {.reason = body_failure_reason(request)});
             return;
         }
+        if (!stop_.accepts(boot_now())) {
+            refuse(res, {.reason = refusal::stopping});
+            return;
+        }
     }
     const organisation_id owner =
         request.organisation == nullptr ? organisation_id{} : request.organisation->id;
--- a/src/entry.h
+++ b/src/entry.h
@@ -105,9 +105,10 @@
     std::unordered_map<service_id, std::size_t> backend_server_counts() const;
     /// Metrics of the requests served so far.
     const request_metrics& metrics() const { return metrics_; }
-    /// Begins a planned stop: requests that are still open at `answer_deadline` are answered then,
-    /// with what is known of their state.
-    void begin_stop(time_point answer_deadline) { stop_.begin(answer_deadline); }
+    /// Begins a planned stop: requests that arrive completely after `accept_end` are refused, and
+    /// those that are still open at `answer_deadline` are answered then, with what is known of
+    /// their state.
+    void begin_stop(const stop_schedule& plan) { stop_.begin(plan); }
     /// Applies an update of the known nodes and their backend servers.
     void set_directory(const member_directory& directory);
     /// Records whether the link to a gate works, as found by a probe.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -612,7 +612,7 @@
     const time_point now = boot_now();
     const stop_schedule plan = plan_stop(now, stop_grace_.load(), settings_.closing_grace);
     if (entry_ != nullptr)
-        entry_->begin_stop(plan.answer_deadline);
+        entry_->begin_stop(plan);
     if (members_ != nullptr)
         publish_servers();
     if (leases_ != nullptr)
--- a/src/stop_schedule.cpp
+++ b/src/stop_schedule.cpp
@@ -19,10 +19,11 @@
     return out;
 }
 
-void stop_deadline::begin(time_point answer_deadline)
+void stop_deadline::begin(const stop_schedule& plan)
 {
     time_point never = time_point::max();
-    answer_deadline_.compare_exchange_strong(never, answer_deadline);
+    if (answer_deadline_.compare_exchange_strong(never, plan.answer_deadline))
+        accept_end_ = plan.accept_end;
 }
 
 } // namespace jasminebank
--- a/src/stop_schedule.h
+++ b/src/stop_schedule.h
@@ -13,7 +13,7 @@
 
 /// The times of the steps of a planned stop.
 struct stop_schedule {
-    time_point accept_end;      ///< new requests are refused from here on
+    time_point accept_end;      ///< requests that are not complete yet are refused from here on
     time_point answer_deadline; ///< requests that are still open are answered with their state
     time_point disconnect;      ///< connections that are still open are closed
     time_point end;             ///< the supervisor kills the process
@@ -23,16 +23,19 @@
 /// `closing_grace`, but for at most half of `grace`, which leaves them the other half to complete.
 stop_schedule plan_stop(time_point now, duration grace, duration closing_grace);
 
-/// The answer deadline of a planned stop of this node. Thread-safe.
+/// The times of a planned stop of this node that bind its requests. Thread-safe.
 class stop_deadline {
 public:
     /// Begins a stop; later calls have no effect.
-    void begin(time_point answer_deadline);
+    void begin(const stop_schedule& plan);
+    /// Whether a request that has arrived completely by `now` may still be served.
+    bool accepts(time_point now) const { return now < accept_end_.load(); }
     bool has_begun() const { return answer_deadline() != time_point::max(); }
     /// `time_point::max()` until a stop begins.
     time_point answer_deadline() const { return answer_deadline_; }
 
 private:
+    std::atomic<time_point> accept_end_ = time_point::max();
     std::atomic<time_point> answer_deadline_ = time_point::max();
 };
 
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -382,6 +382,40 @@
     EXPECT_GT(count(all, answer_kind::ok), 0U) << describe(all);
 }
 
+// Such a request could not be answered before the end of the grace period.
+TEST(process_stop, requests_completed_after_the_closing_grace_are_refused_as_not_run)
+{
+    process_fleet fleet(options_with("30s"));
+    constexpr duration late = 700ms;
+    constexpr std::size_t callers = 4;
+    const std::string body(100, 'a');
+    std::vector<std::unique_ptr<caller_connection>> heads;
+    std::vector<std::unique_ptr<caller_connection>> bodies;
+    std::vector<std::string> ids;
+    for (std::size_t n = 0; n < callers; ++n) {
+        heads.push_back(std::make_unique<caller_connection>(fleet.callers(0)));
+        heads.back()->send_bytes("GET /lids/x?ms=2000 HTTP/1.1\r\nHost: x\r\n");
+        bodies.push_back(std::make_unique<caller_connection>(fleet.callers(0)));
+        ids.push_back(bodies.back()->send_head("POST", "/orders/x?ms=2000", body.size()));
+    }
+    auto code = std::async(std::launch::async, [&] { return fleet.stop_or_kill(0, kill_after); });
+    std::this_thread::sleep_for(closing_grace + late);
+    std::vector<exchange> all;
+    for (std::size_t n = 0; n < callers; ++n) {
+        const std::string id = fmt::format("late-{}", n);
+        heads[n]->send_bytes(
+            fmt::format("Authorization: Bearer {}\r\nX-Request-Id: {}\r\n\r\n", honey_key, id));
+        bodies[n]->send_bytes(body);
+        all.push_back(heads[n]->read_answer(id));
+        all.push_back(bodies[n]->read_answer(ids[n], body));
+    }
+    EXPECT_EQ(code.get(), 0);
+    EXPECT_EQ(count(all, answer_kind::refused), all.size()) << describe(all);
+    const servers_by_request ran = find_servers_by_request(fleet);
+    for (const exchange& it : all)
+        EXPECT_FALSE(ran.contains(it.id)) << it.id;
+}
+
 TEST(process_stop, requests_waiting_at_the_stopping_nodes_gate_are_refused_before_the_kill)
 {
     process_fleet fleet(options_with_full_servers());
--- a/tests/stop_schedule_test.cpp
+++ b/tests/stop_schedule_test.cpp
@@ -38,9 +38,18 @@
     const answer_limit limit(now + 10s, stop);
     EXPECT_EQ(limit.until(), now + 10s);
     EXPECT_FALSE(limit.is_due_to_stop());
-    stop.begin(now + 5s);
-    stop.begin(now + 20s);
+    stop.begin({.answer_deadline = now + 5s});
+    stop.begin({.answer_deadline = now + 20s});
     EXPECT_EQ(limit.until(), now + 5s);
     EXPECT_TRUE(limit.is_due_to_stop());
     EXPECT_FALSE(answer_limit(now + 4s, stop).is_due_to_stop());
 }
+
+TEST(stop_schedule, requests_are_accepted_until_the_end_of_the_closing_grace)
+{
+    stop_deadline stop;
+    EXPECT_TRUE(stop.accepts(now));
+    stop.begin(plan_stop(now, 6s, 2s));
+    EXPECT_TRUE(stop.accepts(now + 1999ms));
+    EXPECT_FALSE(stop.accepts(now + 2s));
+}
