Decide on the close of a connection when an answer's head is written

Cause: whether to close was decided when a request began. It is now decided when the head of its answer is written, in one place: close if a stop has begun and no further request has arrived on the connection, so one that crossed is still answered.

--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -86,7 +86,7 @@
     set_tcp_nodelay(true);
     set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
     // Called when the head of an answer is about to be written.
-    set_post_routing_handler([](const httplib::Request&, httplib::Response& res) {
+    set_post_routing_handler([this](const httplib::Request&, httplib::Response& res) {
         if (must_close())
             close_after_answer(res);
     });
@@ -236,10 +236,13 @@
 }
 
 // What follows a request that is malformed, or whose body was not read, is not the beginning of
-// another request.
-bool socket_server::must_close()
+// another request. During a stop the connection ends once no further request has arrived on it.
+bool socket_server::must_close() const
 {
-    return !current_stream->framing().is_whole();
+    if (!current_stream->framing().is_whole())
+        return true;
+    return stopping_ && !current_stream->has_buffered() &&
+           !wait_for_events(current_socket, POLLIN, duration::zero());
 }
 
 // Waits for the first byte of a request. False if the connection is to be closed: it was idle for
@@ -301,10 +304,9 @@
         stream.set_read_deadline(time_point::max());
         stream.begin_message(message_kind::request, boot_now() + options_.head_timeout,
                              options_.max_head_bytes, options_.max_head_bytes);
-        closed = stopping_;
         current_closes = false;
         current_peer_checks = 0;
-        const bool good = process_request(stream, closed, closed, prepare);
+        const bool good = process_request(stream, false, closed, prepare);
         if (!good || current_closes)
             return;
     }
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -45,7 +45,8 @@
 
     /// Binds the address and serves on a new thread; false if it cannot be bound or listened on.
     bool start();
-    /// Makes all later answers carry "Connection: close". Never blocks.
+    /// Makes answers announce the close of their connection, unless a further request has arrived
+    /// there already. Never blocks.
     void start_draining() { stopping_ = true; }
     /// Stops accepting connections and closes the idle ones. Never blocks.
     void close_idle();
@@ -75,7 +76,7 @@
     /// sees none.
     static bool wait_for_disconnect(duration time);
     /// Closes the connection of this thread's request after its answer, which announces the close.
-    /// The server does so itself if the request was not read to its end.
+    /// The server does so itself during a stop, and if the request was not read to its end.
     static void close_after_answer(httplib::Response& res);
     /// Makes reads of this thread's request fail after `it`.
     static void set_request_read_deadline(time_point it);
@@ -85,7 +86,7 @@
 private:
     bool process_and_close_socket(socket_t sock) override;
     bool add_connection(socket_t sock);
-    static bool must_close();
+    bool must_close() const;
     bool wait_for_request(socket_t sock) const;
     void serve(socket_t sock);
     void remove_connection(socket_t sock);
--- a/tests/socket_server_test.cpp
+++ b/tests/socket_server_test.cpp
@@ -76,6 +76,32 @@
     EXPECT_EQ(answers.find("102 Processing"), std::string::npos) << answers;
 }
 
+// The caller would send its next request into the close.
+TEST(socket_server, an_answer_during_a_stop_to_a_request_from_before_it_announces_the_close)
+{
+    socket_server server({.listen = {.host = "127.0.0.1", .port = 0}});
+    server.Get("/long", [&](const httplib::Request&, httplib::Response&) {
+        while (!server.is_stopping())
+            std::this_thread::sleep_for(1ms);
+    });
+    server.Get("/short", [&](const httplib::Request&, httplib::Response&) {});
+    ASSERT_TRUE(server.start());
+    auto answer = std::async(std::launch::async, [&] {
+        return exchange(server.address(), "GET /short HTTP/1.1\r\nHost: a\r\n\r\n"
+                                          "GET /long HTTP/1.1\r\nHost: a\r\n\r\n");
+    });
+    while (server.open_connections() == 0)
+        std::this_thread::sleep_for(1ms);
+    std::this_thread::sleep_for(50ms);
+    server.stop_gracefully();
+    const std::string answers = answer.get();
+    const std::size_t second = answers.rfind("HTTP/1.1 200");
+    EXPECT_NE(second, 0U) << answers;
+    EXPECT_LT(answers.find("Keep-Alive"), second) << answers;
+    EXPECT_GT(answers.find("Connection: close\r\n"), second) << answers;
+    EXPECT_NE(answers.find("Connection: close\r\n"), std::string::npos) << answers;
+}
+
 namespace {
 
 // Whether the server detects within some checks that the peer of a long request has disconnected.
