An announcement is acknowledged by a whole answer only

It now uses bounded_client, which also bounds the whole exchange by answer_timeout in place of each of its steps.

Test: announcer.a_broken_answer_is_no_acknowledgement failed before for three of four answers.

--- a/src/announcer.cpp
+++ b/src/announcer.cpp
@@ -1,8 +1,9 @@
 #include "announcer.h"
 
+#include "http_pool.h"
 #include "log.h"
+#include "system_clock.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -117,11 +118,10 @@
 
 bool announcer::post_to(const endpoint& node, const std::string& body) const
 {
-    httplib::Client client(node.host, node.port);
+    bounded_client client(node);
     client.set_connection_timeout(options_.answer_timeout);
-    client.set_read_timeout(options_.answer_timeout);
-    client.set_write_timeout(options_.answer_timeout);
-    const httplib::Result answer = client.Post("/announce", body, "application/json");
+    const httplib::Result answer = client.send_until(json_post("/announce", body, {}),
+                                                     boot_now() + options_.answer_timeout);
     return answer && answer->status == 200;
 }
 
--- a/src/announcer.h
+++ b/src/announcer.h
@@ -32,7 +32,7 @@
 struct announcer_options {
     std::vector<endpoint> nodes;                 ///< in order of failover
     duration interval = std::chrono::seconds(1); ///< between two announcements
-    /// Applies to connecting, sending and receiving separately.
+    /// For connecting, and for the request and its answer together.
     duration answer_timeout = std::chrono::seconds(1);
 };
 
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -1,6 +1,7 @@
 // Faulty backend servers whose answers break off, or whose heads can't be parsed, in ways that the
 // HTTP library does not report: no such answer may reach a caller as whole.
 
+#include "announcer.h"
 #include "backend_call.h"
 #include "link_hub.h"
 #include "raw_server.h"
@@ -168,6 +169,27 @@
         answer_case{"chunk_size_with_a_bare_lf", chunked_head + "5\r\nshort\r\n0\n\r\n"}),
     test_name);
 
+TEST(announcer, a_broken_answer_is_no_acknowledgement)
+{
+    const std::string status_line = "HTTP/1.1 200 OK\r\n";
+    for (const std::string rest : {"Content-Length: x\r\n\r\n", "Content-Length: 2\r\n\r\n{",
+                                   "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r",
+                                   "Content-Len\r\n\r\n"}) {
+        SCOPED_TRACE(rest);
+        const raw_server server("127.0.0.1", 5s,
+                                [&](raw_connection& to) { to.send(status_line + rest); });
+        announcer it({.nodes = {server.address()}, .answer_timeout = time_limit},
+                     [] { return server_announcement{}; });
+        EXPECT_FALSE(it.announce_final());
+    }
+    const raw_server server("127.0.0.1", 5s, [&](raw_connection& to) {
+        to.send(status_line + "Content-Length: 3\r\n\r\n{}\n");
+    });
+    announcer it({.nodes = {server.address()}, .answer_timeout = time_limit},
+                 [] { return server_announcement{}; });
+    EXPECT_TRUE(it.announce_final());
+}
+
 TEST_P(sound_answer, is_forwarded)
 {
     const observed_call it = call(GetParam());
