Log why an answer was not taken: foreign or malformed

dispatch_ended said end=no_answer status=0 for an answer of another request, for one that can't be parsed and for a connection that broke. The three reports could not be told apart from logs alone; fault= does.

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -87,6 +87,7 @@
         call_result out{.outcome = classify_outcome(answer),
                         .status = status_,
                         .head_forwarded = head_forwarded_,
+                        .fault = client.received_malformed() ? answer_fault::malformed : fault_,
                         .timed_out = boot_now() + timer_tolerance >= options_.deadline,
                         .size_limit_exceeded = size_limit_exceeded_ || client.exceeded_size_limit(),
                         .service_time = service_time,
@@ -145,8 +146,10 @@
     // did not run, and on a success without the success mark.
     bool on_response_head(const httplib::Response& res)
     {
-        if (!ids_.is_own(id_of_answer(res)))
+        if (!ids_.is_own(id_of_answer(res))) {
+            fault_ = answer_fault::foreign;
             return false;
+        }
         status_ = res.status;
         const bool proves_not_run = res.has_header(options_.names.not_run);
         misdirected_ = res.status == misdirected_status && !options_.expected_server.empty();
@@ -253,6 +256,7 @@
     bool ended_with_head_ = false;
     bool has_extra_bytes_ = false;
     bool size_limit_exceeded_ = false;
+    answer_fault fault_ = answer_fault::none;
     std::optional<server_notice> notice_;
     std::size_t shed_body_bytes_ = 0;
     std::size_t content_bytes_left_ = std::string::npos; // of Content-Length; npos: none given
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -29,12 +29,20 @@
     misdirected,   ///< another backend server is at the address, so the request did not run
 };
 
+/// Why an answer was not taken for that of the request.
+enum class answer_fault : std::uint8_t {
+    none,
+    foreign,   ///< it may belong to another request on the connection
+    malformed, ///< its head or the framing of its body can't be parsed
+};
+
 struct call_result {
     call_outcome outcome = call_outcome::no_answer;
     int status = 0;              ///< of the answer; 0 if its head was not received
     bool head_forwarded = false; ///< the head of the answer was sent to the caller
     /// The answer was read to its end and no further, and has the id of its request.
     bool connection_reusable = false;
+    answer_fault fault = answer_fault::none;
     bool timed_out = false;           ///< the deadline had passed when the call ended
     bool size_limit_exceeded = false; ///< a line, the head or the body of a refusal was too long
     duration service_time{};          ///< from the start of the call to its end
--- a/src/bounded_client.cpp
+++ b/src/bounded_client.cpp
@@ -25,6 +25,7 @@
     size_limit_exceeded_ = false;
     has_discarded_bytes_ = false;
     is_whole_ = false;
+    received_malformed_ = false;
     const httplib::ResponseHandler on_response_head = std::move(request.response_handler);
     bool has_seen_head = false;
     request.response_handler = [&](const httplib::Response& res) {
@@ -56,6 +57,7 @@
     size_limit_exceeded_ = stream.exceeded_size_limit();
     has_discarded_bytes_ = stream.has_buffered();
     is_whole_ = stream.framing().is_whole();
+    received_malformed_ = stream.framing().is_malformed();
     return good;
 }
 
--- a/src/bounded_client.h
+++ b/src/bounded_client.h
@@ -32,6 +32,8 @@
     httplib::Result send_until(httplib::Request request, time_point deadline);
     /// Whether a line or the head of the last answer was longer than its limit.
     bool exceeded_size_limit() const { return size_limit_exceeded_; }
+    /// Whether the last answer could not be parsed.
+    bool received_malformed() const { return received_malformed_; }
     /// Whether bytes after the end of the last answer were read along with it. They are lost, so
     /// the next bytes would not begin with an answer: the connection must not be reused.
     bool has_discarded_bytes() const { return has_discarded_bytes_; }
@@ -46,6 +48,7 @@
     message_kind answer_kind_ = message_kind::answer; ///< of the current call
     socket_stream* current_stream_ = nullptr;
     bool is_whole_ = false; ///< the last answer
+    bool received_malformed_ = false;
     bool size_limit_exceeded_ = false;
     bool has_discarded_bytes_ = false;
 };
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -473,6 +473,12 @@
     return names.at(static_cast<std::size_t>(it));
 }
 
+static std::string_view name_of(answer_fault it)
+{
+    static constexpr std::array<std::string_view, 3> names{"none", "foreign", "malformed"};
+    return names.at(static_cast<std::size_t>(it));
+}
+
 void gate::log_refusal(const link_stream& stream, const server_load& load_now,
                        std::string_view reason, duration waited) const
 {
@@ -494,13 +500,15 @@
 {
     const std::string* id = find_field(it.stream->head(), options_.names.request_id);
     log_event(event::dispatch_ended,
-              "id={} from={} server={:016x} end={} status={} past_deadline={} over_bound={} "
+              "id={} from={} server={:016x} end={} status={} fault={} past_deadline={} "
+              "over_bound={} "
               "waited_ms={:.1f} ms={:.1f} suspicion={:.2f} idempotent={} may_wait={} insists={} "
               "max_rate={} leaving={}",
               id == nullptr ? "-" : *id, it.stream->peer().vm_name, it.request.server.value,
-              name_of(result.outcome), result.status, past_deadline, result.size_limit_exceeded,
-              as_milliseconds(it.started - it.accepted), as_milliseconds(result.service_time),
-              it.suspicion, it.request.idempotent, it.request.may_queue, it.request.allow_suspected,
+              name_of(result.outcome), result.status, name_of(result.fault), past_deadline,
+              result.size_limit_exceeded, as_milliseconds(it.started - it.accepted),
+              as_milliseconds(result.service_time), it.suspicion, it.request.idempotent,
+              it.request.may_queue, it.request.allow_suspected,
               text_of_rate(result.notice ? result.notice->max_rate : std::nullopt),
               result.notice && result.notice->is_leaving);
 }
--- a/tests/backend_call_test.cpp
+++ b/tests/backend_call_test.cpp
@@ -149,6 +149,7 @@
     const observed_call stray = server.call();
     EXPECT_FALSE(stray.call.head_forwarded);
     EXPECT_FALSE(stray.call.connection_reusable);
+    EXPECT_EQ(stray.call.fault, answer_fault::foreign);
     server.answer.headers = {{"x-mark", "m"}, {"x-request-id", "r1"}};
     EXPECT_EQ(server.call().call.outcome, call_outcome::whole_answer);
 }
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -80,6 +80,7 @@
     std::string text;
     std::string method = "GET";
     std::string body = "whole"; // as the caller sees it
+    answer_fault fault = answer_fault::malformed;
 };
 
 std::ostream& operator<<(std::ostream& out, const answer_case& it)
@@ -113,6 +114,7 @@
                 it.call.outcome == call_outcome::no_answer);
     EXPECT_FALSE(it.call.connection_reusable);
     EXPECT_FALSE(it.call.timed_out);
+    EXPECT_EQ(it.call.fault, GetParam().fault);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -141,7 +143,8 @@
                     ok_head +
                         "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n"},
         answer_case{"interim_answer_alone",
-                    "HTTP/1.1 103 Early Hints\r\nx-request-id: r1\r\nx-mark: m\r\n\r\n"},
+                    "HTTP/1.1 103 Early Hints\r\nx-request-id: r1\r\nx-mark: m\r\n\r\n", "GET", "",
+                    answer_fault::none},
         answer_case{"head_request_with_a_broken_length", ok_head + "Content-Length: x5\r\n\r\n",
                     "HEAD"},
         answer_case{"refusal_with_a_broken_length",
@@ -154,27 +157,33 @@
 INSTANTIATE_TEST_SUITE_P(
     body, broken_answer,
     testing::Values(
-        answer_case{"length_not_reached", ok_head + "Content-Length: 9\r\n\r\nshort"},
-        answer_case{"no_chunk", chunked_head},
-        answer_case{"chunk_cut", chunked_head + "9\r\nshort"},
-        answer_case{"no_line_end_after_a_chunk", chunked_head + "5\r\nshort"},
-        answer_case{"half_a_line_end_after_a_chunk", chunked_head + "5\r\nshort\r"},
+        answer_case{"length_not_reached", ok_head + "Content-Length: 9\r\n\r\nshort", "GET", "",
+                    answer_fault::none},
+        answer_case{"no_chunk", chunked_head, "GET", "", answer_fault::none},
+        answer_case{"chunk_cut", chunked_head + "9\r\nshort", "GET", "", answer_fault::none},
+        answer_case{"no_line_end_after_a_chunk", chunked_head + "5\r\nshort", "GET", "",
+                    answer_fault::none},
+        answer_case{"half_a_line_end_after_a_chunk", chunked_head + "5\r\nshort\r", "GET", "",
+                    answer_fault::none},
         answer_case{"other_bytes_after_a_chunk", chunked_head + "5\r\nshortxx\r\n"},
         answer_case{"blank_line_after_a_chunk", chunked_head + "5\r\nshort\n0\r\n\r\n"},
-        answer_case{"no_last_chunk", chunked_head + "5\r\nshort\r\n"},
-        answer_case{"half_a_last_chunk", chunked_head + "5\r\nshort\r\n0\r\n"},
+        answer_case{"no_last_chunk", chunked_head + "5\r\nshort\r\n", "GET", "",
+                    answer_fault::none},
+        answer_case{"half_a_last_chunk", chunked_head + "5\r\nshort\r\n0\r\n", "GET", "",
+                    answer_fault::none},
         answer_case{"chunk_size_with_a_sign", chunked_head + "+5\r\nshort\r\n0\r\n\r\n"},
         answer_case{"chunk_size_with_a_prefix", chunked_head + "0x5\r\nshort\r\n0\r\n\r\n"},
-        answer_case{"chunk_size_that_breaks_off", chunked_head + "5\r\nshort\r\n0x"},
+        answer_case{"chunk_size_that_breaks_off", chunked_head + "5\r\nshort\r\n0x", "GET", "",
+                    answer_fault::none},
         answer_case{"chunk_size_with_a_bare_lf", chunked_head + "5\r\nshort\r\n0\n\r\n"}),
     test_name);
 
 TEST(announcer, a_broken_answer_is_no_acknowledgement)
 {
     const std::string status_line = "HTTP/1.1 200 OK\r\n";
-    for (const std::string rest : {"Content-Length: x\r\n\r\n", "Content-Length: 2\r\n\r\n{",
-                                   "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r",
-                                   "Content-Len\r\n\r\n"}) {
+    for (const std::string rest :
+         {"Content-Length: x\r\n\r\n", "Content-Length: 2\r\n\r\n{",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r", "Content-Len\r\n\r\n"}) {
         SCOPED_TRACE(rest);
         const raw_server server("127.0.0.1", 5s,
                                 [&](raw_connection& to) { to.send(status_line + rest); });
