--- a/tests/broken_request_test.cpp
+++ b/tests/broken_request_test.cpp
@@ -140,8 +140,9 @@
                                    "5\r\nshort\r\n0", "5\r\nshort\r\n0\r\n"}) {
         SCOPED_TRACE(body);
         counting_server server;
-        const std::string answer =
-            exchange(server.address(), "POST /a HTTP/1.1\r\nHost: x\r\n" + chunked + "\r\n" + body);
+        std::string request = "POST /a HTTP/1.1\r\nHost: x\r\n" + chunked + "\r\n";
+        request += body;
+        const std::string answer = exchange(server.address(), request);
         EXPECT_EQ(server.runs, 0);
         EXPECT_EQ(count(answer, "HTTP/1.1 200"), 0U) << answer;
     }
--- a/tests/kept_connection_test.cpp
+++ b/tests/kept_connection_test.cpp
@@ -114,7 +114,7 @@
 // `second` at once.
 class repeating_server {
 public:
-    repeating_server(std::string first, std::string copy, std::string second)
+    repeating_server(const std::string& first, const std::string& copy, const std::string& second)
         : server_("127.0.0.1", 10s, [=, this](raw_connection& it) {
               if (connections_++ == 0) {
                   if (!it.send(first) || !it.receive_head())
