--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -43,11 +43,10 @@
 // State of one call, used by the HTTP library's callbacks. They all run on the calling thread.
 class backend_exchange {
 public:
-    backend_exchange(std::shared_ptr<link_stream> stream, connection_ids& ids,
+    backend_exchange(std::shared_ptr<link_stream> stream, const connection_ids& ids,
                      const backend_call_options& options)
         : stream_(std::move(stream)), ids_(ids), options_(options)
     {
-        ids_.sent(find_field(stream_->head(), options_.names.request_id));
     }
 
     httplib::Request request()
@@ -247,7 +246,7 @@
     }
 
     std::shared_ptr<link_stream> stream_;
-    connection_ids& ids_; // of the connection
+    const connection_ids& ids_; // of the connection
     backend_call_options options_;
     int status_ = 0;
     bool shed_ = false;
@@ -300,6 +299,7 @@
                          const backend_call_options& options)
 {
     const time_point start = boot_now();
+    connection->ids.sent(find_field(stream->head(), options.names.request_id));
     backend_exchange exchange(stream, connection->ids, options);
     stream->on_cancel([connection] { connection->client.stop(); });
     const httplib::Result answer =
--- a/src/message_framing.cpp
+++ b/src/message_framing.cpp
@@ -10,6 +10,7 @@
 
 // Lines end with CR LF.
 constexpr std::size_t line_end_bytes = 2;
+constexpr int first_status = 100;
 constexpr int first_final_status = 200;
 constexpr int switching_protocols_status = 101;
 constexpr int no_content_status = 204;
@@ -148,7 +149,7 @@
         return;
     const auto status = parse_status(line_);
     status_ = status.value_or(0);
-    if (!status || *status < 100 || *status == switching_protocols_status)
+    if (!status || *status < first_status || *status == switching_protocols_status)
         state_ = state::malformed;
 }
 
@@ -175,7 +176,8 @@
         state_ = state::malformed;
         return;
     }
-    if (kind_ != message_kind::request && status_ < first_final_status) {
+    const bool is_interim = kind_ != message_kind::request && status_ < first_final_status;
+    if (is_interim) {
         *this = message_framing(kind_);
         return;
     }
--- a/tests/broken_request_test.cpp
+++ b/tests/broken_request_test.cpp
@@ -2,14 +2,11 @@
 // does not report. Such a request is not run, and what follows it is not taken as another one.
 
 #include "process_fleet.h"
+#include "raw_client.h"
 #include "socket_server.h"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include <array>
 #include <atomic>
 #include <ostream>
 #include <string>
@@ -20,25 +17,10 @@
 
 namespace {
 
-// Sends all of `text` on a new connection, closes the sending side, and returns all bytes received
-// until the server closes the connection.
+// The caller of these tests has nothing more to send.
 std::string exchange(const endpoint& to, const std::string& text)
 {
-    const int sock = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(to.port);
-    inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
-    EXPECT_EQ(connect(sock, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
-    EXPECT_EQ(send(sock, text.data(), text.size(), MSG_NOSIGNAL), std::ssize(text));
-    shutdown(sock, SHUT_WR);
-    std::string out;
-    std::array<char, 4096> buf{};
-    ssize_t n = 0;
-    while ((n = recv(sock, buf.data(), buf.size(), 0)) > 0)
-        out.append(buf.data(), static_cast<std::size_t>(n));
-    close(sock);
-    return out;
+    return exchange(to, text, after_sending::half_close);
 }
 
 std::size_t count(const std::string& text, const std::string& part)
--- a/tests/socket_server_test.cpp
+++ b/tests/socket_server_test.cpp
@@ -1,6 +1,7 @@
 #include "socket_server.h"
 
-#include <arpa/inet.h>
+#include "raw_client.h"
+
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,36 +16,6 @@
 using namespace jasminebank;
 using namespace std::chrono_literals;
 
-namespace {
-
-int connect_to(const endpoint& to)
-{
-    const int sock = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(to.port);
-    inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
-    EXPECT_EQ(connect(sock, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
-    return sock;
-}
-
-// Sends all of `text` on a new connection and returns all bytes received until the server closes
-// it.
-std::string exchange(const endpoint& to, const std::string& text)
-{
-    const int sock = connect_to(to);
-    EXPECT_EQ(send(sock, text.data(), text.size(), 0), static_cast<ssize_t>(text.size()));
-    std::string out;
-    std::array<char, 4096> buf{};
-    ssize_t n = 0;
-    while ((n = recv(sock, buf.data(), buf.size(), 0)) > 0)
-        out.append(buf.data(), static_cast<std::size_t>(n));
-    close(sock);
-    return out;
-}
-
-} // namespace
-
 // The second request arrives before the stop and is read after idle connections were closed.
 // Closing them by a shutdown of the socket would make its handler see a disconnect.
 TEST(socket_server, a_graceful_stop_is_not_reported_as_a_peer_disconnect)
@@ -67,9 +38,10 @@
             std::this_thread::sleep_for(1ms);
         server.stop_gracefully();
     });
-    const std::string answers =
-        exchange(server.address(), "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
-                                   "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+    const std::string answers = exchange(server.address(),
+                                         "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+                                         "GET /second HTTP/1.1\r\nHost: a\r\n\r\n",
+                                         after_sending::keep_open);
     stop.join();
     EXPECT_NE(answers.find("caller waits"), std::string::npos) << answers;
     // No FIN was received, so the server sent no probe.
@@ -87,8 +59,10 @@
     server.Get("/short", [&](const httplib::Request&, httplib::Response&) {});
     ASSERT_TRUE(server.start());
     auto answer = std::async(std::launch::async, [&] {
-        return exchange(server.address(), "GET /short HTTP/1.1\r\nHost: a\r\n\r\n"
-                                          "GET /long HTTP/1.1\r\nHost: a\r\n\r\n");
+        return exchange(server.address(),
+                        "GET /short HTTP/1.1\r\nHost: a\r\n\r\n"
+                        "GET /long HTTP/1.1\r\nHost: a\r\n\r\n",
+                        after_sending::keep_open);
     });
     while (server.open_connections() == 0)
         std::this_thread::sleep_for(1ms);
