Serve no request once all connections of a server are being cut

Cause: abort_connections shuts the connections down one after another. The client of the first sees its end and sends on another, which is served until its turn comes. A node that ends a stop cuts its callers with the same call, and could take a request in that moment.

A connection is not served any more once the cut has begun.

--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -301,6 +301,9 @@
     while (!closed) {
         if (!stream.has_buffered() && !wait_for_request(sock))
             return;
+        // `abort_connections` shuts the connections down one after another.
+        if (is_aborted_)
+            return;
         stream.set_read_deadline(time_point::max());
         stream.begin_message(message_kind::request, boot_now() + options_.head_timeout,
                              options_.max_head_bytes, options_.max_head_bytes);
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -102,7 +102,7 @@
     mutable std::mutex mutex_;
     std::condition_variable connection_closed_;
     std::unordered_set<socket_t> connections_;
-    bool is_aborted_ = false; ///< new connections are refused
+    std::atomic<bool> is_aborted_ = false; ///< no connection or request is accepted any more
 };
 
 } // namespace jasminebank
