--- a/src/announcer.cpp
+++ b/src/announcer.cpp
@@ -120,8 +120,8 @@
 {
     bounded_client client(node);
     client.set_connection_timeout(options_.answer_timeout);
-    const httplib::Result answer = client.send_until(json_post("/announce", body, {}),
-                                                     boot_now() + options_.answer_timeout);
+    const httplib::Result answer =
+        client.send_until(json_post("/announce", body, {}), boot_now() + options_.answer_timeout);
     return answer && answer->status == 200;
 }
 
