--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -439,8 +439,18 @@
     return std::hash<std::string>()(it);
 }
 
+// The body of the answer to a request: its id again and again.
+std::string body_for(const std::string& id, std::size_t size)
+{
+    std::string out;
+    while (out.size() < size)
+        out += id + ",";
+    return out.substr(0, size);
+}
+
 // Serves one connection. The query of a request tells what it does: `work` milliseconds, `size`
-// bytes of body, of which `part` come `pause` milliseconds before the rest.
+// bytes of body, of which `part` come `pause` milliseconds before the rest. With `short`, that many
+// bytes of the answer are missing, and a copy of the last answer on the connection follows.
 class upstream {
 public:
     void run()
@@ -468,12 +478,13 @@
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
         message_reader in(fd);
         message it;
-        while (in.read_head(it) && answer(fd, in, it)) {
+        std::string last_answer;
+        while (in.read_head(it) && answer(fd, in, it, last_answer)) {
         }
         close(fd);
     }
 
-    bool answer(int fd, message_reader& in, message& it)
+    bool answer(int fd, message_reader& in, message& it, std::string& last_answer)
     {
         std::istringstream line(it.first_line);
         std::string method;
@@ -507,14 +518,27 @@
             record("upstream " + text("id") + " dropped request=" + id);
             return false;
         }
-        const std::string body(std::strtoull(query["size"].c_str(), nullptr, 10), 'b');
+        const std::string body = body_for(id, std::strtoull(query["size"].c_str(), nullptr, 10));
         const std::size_t part =
             query.count("part") ? std::strtoull(query["part"].c_str(), nullptr, 10) : body.size();
-        bool good =
-            send_all(fd, "HTTP/1.1 200 OK\r\nJasminebank-Request-Id: " + id +
-                             "\r\nJasminebank-Server-Signature: 3e1b." + id +
-                             "\r\nJasminebank-Server-Load: 1,0,4\r\nContent-Length: " +
-                             std::to_string(body.size()) + "\r\n\r\n" + body.substr(0, part));
+        const std::string whole =
+            "HTTP/1.1 200 OK\r\nJasminebank-Request-Id: " + id +
+            "\r\nJasminebank-Server-Signature: 3e1b." + id +
+            "\r\nJasminebank-Server-Load: 1,0,4\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body;
+        const std::size_t missing = std::strtoull(query["short"].c_str(), nullptr, 10);
+        if (missing > 0) {
+            send_all(fd, whole.substr(0, whole.size() - missing));
+            sleep_ms(std::atoll(query["pause"].c_str()));
+            send_all(fd, last_answer);
+            record("upstream " + text("id") + " truncated request=" + id + " by " +
+                   std::to_string(missing) + " bytes, then sent " +
+                   std::to_string(last_answer.size()) + " bytes of its last answer again");
+            sleep_ms(100);
+            return false;
+        }
+        last_answer = whole;
+        bool good = send_all(fd, whole.substr(0, whole.size() - body.size() + part));
         sleep_ms(part < body.size() ? std::atoll(query["pause"].c_str()) : 0);
         good = good && send_all(fd, body.substr(part));
         record("upstream " + text("id") + (good ? " answered" : " lost_caller") + " request=" + id +
@@ -683,9 +707,11 @@
                                      : "cut_answer") +
                " request=" + it.id + " sent=" + (sent ? "whole" : "part") + " line=\"" +
                answer.first_line + "\" bytes=" + std::to_string(answer.body.size()) + "/" +
-               answer.field("content-length") + " signed=" +
-               (answer.field("jasminebank-server-signature").empty() ? "no" : "yes") + " note=\"" +
-               answer.field("jasmine-outcome") + "\"" + " ms=" + std::to_string(now_ms() - start));
+               answer.field("content-length") +
+               " signed=" + (answer.field("jasminebank-server-signature").empty() ? "no" : "yes") +
+               " body=" + (answer.body == body_for(it.id, answer.body.size()) ? "own" : "other") +
+               " note=\"" + answer.field("jasmine-outcome") + "\"" +
+               " ms=" + std::to_string(now_ms() - start));
         if (!whole || text("keep") != "1" || answer.field("connection") == "close") {
             close(fd);
             fd = -1;
