--- a/review/common.sh
+++ b/review/common.sh
@@ -26,9 +26,13 @@
 fail_to_run() { note "could not run: $*"; echo "could not run: $*" >&2; exit 2; }
 
 [ -x target/node ] && [ -x "$standin" ] || fail_to_run "build the deploy file and review/build.sh first"
-mapfile -t ports < <("$standin" ports --count 60)
+mapfile -t ports < <("$standin" ports --count 100)
 next_port=0
-take_port() { port=${ports[$next_port]}; next_port=$((next_port + 1)); }
+take_port() {
+  port=${ports[$next_port]:-}
+  [ -n "$port" ] || fail_to_run "no port is left"
+  next_port=$((next_port + 1))
+}
 
 # wait_until SECONDS COMMAND...
 # Repeats the command until it succeeds; false if that takes too long.
