--- a/review/standin.cpp
+++ b/review/standin.cpp
@@ -450,7 +450,8 @@
 
 // Serves one connection. The query of a request tells what it does: `work` milliseconds, `size`
 // bytes of body, of which `part` come `pause` milliseconds before the rest. With `short`, that many
-// bytes of the answer are missing, and a copy of the last answer on the connection follows.
+// bytes of the answer are missing, and a copy of the last answer on the connection follows. With
+// `crash`, the upstream ends at once.
 class upstream {
 public:
     void run()
@@ -514,6 +515,10 @@
         }
         record("upstream " + text("id") + " begins request=" + id + " " + target +
                " body=" + std::to_string(it.body.size()) + "/" + std::to_string(hash_of(it.body)));
+        if (query.count("crash") > 0) {
+            record("upstream " + text("id") + " crashes request=" + id);
+            _exit(70);
+        }
         if (!work(fd, std::atoll(query["work"].c_str()))) {
             record("upstream " + text("id") + " dropped request=" + id);
             return false;
