--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# LOST: a node that gets a SIGTERM closes connections in the midst of answers in which the upstream
-# pauses for 0.3 s. TROUBLE=0: no SIGTERM.
+# DRAIN: a node confirms that its upstream leaves, is killed and started again, takes a late check-in
+# of that upstream for news, and sends it requests again. TROUBLE=0: the node isn't killed.
 cd "$(dirname "$0")/../.." || exit 2
 . review/common.sh
 key=6wsjnbanfqasnmgkcuyj
-grace_ms=6000
+drain_ms=2000
+stable_ms=3000
 
 start_store
 put_config "$case_dir/config.json"
@@ -13,7 +14,7 @@
 start_node n3 z3 wuno96b
 for n in n1 n2 n3; do wait_until 15 is_ready $n || fail_to_run "node $n is not ready"; done
 start_upstream i-1 n1 huvo11a z1
-start_upstream i-2 n2 wuno96b z2
+start_upstream i-2 n2 wuno96b z2 --late 4000
 start_upstream i-3 n3 wuno96b z3
 served() {
   "$standin" client --name probe --to "${outbound[n1]}" --host jepu9.example --key $key \
@@ -21,30 +22,35 @@
     --record "$dir/probe" && grep -q 'line="HTTP/1.1 200' "$dir/probe"
 }
 wait_until 15 served || fail_to_run "no request is served"
-sleep 3
 
-# The answers are whole after 0.4 s; the clients would wait 8 s, and the route allows 4 s.
-[ "$trouble" = 0 ] || stop_process n1 TERM
-client r n1 --host jepu9.example --key $key --method POST --deadline 8000 --keep 1 --parallel 4 \
-  --target '/xapu221/2f?work=100&size=200000&part=100000&pause=300'
-# Not judged, for the record: uploads in chunks, and of more than 512 KiB.
-client u n1 --host jepu9.example --key $key --method POST --deadline 8000 --parallel 2 \
-  --target '/fiti832/2f?work=200&size=500' --body 60000 --chunked 1 --body-gap 20
-client v n1 --host jepu9.example --key $key --method POST --deadline 8000 --parallel 2 \
-  --target '/fiti832/2f?work=200&size=500' --body 700000
-sleep 0.5
-
-# Around planned work: requests sent from the SIGTERM on that an upstream was at work on, whose
-# connection ended without a complete answer although the upstream sent one.
-term=$(awk '/script sent SIGTERM to n1/ {print $1}' "$record")
-lost=0
-if [ -n "$term" ]; then
-  for id in $(sed -n 's/.*client \(cut_answer\|no_answer\) request=\(r[^ ]*\) .*/\2/p' "$record"); do
-    sent=$(awk -v id="request=$id" '/client sends/ && $4 == id {print $1}' "$record")
-    grep -q "answered request=$id " "$record" && [ "$sent" -ge "$term" ] &&
-      [ "$sent" -lt $((term + grace_ms)) ] && lost=$((lost + 1))
-  done
+start_client r n1 --host jepu9.example --key $key --method POST \
+  --target '/xapu221/2f?work=200&size=500' --deadline 8000 --keep 1 --parallel 4 --count 400 --gap 50
+sleep 4
+grep -q 'upstream i-2 begins' "$record" || fail_to_run "no request ran at i-2"
+kill -USR2 "${pid_of[i-2]}"
+wait_until 5 grep -q 'i-2 deregister status=200' "$record" || fail_to_run "no confirmation"
+restarted=0
+if [ "$trouble" != 0 ]; then
+  sleep 0.3
+  stop_process n2 KILL
+  sleep 0.3
+  start_node n2 z2 wuno96b no
+  restarted=$(awk '/script node n2 started/ {t = $1} END {print t}' "$record")
 fi
-note "result: $lost of 4 connections ended without a complete answer around the SIGTERM"
-echo "connections that ended without a complete answer around the SIGTERM: $lost"
-[ "$lost" = 0 ]
+sleep 9
+note "upstream i-2 ends"
+kill -KILL "${pid_of[i-2]}"
+sleep 1
+stop_process client-r TERM
+
+# Counts what runs at i-2 later than drain_s after the confirmation, and only once n2 has run for
+# stable_s again. n1, which takes the requests from the clients, is undisturbed all the while.
+confirmed=$(awk '/i-2 deregister status=200/ {print $1; exit}' "$record")
+from=$((confirmed + drain_ms))
+[ $((restarted + stable_ms)) -gt $from ] && from=$((restarted + stable_ms))
+late=$(awk -v from="$from" '/upstream i-2 begins/ && $1 > from' "$record" | grep -c .)
+ends=$(awk '/script upstream i-2 ends/ {print $1}' "$record")
+lost=$(awk -v end="$ends" '/client / && / sent=/ && $1 >= end - 5 && !/line="HTTP\/1.1 (200|503|429)/' "$record" | grep -c .)
+note "result: $late requests ran at i-2 after $from, $lost of the clients' requests failed at its end"
+echo "requests that ran at the upstream later than drain_s after the confirmation: $late"
+[ "$late" = 0 ]
