--- a/review/common.sh
+++ b/review/common.sh
@@ -4,7 +4,7 @@
 # stand-ins. Times in the record are milliseconds of the monotonic clock, the same in all processes.
 set -uo pipefail
 # A case runs for 120 s at most; one that takes longer could not run.
-[ -n "${UNDER_LIMIT:-}" ] || UNDER_LIMIT=1 exec timeout -k 5 110 "$0" "$@"
+[ -n "${UNDER_LIMIT:-}" ] || UNDER_LIMIT=1 exec timeout --preserve-status -k 5 110 "$0" "$@"
 standin=target/review/standin
 case_dir=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 record=${RECORD:-$case_dir/record.txt}
