--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -43,12 +43,13 @@
 sleep 1
 stop_process client-r TERM
 
-# Counts what runs at i-2 later than drain_s after the confirmation, and only once n2 has run for
+# Counts what is sent and runs at i-2 later than drain_s after the confirmation, and only once n2 has run for
 # stable_s again. n1, which takes the requests from the clients, is undisturbed all the while.
 confirmed=$(awk '/i-2 deregister status=200/ {print $1; exit}' "$record")
 from=$((confirmed + drain_ms))
 [ $((restarted + stable_ms)) -gt $from ] && from=$((restarted + stable_ms))
-late=$(awk -v from="$from" '/upstream i-2 begins/ && $1 > from' "$record" | grep -c .)
+late=$(awk -v from="$from" '/client sends/ {sent[$4] = $1}
+  /upstream i-2 begins/ && sent[$5] > from' "$record" | grep -c .)
 ends=$(awk '/script upstream i-2 ends/ {print $1}' "$record")
 lost=$(awk -v end="$ends" '/client / && / sent=/ && $1 >= end - 5 && !/line="HTTP\/1.1 (200|503|429)/' "$record" | grep -c .)
 note "result: $late requests ran at i-2 after $from, $lost of the clients' requests failed at its end"
