--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -33,8 +33,15 @@
     stream.respond(std::move(head), true);
 }
 
+// A backend server without a name of its own is known by its address.
+static server_withdrawal withdrawal_of(const std::string& name, const endpoint& address,
+                                       incarnation run)
+{
+    return {.server = id_of<server_name_id>(name.empty() ? to_string(address) : name), .run = run};
+}
+
 gate::gate(const gate_options& options, health_service& health, poison_service& poison)
-    : options_(options), health_(health), poison_(poison),
+    : options_(options), health_(health), poison_(poison), withdrawn_(options.withdrawn),
       workers_({.max_threads = options.threads, .max_waiting_jobs = options.waiting_requests})
 {
 }
@@ -45,12 +52,14 @@
 }
 
 // A restarted backend server gets neither the idle connections, the suspicion nor the limit of the
-// earlier run. An announcement that arrives after a newer one is ignored. If the backend server is
-// draining, the requests that wait for it are refused.
+// earlier run. An announcement that arrives after a newer one is ignored, and one of a run that has
+// withdrawn from an earlier run of this node may be from before the withdrawal. If the backend
+// server is draining, the requests that wait for it are refused.
 announcement_result gate::announce(const announcement& it, time_point now)
 {
     deferred_actions out;
     bool changed = false;
+    bool is_leaving = false;
     {
         const std::lock_guard lock(mutex_);
         auto [place, is_new] = servers_.try_emplace(it.server.id);
@@ -71,6 +80,8 @@
             server.idle.clear();
             server.stalls = stall_watch();
             server.notices = notice_record();
+            if (withdrawn_.contains(withdrawal_of(it.name, it.server.address, it.run)))
+                server.notices.withdrawn();
             collect_actions(server.slots.set_start_rate(std::nullopt, now), out);
         }
         server.notices.announced(it.server.draining, now);
@@ -82,42 +93,61 @@
         server.sequence = it.sequence;
         server.is_lost = false;
         server.last_announced = now;
-        if (record.draining)
-            collect_actions(server.slots.refuse_waiting(), out, refusal::stopping);
+        is_leaving = record.draining;
+        if (is_leaving)
+            set_leaving(server, out);
     }
     perform(out);
     if (!changed)
         return announcement_result::unchanged;
     log_event(event::backend_server_changed,
-              "name={} address={} service={} run={} sequence={} slots={} draining={}", it.name,
-              to_string(it.server.address), it.service_name, it.run.value, it.sequence,
-              it.server.slots, it.server.draining);
+              "name={} address={} service={} run={} sequence={} slots={} draining={} leaving={}",
+              it.name, to_string(it.server.address), it.service_name, it.run.value, it.sequence,
+              it.server.slots, it.server.draining, is_leaving);
     health_.set_servers(servers());
     return announcement_result::changed;
 }
 
-bool gate::withdraw(const std::string& name, time_point now)
+// Gives the requests that wait for the backend server back to their entry nodes.
+void gate::set_leaving(backend_server& server, deferred_actions& out)
+{
+    withdrawn_.add(withdrawal_of(server.name, server.record.address, server.run));
+    server.record.draining = true;
+    collect_actions(server.slots.refuse_waiting(), out, refusal::stopping);
+}
+
+// A run that is not registered is recorded as well: its announcement may be still on its way. A
+// withdrawal of an earlier run than the registered one changes nothing.
+bool gate::withdraw(const std::string& name, incarnation run, time_point now)
 {
     deferred_actions out;
     bool found = false;
+    const bool is_known = run != incarnation{};
     {
         const std::lock_guard lock(mutex_);
+        withdrawn_.add({.server = id_of<server_name_id>(name), .run = run});
         for (auto& [id, server] : servers_) {
-            if (server.name != name)
+            if (server.name != name || (is_known && run < server.run))
                 continue;
             found = true;
             server.notices.withdrawn();
-            server.record.draining = true;
             server.last_announced = now;
-            collect_actions(server.slots.refuse_waiting(), out, refusal::stopping);
+            set_leaving(server, out);
         }
     }
     perform(out);
-    if (found) {
-        log_event(event::backend_server_changed, "name={} withdrawn", name);
+    if (found || is_known)
+        log_event(event::backend_server_changed, "name={} run={} withdrawn registered={}", name,
+                  run.value, found);
+    if (found)
         health_.set_servers(servers());
-    }
-    return found;
+    return found || is_known;
+}
+
+std::vector<server_withdrawal> gate::withdrawals() const
+{
+    const std::lock_guard lock(mutex_);
+    return withdrawn_.entries();
 }
 
 // Admits no requests until the next announcement. Other nodes receive the record with `draining`
@@ -604,9 +634,8 @@
     if (max_rate != before)
         collect_actions(server.slots.set_start_rate(max_rate, boot_now()), out);
     if (server.notices.is_leaving() && !server.record.draining) {
-        server.record.draining = true;
+        set_leaving(server, out);
         records_changed_ = true;
-        collect_actions(server.slots.refuse_waiting(), out, refusal::stopping);
         log_event(event::backend_server_changed, "name={} leaving", server.name);
     }
     if (max_rate == before)
--- a/src/gate.h
+++ b/src/gate.h
@@ -16,6 +16,7 @@
 #include "slot_queue.h"
 #include "stall_watch.h"
 #include "types.h"
+#include "withdrawal_list.h"
 #include "worker_pool.h"
 
 #include <memory>
@@ -32,6 +33,7 @@
     std::size_t threads = 400;          ///< maximum; each running request occupies one
     std::size_t waiting_requests = 256; ///< for each backend server
     header_names names{};
+    withdrawal_list withdrawn{}; ///< backend servers that withdrew from earlier runs of this node
 };
 
 /// How an announcement of a backend server was handled.
@@ -57,8 +59,11 @@
 
     /// Registers a backend server or updates its record.
     announcement_result announce(const announcement& it, time_point now);
-    /// Starts draining the backend server of this name; false if it is not registered here.
-    bool withdraw(const std::string& name, time_point now);
+    /// Starts draining the backend server of this name. `run` is the run of the server that
+    /// withdraws, 0 if it is not known: then the registered one. False if no run is known.
+    bool withdraw(const std::string& name, incarnation run, time_point now);
+    /// Runs of backend servers that have withdrawn from this node or its earlier runs.
+    std::vector<server_withdrawal> withdrawals() const;
     /// Removes idle backend servers whose announcement has expired and refuses requests that waited
     /// for too long; true if the records changed.
     bool tick(time_point now);
@@ -124,6 +129,7 @@
     void collect_actions(const slot_actions& actions, deferred_actions& out,
                          refusal reason = refusal::overloaded);
     void mark_lost(const pending_request& it, call_outcome outcome);
+    void set_leaving(backend_server& server, deferred_actions& out);
     void perform(const deferred_actions& it);
     void cancel(request_id id);
     void run(request_id id);
@@ -147,6 +153,7 @@
     std::uint64_t next_request_ = 1;
     bool stopping_ = false;
     bool records_changed_ = false; ///< by the outcome of a request, since the last tick
+    withdrawal_list withdrawn_;
     worker_pool workers_;
 };
 
--- a/src/log.h
+++ b/src/log.h
@@ -65,6 +65,7 @@
     backend_server_lost = 704,    ///< no longer found at its address
     announcement_rejected = 705,  ///< registration of a backend server
     backend_server_limited = 706, ///< named another rate of requests that it takes
+    withdrawals_unreadable = 707, ///< of earlier runs of the node, in the store
     gate_unreachable = 710,
     gate_reachable = 711,
     relay_taken = 720, ///< relay: node that forwards control messages to another
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -121,6 +121,18 @@
     return true;
 }
 
+// The backend servers that earlier runs of this node saved as withdrawn.
+withdrawal_list node::withdrawn_before() const
+{
+    withdrawal_list out;
+    const auto saved = decode_withdrawals(fleet_.withdrawals);
+    if (!saved)
+        log_event(event::withdrawals_unreadable, "bytes={}", fleet_.withdrawals.size());
+    for (const server_withdrawal& it : saved.value_or(std::vector<server_withdrawal>{}))
+        out.add(it);
+    return out;
+}
+
 void node::open_gate()
 {
     health_ = std::make_unique<health_service>(
@@ -142,7 +154,8 @@
                                             .announcement_ttl = settings_.announcement_ttl,
                                             .backend_idle = settings_.backend_idle,
                                             .waiting_requests = settings_.waiting_requests,
-                                            .names = platform_ ? platform_->names : header_names{}},
+                                            .names = platform_ ? platform_->names : header_names{},
+                                            .withdrawn = withdrawn_before()},
                                *health_, *poison_);
     reach_ = std::make_unique<reach_monitor>(
         reach_monitor_options{.on_change =
@@ -462,7 +475,8 @@
     if (platform_) {
         platform_->add_announcements(
             server, {.announce = [this](const auto& it) { return process_announcement(it); },
-                     .withdraw = [this](const auto& it) { return withdraw_server(it); }});
+                     .withdraw = [this](const std::string& name,
+                                        incarnation run) { return withdraw_server(name, run); }});
         return;
     }
     server.Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
@@ -522,19 +536,30 @@
     return true;
 }
 
-bool node::withdraw_server(const std::string& name)
+bool node::withdraw_server(const std::string& name, incarnation run)
 {
-    if (!gate_->withdraw(name, boot_now()))
+    if (!gate_->withdraw(name, run, boot_now()))
         return false;
     publish_servers();
     return true;
 }
 
-// Serialised, because an older list, or one from before a stop, must not replace a newer one.
+void node::save_withdrawals()
+{
+    if (session_ != nullptr)
+        session_->save_withdrawals(encode_withdrawals(gate_->withdrawals()));
+}
+
+// Serialised, because an older list, or one from before a stop, must not replace a newer one. The
+// announcement of a server that leaves is confirmed only after this, so that the node's next run
+// knows.
 void node::publish_servers()
 {
-    const std::lock_guard lock(publish_mutex_);
-    members_->announce(gate_->servers(), leaving_);
+    {
+        const std::lock_guard lock(publish_mutex_);
+        members_->announce(gate_->servers(), leaving_);
+    }
+    save_withdrawals();
 }
 
 // Streams can arrive before all components of the node exist; these are reset.
--- a/src/node.h
+++ b/src/node.h
@@ -68,6 +68,7 @@
 
     bool join_fleet(std::function<bool()> is_cancelled);
     bool open_links();
+    withdrawal_list withdrawn_before() const;
     void open_gate();
     void open_entry();
     void open_limits();
@@ -79,7 +80,8 @@
     bool may_serve() const;
     bool must_read_config() const;
     bool process_announcement(const announcement& it);
-    bool withdraw_server(const std::string& name);
+    bool withdraw_server(const std::string& name, incarnation run);
+    void save_withdrawals();
     bool is_expected(const announcement& it) const;
     std::function<bool(service_id, time_point)> make_shared_retry_limiter();
     std::string local_service() const;
--- a/src/platform_parts.h
+++ b/src/platform_parts.h
@@ -17,13 +17,15 @@
 
 namespace jasminebank {
 
-/// The node's handlers of announcements. Both are thread-safe and do not block.
+/// The node's handlers of announcements. Both are thread-safe. They wait a moment for the store
+/// when a backend server starts to leave.
 struct announcement_handlers {
     /// Registers a backend server; false if the announcement is rejected and its sender should try
     /// another node.
     std::function<bool(const announcement&)> announce;
-    /// Starts draining the backend server of this name; false if it is not registered here.
-    std::function<bool(const std::string&)> withdraw;
+    /// Starts draining the backend server of this name. The second argument is the server's run, 0
+    /// if it is not told: then the registered one. False if no run is known.
+    std::function<bool(const std::string&, incarnation)> withdraw;
 };
 
 struct platform_parts {
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -32,11 +32,13 @@
 constexpr std::string_view fleet_prefix = "jasminebank/fleet/";
 constexpr std::string_view fleet_key_key = "jasminebank/fleet/key";
 constexpr std::string_view fleet_members_prefix = "jasminebank/fleet/members/";
+constexpr std::string_view fleet_withdrawn_prefix = "jasminebank/fleet/withdrawn/";
 
 /// Result of joining the fleet.
 struct joined_fleet {
     std::string fleet_key;
     std::vector<endpoint> peers; ///< link addresses of the other nodes with a member entry
+    std::string withdrawals{};   ///< saved by earlier runs of this node
 };
 
 struct store_session_options {
@@ -54,6 +56,11 @@
     /// TTL of the member entry. The entry only helps joining nodes to find peers, so one that
     /// outlives its node does no harm.
     duration entry_ttl = std::chrono::seconds(60);
+    /// How long withdrawals are kept for the next run. Longer than backend servers take to leave.
+    duration withdrawals_ttl = std::chrono::minutes(10);
+    /// Maximum time that `save_withdrawals` waits for the store. Backend servers wait about a
+    /// second for the confirmation.
+    duration save_timeout = std::chrono::milliseconds(300);
     /// Whether the whole fleet starts for the first time. If not, a node that finds no fleet key or
     /// no other member waits for `fleet_wait`: the fleet writes both again after a restore.
     bool first_start = true;
@@ -81,6 +88,9 @@
     /// Starts the thread that renews the lease and reads the configuration. Call after `join`.
     virtual void start() = 0;
     virtual void stop() = 0;
+    /// Saves what `joined_fleet::withdrawals` of the next run contains. Returns once it is written
+    /// or `save_timeout` has passed; the session then continues to try. Thread-safe.
+    virtual void save_withdrawals(const std::string& value) = 0;
     /// Removes the member entry, for a planned shutdown.
     virtual void leave() = 0;
 };
@@ -90,7 +100,8 @@
 public:
     store_session(store_session_options options, std::unique_ptr<Store> store)
         : options_(std::move(options)), store_(std::move(store)),
-          member_key_(std::string(fleet_members_prefix) + options_.vm_name)
+          member_key_(std::string(fleet_members_prefix) + options_.vm_name),
+          withdrawn_key_(std::string(fleet_withdrawn_prefix) + options_.vm_name)
     {
     }
     ~store_session() override { stop(); }
@@ -100,8 +111,10 @@
         duration wait = options_.retry_interval;
         while (true) {
             if (auto out = try_join()) {
-                log_event(event::store_joined, "peers={}", out->peers.size());
+                log_event(event::store_joined, "peers={} withdrawals_bytes={}", out->peers.size(),
+                          out->withdrawals.size());
                 fleet_key_ = out->fleet_key;
+                saved_withdrawals_ = wanted_withdrawals_ = out->withdrawals;
                 return out;
             }
             if (!wait_unless_cancelled(boot_now() + wait))
@@ -126,9 +139,23 @@
             thread_.join();
     }
 
+    void save_withdrawals(const std::string& value) override
+    {
+        std::unique_lock lock(mutex_);
+        if (value == wanted_withdrawals_)
+            return;
+        wanted_withdrawals_ = value;
+        next_save_ = {};
+        wake_.notify_all();
+        saved_.wait_for(lock, options_.save_timeout,
+                        [&] { return stopping_ || saved_withdrawals_ == wanted_withdrawals_; });
+    }
+
     void leave() override
     {
         stop();
+        if (saved_withdrawals_ != wanted_withdrawals_)
+            write_withdrawals();
         if (lease_ != lease_id{})
             static_cast<void>(store_->revoke_lease(lease_)); // else the lease expires later
     }
@@ -189,6 +216,10 @@
         for (const store_entry& it : value_of(fleet_entries).entries) {
             if (it.key == fleet_key_key)
                 out.fleet_key = it.value;
+            if (it.key == withdrawn_key_) {
+                out.withdrawals = it.value;
+                withdrawn_revision_ = it.mod_revision;
+            }
             const auto peer = parse_endpoint(it.value);
             if (it.key.starts_with(fleet_members_prefix) && it.key != member_key_ && peer)
                 out.peers.push_back(*peer);
@@ -295,6 +326,11 @@
     void write_again()
     {
         lease_ = {};
+        {
+            const std::lock_guard lock(mutex_);
+            saved_withdrawals_.clear();
+            withdrawn_revision_ = 0;
+        }
         must_write_again_ = !put_member_entry() || !put_fleet_key();
     }
 
@@ -321,12 +357,64 @@
         return !failed(done) && value_of(done).succeeded;
     }
 
+    // Requires the mutex.
+    bool is_save_due(time_point now) const
+    {
+        return wanted_withdrawals_ != saved_withdrawals_ && now >= next_save_;
+    }
+
+    // The entry has a lease of its own, which outlives the session. The write is conditional: an
+    // earlier one whose outcome is unknown may be executed later and must not replace a newer one.
+    void write_withdrawals()
+    {
+        std::string value;
+        {
+            const std::lock_guard lock(mutex_);
+            value = wanted_withdrawals_;
+            next_save_ = boot_now() + options_.read_interval;
+        }
+        const auto lease = store_->grant_lease(options_.withdrawals_ttl);
+        if (failed(lease)) {
+            on_call_failed("withdrawals lease", error_of(lease));
+            return;
+        }
+        const store_compare expected = withdrawn_revision_ == 0
+                                           ? absent(withdrawn_key_)
+                                           : unchanged_since(withdrawn_key_, withdrawn_revision_);
+        const auto done = store_->commit(
+            {.compares = {expected},
+             .puts = {{.key = withdrawn_key_, .value = value, .lease = value_of(lease).lease}},
+             .deletes = {}});
+        if (failed(done)) {
+            on_call_failed("withdrawals", error_of(done));
+            return;
+        }
+        on_call_succeeded();
+        record_save(value_of(done), value);
+    }
+
+    void record_save(const store_commit& it, const std::string& value)
+    {
+        const std::lock_guard lock(mutex_);
+        if (!it.succeeded) {
+            withdrawn_revision_ = it.found.empty() ? 0 : it.found.front().mod_revision;
+            next_save_ = {};
+            return;
+        }
+        withdrawn_revision_ = it.revision;
+        saved_withdrawals_ = value;
+        saved_.notify_all();
+    }
+
     void run()
     {
         std::unique_lock lock(mutex_);
         duration retry = options_.retry_interval;
         while (!stopping_) {
+            const bool must_save = is_save_due(boot_now());
             lock.unlock();
+            if (must_save)
+                write_withdrawals();
             duration wait = options_.idle_interval;
             if (options_.must_read_config()) {
                 const bool was_read = read_config();
@@ -339,13 +427,14 @@
             if (boot_now() >= next_renewal_ || (must_check_lease_ && !is_unreachable_))
                 renew_member_entry();
             lock.lock();
-            wake_.wait_for(lock, wait, [this] { return stopping_; });
+            wake_.wait_for(lock, wait, [this] { return stopping_ || is_save_due(boot_now()); });
         }
     }
 
     const store_session_options options_;
     const std::unique_ptr<Store> store_;
     const std::string member_key_;
+    const std::string withdrawn_key_;
     lease_id lease_{};
     time_point next_renewal_{};
     bool is_unreachable_ = false;
@@ -357,6 +446,11 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_ = false;
+    std::condition_variable saved_;
+    std::string wanted_withdrawals_;
+    std::string saved_withdrawals_;
+    store_revision withdrawn_revision_ = 0; // of `withdrawn_key_`, as last seen
+    time_point next_save_{};
     std::thread thread_;
 };
 
