--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::size_t shards_index = 8; // in a record's array; absent if no shard is held
 constexpr std::size_t max_shards = 64;
+constexpr std::size_t withdrawn_index = 9; // absent if no server has withdrawn
+// Those that withdrew last are enough for peers, and a record must fit into a datagram.
+constexpr std::size_t max_withdrawn = 4;
 
 // Records are arrays, not objects: field names would take most of the bytes.
 static json to_json(const server_record& it)
@@ -28,6 +31,17 @@
     return out;
 }
 
+static json withdrawn_to_json(const std::vector<server_withdrawal>& withdrawn)
+{
+    json out = json::array();
+    for (std::size_t n = withdrawn.size() - std::min(withdrawn.size(), max_withdrawn);
+         n < withdrawn.size(); ++n) {
+        out.push_back(withdrawn[n].server.value);
+        out.push_back(withdrawn[n].run.value);
+    }
+    return out;
+}
+
 static json to_json(const member_record& it)
 {
     json servers = json::array();
@@ -35,8 +49,10 @@
         servers.push_back(to_json(server));
     json out = json::array({it.name, it.run.value, it.version, it.link.host, it.link.port,
                             it.domain.value, it.leaving, std::move(servers)});
-    if (!it.shards.empty())
+    if (!it.shards.empty() || !it.withdrawn.empty())
         out.push_back(shards_to_json(it.shards));
+    if (!it.withdrawn.empty())
+        out.push_back(withdrawn_to_json(it.withdrawn));
     return out;
 }
 
@@ -84,6 +100,16 @@
     return out;
 }
 
+static std::vector<server_withdrawal> withdrawn_from(const json& in)
+{
+    std::vector<server_withdrawal> out;
+    for (std::size_t n = 0; n + 1 < in.size() && out.size() < max_withdrawn; n += 2) {
+        out.push_back({.server = {in.at(n).get<std::uint64_t>()},
+                       .run = {in.at(n + 1).get<std::uint64_t>()}});
+    }
+    return out;
+}
+
 static member_record member_from(const json& in)
 {
     member_record out;
@@ -98,6 +124,8 @@
         out.servers.push_back(server_from(server));
     if (in.size() > shards_index)
         out.shards = shards_from(in.at(shards_index));
+    if (in.size() > withdrawn_index)
+        out.withdrawn = withdrawn_from(in.at(withdrawn_index));
     return out;
 }
 
--- a/src/member_directory.cpp
+++ b/src/member_directory.cpp
@@ -6,6 +6,8 @@
 
 // Removed nodes are remembered so that a delayed copy of a record does not add them again.
 constexpr std::size_t max_tombstones = 4096;
+// Nodes whose earlier runs had withdrawals.
+constexpr std::size_t max_former_nodes = 4096;
 
 record_stamp stamp_of(const member_record& it)
 {
@@ -46,6 +48,8 @@
         if (!is_newer(stamp_of(it), stamp_of(*position)))
             return false;
         digest_ -= hash_of(*position);
+        if (it.run != position->run)
+            keep_withdrawals(*position);
         *position = it;
     }
     digest_ += hash_of(it);
@@ -65,11 +69,32 @@
         tombstones_.erase(tombstones_.begin());
     tombstones_.push_back(stamp_of(*position));
     digest_ -= hash_of(*position);
+    keep_withdrawals(*position);
     members_.erase(position);
     ++change_count_;
     return true;
 }
 
+void member_directory::keep_withdrawals(const member_record& it)
+{
+    if (it.withdrawn.empty())
+        return;
+    if (withdrawn_.size() >= max_former_nodes && !withdrawn_.contains(it.vm))
+        withdrawn_.erase(withdrawn_.begin());
+    withdrawn_[it.vm].merge(it.withdrawn);
+}
+
+withdrawal_list member_directory::withdrawals_before(vm_id vm, incarnation run) const
+{
+    withdrawal_list out;
+    if (const auto it = withdrawn_.find(vm); it != withdrawn_.end())
+        out = it->second;
+    const member_record* present = find(vm);
+    if (present != nullptr && present->run < run)
+        out.merge(present->withdrawn);
+    return out;
+}
+
 const record_stamp* member_directory::find_tombstone(vm_id vm) const
 {
     const auto it = std::find_if(tombstones_.begin(), tombstones_.end(),
--- a/src/member_directory.h
+++ b/src/member_directory.h
@@ -7,8 +7,10 @@
 #include "endpoint.h"
 #include "server_standing.h"
 #include "types.h"
+#include "withdrawal_list.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -43,6 +45,8 @@
     bool leaving = false; ///< a planned shutdown has begun
     std::vector<server_record> servers{};
     std::vector<held_shard> shards{}; ///< few: the nodes of a failure domain share all shards
+    /// Backend servers that withdrew last from this node or its earlier runs, oldest first.
+    std::vector<server_withdrawal> withdrawn{};
     bool operator==(const member_record&) const = default;
 };
 
@@ -73,14 +77,20 @@
     /// Hash of all record versions: equal for directories with the same versions.
     std::uint64_t digest() const { return digest_; }
 
+    /// Backend servers that withdrew from runs of the node before `run`, as far as known here.
+    withdrawal_list withdrawals_before(vm_id vm, incarnation run) const;
+
     const member_record* find(vm_id vm) const;
     const std::vector<member_record>& members() const { return members_; }
     /// Number of changes of the directory so far.
     std::uint64_t change_count() const { return change_count_; }
 
 private:
+    void keep_withdrawals(const member_record& it);
+
     std::vector<member_record> members_;
-    std::vector<record_stamp> tombstones_; // oldest first
+    std::map<vm_id, withdrawal_list> withdrawn_; // from earlier runs of nodes
+    std::vector<record_stamp> tombstones_;       // oldest first
     std::uint64_t digest_ = 0;
     std::uint64_t change_count_ = 0;
 };
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -142,10 +142,15 @@
         update_membership([&](membership& m) { return m.receive(from, *it, boot_now()); });
 }
 
-void member_service::announce(std::vector<server_record> servers, bool leaving)
+void member_service::announce(own_state state)
 {
-    update_membership(
-        [&](membership& m) { return m.announce(std::move(servers), leaving, boot_now()); });
+    update_membership([&](membership& m) { return m.announce(std::move(state), boot_now()); });
+}
+
+withdrawal_list member_service::withdrawals_before(vm_id vm, incarnation run) const
+{
+    const std::lock_guard lock(mutex_);
+    return membership_.directory().withdrawals_before(vm, run);
 }
 
 void member_service::announce_shards(std::vector<held_shard> shards)
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -53,7 +53,7 @@
     /// Starts the protocol; false if the UDP address, which equals that of the links, cannot be
     /// bound.
     bool start();
-    void announce(std::vector<server_record> servers, bool leaving);
+    void announce(own_state state);
     /// Announces a changed set of limit shards whose leases this node holds.
     void announce_shards(std::vector<held_shard> shards);
     void set_generation(std::uint64_t generation);
@@ -66,6 +66,8 @@
     /// Members that did not directly answer the last ping from this node.
     std::vector<vm_id> unresponsive_members() const;
     member_status status() const;
+    /// Backend servers that withdrew from runs of the node before `run`, as far as known here.
+    withdrawal_list withdrawals_before(vm_id vm, incarnation run) const;
     std::vector<member_record> members() const;
     /// Stops ticks and the handling of datagrams. Pending exchanges end when the links close.
     void stop();
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -359,11 +359,11 @@
     return out;
 }
 
-membership_actions membership::announce(std::vector<server_record> servers, bool leaving,
-                                        time_point now)
+membership_actions membership::announce(own_state state, time_point now)
 {
-    self_.servers = std::move(servers);
-    self_.leaving = leaving;
+    self_.servers = std::move(state.servers);
+    self_.leaving = state.leaving;
+    self_.withdrawn = std::move(state.withdrawn);
     return gossip_self(now);
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -70,6 +70,13 @@
     std::variant<send_heartbeat, exchange_members, fetch_config, directory_changed>;
 using membership_actions = std::vector<membership_action>;
 
+/// What a node tells of itself.
+struct own_state {
+    std::vector<server_record> servers; ///< its backend servers
+    bool leaving = false;               ///< a planned shutdown has begun
+    std::vector<server_withdrawal> withdrawn{};
+};
+
 /// How many other members this node can reach.
 struct reachability {
     std::size_t pinged = 0;              ///< members with a ping outcome in the period considered
@@ -83,7 +90,7 @@
     membership(membership_options options, time_point now);
 
     /// Announces changed backend servers of this node, or its planned shutdown.
-    membership_actions announce(std::vector<server_record> servers, bool leaving, time_point now);
+    membership_actions announce(own_state state, time_point now);
     /// Announces a changed set of limit shards (shards of the organisations' rate limits) whose
     /// leases this node holds.
     membership_actions announce_shards(std::vector<held_shard> shards, time_point now);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -166,6 +166,20 @@
                                           delegations_->set_reachable(vm, answers);
                                   }},
         *links_);
+    recall_ = std::make_unique<recall_service>(
+        recall_service_options{
+            .plan = {.self = id_of<vm_id>(settings_.vm_name), .run = run_},
+            .on_recalled = [this](const recalled_facts& it) { apply_recalled(it); }},
+        *links_);
+}
+
+// What peers know of earlier runs of this node. Withdrawals are published, since this node's record
+// replaces that of the earlier run.
+void node::apply_recalled(const recalled_facts& it)
+{
+    poison_->merge(it.victims);
+    if (gate_->restore_withdrawals(it.withdrawn))
+        publish_servers();
 }
 
 void node::open_entry()
@@ -334,6 +348,7 @@
     poison_->set_directory(directory);
     relay_->set_directory(directory);
     reach_->set_directory(directory);
+    recall_->set_directory(directory);
     for (const member_record& member : directory.members())
         idempotency_->mark_claims_unknown(member.vm, member.run);
     limits_->set_directory(directory);
@@ -557,7 +572,8 @@
 {
     {
         const std::lock_guard lock(publish_mutex_);
-        members_->announce(gate_->servers(), leaving_);
+        members_->announce(
+            {.servers = gate_->servers(), .leaving = leaving_, .withdrawn = gate_->withdrawals()});
     }
     save_withdrawals();
 }
@@ -596,6 +612,12 @@
         return leases_->answer(request);
     if (request.path == poison_path)
         return poison_->receive_victims(request.payload);
+    if (request.path == recall_path)
+        return encode_recalled(
+            {.withdrawn =
+                 members_->withdrawals_before(id_of<vm_id>(request.peer.vm_name), request.peer.run)
+                     .entries(),
+             .victims = poison_->victims()});
     if (request.path == idempotency_path)
         return idempotency_->handle_message(request.payload);
     if (request.path == service_health_path)
--- a/src/node.h
+++ b/src/node.h
@@ -22,6 +22,7 @@
 #include "platform_parts.h"
 #include "poison_service.h"
 #include "reach_monitor.h"
+#include "recall_service.h"
 #include "socket_server.h"
 #include "stop_schedule.h"
 
@@ -70,6 +71,7 @@
     bool open_links();
     withdrawal_list withdrawn_before() const;
     void open_gate();
+    void apply_recalled(const recalled_facts& it);
     void open_entry();
     void open_limits();
     void suspect_node(vm_id vm);
@@ -108,6 +110,7 @@
     std::unique_ptr<link_hub> links_;
     std::unique_ptr<control_relay> relay_;
     std::unique_ptr<reach_monitor> reach_;
+    std::unique_ptr<recall_service> recall_;
     std::unique_ptr<health_service> health_;
     std::unique_ptr<key_coordinators> coordinators_;
     std::unique_ptr<idempotency_service> idempotency_;
--- a/src/poison_service.cpp
+++ b/src/poison_service.cpp
@@ -51,6 +51,18 @@
     return {};
 }
 
+void poison_service::merge(const std::vector<poison_victim>& victims)
+{
+    const std::lock_guard lock(mutex_);
+    list_.merge(victims, boot_now());
+}
+
+std::vector<poison_victim> poison_service::victims() const
+{
+    const std::lock_guard lock(mutex_);
+    return list_.entries(boot_now());
+}
+
 duration poison_service::remaining_refusal(request_fingerprint fingerprint) const
 {
     const std::lock_guard lock(mutex_);
--- a/src/poison_service.h
+++ b/src/poison_service.h
@@ -29,6 +29,9 @@
     /// Merges a list of victims, the backend servers that crashed on a request, received from
     /// another node; a malformed one is ignored. The answer is empty.
     std::string receive_victims(std::string_view payload);
+    /// Merges victims that a peer told this node at its start.
+    void merge(const std::vector<poison_victim>& victims);
+    std::vector<poison_victim> victims() const;
     /// Time until requests with this fingerprint are no longer refused; zero if they are not
     /// refused.
     duration remaining_refusal(request_fingerprint fingerprint) const;
--- a/src/withdrawal_list.cpp
+++ b/src/withdrawal_list.cpp
@@ -21,6 +21,14 @@
     return true;
 }
 
+bool withdrawal_list::merge(const std::vector<server_withdrawal>& entries)
+{
+    bool changed = false;
+    for (const server_withdrawal& it : entries)
+        changed = add(it) || changed;
+    return changed;
+}
+
 bool withdrawal_list::contains(const server_withdrawal& it) const
 {
     return std::any_of(entries_.begin(), entries_.end(), [&](const server_withdrawal& e) {
--- a/src/withdrawal_list.h
+++ b/src/withdrawal_list.h
@@ -28,6 +28,8 @@
     /// Adds a withdrawal; true if it is new. A run of 0 cannot be told from a later one and is not
     /// added. Beyond a fixed number the oldest is dropped.
     bool add(const server_withdrawal& it);
+    /// Adds all of them; true if any is new.
+    bool merge(const std::vector<server_withdrawal>& entries);
     /// True if this run or a later one of the server has withdrawn.
     bool contains(const server_withdrawal& it) const;
     /// Oldest first.
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -293,7 +293,7 @@
         fleet.bytes_between_domains = 0;
         for (std::size_t n = 0; n < 10; ++n) {
             fleet.perform(
-                n, fleet.nodes[n].announce({server_record{.id = {n + 1}}}, false, fleet.now));
+                n, fleet.nodes[n].announce({.servers = {server_record{.id = {n + 1}}}}, fleet.now));
             fleet.run(1s);
         }
         bytes.at(pingers == 0 ? 0 : 1) = fleet.bytes_between_domains;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -261,6 +261,36 @@
     EXPECT_EQ(dead, 2U);
 }
 
+// Guards against a restarted node that has forgotten which requests crash backend servers: each
+// restart would cost one more of them.
+TEST(process, restarted_nodes_refuse_a_request_that_crashed_two_backend_servers)
+{
+    process_fleet fleet;
+    const auto send_poison = [&](std::size_t node) {
+        httplib::Request req = request("POST", "/orders/1");
+        req.set_header("X-Note", "poisoned");
+        const httplib::Result answer = connect(fleet.callers(node))->send(req);
+        return answer ? answer->get_header_value("Jasmine-Outcome") : "none";
+    };
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        fleet.set_mode(fleet.backend(n, 1), {{"crash_text", "poisoned"}});
+    ASSERT_TRUE(wait_until([&] { return send_poison(0) == "not-run; reason=poison"; }));
+    for (std::size_t n = 0; n < fleet_nodes; ++n) {
+        fleet.node(n).signal(n == 0 ? SIGKILL : SIGTERM);
+        ASSERT_TRUE(fleet.node(n).wait_for_exit(20s).has_value());
+        fleet.start_node(n);
+        ASSERT_TRUE(wait_until([&] {
+            const auto answer = connect(fleet.callers(n))->send(request("GET", "/lids/ready"));
+            return answer && answer->status == 200;
+        }));
+        EXPECT_EQ(send_poison(n), "not-run; reason=poison") << "node " << n;
+    }
+    std::size_t dead = 0;
+    for (std::size_t n = 0; n < fleet_nodes; ++n)
+        dead += failed(fetch_account(fleet.backend(n, 1))) ? 1 : 0;
+    EXPECT_EQ(dead, 2U);
+}
+
 TEST(process, draining_backend_server_gets_no_new_requests)
 {
     process_fleet fleet;
