--- a/src/link_loop.cpp
+++ b/src/link_loop.cpp
@@ -114,10 +114,10 @@
 void link_loop::run_timers(time_point now)
 {
     watch_listener(true);
-    bool is_busy = context_.is_draining;
+    bool needs_ticks = context_.is_draining;
     for (const auto& [fd, session] : sessions_) {
         session->on_tick(now);
-        is_busy = is_busy || session->is_busy();
+        needs_ticks = needs_ticks || session->needs_ticks();
         context_.to_flush.push_back(session);
     }
     if (context_.is_draining && !is_drain_final_ && now >= drain_final_at_) {
@@ -125,7 +125,7 @@
         for (const auto& [fd, session] : sessions_)
             session->announce_drain(true);
     }
-    next_tick_ = now + (is_busy ? busy_tick : idle_tick);
+    next_tick_ = now + (needs_ticks ? busy_tick : idle_tick);
 }
 
 std::size_t link_loop::unauthenticated_links() const
@@ -225,7 +225,7 @@
                 remove(it);
             else
                 watch(*it);
-            if (it->is_busy())
+            if (it->needs_ticks())
                 next_tick_ = std::min(next_tick_, now + busy_tick);
         }
         run_deferred();
--- a/src/link_options.h
+++ b/src/link_options.h
@@ -30,8 +30,10 @@
     /// value allows for at least one loss.
     duration connect_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::minutes(1); ///< a link without streams is closed
-    duration ping_after = std::chrono::seconds(1);   ///< without input while streams are open
-    duration ping_timeout = std::chrono::seconds(2); ///< after a ping, closes the link
+    duration ping_after = std::chrono::seconds(1);   ///< without input while an answer is due
+    /// After a ping; new streams then use another connection. Above the round trip of any link.
+    duration doubt_after = std::chrono::milliseconds(400);
+    duration ping_timeout = std::chrono::seconds(2);        ///< after a ping, closes the link
     duration drain_notice = std::chrono::milliseconds(500); ///< new streams are still accepted
     std::size_t max_links = 2048;                           ///< incoming and outgoing together
     std::size_t max_unauthenticated_links = 256;
--- a/src/link_session.cpp
+++ b/src/link_session.cpp
@@ -41,7 +41,9 @@
       streams_(context, wire_, end == link_end::connecting),
       handshake_(end, context.options.self, context.options.fleet_key),
       phase_deadline_(now + context.options.connect_timeout), last_received_at_(now),
-      busy_since_(now)
+      last_used_at_(now), silence_({.ping_after = context.options.ping_after,
+                                    .doubt_after = context.options.doubt_after,
+                                    .ping_timeout = context.options.ping_timeout})
 {
     ++context_.counters->links;
     refresh_cut();
@@ -101,7 +103,8 @@
 
 bool link_session::takes_streams() const
 {
-    return is_caller() && phase_ < link_phase::lingering && !is_going_away_;
+    return is_caller() && phase_ < link_phase::lingering && !is_going_away_ &&
+           !silence_.is_doubtful();
 }
 
 bool link_session::is_busy() const
@@ -159,6 +162,7 @@
     }
     phase_ = link_phase::authenticating;
     last_received_at_ = now;
+    silence_.received(now);
     start();
     start_handshake();
 }
@@ -176,7 +180,7 @@
             return;
         }
         last_received_at_ = now;
-        pinged_at_.reset();
+        silence_.received(now);
         if (phase_ != link_phase::lingering)
             receive(std::span(buf).first(got));
         if (got < buf.size())
@@ -272,7 +276,8 @@
 {
     const link_options& options = context_.options;
     if (!has_streams())
-        busy_since_ = now;
+        last_used_at_ = now;
+    silence_.expect_answer(now);
     if (it.state)
         it.state->session = weak_from_this();
     if (phase_ == link_phase::ready)
@@ -312,7 +317,7 @@
         return;
     if (phase_ == link_phase::ready) {
         if (!has_streams())
-            busy_since_ = last_received_at_;
+            last_used_at_ = last_received_at_;
         streams_.on_begun(id);
     }
     else {
@@ -437,22 +442,17 @@
     if (phase_ != link_phase::ready)
         return;
     streams_.expire_calls(now);
-    if (has_streams())
-        check_silence(now);
-    else
+    check_silence(now);
+    if (phase_ == link_phase::ready && !has_streams())
         check_idle(now);
 }
 
-// While streams are open, pings a peer that has sent nothing for `ping_after`, and closes the link
-// if nothing arrives within `ping_timeout` after that.
 void link_session::check_silence(time_point now)
 {
-    const link_options& options = context_.options;
-    if (!pinged_at_ && now - std::max(last_received_at_, busy_since_) >= options.ping_after) {
-        pinged_at_ = now;
+    const silence_action action = silence_.step(has_streams(), now);
+    if (action == silence_action::ping)
         nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
-    }
-    if (!pinged_at_ || now - *pinged_at_ < options.ping_timeout)
+    if (action != silence_action::close)
         return;
     log_event(event::link_dead, "no answer from {} at {}", peer_.vm_name, address_);
     ++context_.counters->dead_links;
@@ -463,9 +463,8 @@
 // closes only links that their opener failed to close.
 void link_session::check_idle(time_point now)
 {
-    pinged_at_.reset();
     const duration limit = context_.options.idle_timeout * (is_caller() ? 1 : 2);
-    if (is_going_away_ || now - std::max(last_received_at_, busy_since_) < limit)
+    if (is_going_away_ || now - std::max(last_received_at_, last_used_at_) < limit)
         return;
     is_going_away_ = true;
     nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
--- a/src/link_session.h
+++ b/src/link_session.h
@@ -8,6 +8,7 @@
 #include "link_handshake.h"
 #include "link_head_fields.h"
 #include "link_options.h"
+#include "link_silence.h"
 #include "link_streams.h"
 #include "link_wire.h"
 
@@ -49,9 +50,10 @@
     bool is_caller() const { return end_ == link_end::connecting; }
     /// True while this side may open new streams on the link.
     bool takes_streams() const;
-    /// True while a stream, the handshake, closing or output is pending. The hub then calls
-    /// `on_tick` at short intervals, because deadlines apply.
+    /// True while a stream, the handshake, closing or output is pending.
     bool is_busy() const;
+    /// True while `on_tick` has to be called at short intervals, because deadlines apply.
+    bool needs_ticks() const { return is_busy() || silence_.is_expecting(); }
     bool has_streams() const { return !streams_.empty() || !waiting_.empty(); }
     /// The epoll events to watch, EPOLLIN and EPOLLOUT as needed; 0 removes the socket from epoll.
     std::uint32_t wanted_events() const;
@@ -136,8 +138,8 @@
     bool is_going_away_ = false; ///< GOAWAY received, or sent because the link is idle
     time_point phase_deadline_;
     time_point last_received_at_;
-    time_point busy_since_;
-    std::optional<time_point> pinged_at_;
+    time_point last_used_at_;
+    link_silence silence_;
     std::optional<std::string_view> failure_; ///< set in a callback; `fail` is called after it
 };
 
