--- a/src/announcement.cpp
+++ b/src/announcement.cpp
@@ -1,5 +1,7 @@
 #include "announcement.h"
 
+#include "foreign_document.h"
+
 #include <nlohmann/json.hpp>
 
 namespace jasminebank {
@@ -34,7 +36,7 @@
 
 result<announcement, announcement_error> parse_announcement(std::string_view text)
 {
-    const json in = json::parse(text, nullptr, false);
+    const json in = parse_json(text);
     if (!in.is_object())
         return announcement_error{"body", "a JSON object"};
     const auto is_text = [](const json& it) { return it.is_string(); };
--- a/src/config_document.cpp
+++ b/src/config_document.cpp
@@ -1,6 +1,7 @@
 #include "config_document.h"
 
 #include "digest.h"
+#include "foreign_document.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -64,9 +65,9 @@
 
 std::optional<config_head> decode_head(std::string_view text)
 {
-    const auto in = nlohmann::json::parse(text, nullptr, false);
+    const auto in = parse_json(text);
     try {
-        config_head out{.generation = in.at("generation").get<std::uint64_t>(),
+        config_head out{.generation = unsigned_from<std::uint64_t>(in.at("generation")),
                         .change_id = in.at("change_id").get<std::string>(),
                         .documents = in.at("documents").get<std::vector<std::string>>()};
         if (out.documents.size() != document_count)
--- a/src/config_keeper.cpp
+++ b/src/config_keeper.cpp
@@ -1,5 +1,7 @@
 #include "config_keeper.h"
 
+#include "foreign_document.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -23,9 +25,9 @@
 
 std::optional<config_request> decode_config_request(std::string_view text)
 {
-    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    const json in = parse_cbor(text);
     try {
-        return config_request{.generation = in.at(0).get<std::uint64_t>(),
+        return config_request{.generation = unsigned_from<std::uint64_t>(in.at(0)),
                               .documents = in.at(1).get<std::vector<std::string>>()};
     }
     catch (const json::exception&) {
@@ -40,7 +42,7 @@
 
 std::optional<config_response> decode_config_response(std::string_view text)
 {
-    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    const json in = parse_cbor(text);
     try {
         const auto head = decode_head(in.at(0).get<std::string>());
         if (!head)
--- a/src/control_relay.cpp
+++ b/src/control_relay.cpp
@@ -1,5 +1,6 @@
 #include "control_relay.h"
 
+#include "foreign_document.h"
 #include "log.h"
 #include "system_clock.h"
 
@@ -135,12 +136,12 @@
 
 static std::optional<control_request> decode(std::string_view text, vm_id& to)
 {
-    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    const json in = parse_cbor(text);
     try {
         control_request out;
-        to = vm_id{in.at(0).get<std::uint64_t>()};
+        to = vm_id{unsigned_from<std::uint64_t>(in.at(0))};
         out.peer = {.vm_name = in.at(1).get<std::string>(),
-                    .run = incarnation{in.at(2).get<std::uint64_t>()}};
+                    .run = incarnation{unsigned_from<std::uint64_t>(in.at(2))}};
         out.path = in.at(3).get<std::string>();
         const auto& payload = in.at(4).get_binary();
         out.payload.assign(payload.begin(), payload.end());
--- a/src/delegation_service.cpp
+++ b/src/delegation_service.cpp
@@ -1,55 +1,17 @@
 #include "delegation_service.h"
 
+#include "delegation_codec.h"
 #include "log.h"
 #include "system_clock.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <iterator>
 
 namespace jasminebank {
 
-using json = nlohmann::json;
-
 constexpr duration tick_interval = std::chrono::milliseconds(100);
 constexpr duration call_timeout = std::chrono::milliseconds(500);
 
-static std::string encode(const delegation& it)
-{
-    json out = json::array({it.group, it.share});
-    if (it.stamp) {
-        out.push_back(it.stamp->run.value);
-        out.push_back(it.stamp->issued_ns);
-    }
-    return out.dump();
-}
-
-static std::string encode(const delegation_stamp& it)
-{
-    return json::array({it.run.value, it.issued_ns}).dump();
-}
-
-static std::optional<delegation_stamp> stamp_at(const json& in, std::size_t at)
-{
-    if (!in.is_array() || in.size() < at + 2 || !in[at].is_number_unsigned() ||
-        !in[at + 1].is_number_integer())
-        return std::nullopt;
-    return delegation_stamp{.run = incarnation{in[at].get<std::uint64_t>()},
-                            .issued_ns = in[at + 1].get<std::int64_t>()};
-}
-
-static std::optional<delegation> decode_delegation(std::string_view text)
-{
-    const json in = json::parse(text, nullptr, false);
-    if (!in.is_array() || in.size() < 2 || !in[0].is_number_unsigned() ||
-        !in[1].is_number_unsigned())
-        return std::nullopt;
-    return delegation{.group = in[0].get<std::uint32_t>(),
-                      .share = in[1].get<std::uint32_t>(),
-                      .stamp = stamp_at(in, 2)};
-}
-
 delegation_service::delegation_service(delegation_service_options options, control_relay& relay)
     : options_(std::move(options)), relay_(relay), delegation_(options_.delegation),
       epochs_(options_.delegation.groups), published_holders_(options_.delegation.groups)
@@ -101,17 +63,17 @@
     if (!it)
         return {};
     const std::lock_guard lock(mutex_);
-    return encode(delegation_.receive(id_of<vm_id>(request.peer.vm_name), *it, boot_now()));
+    return encode_delegation_stamp(
+        delegation_.receive(id_of<vm_id>(request.peer.vm_name), *it, boot_now()));
 }
 
 void delegation_service::send(const outgoing_delegation& it)
 {
     const bool sent = relay_.call(
-        it.to, std::string(delegation_path), encode(it.body), call_timeout,
+        it.to, std::string(delegation_path), encode_delegation(it.body), call_timeout,
         [this, to = it.to, group = it.body.group](const result<std::string, link_error>& reply) {
-            const auto stamp = failed(reply)
-                                   ? std::nullopt
-                                   : stamp_at(json::parse(value_of(reply), nullptr, false), 0);
+            const auto stamp =
+                failed(reply) ? std::nullopt : decode_delegation_stamp(value_of(reply));
             if (!stamp) {
                 options_.on_no_response(to);
                 return;
--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <condition_variable>
 #include <mutex>
 
@@ -40,7 +41,7 @@
     if (text == nullptr)
         return std::nullopt;
     const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), out);
-    return ec == std::errc{} ? std::optional(out) : std::nullopt;
+    return ec == std::errc{} && std::isfinite(out) ? std::optional(out) : std::nullopt;
 }
 
 void prefetch_body(dispatch_attempt& it, std::size_t prefetch_bytes, const answer_limit& limit)
--- a/src/health_codec.cpp
+++ b/src/health_codec.cpp
@@ -1,5 +1,6 @@
 #include "health_codec.h"
 
+#include "foreign_document.h"
 #include "member_codec.h"
 
 #include <nlohmann/json.hpp>
@@ -16,7 +17,7 @@
 
 static std::uint64_t number(const json& in, std::size_t place)
 {
-    return in.at(place).get<std::uint64_t>();
+    return unsigned_from<std::uint64_t>(in.at(place));
 }
 
 std::string encode_health_query(const peer_query& it)
@@ -27,12 +28,12 @@
 
 std::optional<peer_query> decode_health_query(std::string_view text)
 {
-    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    const json in = parse_cbor(text);
     try {
         return peer_query{.service = service_id{number(in, 0)},
                           .query_id = number(in, 1),
-                          .span = {.since = duration(in.at(2).get<duration::rep>()),
-                                   .until = duration(in.at(3).get<duration::rep>())}};
+                          .span = {.since = duration(integer_from(in.at(2))),
+                                   .until = duration(integer_from(in.at(3)))}};
     }
     catch (const json::exception&) {
         return std::nullopt;
@@ -56,21 +57,21 @@
 {
     return {.service = service_id{number(in, 0)},
             .gate = vm_id{number(in, 1)},
-            .log_median = in.at(2).get<double>(),
-            .log_scale = in.at(3).get<double>(),
-            .error_share = in.at(4).get<double>(),
+            .log_median = finite_from(in.at(2)),
+            .log_scale = finite_from(in.at(3)),
+            .error_share = finite_from(in.at(4)),
             .samples = number(in, 5),
             .query_id = number(in, 6),
-            .recent_requests = in.at(7).get<std::uint32_t>(),
-            .recent_slow = in.at(8).get<std::uint32_t>(),
-            .recent_errors = in.at(9).get<std::uint32_t>(),
-            .slow_evidence = in.at(10).get<double>(),
-            .error_evidence = in.at(11).get<double>()};
+            .recent_requests = unsigned_from<std::uint32_t>(in.at(7)),
+            .recent_slow = unsigned_from<std::uint32_t>(in.at(8)),
+            .recent_errors = unsigned_from<std::uint32_t>(in.at(9)),
+            .slow_evidence = finite_from(in.at(10)),
+            .error_evidence = finite_from(in.at(11))};
 }
 
 std::optional<service_health> decode_service_health(std::string_view text)
 {
-    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    const json in = parse_cbor(text);
     try {
         service_health out{.reference = reference_from(in),
                            .gate_run = incarnation{number(in, 12)},
@@ -110,8 +111,8 @@
     return {.server = backend_server_id{number(in, 0)},
             .gate = vm_id{number(in, 1)},
             .gate_incarnation = incarnation{number(in, 2)},
-            .slots = in.at(3).get<std::uint32_t>(),
-            .severity = in.at(4).get<std::uint32_t>(),
+            .slots = unsigned_from<std::uint32_t>(in.at(3)),
+            .severity = unsigned_from<std::uint32_t>(in.at(4)),
             .renewal = number(in, 5)};
 }
 
@@ -119,16 +120,16 @@
 {
     return {.gate = vm_id{number(in, 0)},
             .gate_incarnation = incarnation{number(in, 1)},
-            .slots = in.at(2).get<std::uint32_t>(),
+            .slots = unsigned_from<std::uint32_t>(in.at(2)),
             .renewal = number(in, 3)};
 }
 
 std::optional<ejection_record> decode_ejection_record(std::string_view text)
 {
-    const json in = json::parse(text, nullptr, false);
+    const json in = parse_json(text);
     try {
-        ejection_record out{.service = service_id{in.at("service").get<std::uint64_t>()},
-                            .version = in.at("version").get<std::uint64_t>(),
+        ejection_record out{.service = service_id{unsigned_from<std::uint64_t>(in.at("service"))},
+                            .version = unsigned_from<std::uint64_t>(in.at("version")),
                             .ejected = {},
                             .reserved = {}};
         for (const json& it : in.at("ejected"))
--- a/src/heartbeat.cpp
+++ b/src/heartbeat.cpp
@@ -1,6 +1,7 @@
 #include "heartbeat.h"
 
 #include "digest.h"
+#include "foreign_document.h"
 #include "member_codec.h"
 
 #include <nlohmann/json.hpp>
@@ -28,9 +29,9 @@
 
 static record_stamp stamp_from(const json& in)
 {
-    return {.vm = vm_id{in.at(0).get<std::uint64_t>()},
-            .run = incarnation{in.at(1).get<std::uint64_t>()},
-            .version = in.at(2).get<std::uint64_t>()};
+    return {.vm = vm_id{unsigned_from<std::uint64_t>(in.at(0))},
+            .run = incarnation{unsigned_from<std::uint64_t>(in.at(1))},
+            .version = unsigned_from<std::uint64_t>(in.at(2))};
 }
 
 std::string encode_heartbeat(const heartbeat& it, std::string_view fleet_key)
@@ -57,17 +58,18 @@
 static heartbeat heartbeat_from(const json& in)
 {
     heartbeat out;
-    out.kind = static_cast<heartbeat_kind>(std::min(in.at(0).get<unsigned>(), 3U));
-    out.sequence = in.at(1).get<std::uint64_t>();
+    out.kind = static_cast<heartbeat_kind>(std::min(unsigned_from<unsigned>(in.at(0)), 3U));
+    out.sequence = unsigned_from<std::uint64_t>(in.at(1));
     out.name = in.at(2).get<std::string>();
     out.sender = {.vm = id_of<vm_id>(out.name),
-                  .run = incarnation{in.at(3).get<std::uint64_t>()},
-                  .version = in.at(4).get<std::uint64_t>()};
-    out.target = {.host = in.at(5).get<std::string>(), .port = in.at(6).get<std::uint16_t>()};
-    out.directory_digest = in.at(7).get<std::uint64_t>();
-    out.generation = in.at(8).get<std::uint64_t>();
+                  .run = incarnation{unsigned_from<std::uint64_t>(in.at(3))},
+                  .version = unsigned_from<std::uint64_t>(in.at(4))};
+    out.target = {.host = in.at(5).get<std::string>(),
+                  .port = unsigned_from<std::uint16_t>(in.at(6))};
+    out.directory_digest = unsigned_from<std::uint64_t>(in.at(7));
+    out.generation = unsigned_from<std::uint64_t>(in.at(8));
     if (!in.at(9).is_null())
-        out.store_age = std::chrono::milliseconds(in.at(9).get<std::uint32_t>());
+        out.store_age = std::chrono::milliseconds(unsigned_from<std::uint32_t>(in.at(9)));
     for (const json& it : in.at(10)) {
         if (out.suspects.size() < max_suspects)
             out.suspects.push_back(stamp_from(it));
@@ -90,7 +92,7 @@
     std::copy_n(mac.begin(), mac_bytes, expected.bytes.begin());
     if (!same_digest(received, expected))
         return std::nullopt;
-    const json in = json::from_cbor(body.begin(), body.end(), true, false);
+    const json in = parse_cbor(body);
     try {
         return heartbeat_from(in);
     }
--- a/src/json_reader.h
+++ b/src/json_reader.h
@@ -4,6 +4,8 @@
 // encoding an omitted member has its default value, bytes are base64 strings and 64-bit integers
 // are decimal strings.
 
+#include "foreign_document.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -31,7 +33,7 @@
 template <class Read>
 auto read_json(std::string_view text, Read read) -> std::optional<decltype(read(nlohmann::json()))>
 {
-    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json document = parse_json(text);
     if (!document.is_object())
         return std::nullopt;
     try {
--- a/src/limit_codec.cpp
+++ b/src/limit_codec.cpp
@@ -1,5 +1,7 @@
 #include "limit_codec.h"
 
+#include "foreign_document.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -168,7 +170,7 @@
 
 std::optional<limit_message> decode_limit_message(std::string_view text)
 {
-    const json parsed = json::from_msgpack(text.begin(), text.end(), true, false);
+    const json parsed = parse_msgpack(text);
     if (!parsed.is_array() || parsed.size() > max_fields)
         return std::nullopt;
     field_reader in(parsed);
--- a/src/limit_lease_codec.cpp
+++ b/src/limit_lease_codec.cpp
@@ -1,5 +1,7 @@
 #include "limit_lease_codec.h"
 
+#include "foreign_document.h"
+
 #include <nlohmann/json.hpp>
 
 namespace jasminebank {
@@ -62,7 +64,7 @@
 template <class Read>
 auto read_object(std::string_view text, Read read) -> std::optional<decltype(read(json()))>
 {
-    const json in = json::parse(text, nullptr, false);
+    const json in = parse_json(text);
     if (!in.is_object())
         return std::nullopt;
     try {
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -71,6 +71,7 @@
     event_entry{event::member_gone, severity::warning, "member_gone"},
     event_entry{event::cut_off_began, severity::error, "cut_off_began"},
     event_entry{event::cut_off_ended, severity::info, "cut_off_ended"},
+    event_entry{event::member_unreadable, severity::warning, "member_unreadable"},
     event_entry{event::standin_started, severity::info, "standin_started"},
     event_entry{event::fake_store_fault_set, severity::info, "fake_store_fault_set"},
     event_entry{event::backend_announced, severity::info, "backend_announced"},
--- a/src/log.h
+++ b/src/log.h
@@ -75,7 +75,8 @@
     member_gone = 801,
     cut_off_began = 802, ///< `membership::may_serve` became false
     cut_off_ended = 803,
-    standin_started = 900, ///< a fake backend server or fake store
+    member_unreadable = 804, ///< a record in a list that a peer sent
+    standin_started = 900,   ///< a fake backend server or fake store
     fake_store_fault_set = 910,
     backend_announced = 920,
     backend_announce_failed = 921,
--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -1,5 +1,8 @@
 #include "member_codec.h"
 
+#include "foreign_document.h"
+#include "log.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -75,16 +78,22 @@
     return to_cbor_text(to_json(members));
 }
 
-// Throws json::exception on a missing element or a wrong type; decode_members catches it.
+// The following throw json::exception on a missing element, a wrong type or a number out of range.
+
+static endpoint endpoint_from(const json& host, const json& port)
+{
+    return {.host = host.get<std::string>(), .port = unsigned_from<std::uint16_t>(port)};
+}
+
 static server_record server_from(const json& in)
 {
     server_record out;
-    out.service = service_id{in.at(0).get<std::uint64_t>()};
-    out.address = {.host = in.at(1).get<std::string>(), .port = in.at(2).get<std::uint16_t>()};
+    out.service = service_id{unsigned_from<std::uint64_t>(in.at(0))};
+    out.address = endpoint_from(in.at(1), in.at(2));
     out.id = id_of<backend_server_id>(to_string(out.address));
-    out.slots = in.at(3).get<std::uint32_t>();
+    out.slots = unsigned_from<std::uint32_t>(in.at(3));
     out.draining = in.at(4).get<bool>();
-    const auto standing = in.at(5).get<unsigned>();
+    const auto standing = unsigned_from<unsigned>(in.at(5));
     if (standing <= static_cast<unsigned>(server_standing::on_trial))
         out.standing = static_cast<server_standing>(standing);
     return out;
@@ -94,8 +103,8 @@
 {
     std::vector<held_shard> out;
     for (std::size_t n = 0; n + 1 < in.size() && out.size() < max_shards; n += 2) {
-        out.push_back(
-            {.shard = in.at(n).get<std::uint32_t>(), .epoch = in.at(n + 1).get<std::uint64_t>()});
+        out.push_back({.shard = unsigned_from<std::uint32_t>(in.at(n)),
+                       .epoch = unsigned_from<std::uint64_t>(in.at(n + 1))});
     }
     return out;
 }
@@ -104,8 +113,8 @@
 {
     std::vector<server_withdrawal> out;
     for (std::size_t n = 0; n + 1 < in.size() && out.size() < max_withdrawn; n += 2) {
-        out.push_back({.server = {in.at(n).get<std::uint64_t>()},
-                       .run = {in.at(n + 1).get<std::uint64_t>()}});
+        out.push_back({.server = {unsigned_from<std::uint64_t>(in.at(n))},
+                       .run = {unsigned_from<std::uint64_t>(in.at(n + 1))}});
     }
     return out;
 }
@@ -115,10 +124,10 @@
     member_record out;
     out.name = in.at(0).get<std::string>();
     out.vm = id_of<vm_id>(out.name);
-    out.run = incarnation{in.at(1).get<std::uint64_t>()};
-    out.version = in.at(2).get<std::uint64_t>();
-    out.link = {.host = in.at(3).get<std::string>(), .port = in.at(4).get<std::uint16_t>()};
-    out.domain = failure_domain_id{in.at(5).get<std::uint64_t>()};
+    out.run = incarnation{unsigned_from<std::uint64_t>(in.at(1))};
+    out.version = unsigned_from<std::uint64_t>(in.at(2));
+    out.link = endpoint_from(in.at(3), in.at(4));
+    out.domain = failure_domain_id{unsigned_from<std::uint64_t>(in.at(5))};
     out.leaving = in.at(6).get<bool>();
     for (const json& server : in.at(7))
         out.servers.push_back(server_from(server));
@@ -129,17 +138,24 @@
     return out;
 }
 
+// A record that cannot be read is left out; the others hold.
 static std::vector<member_record> members_from(const json& in)
 {
     std::vector<member_record> out;
-    for (const json& it : in)
-        out.push_back(member_from(it));
+    for (const json& it : in) {
+        try {
+            out.push_back(member_from(it));
+        }
+        catch (const json::exception& error) {
+            log_event(event::member_unreadable, "cause=\"{}\"", error.what());
+        }
+    }
     return out;
 }
 
 std::optional<std::vector<member_record>> decode_members(std::string_view text)
 {
-    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    const json in = parse_cbor(text);
     if (!in.is_array())
         return std::nullopt;
     try {
@@ -163,17 +179,17 @@
 
 std::optional<member_exchange> decode_exchange(std::string_view text)
 {
-    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    const json in = parse_cbor(text);
     member_exchange out;
     try {
         for (const json& it : in.at(0)) {
-            out.known.push_back({.vm = vm_id{it.at(0).get<std::uint64_t>()},
-                                 .run = incarnation{it.at(1).get<std::uint64_t>()},
-                                 .version = it.at(2).get<std::uint64_t>()});
+            out.known.push_back({.vm = vm_id{unsigned_from<std::uint64_t>(it.at(0))},
+                                 .run = incarnation{unsigned_from<std::uint64_t>(it.at(1))},
+                                 .version = unsigned_from<std::uint64_t>(it.at(2))});
         }
         out.records = members_from(in.at(1));
         for (const json& it : in.at(2))
-            out.wanted.push_back(vm_id{it.get<std::uint64_t>()});
+            out.wanted.push_back(vm_id{unsigned_from<std::uint64_t>(it)});
         return out;
     }
     catch (const json::exception&) {
--- a/src/once_codec.cpp
+++ b/src/once_codec.cpp
@@ -1,5 +1,7 @@
 #include "once_codec.h"
 
+#include "foreign_document.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -75,7 +77,7 @@
     if (text.size() > max_message_bytes)
         return std::nullopt;
     try {
-        json out = json::from_cbor(text.begin(), text.end(), true, false);
+        json out = parse_cbor(text);
         return out.is_array() ? std::optional(std::move(out)) : std::nullopt;
     }
     catch (const json::exception&) {
--- a/src/poison_codec.cpp
+++ b/src/poison_codec.cpp
@@ -1,5 +1,7 @@
 #include "poison_codec.h"
 
+#include "foreign_document.h"
+
 #include <nlohmann/json.hpp>
 
 namespace jasminebank {
@@ -22,16 +24,16 @@
 // Throws json::exception if an element is missing or has the wrong type.
 static poison_victim victim_from(const json& in)
 {
-    return {.fingerprint = {.high = in.at(0).get<std::uint64_t>(),
-                            .low = in.at(1).get<std::uint64_t>()},
-            .server = backend_server_id{in.at(2).get<std::uint64_t>()},
-            .run = incarnation{in.at(3).get<std::uint64_t>()},
-            .remaining = duration(in.at(4).get<duration::rep>())};
+    return {.fingerprint = {.high = unsigned_from<std::uint64_t>(in.at(0)),
+                            .low = unsigned_from<std::uint64_t>(in.at(1))},
+            .server = backend_server_id{unsigned_from<std::uint64_t>(in.at(2))},
+            .run = incarnation{unsigned_from<std::uint64_t>(in.at(3))},
+            .remaining = duration(integer_from(in.at(4)))};
 }
 
 std::optional<std::vector<poison_victim>> decode_victims(std::string_view text)
 {
-    const json in = json::from_cbor(text.begin(), text.end(), true, false);
+    const json in = parse_cbor(text);
     if (!in.is_array())
         return std::nullopt;
     std::vector<poison_victim> out;
--- a/src/recall_codec.cpp
+++ b/src/recall_codec.cpp
@@ -1,5 +1,6 @@
 #include "recall_codec.h"
 
+#include "foreign_document.h"
 #include "poison_codec.h"
 
 #include <nlohmann/json.hpp>
@@ -31,7 +32,7 @@
 
 std::optional<recalled_facts> decode_recalled(std::string_view bytes)
 {
-    const json in = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json in = parse_cbor(bytes);
     try {
         auto withdrawn = decode_withdrawals(binary_at(in, 0));
         auto victims = decode_victims(binary_at(in, 1));
--- a/tests/control_relay_test.cpp
+++ b/tests/control_relay_test.cpp
@@ -1,5 +1,6 @@
 #include "control_relay.h"
 
+#include "small_stack.h"
 #include "system_clock.h"
 
 #include <gtest/gtest.h>
@@ -136,3 +137,18 @@
         forger.call(away.vm, "/control/test", "word", 1s, [&](const auto& it) { got.set(it); }));
     EXPECT_TRUE(got.wait().starts_with("failed")) << got.text;
 }
+
+TEST(control_relay, odd_relayed_messages_are_refused)
+{
+    std::string nested;
+    for (int n = 0; n < 5'000; ++n)
+        nested += "\x81";
+    run_on_small_stack([&] {
+        for (const std::string& it :
+             {std::string(), nested, nested + "\x01", "\x9b" + std::string(8, '\xff'),
+              "\x9b\x3f" + std::string(7, '\xff'), std::string("\x85\x01\x01\x01\x01\x01")}) {
+            EXPECT_FALSE(control_relay::unwrap(
+                {.peer = {}, .path = std::string(relayed_path), .payload = it, .defer = {}}));
+        }
+    });
+}
