--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -84,6 +84,9 @@
                 server.notices.withdrawn();
             collect_actions(server.slots.set_start_rate(std::nullopt, now), out);
         }
+        // What waits was admitted for the service that the address had.
+        if (!is_new && server.record.service != it.server.service)
+            collect_actions(server.slots.refuse_waiting(), out, refusal::no_backend_server);
         server.notices.announced(it.server.draining, now);
         record.draining |= server.notices.is_leaving();
         changed = is_new || server.record != record;
@@ -572,17 +575,19 @@
     std::shared_ptr<backend_connection> connection;
     double load = 0;
     std::string name;
+    bool is_replaced = false;
     {
         const std::lock_guard lock(mutex_);
         it = pending_.at(id);
         backend_server& server = servers_.at(it.request.server);
+        is_replaced = server.record.service != it.request.service;
         connection = acquire_connection(server, it.stream->head());
         name = server.name;
         it.server_run = server.run;
         load = load_factor(server);
     }
     it.stream->on_cancel({});
-    if (it.stream->is_cancelled()) {
+    if (is_replaced || it.stream->is_cancelled()) {
         finish(id, it, nullptr, {.outcome = call_outcome::not_connected});
         return;
     }
--- /dev/null
+++ b/tests/gate_fixture.h
@@ -0,0 +1,42 @@
+#pragma once
+
+// A gate with one backend server, and an entry node's link to it.
+
+#include "gate.h"
+#include "link_hub.h"
+
+#include <memory>
+#include <string>
+
+namespace jasminebank {
+
+class gate_fixture {
+public:
+    gate_fixture(const endpoint& server, std::uint32_t slots);
+    ~gate_fixture();
+    gate_fixture(const gate_fixture&) = delete;
+    gate_fixture& operator=(const gate_fixture&) = delete;
+
+    static header_names names();
+    /// A run of a backend server starts at the address, of the service that `send` names unless
+    /// another one is given.
+    void announce(incarnation run, service_id service = own_service);
+    /// Sends a request and returns the outcome that the gate reports; without an id if `id` is
+    /// empty.
+    std::string send(const std::string& id);
+    /// Requests that wait for a slot.
+    std::size_t waiting() const;
+
+    static constexpr service_id own_service{3};
+
+private:
+    const endpoint server_;
+    const std::uint32_t slots_;
+    std::unique_ptr<link_hub> gate_links_;
+    std::unique_ptr<link_hub> links_;
+    health_service health_;
+    poison_service poison_;
+    std::unique_ptr<gate> gate_;
+};
+
+} // namespace jasminebank
--- a/tests/kept_connection_test.cpp
+++ b/tests/kept_connection_test.cpp
@@ -1,9 +1,8 @@
 // Faulty backend servers that write an answer once more on a kept connection, where the answer to
 // the next request is due.
 
-#include "gate.h"
+#include "gate_fixture.h"
 #include "http_pool.h"
-#include "link_hub.h"
 #include "raw_server.h"
 #include "system_clock.h"
 
@@ -20,15 +19,10 @@
 
 namespace {
 
-constexpr const char* fleet_key = "fleet key of the tests";
 constexpr duration time_limit = 3s;
 constexpr duration run_time = 50ms;
 constexpr std::uint32_t server_slots = 4;
-constexpr backend_server_id server_id{7};
-const header_names names{.request_id = "x-request-id",
-                         .not_run = "x-not-run",
-                         .success_mark = "x-mark",
-                         .status_guarantees_not_run = true};
+const header_names names = gate_fixture::names();
 
 // An answer of the backend server; without an id if `id` is empty.
 std::string answer_text(int status, const std::string& id)
@@ -45,70 +39,6 @@
     return head.substr(at, head.find('\r', at) - at);
 }
 
-// A gate with one backend server, and an entry node's link to it.
-class gate_fixture {
-public:
-    explicit gate_fixture(const endpoint& server)
-        : gate_links_(link_hub::start({.self = {.vm_name = "gate", .run = {1}},
-                                       .fleet_key = fleet_key,
-                                       .on_stream =
-                                           [this](const std::shared_ptr<link_stream>& it) {
-                                               if (gate_ != nullptr)
-                                                   gate_->accept(it);
-                                           }})),
-          links_(
-              link_hub::start({.self = {.vm_name = "entry", .run = {1}}, .fleet_key = fleet_key})),
-          health_({.self = {1}, .run = {1}, .store = {}, .on_standing_changed = {}}, *gate_links_),
-          poison_({1}, *gate_links_),
-          gate_(std::make_unique<gate>(gate_options{.run = {1},
-                                                    .announcement_ttl = 1h,
-                                                    .backend_idle = 1h,
-                                                    .threads = 4,
-                                                    .names = names},
-                                       health_, poison_))
-    {
-        gate_->announce(
-            {.server = {.id = server_id, .service = {3}, .address = server, .slots = server_slots},
-             .run = {1}},
-            boot_now());
-    }
-    ~gate_fixture()
-    {
-        links_->stop();
-        health_.stop();
-        gate_links_->stop();
-        gate_->stop();
-    }
-
-    /// Sends a request and returns the outcome that the gate reports; without an id if `id` is
-    /// empty.
-    std::string send(const std::string& id)
-    {
-        message_head head{.method = "GET", .path = "/a", .status = 0, .fields = {}};
-        if (!id.empty())
-            head.fields.push_back({.name = names.request_id, .value = id});
-        write_dispatch({.server = server_id,
-                        .gate_run = {1},
-                        .route = {1},
-                        .service = {3},
-                        .time_left = time_limit},
-                       head);
-        const auto stream = links_->open(gate_links_->local(), std::move(head), true);
-        const auto answer = stream->read_head(boot_now() + time_limit + 2s);
-        if (failed(answer))
-            return "no answer";
-        const std::string* out = find_field(value_of(answer), outcome_field);
-        return out == nullptr ? "no outcome" : *out;
-    }
-
-private:
-    std::unique_ptr<link_hub> gate_links_;
-    std::unique_ptr<link_hub> links_;
-    health_service health_;
-    poison_service poison_;
-    std::unique_ptr<gate> gate_;
-};
-
 // Answers the first request on its first connection with `first`. It runs the next request there
 // and answers it with `second`, but writes `copy` first. Requests on other connections run and get
 // `second` at once.
@@ -155,7 +85,7 @@
         SCOPED_TRACE(status);
         const std::string refused = answer_text(status, "r1");
         repeating_server server(refused, refused, answer_text(200, "r1"));
-        gate_fixture fleet(server.address());
+        gate_fixture fleet(server.address(), server_slots);
         EXPECT_TRUE(is_not_run(fleet.send("r1")));
         const std::string outcome = fleet.send("r1");
         EXPECT_EQ(server.runs(), 1);
@@ -169,7 +99,7 @@
         SCOPED_TRACE(status);
         repeating_server server(answer_text(status, "r1"), answer_text(status, ""),
                                 answer_text(200, "r2"));
-        gate_fixture fleet(server.address());
+        gate_fixture fleet(server.address(), server_slots);
         EXPECT_TRUE(is_not_run(fleet.send("r1")));
         const std::string outcome = fleet.send("r2");
         EXPECT_EQ(server.runs(), 1);
@@ -180,7 +110,7 @@
 TEST(kept_connection, copied_refusal_is_not_the_answer_to_a_request_without_an_id)
 {
     repeating_server server(answer_text(503, ""), answer_text(503, ""), answer_text(200, ""));
-    gate_fixture fleet(server.address());
+    gate_fixture fleet(server.address(), server_slots);
     EXPECT_TRUE(is_not_run(fleet.send("")));
     EXPECT_EQ(fleet.send(""), "ran");
     EXPECT_EQ(server.runs(), 1);
@@ -189,7 +119,7 @@
 TEST(kept_connection, copied_answer_without_an_id_is_not_the_answer_to_another_request)
 {
     repeating_server server(answer_text(200, "r1"), answer_text(200, ""), answer_text(503, "r2"));
-    gate_fixture fleet(server.address());
+    gate_fixture fleet(server.address(), server_slots);
     EXPECT_EQ(fleet.send("r1"), "ran");
     EXPECT_NE(fleet.send("r2"), "ran");
 }
@@ -197,7 +127,7 @@
 TEST(kept_connection, copied_answer_is_not_the_answer_to_a_repetition_of_its_request)
 {
     repeating_server server(answer_text(200, "r1"), answer_text(200, "r1"), answer_text(503, "r1"));
-    gate_fixture fleet(server.address());
+    gate_fixture fleet(server.address(), server_slots);
     EXPECT_EQ(fleet.send("r1"), "ran");
     EXPECT_TRUE(is_not_run(fleet.send("r1")));
 }
@@ -229,7 +159,7 @@
             it.send(answer_text(200, id_in(it.head())));
         } while (it.receive_head());
     });
-    gate_fixture fleet(server.address());
+    gate_fixture fleet(server.address(), server_slots);
     for (int n = 1; n <= 50; ++n)
         EXPECT_EQ(fleet.send(fmt::format("r{}", n)), "ran");
     EXPECT_LE(connections, server_slots);
