--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -74,12 +74,13 @@
         return out;
     }
 
-    // Forwards the last bytes of the body only if the server sent no more than Content-Length
-    // bytes. Otherwise the caller must not see a complete answer.
+    // Forwards the last bytes of the body only if no bytes follow them that may belong to it:
+    // otherwise the caller must not see a complete answer. Bytes that arrived along with the end
+    // are in the client's buffer, later ones in the socket.
     call_result finish(const httplib::Result& answer, const bounded_client& client,
                        duration service_time)
     {
-        has_extra_bytes_ = answer && client.has_unread_bytes();
+        has_extra_bytes_ = answer && (client.has_unread_bytes() || client.has_ambiguous_end());
         if (answer && !has_extra_bytes_ && !last_bytes_.empty() &&
             failed(stream_->write(last_bytes_, options_.deadline)))
             caller_disconnected_ = true;
--- a/src/bounded_client.cpp
+++ b/src/bounded_client.cpp
@@ -5,12 +5,21 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace jasminebank {
 
 constexpr int first_final_status = 200;
 
+// True also for no bytes, and for the first bytes of a status line.
+static bool begins_answer(std::string_view bytes)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    const std::size_t n = std::min(bytes.size(), version.size());
+    return bytes.substr(0, n) == version.substr(0, n);
+}
+
 bounded_client::bounded_client(const endpoint& server) : ClientImpl(server.host, server.port)
 {
     set_keep_alive(true);
@@ -24,6 +33,7 @@
     answer_kind_ = request.method == "HEAD" ? message_kind::answer_to_head : message_kind::answer;
     size_limit_exceeded_ = false;
     has_discarded_bytes_ = false;
+    has_ambiguous_end_ = false;
     is_whole_ = false;
     received_malformed_ = false;
     const httplib::ResponseHandler on_response_head = std::move(request.response_handler);
@@ -56,6 +66,7 @@
     current_stream_ = nullptr;
     size_limit_exceeded_ = stream.exceeded_size_limit();
     has_discarded_bytes_ = stream.has_buffered();
+    has_ambiguous_end_ = !begins_answer(stream.buffered());
     is_whole_ = stream.framing().is_whole();
     received_malformed_ = stream.framing().is_malformed();
     return good;
--- a/src/bounded_client.h
+++ b/src/bounded_client.h
@@ -37,6 +37,9 @@
     /// Whether bytes after the end of the last answer were read along with it. They are lost, so
     /// the next bytes would not begin with an answer: the connection must not be reused.
     bool has_discarded_bytes() const { return has_discarded_bytes_; }
+    /// Whether those bytes do not begin an answer. Then the last answer may have been truncated, and
+    /// its end may be the beginning of what was sent next.
+    bool has_ambiguous_end() const { return has_ambiguous_end_; }
     /// Whether the connection has received bytes that belong to no request: it must not be reused.
     bool has_unread_bytes() const;
 
@@ -51,6 +54,7 @@
     bool received_malformed_ = false;
     bool size_limit_exceeded_ = false;
     bool has_discarded_bytes_ = false;
+    bool has_ambiguous_end_ = false;
 };
 
 } // namespace jasminebank
--- a/src/socket_stream.h
+++ b/src/socket_stream.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 namespace jasminebank {
 
@@ -37,6 +38,8 @@
     const message_framing& framing() const { return framing_; }
     /// Whether bytes were received that have not been read.
     bool has_buffered() const { return begin_ < end_; }
+    /// The bytes that were received and have not been read.
+    std::string_view buffered() const { return {buf_.data() + begin_, end_ - begin_}; }
     /// Whether a read failed because a line or a head was too long.
     bool exceeded_size_limit() const { return size_limit_exceeded_; }
 
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -175,7 +175,16 @@
         answer_case{"chunk_size_with_a_prefix", chunked_head + "0x5\r\nshort\r\n0\r\n\r\n"},
         answer_case{"chunk_size_that_breaks_off", chunked_head + "5\r\nshort\r\n0x", "GET", "",
                     answer_fault::none},
-        answer_case{"chunk_size_with_a_bare_lf", chunked_head + "5\r\nshort\r\n0\n\r\n"}),
+        answer_case{"chunk_size_with_a_bare_lf", chunked_head + "5\r\nshort\r\n0\n\r\n"},
+        // A truncated answer that the beginning of another one fills up.
+        answer_case{"filled_up_by_another_answer",
+                    ok_head + "Content-Length: 9\r\n\r\nshort" + ok_head +
+                        "Content-Length: 5\r\n\r\nother",
+                    "GET", "", answer_fault::none},
+        answer_case{"filled_up_by_the_body_of_another_answer",
+                    ok_head + "Content-Length: 150\r\n\r\nshort" + ok_head +
+                        "Content-Length: 100\r\n\r\n" + std::string(100, 'y'),
+                    "GET", "", answer_fault::none}),
     test_name);
 
 TEST(announcer, a_broken_answer_is_no_acknowledgement)
@@ -217,6 +226,8 @@
         answer_case{"empty_field", ok_head + "x-a:\r\nContent-Length: 5\r\n\r\nwhole"},
         answer_case{"after_an_interim_answer",
                     "HTTP/1.1 100 Continue\r\n\r\n" + ok_head + "Content-Length: 5\r\n\r\nwhole"},
+        answer_case{"followed_by_another_answer", ok_head + "Content-Length: 5\r\n\r\nwhole" +
+                                                      ok_head + "Content-Length: 5\r\n\r\nother"},
         answer_case{"head_request", ok_head + "Content-Length: 5\r\n\r\n", "HEAD", ""},
         answer_case{"no_content",
                     "HTTP/1.1 204 No Content\r\nx-request-id: r1\r\nx-mark: m\r\n\r\n", "GET", ""},
