--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <concepts>
 #include <condition_variable>
 #include <mutex>
 
@@ -44,15 +45,25 @@
     return ec == std::errc{} && std::isfinite(out) ? std::optional(out) : std::nullopt;
 }
 
+// Reads until `limit`, in steps after which `caller_left` is asked.
+template <std::predicate CallerLeft>
+result<std::size_t, link_error> read_until(link_stream& stream, std::span<char> buf,
+                                           const answer_limit& limit, CallerLeft caller_left)
+{
+    while (true) {
+        const auto n =
+            stream.read(buf, std::min(limit.until(), boot_now() + caller_check_interval));
+        const bool is_late = failed(n) && error_of(n).kind == link_failure::timed_out;
+        if (!is_late || boot_now() >= limit.until() || caller_left())
+            return n;
+    }
+}
+
 void prefetch_body(dispatch_attempt& it, std::size_t prefetch_bytes, const answer_limit& limit)
 {
     std::array<char, chunk_bytes> buf{};
     while (it.body.size() < prefetch_bytes) {
-        const time_point step = std::min(limit.until(), boot_now() + caller_check_interval);
-        const auto n = it.stream->read(buf, step);
-        const bool is_late = failed(n) && error_of(n).kind == link_failure::timed_out;
-        if (is_late && boot_now() < limit.until() && !socket_server::peer_disconnected())
-            continue;
+        const auto n = read_until(*it.stream, buf, limit, socket_server::peer_disconnected);
         if (failed(n)) {
             it.refused = refusal_for(error_of(n), limit);
             it.answer.reset();
@@ -179,12 +190,12 @@
     return true;
 }
 
-bool stream_body(const httplib::ContentReader& reader, link_stream& stream, duration timeout,
-                 const stop_deadline& stop)
+bool stream_body(const httplib::ContentReader& reader, link_stream& stream,
+                 const answer_limit& limit)
 {
     bool write_failed = false;
     const bool whole = reader([&](const char* data, std::size_t n) {
-        write_failed = !write_body(stream, {data, n}, answer_limit(boot_now() + timeout, stop));
+        write_failed = !write_body(stream, {data, n}, limit);
         return !write_failed;
     });
     if (whole)
@@ -194,4 +205,10 @@
     return whole || write_failed;
 }
 
+result<std::size_t, link_error> read_answer_part(link_stream& stream, std::span<char> buf,
+                                                 const answer_limit& limit)
+{
+    return read_until(stream, buf, limit, socket_server::peer_reset);
+}
+
 } // namespace jasminebank
--- a/src/dispatch_attempt.h
+++ b/src/dispatch_attempt.h
@@ -75,10 +75,16 @@
 /// reached; the last two are checked periodically while the gate accepts no more bytes.
 bool write_body(link_stream& stream, std::span<const char> bytes, const answer_limit& limit);
 
-/// Streams the caller's body to the gate. Returns false when the caller did not send the whole
-/// body, and cancels the stream. Returns true also when the write to the gate failed; the result of
-/// the stream then gives the cause.
-bool stream_body(const httplib::ContentReader& reader, link_stream& stream, duration timeout,
-                 const stop_deadline& stop);
+/// Streams the caller's body to the gate until `limit`. Returns false when the caller did not send
+/// the whole body, and cancels the stream. Returns true also when the write to the gate failed; the
+/// result of the stream then gives the cause.
+bool stream_body(const httplib::ContentReader& reader, link_stream& stream,
+                 const answer_limit& limit);
+
+/// Reads the next part of an answer whose head has been sent to the caller. Waits until `limit`,
+/// however long the server pauses, unless the caller's connection is reset. Bytes that have arrived
+/// are returned also after `limit`. 0 at the end of the answer.
+result<std::size_t, link_error> read_answer_part(link_stream& stream, std::span<char> buf,
+                                                 const answer_limit& limit);
 
 } // namespace jasminebank
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -515,7 +515,7 @@
         if (write_body(*it.stream, context.body, limit))
             it.stream->finish();
     }
-    if (is_streamed && !stream_body(*context.reader, *it.stream, request.service->timeout, stop_)) {
+    if (is_streamed && !stream_body(*context.reader, *it.stream, limit)) {
         it.caller_left = true;
         it.refused = {.reason = body_failure_reason(request), .state = run_state::unknown};
     }
@@ -577,10 +577,7 @@
 void entry::await_attempt(const attempt_context& context, request_progress& progress,
                           dispatch_attempt& it)
 {
-    const answer_limit limit(context.reader == nullptr
-                                 ? context.request.deadline
-                                 : boot_now() + context.request.service->timeout,
-                             stop_);
+    const answer_limit limit(context.request.deadline, stop_);
     while (!it.refused) {
         const time_point due = hedge_time(context.request, progress, it);
         dispatch_attempt* other = progress.other ? &*progress.other : nullptr;
@@ -801,8 +798,8 @@
         length = it.body.size();
     // Writes the prefetched part first, then the rest as it arrives.
     auto prefetched = std::make_shared<std::string>(it.body);
-    const auto write_next_part = [stream = it.stream, timeout = request.service->timeout, length,
-                                  prefetched,
+    const answer_limit limit(request.deadline, stop_);
+    const auto write_next_part = [stream = it.stream, limit, length, prefetched,
                                   whole = it.body_is_whole](std::size_t, httplib::DataSink& sink) {
         if (!prefetched->empty()) {
             const std::string first = std::exchange(*prefetched, {});
@@ -814,7 +811,7 @@
             return true;
         }
         std::array<char, chunk_bytes> buf{};
-        const auto n = stream->read(buf, boot_now() + timeout);
+        const auto n = read_answer_part(*stream, buf, limit);
         if (failed(n) || (value_of(n) == 0 && length))
             return false;
         if (value_of(n) == 0)
--- a/src/socket_server.cpp
+++ b/src/socket_server.cpp
@@ -183,6 +183,12 @@
 
 // A FIN only says that the peer sends no more. A peer that has closed its socket responds to the
 // interim response with a reset; one that still reads ignores it.
+bool socket_server::peer_reset()
+{
+    pollfd it{.fd = current_socket, .events = 0, .revents = 0};
+    return poll(&it, 1, 0) > 0 && (it.revents & (POLLERR | POLLHUP)) != 0;
+}
+
 bool socket_server::peer_disconnected()
 {
     pollfd it{.fd = current_socket, .events = POLLRDHUP, .revents = 0};
--- a/src/socket_server.h
+++ b/src/socket_server.h
@@ -72,6 +72,9 @@
     /// HTTP/1.0 peer gets no probe and counts as closed at its FIN. Not allowed after the final
     /// response has begun.
     static bool peer_disconnected();
+    /// True if the connection of this thread's request is broken. Sends nothing, so it is allowed
+    /// at any time; a peer that has closed without a reset is not noticed.
+    static bool peer_reset();
     /// Waits up to `time` for a FIN, a reset or an error of this thread's connection; false if it
     /// sees none.
     static bool wait_for_disconnect(duration time);
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -24,7 +26,7 @@
 constexpr const char* fleet_key = "fleet key of the tests";
 constexpr const char* key = "key-of-honey-makers";
 
-std::shared_ptr<const fleet_config> configuration()
+std::shared_ptr<const fleet_config> configuration(bool has_service_timeout)
 {
     const std::string text =
         "[service web]\n[route all]\npath = /\nservice = web\ntarget_latency = 1s\n"
@@ -34,6 +36,8 @@
         to_hex(digest_of(key)) + "\n";
     auto config = build_fleet_config({value_of(parse_ini("fleet.ini", text))});
     value_of(config).generation = 1;
+    if (!has_service_timeout)
+        value_of(config).services.front().timeout = {};
     return std::make_shared<const fleet_config>(std::move(value_of(config)));
 }
 
@@ -43,6 +47,8 @@
     std::size_t servers = 2;
     /// Gates of leaving nodes that no longer answer; each has one more server.
     std::size_t unresponsive_leaving_gates = 0;
+    /// As on a platform, only routes have timeouts.
+    bool has_service_timeout = true;
 };
 
 constexpr std::uint64_t first_server = 5;
@@ -92,7 +98,7 @@
         options.take_shared_retry = [this](auto, auto) { return ++retries > 0; };
         entry_ = std::make_unique<entry>(std::move(options), *links_,
                                          router_options{.self = {2}, .domain = {1}});
-        entry_->set_config(configuration());
+        entry_->set_config(configuration(layout.has_service_timeout));
         member_directory directory = directory_of(gates_, layout.servers);
         for (std::size_t n = 0; n < layout.unresponsive_leaving_gates; ++n) {
             directory.merge({.vm = {100 + n},
@@ -129,6 +135,27 @@
         return res;
     }
 
+    /// Uploads a body in chunks.
+    httplib::Response upload(const std::vector<std::string>& chunks)
+    {
+        httplib::Request req;
+        req.method = "POST";
+        req.target = "/proofs";
+        req.set_header("Authorization", std::string("Bearer ") + key);
+        req.set_header("Transfer-Encoding", "chunked");
+        const httplib::ContentReader reader(
+            [&](const httplib::ContentReceiver& receiver) {
+                return std::all_of(chunks.begin(), chunks.end(), [&](const std::string& it) {
+                    std::this_thread::sleep_for(20ms);
+                    return receiver(it.data(), it.size());
+                });
+            },
+            [](const auto&, const auto&) { return false; });
+        httplib::Response res;
+        entry_->handle(req, res, &reader);
+        return res;
+    }
+
     /// Breaks the links to the gate of a backend server.
     void stop_gate_of(backend_server_id it)
     {
@@ -240,6 +267,75 @@
 
 } // namespace
 
+// The body of a response as the caller gets it; nothing if it breaks off.
+std::optional<std::string> read_body(httplib::Response& res)
+{
+    std::string out;
+    httplib::DataSink sink;
+    sink.write = [&](const char* data, std::size_t n) {
+        out.append(data, n);
+        return true;
+    };
+    while (out.size() < res.content_length_) {
+        if (!res.content_provider_(out.size(), res.content_length_ - out.size(), sink))
+            return std::nullopt;
+    }
+    return out;
+}
+
+// Guards against an answer that is cut where its server pauses.
+TEST(entry, long_answer_with_a_pause_is_delivered_whole)
+{
+    const std::string body(200'000, 'y');
+    std::jthread server;
+    entry_fixture fixture(
+        [&](const dispatch&, const std::shared_ptr<link_stream>& stream) {
+            server = std::jthread([&, stream] {
+                message_head head;
+                head.status = 200;
+                head.fields = {{.name = std::string(outcome_field),
+                                .value = std::string(name_of(run_state::ran))},
+                               {.name = "content-length", .value = std::to_string(body.size())}};
+                const time_point end = boot_now() + 10s;
+                stream->respond(std::move(head), false);
+                static_cast<void>(stream->write(std::string_view(body).substr(0, 100'000), end));
+                std::this_thread::sleep_for(300ms);
+                static_cast<void>(stream->write(std::string_view(body).substr(100'000), end));
+                stream->finish();
+            });
+        },
+        {}, {.has_service_timeout = false});
+    httplib::Response res = fixture.send("GET");
+    EXPECT_EQ(res.status, 200);
+    const auto received = read_body(res);
+    EXPECT_TRUE(received.has_value() && *received == body);
+}
+
+// Guards against uploads that are given up as soon as they have arrived.
+TEST(entry, upload_in_chunks_is_served)
+{
+    std::string received;
+    std::jthread server;
+    entry_fixture fixture(
+        [&](const dispatch&, const std::shared_ptr<link_stream>& stream) {
+            server = std::jthread([&, stream] {
+                std::array<char, 4096> buf{};
+                const time_point end = boot_now() + 10s;
+                auto n = stream->read(buf, end);
+                for (; !failed(n) && value_of(n) > 0; n = stream->read(buf, end))
+                    received.append(buf.data(), value_of(n));
+                std::this_thread::sleep_for(200ms);
+                answer(*stream, failed(n) ? 500 : 200, "m");
+            });
+        },
+        {}, {.has_service_timeout = false});
+    const std::vector<std::string> chunks(8, std::string(10'000, 'u'));
+    const httplib::Response res = fixture.upload(chunks);
+    EXPECT_EQ(res.status, 200) << res.get_header_value("Jasmine-Outcome");
+    server.join();
+    EXPECT_EQ(received.size(), 80'000U);
+}
+
 // The first attempt ends without an answer and the second one is refused, so the first one may have
 // run the request.
 TEST(entry, outcome_is_unknown_when_a_refusal_follows_a_lost_attempt)
