--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -147,27 +147,23 @@
     return found || is_known;
 }
 
-bool gate::restore_withdrawals(const std::vector<server_withdrawal>& withdrawn)
+void gate::restore_withdrawals(const std::vector<server_withdrawal>& withdrawn)
 {
     deferred_actions out;
-    bool changed = false;
     {
         const std::lock_guard lock(mutex_);
         if (!withdrawn_.merge(withdrawn))
-            return false;
+            return;
+        records_changed_ = true;
         for (auto& [id, server] : servers_) {
             if (server.record.draining ||
                 !withdrawn_.contains(withdrawal_of(server.name, server.record.address, server.run)))
                 continue;
             server.notices.withdrawn();
             set_leaving(server, out);
-            changed = true;
         }
     }
     perform(out);
-    if (changed)
-        health_.set_servers(servers());
-    return changed;
 }
 
 std::vector<server_withdrawal> gate::withdrawals() const
--- a/src/gate.h
+++ b/src/gate.h
@@ -63,8 +63,8 @@
     /// withdraws, 0 if it is not known: then the registered one. False if no run is known.
     bool withdraw(const std::string& name, incarnation run, time_point now);
     /// Backend servers that withdrew from earlier runs of this node, as its peers say. They get no
-    /// new requests. True if the records changed.
-    bool restore_withdrawals(const std::vector<server_withdrawal>& withdrawn);
+    /// new requests; the next `tick` reports the change. Never blocks.
+    void restore_withdrawals(const std::vector<server_withdrawal>& withdrawn);
     /// Runs of backend servers that have withdrawn from this node or its earlier runs.
     std::vector<server_withdrawal> withdrawals() const;
     /// Removes idle backend servers whose announcement has expired and refuses requests that waited
--- a/src/link_silence.cpp
+++ b/src/link_silence.cpp
@@ -16,14 +16,15 @@
     is_doubtful_ = false;
 }
 
-// While streams are open, an answer is due all the time.
+// While streams are open, the peer is expected to say something all the time.
 silence_action link_silence::step(bool has_streams, time_point now)
 {
-    if (has_streams && !expecting_since_)
-        expecting_since_ = last_received_;
-    if (!expecting_since_)
+    if (!has_streams && !expecting_since_) {
+        pinged_at_.reset();
+        is_doubtful_ = false;
         return silence_action::none;
-    if (!pinged_at_ && now - *expecting_since_ >= options_.ping_after) {
+    }
+    if (!pinged_at_ && now - expecting_since_.value_or(last_received_) >= options_.ping_after) {
         pinged_at_ = now;
         return silence_action::ping;
     }
--- a/src/link_silence.h
+++ b/src/link_silence.h
@@ -23,7 +23,7 @@
 public:
     explicit link_silence(const link_silence_options& options) : options_(options) {}
 
-    /// A stream was opened, so the peer has to answer.
+    /// A stream was opened from this end, so the peer has to answer.
     void expect_answer(time_point now);
     /// Bytes have arrived from the peer.
     void received(time_point now);
@@ -31,7 +31,7 @@
     silence_action step(bool has_streams, time_point now);
     /// Whether the peer has not answered a ping in time.
     bool is_doubtful() const { return is_doubtful_; }
-    /// Whether an answer is due.
+    /// Whether an answer to a stream opened from this end is due, even if the stream has ended.
     bool is_expecting() const { return expecting_since_.has_value(); }
 
 private:
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -173,13 +173,11 @@
         *links_);
 }
 
-// What peers know of earlier runs of this node. Withdrawals are published, since this node's record
-// replaces that of the earlier run.
+// What peers know of earlier runs of this node. Runs on a link thread.
 void node::apply_recalled(const recalled_facts& it)
 {
     poison_->merge(it.victims);
-    if (gate_->restore_withdrawals(it.withdrawn))
-        publish_servers();
+    gate_->restore_withdrawals(it.withdrawn);
 }
 
 void node::open_entry()
--- a/tests/link_silence_test.cpp
+++ b/tests/link_silence_test.cpp
@@ -42,6 +42,18 @@
     EXPECT_EQ(it.step(true, start + 3s), silence_action::ping);
 }
 
+// The end that only answers need not hear from its peer after that.
+TEST(link_silence, a_link_may_be_silent_after_the_streams_of_its_peer)
+{
+    link_silence it(options);
+    it.received(start);
+    EXPECT_EQ(it.step(true, start + 900ms), silence_action::none);
+    EXPECT_FALSE(it.is_expecting());
+    EXPECT_EQ(it.step(false, start + 1h), silence_action::none);
+    it.received(start + 1h);
+    EXPECT_EQ(it.step(true, start + 1h + 1s), silence_action::ping);
+}
+
 TEST(link_silence, an_idle_link_may_be_silent)
 {
     link_silence it(options);
