--- a/src/bounded_client.h
+++ b/src/bounded_client.h
@@ -37,8 +37,8 @@
     /// Whether bytes after the end of the last answer were read along with it. They are lost, so
     /// the next bytes would not begin with an answer: the connection must not be reused.
     bool has_discarded_bytes() const { return has_discarded_bytes_; }
-    /// Whether those bytes do not begin an answer. Then the last answer may have been truncated, and
-    /// its end may be the beginning of what was sent next.
+    /// Whether those bytes do not begin an answer. Then the last answer may have been truncated,
+    /// and its end may be the beginning of what was sent next.
     bool has_ambiguous_end() const { return has_ambiguous_end_; }
     /// Whether the connection has received bytes that belong to no request: it must not be reused.
     bool has_unread_bytes() const;
