--- a/tests/foreign_document_test.cpp
+++ b/tests/foreign_document_test.cpp
@@ -80,7 +80,7 @@
         {"number out of range", "[1e999,1e999,1e999,1e999]"},
         {"large numbers", "[1e300,1e300,1e300,1e300]"},
         {"negative numbers", "[-1,-1,-1,-1]"},
-        {"not text", "\xff\xfe\x00\x01"},
+        {"not text", std::string("\xff\xfe\x00\x01", 4)},
     };
 }
 
@@ -130,11 +130,11 @@
 }
 
 template <class Decode>
-decoder decoder_of(const std::string& name, Decode decode, std::string example)
+decoder decoder_of(const std::string& name, Decode decode, const std::string& example)
 {
     return {.name = name,
             .accepts = [decode](std::string_view it) { return decode(it).has_value(); },
-            .example = std::move(example)};
+            .example = example};
 }
 
 std::vector<decoder> decoders()
--- a/tests/recall_test.cpp
+++ b/tests/recall_test.cpp
@@ -25,6 +25,7 @@
 std::vector<std::uint64_t> vms(const std::vector<member_record>& records)
 {
     std::vector<std::uint64_t> out;
+    out.reserve(records.size());
     for (const member_record& it : records)
         out.push_back(it.vm.value);
     return out;
--- a/tests/severed_link_test.cpp
+++ b/tests/severed_link_test.cpp
@@ -29,18 +29,21 @@
 }
 
 class severed_link : public testing::Test {
-protected:
-    severed_link()
-        : a(link_hub::start(options_of("a"))), b(link_hub::start(options_of("b"))),
-          proxy(b->local())
-    {
-    }
+public:
     ~severed_link() override
     {
         a->stop();
         b->stop();
     }
+    severed_link(const severed_link&) = delete;
+    severed_link& operator=(const severed_link&) = delete;
 
+protected:
+    severed_link()
+        : a(link_hub::start(options_of("a"))), b(link_hub::start(options_of("b"))),
+          proxy(b->local())
+    {
+    }
     bool is_answered()
     {
         std::promise<bool> out;
--- a/tests/severing_proxy.cpp
+++ b/tests/severing_proxy.cpp
@@ -1,6 +1,7 @@
 #include "severing_proxy.h"
 
 #include <arpa/inet.h>
+#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -27,9 +28,9 @@
 {
     sockaddr_in own = address_of({.host = "127.0.0.1"});
     socklen_t n = sizeof own;
-    bind(listener_, reinterpret_cast<sockaddr*>(&own), n);
-    listen(listener_, SOMAXCONN);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &n);
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&own), n), 0);
+    EXPECT_EQ(listen(listener_, SOMAXCONN), 0);
+    EXPECT_EQ(getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &n), 0);
     address_ = {.host = "127.0.0.1", .port = ntohs(own.sin_port)};
     acceptor_ = std::thread([this] { accept_all(); });
 }
