A new configuration is sent compressed, and within the failure domain first

A configuration of some hundred KB went to each node from whichever peer mentioned it first.

Ruled out: differences between configurations; compression alone takes most of it.

--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -1,6 +1,7 @@
 #include "config_feed.h"
 
 #include "config_follower.h"
+#include "deflated_text.h"
 #include "log.h"
 
 #include <fmt/format.h>
@@ -10,6 +11,13 @@
 namespace jasminebank {
 
 constexpr duration fetch_timeout = std::chrono::milliseconds(700);
+// Follows the generation in the request of a node that accepts a compressed configuration. Nodes
+// that do not know it ignore it and answer with the text itself.
+constexpr std::string_view accepts_deflated = " deflate";
+// Precedes a compressed configuration; a configuration itself never begins like this.
+constexpr std::string_view deflated_mark = "deflate:";
+// Well above the largest value that the store takes.
+constexpr std::size_t max_config_bytes = 64UL * 1024 * 1024;
 
 config_feed::config_feed(config_feed_options options, link_hub& links)
     : options_(std::move(options)), links_(links)
@@ -46,6 +54,7 @@
         }
         generation_ = fresh->generation;
         text_ = text;
+        deflated_.clear();
     }
     log_event(event::config_in_force, "generation={} routes={} organisations={} services={}",
               fresh->generation, fresh->routes.size(), fresh->organisations.size(),
@@ -61,7 +70,7 @@
         const std::lock_guard lock(mutex_);
         if (std::exchange(fetching_, true))
             return;
-        request = fmt::format("{}", generation_);
+        request = fmt::format("{}{}", generation_, accepts_deflated);
     }
     const auto done = [this](const result<std::string, link_error>& answer) {
         {
@@ -69,7 +78,7 @@
             fetching_ = false;
         }
         if (!failed(answer) && !value_of(answer).empty())
-            apply(value_of(answer));
+            apply_fetched(value_of(answer));
     };
     if (!links_.call(peer, std::string(config_path), std::move(request), fetch_timeout, done)) {
         const std::lock_guard lock(mutex_);
@@ -77,6 +86,21 @@
     }
 }
 
+void config_feed::apply_fetched(const std::string& answer)
+{
+    if (!answer.starts_with(deflated_mark)) {
+        apply(answer);
+        return;
+    }
+    const auto text =
+        inflate_text(std::string_view(answer).substr(deflated_mark.size()), max_config_bytes);
+    if (text)
+        apply(*text);
+    else
+        log_event(event::config_rejected, "field=\"(compressed)\" bytes={}", answer.size());
+}
+
+// The compressed text is kept, since many nodes fetch a new configuration at about the same time.
 std::string config_feed::answer(std::string_view request) const
 {
     std::uint64_t known = 0;
@@ -84,7 +108,11 @@
     const std::lock_guard lock(mutex_);
     if (ec != std::errc{} || known >= generation_)
         return {};
-    return text_;
+    if (!std::string_view(end, request.data() + request.size()).starts_with(accepts_deflated))
+        return text_;
+    if (deflated_.empty())
+        deflated_ = std::string(deflated_mark) + deflate_text(text_);
+    return deflated_;
 }
 
 } // namespace jasminebank
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -43,10 +43,12 @@
     /// not block.
     void fetch_from(const endpoint& peer);
     /// Response to another node's request: the value in force if it is newer than the requester's,
-    /// otherwise empty.
+    /// otherwise empty. Compressed if the requester accepts that.
     std::string answer(std::string_view request) const;
 
 private:
+    void apply_fetched(const std::string& answer);
+
     const config_feed_options options_;
     link_hub& links_;
     std::mutex apply_mutex_; ///< serialises apply(); locked before mutex_
@@ -54,6 +56,7 @@
         ignored_text_; ///< the last invalid or older value, logged once; guarded by apply_mutex_
     mutable std::mutex mutex_;
     std::string text_;
+    mutable std::string deflated_; ///< answer made of `text_`; empty until it is requested
     std::uint64_t generation_ = 0;
     bool fetching_ = false;
 };
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -287,6 +287,16 @@
     pings_.erase(ping);
 }
 
+// Where domains make no difference, every peer counts as one of the own domain, as does a peer that
+// is not known yet.
+bool membership::may_fetch_config(const heartbeat& it, time_point now)
+{
+    const member_record* sender = directory_.find(it.sender.vm);
+    const bool is_own_domain = options_.pingers_per_remote_member == 0 || sender == nullptr ||
+                               sender->domain == self_.domain;
+    return config_source_.may_fetch(it.generation, generation_, is_own_domain, now);
+}
+
 // Fetches the configuration if the sender has a newer one, and exchanges directories if they differ
 // permanently. While gossip spreads, digests differ for a short time. If the digest still differs
 // although this directory has not changed for `digest_settle_time`, one side has missed a change:
@@ -295,7 +305,7 @@
 void membership::compare_with_sender(const endpoint& from, const heartbeat& it, time_point now,
                                      membership_actions& out)
 {
-    if (it.generation > generation_)
+    if (may_fetch_config(it, now))
         out.emplace_back(fetch_config{.link = from, .generation = it.generation});
     if (directory_.digest() != last_digest_) {
         last_digest_ = directory_.digest();
--- a/src/membership.h
+++ b/src/membership.h
@@ -6,6 +6,7 @@
 // the time since the store was last reached. Performs no I/O: each call receives an event and the
 // time, and returns the actions to perform.
 
+#include "config_source.h"
 #include "heartbeat.h"
 #include "member_directory.h"
 #include "types.h"
@@ -172,6 +173,7 @@
     void refute(std::uint64_t version, time_point now, membership_actions& out);
     void gossip(std::vector<member_record> records, bool is_origin, time_point now,
                 membership_actions& out);
+    bool may_fetch_config(const heartbeat& it, time_point now);
     void compare_with_sender(const endpoint& from, const heartbeat& it, time_point now,
                              membership_actions& out);
     std::vector<const member_record*> random_members(std::size_t count);
@@ -192,6 +194,7 @@
     std::vector<vm_id> round_targets_; // members not yet pinged in this round
     std::uint64_t next_sequence_ = 1;
     std::uint64_t generation_ = 0;
+    config_source config_source_;
     std::optional<time_point> last_store_contact_;
     const time_point started_;
     time_point next_ping_;
