A missed heartbeat causes no further probes once the node has answered one

Cause: a ping that was not answered stays on record until the next one to the same member is, which takes many seconds in a large fleet.

Change: evidence from before an answered probe is ignored. Ruled out: probes before a dispatch, which come at most once in 300 ms for a gate.

--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -182,10 +182,10 @@
     return membership_.store_age(boot_now());
 }
 
-std::vector<vm_id> member_service::unresponsive_members() const
+std::vector<unanswered_ping> member_service::unanswered_pings() const
 {
     const std::lock_guard lock(mutex_);
-    return membership_.unresponsive_members();
+    return membership_.unanswered_pings();
 }
 
 member_status member_service::status() const
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -63,8 +63,8 @@
     bool may_serve() const;
     /// Time since this or, as far as known, any other node reached the store; nullopt if never.
     std::optional<duration> store_age() const;
-    /// Members that did not directly answer the last ping from this node.
-    std::vector<vm_id> unresponsive_members() const;
+    /// The last pings from this node that were not answered directly, one for each such member.
+    std::vector<unanswered_ping> unanswered_pings() const;
     member_status status() const;
     /// Backend servers that withdrew from runs of the node before `run`, as far as known here.
     withdrawal_list withdrawals_before(vm_id vm, incarnation run) const;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -486,12 +486,12 @@
     return out;
 }
 
-std::vector<vm_id> membership::unresponsive_members() const
+std::vector<unanswered_ping> membership::unanswered_pings() const
 {
-    std::vector<vm_id> out;
+    std::vector<unanswered_ping> out;
     for (const auto& [vm, it] : peers_) {
         if (it.has_outcome && !it.answered)
-            out.push_back(vm);
+            out.push_back({.vm = vm, .sent = it.last_ping_sent});
     }
     return out;
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -85,6 +85,12 @@
     std::optional<duration> store_age{}; ///< since any node last reached the store
 };
 
+/// The last ping to a member, if the member did not answer it directly.
+struct unanswered_ping {
+    vm_id vm;
+    time_point sent;
+};
+
 /// Not thread-safe.
 class membership {
 public:
@@ -117,8 +123,8 @@
     std::optional<duration> store_age(time_point now) const;
     /// True for a member that does not answer and has not been removed yet.
     bool is_suspected(vm_id vm) const { return suspicions_.contains(vm); }
-    /// Members that did not directly answer the last ping from this node.
-    std::vector<vm_id> unresponsive_members() const;
+    /// The last pings from this node that were not answered directly, one for each such member.
+    std::vector<unanswered_ping> unanswered_pings() const;
     /// Adds link addresses of nodes to join by.
     void add_seeds(std::span<const endpoint> seeds);
     /// False while this node may be cut off from configuration changes: the store was not reached
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -203,7 +203,7 @@
                       .once = platform_ ? nullptr : idempotency_.get(),
                       .names = platform_ ? platform_->names : header_names{},
                       .local_service = [this] { return local_service(); },
-                      .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
+                      .on_gate_failed = [this](vm_id it) { reach_->suspect(it, boot_now()); },
                       .hedge_after = settings_.hedge_after,
                       .retry_share = settings_.fleet_retries > 0
                                          ? settings_.retry_share * usable_share_of_retry_bound
@@ -318,7 +318,7 @@
 void node::suspect_node(vm_id vm)
 {
     relay_->suspect(vm);
-    reach_->suspect(vm);
+    reach_->suspect(vm, boot_now());
 }
 
 void node::open_delegations()
@@ -631,8 +631,8 @@
         if (gate_->tick(boot_now()))
             publish_servers();
         idempotency_->tick(boot_now());
-        for (const vm_id it : members_->unresponsive_members())
-            reach_->suspect(it);
+        for (const unanswered_ping& it : members_->unanswered_pings())
+            reach_->suspect(it.vm, it.sent);
         reach_->tick(boot_now());
         lock.lock();
         wake_.wait_for(lock, tick_interval);
--- a/src/reach_monitor.cpp
+++ b/src/reach_monitor.cpp
@@ -26,15 +26,20 @@
                 gone.push_back(it.first);
             return unknown;
         });
+        std::erase_if(answered_, [&](const auto& it) { return !peers_.contains(it.first); });
     }
     for (const vm_id it : gone)
         options_.on_change(it, true);
 }
 
-void reach_monitor::suspect(vm_id vm)
+// A missed heartbeat is reported until the next one is answered, which may take many seconds in a
+// large fleet.
+void reach_monitor::suspect(vm_id vm, time_point sent)
 {
     const std::lock_guard lock(mutex_);
-    if (peers_.contains(vm))
+    const auto last = answered_.find(vm);
+    const bool has_answered_since = last != answered_.end() && last->second >= sent;
+    if (peers_.contains(vm) && !has_answered_since)
         probes_.try_emplace(vm);
 }
 
@@ -47,6 +52,7 @@
             if (it.is_probe_pending || now < it.next_probe)
                 continue;
             it.is_probe_pending = true;
+            it.probe_sent = now;
             it.next_probe = now + options_.probe_interval;
             due.emplace_back(vm, peers_.at(vm));
         }
@@ -73,8 +79,10 @@
         it.is_probe_pending = false;
         changed = it.is_unreachable == answered;
         it.is_unreachable = !answered;
-        if (answered)
+        if (answered) {
+            answered_[vm] = it.probe_sent;
             probes_.erase(found);
+        }
     }
     if (!changed)
         return;
--- a/src/reach_monitor.h
+++ b/src/reach_monitor.h
@@ -34,8 +34,9 @@
     reach_monitor(reach_monitor_options options, link_hub& links);
 
     void set_directory(const member_directory& directory);
-    /// Starts to probe this node, until it answers.
-    void suspect(vm_id vm);
+    /// Starts to probe this node, until it answers, because it did not respond to what was sent to
+    /// it at `sent`. Ignored if it has answered a probe that was sent later.
+    void suspect(vm_id vm, time_point sent);
     /// Sends the probes that are due.
     void tick(time_point now);
 
@@ -43,6 +44,7 @@
     struct probe_state {
         bool is_unreachable = false;
         bool is_probe_pending = false;
+        time_point probe_sent{};
         time_point next_probe{};
     };
 
@@ -53,6 +55,7 @@
     std::mutex mutex_;
     std::map<vm_id, endpoint> peers_;
     std::map<vm_id, probe_state> probes_;
+    std::map<vm_id, time_point> answered_; ///< when the last probe that was answered was sent
 };
 
 } // namespace jasminebank
