--- a/src/membership.h
+++ b/src/membership.h
@@ -6,6 +6,7 @@
 // the time since the store was last reached. Performs no I/O: each call receives an event and the
 // time, and returns the actions to perform.
 
+#include "config_source.h"
 #include "heartbeat.h"
 #include "member_directory.h"
 #include "types.h"
@@ -84,6 +85,12 @@
     std::optional<duration> store_age{}; ///< since any node last reached the store
 };
 
+/// The last ping to a member, if the member did not answer it directly.
+struct unanswered_ping {
+    vm_id vm;
+    time_point sent;
+};
+
 /// Not thread-safe.
 class membership {
 public:
@@ -116,8 +123,8 @@
     std::optional<duration> store_age(time_point now) const;
     /// True for a member that does not answer and has not been removed yet.
     bool is_suspected(vm_id vm) const { return suspicions_.contains(vm); }
-    /// Members that did not directly answer the last ping from this node.
-    std::vector<vm_id> unresponsive_members() const;
+    /// The last pings from this node that were not answered directly, one for each such member.
+    std::vector<unanswered_ping> unanswered_pings() const;
     /// Adds link addresses of nodes to join by.
     void add_seeds(std::span<const endpoint> seeds);
     /// False while this node may be cut off from configuration changes: the store was not reached
@@ -172,6 +179,7 @@
     void refute(std::uint64_t version, time_point now, membership_actions& out);
     void gossip(std::vector<member_record> records, bool is_origin, time_point now,
                 membership_actions& out);
+    bool may_fetch_config(const heartbeat& it, time_point now);
     void compare_with_sender(const endpoint& from, const heartbeat& it, time_point now,
                              membership_actions& out);
     std::vector<const member_record*> random_members(std::size_t count);
@@ -192,6 +200,7 @@
     std::vector<vm_id> round_targets_; // members not yet pinged in this round
     std::uint64_t next_sequence_ = 1;
     std::uint64_t generation_ = 0;
+    config_source config_source_;
     std::optional<time_point> last_store_contact_;
     const time_point started_;
     time_point next_ping_;
