Routes and organisations name the regions that may serve them

fleet_config keeps sorted region ids and the names of all regions that are mentioned, for log events. Nothing uses the lists yet.

--- a/src/fleet_config.cpp
+++ b/src/fleet_config.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <map>
 #include <set>
+#include <sstream>
 
 namespace jasminebank {
 
@@ -197,6 +198,7 @@
                                .rate = in.decimal("rate", 0, 0, max_rate),
                                .burst = in.decimal("burst", 0, 0, max_burst),
                                .keys = {}};
+        it.regions = read_regions(in);
         if (in.has("priority"))
             it.priority = in.number("priority", 0, 0, lowest_priority);
         for (const char* needed : {"rate", "burst"}) {
@@ -232,6 +234,7 @@
             .is_public = in.flag("public", false)};
         if (!it.path.starts_with('/'))
             in.reject("path", "a path that begins with '/'");
+        it.regions = read_regions(in);
         read_targets(in, it);
         for (const std::string& organisation : in.list("organisations")) {
             it.organisations.push_back(id_of<organisation_id>(organisation));
@@ -242,6 +245,20 @@
         out_.routes.push_back(std::move(it));
     }
 
+    // Reads the field `regions`: names between blanks or commas.
+    std::vector<region_id> read_regions(field_reader& in)
+    {
+        std::string text = in.text("regions", "");
+        std::ranges::replace(text, ',', ' ');
+        std::istringstream words(text);
+        std::vector<std::string> names;
+        for (std::string name; words >> name;)
+            names.push_back(name);
+        if (names.size() > max_regions || !std::ranges::all_of(names, is_name))
+            in.reject("regions", fmt::format("at most {} names between blanks", max_regions));
+        return add_regions(out_, names);
+    }
+
     static idempotency read_idempotency(field_reader& in)
     {
         const std::string text = in.one_of("idempotent", "no", {"yes", "no", "never"});
@@ -301,6 +318,19 @@
     return config_builder(files).build();
 }
 
+std::vector<region_id> add_regions(fleet_config& config, const std::vector<std::string>& names)
+{
+    std::vector<region_id> out;
+    for (const std::string& name : names) {
+        out.push_back(id_of<region_id>(name));
+        config.region_names[out.back()] = name;
+    }
+    std::ranges::sort(out);
+    const auto repeated = std::ranges::unique(out);
+    out.erase(repeated.begin(), repeated.end());
+    return out;
+}
+
 std::optional<key_entry> index_fleet_config(fleet_config& config)
 {
     sort_by_id(config.services);
--- a/src/fleet_config.h
+++ b/src/fleet_config.h
@@ -9,6 +9,7 @@
 #include "types.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,6 +57,8 @@
     duration target_latency{}; ///< response time that the route aims at; 0: none
     std::uint32_t priority = 0; ///< under overload, 0 is served first
     bool is_public = false;     ///< callers need no key
+    /// Sorted; only backend servers in these regions serve the route. Empty: all regions.
+    std::vector<region_id> regions{};
 };
 
 /// A tenant and the rate limit of its contract.
@@ -67,6 +70,8 @@
     std::vector<digest> keys; ///< digests of the callers' API keys
     std::optional<std::uint32_t> priority{}; ///< overrides the priority of the route
     bool is_unlimited = false;               ///< `rate` and `burst` do not apply
+    /// Sorted; only backend servers in these regions serve the organisation. Empty: all regions.
+    std::vector<region_id> regions{};
 };
 
 /// Maps a key's digest to its organisation.
@@ -86,6 +91,8 @@
     std::vector<route_config> routes;
     std::vector<organisation_config> organisations;
     std::vector<key_entry> keys;
+    /// Names of the regions that routes or organisations are restricted to.
+    std::map<region_id, std::string> region_names{};
     /// Largest request body in bytes; requests with larger ones are refused.
     std::uint64_t max_body_bytes = UINT64_MAX;
 };
@@ -95,6 +102,12 @@
 /// organisations have.
 result<fleet_config, ini_error> build_fleet_config(const std::vector<ini_file>& files);
 
+/// Limit of the number of regions in one list, so that the messages about a request stay short.
+constexpr std::size_t max_regions = 32;
+
+/// The ids of the named regions, sorted and each once; adds their names to `config`.
+std::vector<region_id> add_regions(fleet_config& config, const std::vector<std::string>& names);
+
 /// Sorts the vectors of a configuration that was not built by build_fleet_config, and fills `keys`
 /// from the organisations. Returns a key that two organisations have, if there is one.
 std::optional<key_entry> index_fleet_config(fleet_config& config);
--- a/tests/fleet_config_test.cpp
+++ b/tests/fleet_config_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace jasminebank;
 
 namespace {
@@ -91,3 +93,18 @@
     EXPECT_TRUE(failed(build("[organisations a]\n")));
     EXPECT_TRUE(failed(build("[organisation a]\nrate = 1\n")));
 }
+
+// Guards against a restriction that is dropped because it is written in another way, or misspelt.
+TEST(fleet_config, reads_the_regions_of_routes_and_organisations)
+{
+    const auto config = build(std::string(base) + "regions = north south, north\n");
+    ASSERT_FALSE(failed(config)) << describe(error_of(config));
+    const auto* pepper = find_organisation(value_of(config), id_of<organisation_id>("pepper"));
+    EXPECT_EQ(pepper->regions.size(), 2U);
+    EXPECT_TRUE(std::ranges::is_sorted(pepper->regions));
+    EXPECT_EQ(value_of(config).region_names.at(id_of<region_id>("south")), "south");
+    EXPECT_TRUE(find_route(value_of(config), "GET", "/lids/")->regions.empty());
+    const auto wrong = build(std::string(base) + "regions = n/a\n");
+    ASSERT_TRUE(failed(wrong));
+    EXPECT_EQ(error_of(wrong).field, "regions");
+}
