Keys of restricted requests have a coordinator in an allowed region

The register of an idempotency key was always kept in the first failure domain, also for a request that may be kept only in another region.

Claims and completions carry the regions after their other fields; messages without a restriction are unchanged.

When a restriction changes, the new coordinator does not know the earlier grants. It then grants only keys that were created more than 15 s after the change (10 s until the configuration is in force everywhere, 5 s of clock guard), until the retention has passed.

key_homes.*, once_register.grants_only_newer_keys_after_their_placement_changed and the damaged restricted claims of foreign_document.* pass.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -113,7 +113,8 @@
     relay_ = std::make_unique<control_relay>(
         link_identity{.vm_name = settings_.vm_name, .run = run_}, *links_);
     coordinators_ = std::make_unique<key_coordinators>(
-        id_of<vm_id>(settings_.vm_name), id_of<failure_domain_id>(settings_.failure_domain));
+        id_of<vm_id>(settings_.vm_name), id_of<failure_domain_id>(settings_.failure_domain),
+        settings_.regions.map);
     open_gate();
     open_limits();
     open_entry();
@@ -233,7 +234,7 @@
 {
     entry_->set_config(config);
     health_->set_config(config);
-    coordinators_->set_config(config);
+    coordinators_->set_config(config, boot_now());
     limits_->set_config(config);
     if (leases_ != nullptr)
         leases_->set_config(config);
--- a/src/once_codec.cpp
+++ b/src/once_codec.cpp
@@ -16,7 +16,7 @@
 
 // Limits the size of a message and thereby the nesting depth of its arrays, which the decoder
 // visits by recursion.
-constexpr std::size_t max_message_bytes = 256;
+constexpr std::size_t max_message_bytes = 512;
 constexpr std::uint64_t max_status = 999;
 constexpr std::uint64_t max_unix_milliseconds = 1ULL << 48U; // a UUIDv7 timestamp has 48 bits
 
@@ -33,11 +33,23 @@
                         attempt.vm.value, attempt.run.value, attempt.number, epoch});
 }
 
+// The regions of a restricted key follow the other fields of a message.
+void add_regions(json& out, const idempotency_key& key)
+{
+    if (key.regions.empty())
+        return;
+    json regions = json::array();
+    for (const region_id it : key.regions)
+        regions.push_back(it.value);
+    out.push_back(std::move(regions));
+}
+
 json to_json(const idempotency_claim& it)
 {
     json out = common_fields(0, it.key, it.fingerprint, it.attempt, it.epoch);
     if (it.key_created)
         out.push_back(static_cast<std::uint64_t>(it.key_created->time_since_epoch().count()));
+    add_regions(out, it.key);
     return out;
 }
 
@@ -46,6 +58,7 @@
     json out = common_fields(1, it.key, it.fingerprint, it.attempt, it.epoch);
     out.push_back(static_cast<unsigned>(it.outcome));
     out.push_back(static_cast<unsigned>(it.status));
+    add_regions(out, it.key);
     return out;
 }
 
@@ -113,6 +126,21 @@
         std::copy(bytes.begin(), bytes.end(), out.bytes.begin());
         return out;
     }
+    // A sorted list without repetitions, if the next field is one.
+    std::vector<region_id> next_regions()
+    {
+        std::vector<region_id> out;
+        if (!has_list())
+            return out;
+        for (const json& it : in_[position_++]) {
+            is_malformed_ = is_malformed_ || !it.is_number_unsigned();
+            out.push_back({is_malformed_ ? 0 : it.get<std::uint64_t>()});
+        }
+        is_malformed_ = is_malformed_ || out.empty() ||
+                        std::ranges::adjacent_find(out, std::ranges::greater_equal{}) != out.end();
+        return out;
+    }
+    bool has_list() const { return has_more() && in_[position_].is_array(); }
     bool has_more() const { return position_ < in_.size(); }
     bool is_valid() const { return !is_malformed_ && !has_more(); }
 
@@ -132,15 +160,16 @@
         .attempt = {.vm = {in.next()}, .run = {in.next()}, .number = in.next()},
         .epoch = in.next(),
     };
-    if (in.has_more())
+    if (in.has_more() && !in.has_list())
         out.key_created = wall_time(std::chrono::milliseconds(in.next(max_unix_milliseconds)));
+    out.key.regions = in.next_regions();
     return out;
 }
 
 claim_completion read_completion(field_reader& in)
 {
     constexpr auto last = static_cast<std::uint64_t>(claim_outcome::unknown);
-    return {
+    claim_completion out{
         .key = {.organisation = {in.next()}, .text = in.next_digest()},
         .fingerprint = in.next(),
         .attempt = {.vm = {in.next()}, .run = {in.next()}, .number = in.next()},
@@ -148,6 +177,8 @@
         .outcome = static_cast<claim_outcome>(in.next(last)),
         .status = static_cast<int>(in.next(max_status)),
     };
+    out.key.regions = in.next_regions();
+    return out;
 }
 
 claim_answer read_answer(std::uint64_t kind, field_reader& in)
--- a/src/once_messages.h
+++ b/src/once_messages.h
@@ -10,14 +10,17 @@
 #include <cstdint>
 #include <optional>
 #include <variant>
+#include <vector>
 
 namespace jasminebank {
 
-/// An idempotency key, scoped to one organisation: equal texts from two organisations are different
-/// keys.
+/// An idempotency key, scoped to one organisation and to the regions that the request is restricted
+/// to: equal texts from two organisations are different keys.
 struct idempotency_key {
     organisation_id organisation = {};
     digest text = {}; ///< digest of the key as the caller wrote it
+    /// Sorted; the key may be recorded only in these regions. Empty: in all.
+    std::vector<region_id> regions = {};
     bool operator==(const idempotency_key&) const = default;
 };
 
--- a/src/once_register.cpp
+++ b/src/once_register.cpp
@@ -46,18 +46,25 @@
 // is always refused: if it were granted now, its timestamp could lie after the start of a
 // successor's lease, and the successor would grant the key a second time.
 std::optional<claim_refusal>
-idempotency_register::refusal_of_unrecorded_key(const idempotency_claim& it,
-                                                clock_reading now) const
+idempotency_register::refusal_of_unrecorded_key(const idempotency_claim& it, clock_reading now,
+                                                const std::optional<clock_reading>& placed) const
 {
     if (it.key_created && *it.key_created > now.wall + options_.future_allowance)
         return claim_refusal::key_time_in_future;
-    if (epoch_ == 1 || now.boot >= lease_began_.boot + options_.retention)
-        return std::nullopt;
-    if (it.key_created && *it.key_created > lease_began_.wall + options_.clock_guard)
+    const bool is_after_placement = !placed || is_newer(it, *placed, now);
+    if (is_after_placement && (epoch_ == 1 || is_newer(it, lease_began_, now)))
         return std::nullopt;
     return claim_refusal::predecessor_may_have_granted;
 }
 
+// Whether the key was created after `start`, or all grants from before have expired.
+bool idempotency_register::is_newer(const idempotency_claim& it, clock_reading start,
+                                    clock_reading now) const
+{
+    return now.boot >= start.boot + options_.retention ||
+           (it.key_created && *it.key_created > start.wall + options_.clock_guard);
+}
+
 // The answer that follows from the recorded entry of the key; nullopt if the key may be claimed,
 // subject to refusal_of_unrecorded_key().
 std::optional<claim_answer> idempotency_register::recorded_answer(const idempotency_claim& it) const
@@ -85,14 +92,15 @@
     return claim_in_progress{};
 }
 
-claim_answer idempotency_register::claim(const idempotency_claim& it, clock_reading now)
+claim_answer idempotency_register::claim(const idempotency_claim& it, clock_reading now,
+                                         const std::optional<clock_reading>& placed)
 {
     if (!holds_lease(it.epoch, now.boot))
         return claim_refused{claim_refusal::not_coordinator};
     expire(now.boot);
     if (const auto answer = recorded_answer(it))
         return *answer;
-    if (const auto reason = refusal_of_unrecorded_key(it, now))
+    if (const auto reason = refusal_of_unrecorded_key(it, now, placed))
         return claim_refused{*reason};
     const entry claimed{
         .state = claim_state::running, .fingerprint = it.fingerprint, .attempt = it.attempt};
--- a/src/once_register.h
+++ b/src/once_register.h
@@ -22,6 +22,7 @@
 #include "once_messages.h"
 
 #include <list>
+#include <optional>
 #include <unordered_map>
 
 namespace jasminebank {
@@ -55,7 +56,10 @@
     /// The lease was released or lost.
     void end_lease();
 
-    claim_answer claim(const idempotency_claim& it, clock_reading now);
+    /// An unrecorded key is granted only if it was created after `placed`, if given: before,
+    /// another coordinator may have granted it.
+    claim_answer claim(const idempotency_claim& it, clock_reading now,
+                       const std::optional<clock_reading>& placed = {});
     /// Ends a claim or withdraws one that has not arrived yet. Returns false if no recorded claim
     /// matches and none was withdrawn. May be repeated.
     bool complete(const claim_completion& it, time_point now);
@@ -82,8 +86,10 @@
     };
 
     bool holds_lease(std::uint64_t epoch, time_point now) const;
-    std::optional<claim_refusal> refusal_of_unrecorded_key(const idempotency_claim& it,
-                                                           clock_reading now) const;
+    bool is_newer(const idempotency_claim& it, clock_reading start, clock_reading now) const;
+    std::optional<claim_refusal>
+    refusal_of_unrecorded_key(const idempotency_claim& it, clock_reading now,
+                              const std::optional<clock_reading>& placed) const;
     std::optional<claim_answer> recorded_answer(const idempotency_claim& it) const;
     bool add(const idempotency_key& key, entry it, time_point now);
 
--- a/src/once_service.cpp
+++ b/src/once_service.cpp
@@ -30,6 +30,13 @@
     return {.boot = boot_now(), .wall = wall};
 }
 
+// Both clocks at the time `at`, given both at `now`.
+clock_reading reading_at(time_point at, clock_reading now)
+{
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(now.boot - at);
+    return {.boot = at, .wall = now.wall - age};
+}
+
 claim_completion completion_of(const idempotency_claim& it, std::uint64_t epoch,
                                claim_outcome outcome, int status)
 {
@@ -52,10 +59,10 @@
 // The register of the key's shard; nullptr if this node is not its coordinator. The lease is looked
 // up at each use. Registers are kept for the life of the process, because an expired lease may be
 // renewed under the same epoch.
-idempotency_register* idempotency_service::own_register(const idempotency_key& key,
-                                                        clock_reading now)
+idempotency_register*
+idempotency_service::own_register(const std::optional<key_coordinator>& coordinator,
+                                  clock_reading now)
 {
-    const auto coordinator = options_.find_coordinator(key);
     if (!coordinator || !coordinator->is_self)
         return nullptr;
     idempotency_register& out =
@@ -63,10 +70,8 @@
     if (coordinator->epoch < out.epoch())
         return nullptr;
     if (out.epoch() != coordinator->epoch) {
-        const auto age =
-            std::chrono::floor<std::chrono::milliseconds>(now.boot - coordinator->lease_began);
         out.begin_lease(coordinator->epoch, coordinator->lease_until,
-                        {.boot = coordinator->lease_began, .wall = now.wall - age});
+                        reading_at(coordinator->lease_began, now));
         log_event(event::once_home_began, "shard {} epoch {}", coordinator->shard,
                   coordinator->epoch);
     }
@@ -78,15 +83,20 @@
 {
     const std::lock_guard lock(mutex_);
     const clock_reading now = read_clocks();
-    idempotency_register* keys = own_register(it.key, now);
-    return keys == nullptr ? claim_refused{claim_refusal::not_coordinator} : keys->claim(it, now);
+    const auto coordinator = options_.find_coordinator(it.key);
+    idempotency_register* keys = own_register(coordinator, now);
+    if (keys == nullptr)
+        return claim_refused{claim_refusal::not_coordinator};
+    if (!coordinator->placed)
+        return keys->claim(it, now);
+    return keys->claim(it, now, reading_at(*coordinator->placed, now));
 }
 
 void idempotency_service::handle_completion(const claim_completion& it)
 {
     const std::lock_guard lock(mutex_);
     const clock_reading now = read_clocks();
-    idempotency_register* keys = own_register(it.key, now);
+    idempotency_register* keys = own_register(options_.find_coordinator(it.key), now);
     if (keys != nullptr)
         keys->complete(it, now.boot);
 }
--- a/src/once_service.h
+++ b/src/once_service.h
@@ -30,6 +30,9 @@
     bool is_self = false;
     time_point lease_until = {}; ///< own lease only: its proved end, without any safety margin
     time_point lease_began = {}; ///< own lease only: when its acquiring write was sent, or later
+    /// Own lease only: until then, another node may have coordinated the keys of the organisation,
+    /// because its regions or those of a route have changed.
+    std::optional<time_point> placed = {};
 };
 
 /// Finds the coordinator of a key; nullopt if none is known. Also called on the hub's thread, so it
@@ -98,7 +101,8 @@
 
     claim_answer handle_claim(const idempotency_claim& it);
     void handle_completion(const claim_completion& it);
-    idempotency_register* own_register(const idempotency_key& key, clock_reading now);
+    idempotency_register* own_register(const std::optional<key_coordinator>& coordinator,
+                                       clock_reading now);
     std::optional<claim_answer> send_claim(const key_coordinator& coordinator,
                                            const idempotency_claim& it, duration timeout);
     void report_completion(const key_coordinator& coordinator, const claim_completion& it);
--- a/tests/foreign_document_test.cpp
+++ b/tests/foreign_document_test.cpp
@@ -142,6 +142,8 @@
     const std::vector<member_record> members{member()};
     const idempotency_claim claim{.key = {.organisation = {1}, .text = digest_of(std::string("k"))},
                                   .attempt = {.vm = {1}, .run = {2}, .number = 3}};
+    idempotency_claim restricted = claim;
+    restricted.key.regions = {{1}, {2}};
     return {
         decoder_of("members", decode_members, encode_members(members)),
         decoder_of("exchange", decode_exchange,
@@ -169,6 +171,8 @@
         decoder_of("withdrawals", decode_withdrawals,
                    encode_withdrawals({{.server = {1}, .run = {2}}})),
         decoder_of("claim", decode_claim_message, encode_claim_message(claim_message(claim))),
+        decoder_of("restricted claim", decode_claim_message,
+                   encode_claim_message(claim_message(restricted))),
         decoder_of("claim answer", decode_claim_answer,
                    encode_claim_message(claim_answer(claim_executed{200}))),
         decoder_of("configuration request", decode_config_request,
--- a/tests/once_register_test.cpp
+++ b/tests/once_register_test.cpp
@@ -447,6 +447,22 @@
     EXPECT_EQ(it.claim(claim_of("b", 2, 2), after(20s)), claim_answer(claim_granted{2}));
 }
 
+// Guards against a second grant of a key that another coordinator granted before the regions of its
+// organisation changed, also under the first lease of a shard.
+TEST(once_register, grants_only_newer_keys_after_their_placement_changed)
+{
+    idempotency_register it = register_of(1);
+    const clock_reading placed = after(3s);
+    idempotency_claim claim = claim_of("a", 1);
+    const claim_answer refused = claim_refused{claim_refusal::predecessor_may_have_granted};
+    EXPECT_EQ(it.claim(claim, start, placed), refused);
+    claim.key_created = after(8s).wall;
+    EXPECT_EQ(it.claim(claim, after(9s), placed), refused);
+    claim.key_created = after(9s).wall;
+    EXPECT_EQ(it.claim(claim, after(9s), placed), claim_answer(claim_granted{1}));
+    EXPECT_EQ(it.claim(claim_of("b", 2), after(3s)), claim_answer(claim_granted{1}));
+}
+
 TEST(uuid_time, reads_version_7_only)
 {
     EXPECT_EQ(uuid_time("017F22E2-79B0-7cc3-98c4-dc0c0c07398f"), wall_time(1645557742000ms));
