Restricted requests are sent only to backend servers in their regions

The entry intersects the regions of the route and of the organisation when it admits a request, and gives the result to the router with each choice: retries, hedges and trials follow it too. A request whose lists share no region is refused as no_region, and one without a usable server in its regions as no_backend_server, both before the body is read and before a token is taken.

The servers of each region are now limited on their own as well; those that the common subset lacks are used by restricted requests only, so that others have the same candidates as before.

router.a_restricted_request_is_sent_to_its_regions_only (RapidCheck) and router.a_subset_keeps_servers_of_each_region pass.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -223,9 +223,31 @@
     out.deadline = now + std::min(timeout, head.time_left.value_or(timeout));
     if (out.deadline <= now)
         return refusal_answer{.reason = refusal::overloaded};
+    static const std::vector<region_id> unrestricted;
+    out.regions = intersect_regions(
+        out.route->regions, out.organisation == nullptr ? unrestricted : out.organisation->regions);
+    if (const auto refused = check_regions(out))
+        return refused;
     return check_rate_limit(out);
 }
 
+// Refuses a restricted request that no server may serve before its body is read, and before a token
+// is taken.
+std::optional<refusal_answer> entry::check_regions(const admitted_request& request) const
+{
+    if (!request.regions)
+        return std::nullopt;
+    if (request.regions->empty())
+        return refusal_answer{.reason = refusal::no_region};
+    const std::lock_guard lock(mutex_);
+    const bool is_served = router_.has_server({.service = request.service->id,
+                                               .idempotent = request.idempotent,
+                                               .regions = &request.regions},
+                                              boot_now());
+    return is_served ? std::nullopt
+                     : std::optional(refusal_answer{.reason = refusal::no_backend_server});
+}
+
 // Called last, so that no token is spent on a request that is refused for another reason.
 std::optional<refusal_answer> entry::check_rate_limit(const admitted_request& request) const
 {
@@ -305,7 +327,8 @@
                         .idempotent = request.idempotent,
                         .excluded = step.excluded,
                         .bytes = request.body_bytes + estimates_.expected_bytes(request.route->id),
-                        .examines_all = step.consider_all_servers},
+                        .examines_all = step.consider_all_servers,
+                        .regions = &request.regions},
                        random_(), boot_now());
     if (out)
         router_.started(out->server);
@@ -338,13 +361,14 @@
 {
     if (options_.once == nullptr || request.idempotent || request.organisation == nullptr)
         return true;
-    const auto identity = read_keyed_request(head, request.organisation->id, body);
+    auto identity = read_keyed_request(head, request.organisation->id, body);
     if (failed(identity)) {
         refuse(res, {.reason = error_of(identity)});
         return false;
     }
     if (!value_of(identity))
         return true;
+    value_of(identity)->key.regions = request.regions.value_or(std::vector<region_id>{});
     claim_result ticket =
         options_.once->claim(*value_of(identity), answer_limit(request.deadline, stop_).until());
     if (std::holds_alternative<claim_granted>(ticket.answer)) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -80,6 +80,7 @@
     time_point start;
     time_point deadline;
     request_fingerprint fingerprint{}; ///< set before the dispatch
+    allowed_regions regions{};         ///< that may serve the request
 };
 
 /// Thread-safe.
@@ -119,6 +120,7 @@
     struct attempt_context;
 
     std::optional<refusal_answer> check_rate_limit(const admitted_request& request) const;
+    std::optional<refusal_answer> check_regions(const admitted_request& request) const;
     std::optional<refusal_answer> admit(const caller_head& head, time_point now,
                                         admitted_request& out);
     static refusal body_failure_reason(const admitted_request& request);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -215,7 +215,8 @@
                        .domain = id_of<failure_domain_id>(settings_.failure_domain),
                        .other_domain_penalty = settings_.other_domain_penalty,
                        .other_domain_penalty_per_mb = settings_.other_domain_penalty_per_mb,
-                       .own_domain_first = settings_.own_domain_first});
+                       .own_domain_first = settings_.own_domain_first,
+                       .regions = settings_.regions.map});
 }
 
 // Returns a function that takes a retry token from the limit shared by all nodes, or an empty
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <map>
 
 namespace jasminebank {
 
@@ -42,9 +43,9 @@
         }
     }
     for (auto& [service, candidates] : services)
-        limit_to_subset(candidates);
+        limit_in_each_region(candidates);
     for (auto& [service, candidates] : leaving) {
-        limit_to_subset(candidates);
+        limit_in_each_region(candidates);
         services[service].insert(services[service].end(), candidates.begin(), candidates.end());
     }
     std::erase_if(closed_gates_, [&](const auto& it) {
@@ -55,6 +56,35 @@
     servers_ = std::move(servers);
 }
 
+// A request that is restricted to a region would find few servers or none if the subset had been
+// chosen regardless of regions. The candidates of each region are therefore limited on their own as
+// well, and those that the common subset lacks are added for restricted requests only.
+void router::limit_in_each_region(std::vector<candidate>& candidates) const
+{
+    if (candidates.size() <= options_.subset || options_.regions.empty()) {
+        limit_to_subset(candidates);
+        return;
+    }
+    std::map<region_id, std::vector<candidate>> regions;
+    for (const candidate& it : candidates) {
+        if (const auto region = options_.regions.region_of(it.domain))
+            regions[*region].push_back(it);
+    }
+    limit_to_subset(candidates);
+    std::unordered_set<backend_server_id> kept;
+    for (const candidate& it : candidates)
+        kept.insert(it.choice.server);
+    for (auto& [region, in_region] : regions) {
+        limit_to_subset(in_region);
+        for (candidate& it : in_region) {
+            if (kept.contains(it.choice.server))
+                continue;
+            it.only_restricted = true;
+            candidates.push_back(it);
+        }
+    }
+}
+
 // Limits the candidates to the subset size. Servers of the own domain come first; within the own
 // and the other domains, rendezvous hashing of this node and the server decides. The subsets of all
 // nodes thus spread evenly over the servers and change little when servers join or leave.
@@ -110,6 +140,10 @@
     if (std::find(wanted.excluded.begin(), wanted.excluded.end(), it.choice.server) !=
         wanted.excluded.end())
         return false;
+    const bool is_restricted = wanted.regions != nullptr && wanted.regions->has_value();
+    if (is_restricted ? !options_.regions.is_allowed(it.domain, *wanted.regions)
+                      : it.only_restricted)
+        return false;
     if (it.standing == server_standing::on_trial && !wanted.idempotent)
         return false;
     if (unreachable_gates_.contains(it.choice.gate))
@@ -172,11 +206,20 @@
     return is_own_better ? best_own->choice : best_overall->choice;
 }
 
+bool router::has_server(const route_request& wanted, time_point now) const
+{
+    const auto found = services_.find(wanted.service);
+    return found != services_.end() && std::ranges::any_of(found->second, [&](const candidate& it) {
+               return is_usable(it, wanted, now);
+           });
+}
+
 std::unordered_map<service_id, std::size_t> router::candidate_counts() const
 {
     std::unordered_map<service_id, std::size_t> out;
     for (const auto& [service, candidates] : services_)
-        out[service] = candidates.size();
+        out[service] = static_cast<std::size_t>(
+            std::ranges::count(candidates, false, &candidate::only_restricted));
     return out;
 }
 
--- a/src/router.h
+++ b/src/router.h
@@ -5,6 +5,7 @@
 // The gate of a backend server is the node that admits the requests to it.
 
 #include "member_directory.h"
+#include "region_map.h"
 #include "types.h"
 
 #include <optional>
@@ -32,6 +33,7 @@
     std::size_t draws = 2;
     /// A gate gets no requests for this long after its link failed.
     duration gate_pause = std::chrono::seconds(1);
+    region_map regions{}; ///< of the failure domains
 };
 
 /// The properties of a request that restrict the choice of its server.
@@ -41,6 +43,7 @@
     std::span<const backend_server_id> excluded{}; ///< backend servers that were tried already
     std::size_t bytes = 0;                         ///< expected size of body and response
     bool examines_all = false;                     ///< compare all candidates, not a random sample
+    const allowed_regions* regions = nullptr; ///< only servers in these are considered; null: all
 };
 
 /// The chosen backend server and the gate that the request is sent to.
@@ -62,7 +65,9 @@
     /// A server for `wanted`, or nothing if none is usable. `random` is uniformly distributed.
     std::optional<route_choice> choose(const route_request& wanted, std::uint64_t random,
                                        time_point now) const;
-    /// The number of candidates of each service.
+    /// False if `choose` finds no server for `wanted`, whatever the random number.
+    bool has_server(const route_request& wanted, time_point now) const;
+    /// The number of candidates of each service, without those for restricted requests only.
     std::unordered_map<service_id, std::size_t> candidate_counts() const;
     /// Counts a request as in flight at the server.
     void started(backend_server_id server);
@@ -87,6 +92,7 @@
         failure_domain_id domain;
         std::uint32_t slots = 1;
         server_standing standing = server_standing::serving;
+        bool only_restricted = false; ///< only for requests that are restricted to regions
     };
     struct server_state {
         std::uint32_t in_flight = 0;
@@ -101,6 +107,7 @@
                                        time_point now) const;
     bool is_usable(const candidate& it, const route_request& wanted, time_point now) const;
     void limit_to_subset(std::vector<candidate>& candidates) const;
+    void limit_in_each_region(std::vector<candidate>& candidates) const;
 
     router_options options_;
     std::unordered_map<service_id, std::vector<candidate>> services_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -237,3 +237,77 @@
     EXPECT_EQ(tried.size(), 12U);
     EXPECT_EQ(seen.size(), 2U);
 }
+
+// The servers of one service in two regions with two failure domains each; domain 5 has none.
+static router_options options_with_regions(std::size_t subset)
+{
+    router_options out{.self = {99}, .domain = {1}, .subset = subset};
+    for (const std::uint64_t domain : {1, 2})
+        out.regions.assign({domain}, {1});
+    for (const std::uint64_t domain : {3, 4})
+        out.regions.assign({domain}, {2});
+    return out;
+}
+
+// Guards against a request that leaves its regions when those are full, excluded or small.
+RC_GTEST_PROP(router, a_restricted_request_is_sent_to_its_regions_only, ())
+{
+    constexpr std::uint64_t domains = 5;
+    const auto sizes = *rc::gen::container<std::vector<int>>(domains, rc::gen::inRange(0, 40));
+    const bool own_first = *rc::gen::arbitrary<bool>();
+    const bool examines_all = *rc::gen::arbitrary<bool>();
+    const region_id region{*rc::gen::inRange<std::uint64_t>(1, 4)}; // 3: of no domain
+    router_options options = options_with_regions(12);
+    options.own_domain_first = own_first;
+    router it(options);
+    member_directory directory;
+    std::map<backend_server_id, std::uint64_t> domain_of;
+    std::uint64_t id = 0;
+    for (std::uint64_t domain = 1; domain <= domains; ++domain) {
+        for (int n = 0; n < sizes[domain - 1]; ++n) {
+            ++id;
+            member_record record = member(id, domain, {server(id)});
+            record.leaving = *rc::gen::inRange(0, 4) == 0;
+            directory.merge(record);
+            domain_of[{id}] = domain;
+        }
+    }
+    it.update(directory);
+    const allowed_regions regions = std::vector{region};
+    std::vector<backend_server_id> tried;
+    std::mt19937_64 random(7);
+    for (auto choice = it.choose({.service = {7}, .regions = &regions}, random(), start); choice;) {
+        RC_ASSERT(options.regions.region_of({domain_of.at(choice->server)}) == region);
+        it.started(choice->server);
+        tried.push_back(choice->server);
+        choice = it.choose(
+            {.service = {7}, .excluded = tried, .examines_all = examines_all, .regions = &regions},
+            random(), start);
+    }
+    const bool has_servers =
+        region.value < 3 && sizes[region.value * 2 - 2] + sizes[region.value * 2 - 1] > 0;
+    RC_ASSERT(has_servers != tried.empty());
+    RC_ASSERT(it.has_server({.service = {7}, .regions = &regions}, start) == has_servers);
+}
+
+// Guards against a subset without a server of a region that restricted requests need, and against
+// unrestricted requests that reach more servers than the subset allows.
+TEST(router, a_subset_keeps_servers_of_each_region)
+{
+    constexpr std::size_t subset = 6;
+    router it(options_with_regions(subset));
+    member_directory directory;
+    for (std::uint64_t n = 1; n <= 200; ++n)
+        directory.merge(member(n, n <= 190 ? 1 : 3, {server(n)}));
+    it.update(directory);
+    const allowed_regions other = std::vector{region_id{2}};
+    std::set<backend_server_id> restricted;
+    std::set<backend_server_id> unrestricted;
+    for (std::uint64_t n = 0; n < 500; ++n) {
+        restricted.insert(it.choose({.service = {7}, .regions = &other}, n, start)->server);
+        unrestricted.insert(it.choose({.service = {7}, .examines_all = true}, n, start)->server);
+    }
+    EXPECT_EQ(restricted.size(), subset);
+    EXPECT_LE(unrestricted.size(), subset);
+    EXPECT_EQ(it.candidate_counts().at({7}), subset);
+}
