Regions without a node are reported

A misspelt region in the configuration, or a domain that is missing in the settings, refuses every request of the route or organisation without a hint at the cause.

Event 106 names a line of [regions] that was ignored at the start.

--- a/src/log.h
+++ b/src/log.h
@@ -26,6 +26,7 @@
     settings_rejected = 103,
     settings_reloaded = 104,
     node_drained = 105,
+    region_setting_ignored = 106, ///< a domain without a region in the settings
     log_lines_dropped = 110,
     store_joined = 120, ///< joined the fleet by means of the store
     store_away = 121,
@@ -49,6 +50,7 @@
     config_rejected = 501,
     config_unreadable = 502,
     config_outdated = 503, ///< older than the one in force
+    region_absent = 504,   ///< no known node is in a region that the configuration names
     mandate_taken = 600,   ///< mandate: the leases on rate limit shards that this node holds
     mandate_ended = 601,
     mandate_released = 602,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -57,6 +57,8 @@
                                   std::optional<platform_parts> platform,
                                   std::function<bool()> is_cancelled)
 {
+    for (const ini_error& it : settings.regions.rejected)
+        log_event(event::region_setting_ignored, "{}", describe(it));
     std::unique_ptr<node> out(new node(settings, run, std::move(platform)));
     if (!out->join_fleet(std::move(is_cancelled)) || !out->open_links() || !out->open_members() ||
         !out->open_http_servers())
@@ -115,6 +117,7 @@
     coordinators_ = std::make_unique<key_coordinators>(
         id_of<vm_id>(settings_.vm_name), id_of<failure_domain_id>(settings_.failure_domain),
         settings_.regions.map);
+    region_watch_ = std::make_unique<region_watch>(settings_.regions.map);
     open_gate();
     open_limits();
     open_entry();
@@ -236,6 +239,7 @@
     entry_->set_config(config);
     health_->set_config(config);
     coordinators_->set_config(config, boot_now());
+    region_watch_->set_config(*config, boot_now());
     limits_->set_config(config);
     if (leases_ != nullptr)
         leases_->set_config(config);
@@ -345,6 +349,7 @@
     entry_->set_directory(directory);
     health_->set_directory(directory);
     coordinators_->set_directory(directory);
+    region_watch_->set_directory(directory);
     poison_->set_directory(directory);
     relay_->set_directory(directory);
     reach_->set_directory(directory);
@@ -625,6 +630,13 @@
     return std::nullopt;
 }
 
+void node::report_absent_regions()
+{
+    for (const std::string& it : region_watch_->new_absentees(boot_now()))
+        log_event(event::region_absent, "region={} generation={}", it,
+                  entry_->config()->generation);
+}
+
 void node::run_ticks()
 {
     std::unique_lock lock(mutex_);
@@ -636,6 +648,7 @@
         for (const vm_id it : members_->unresponsive_members())
             reach_->suspect(it);
         reach_->tick(boot_now());
+        report_absent_regions();
         lock.lock();
         wake_.wait_for(lock, tick_interval);
     }
--- a/src/node.h
+++ b/src/node.h
@@ -23,6 +23,7 @@
 #include "poison_service.h"
 #include "reach_monitor.h"
 #include "recall_service.h"
+#include "region_watch.h"
 #include "socket_server.h"
 #include "stop_schedule.h"
 
@@ -99,6 +100,7 @@
     std::optional<std::string> answer_control(const control_request& request);
     void publish_servers();
     void run_ticks();
+    void report_absent_regions();
     void stop_services(const stop_schedule& plan);
     void close_control_servers(time_point deadline);
 
@@ -121,6 +123,7 @@
     /// Only with a platform: selects the holders of the rate limits by a hash, without leases.
     std::unique_ptr<delegation_service> delegations_;
     std::unique_ptr<entry> entry_;
+    std::unique_ptr<region_watch> region_watch_;
     std::unique_ptr<socket_server> callers_;
     std::unique_ptr<socket_server> control_;
     std::unique_ptr<member_service> members_;
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -151,6 +151,15 @@
     }
 }
 
+// Without restricted routes and organisations, the configuration names no region.
+static void append_regions(std::string& out, const std::map<std::string, std::size_t>& nodes)
+{
+    if (!nodes.empty())
+        out += "# TYPE jasminebank_region_nodes gauge\n";
+    for (const auto& [region, count] : nodes)
+        out += fmt::format("jasminebank_region_nodes{{region=\"{}\"}} {}\n", region, count);
+}
+
 // Request metrics first, then control traffic, limits, retries and backend servers.
 std::string node::metrics_text() const
 {
@@ -183,6 +192,7 @@
     append_servers(out, gate_->loads(boot_now()));
     if (config != nullptr)
         append_services(out, *config, entry_->backend_server_counts());
+    append_regions(out, region_watch_->node_counts());
     return out;
 }
 
--- a/tests/region_map_test.cpp
+++ b/tests/region_map_test.cpp
@@ -2,9 +2,12 @@
 
 #include "node_settings.h"
 #include "region_map.h"
+#include "region_watch.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace jasminebank {
 namespace {
 
@@ -74,5 +77,30 @@
     EXPECT_EQ(intersect_regions(regions({"a"}), regions({"b"})), std::vector<region_id>{});
 }
 
+// Guards against a misspelt region that stays unnoticed, and against a report by a node that has
+// just started and does not know the others yet.
+TEST(region_watch, reports_a_region_without_a_node_once_per_configuration)
+{
+    const time_point start{};
+    region_map map;
+    map.assign(in_north, id_of<region_id>("north"));
+    region_watch it(map);
+    fleet_config config;
+    add_regions(config, {"north", "nroth"});
+    member_directory directory;
+    directory.merge({.vm = {1}, .run = {1}, .version = 1, .domain = in_north});
+    it.set_config(config, start);
+    it.set_directory(directory);
+    EXPECT_TRUE(it.new_absentees(start).empty());
+    const std::vector<std::string> absent{"nroth"};
+    EXPECT_EQ(it.new_absentees(start + region_report_delay), absent);
+    EXPECT_TRUE(it.new_absentees(start + 2 * region_report_delay).empty());
+    EXPECT_EQ(it.node_counts().at("north"), 1U);
+    it.set_directory({});
+    EXPECT_EQ(it.new_absentees(start + 2 * region_report_delay), std::vector<std::string>{"north"});
+    it.set_config(config, start + 2 * region_report_delay);
+    EXPECT_EQ(it.new_absentees(start + 3 * region_report_delay).size(), 2U);
+}
+
 } // namespace
 } // namespace jasminebank
