--- a/tests/process_fleet.cpp
+++ b/tests/process_fleet.cpp
@@ -159,11 +159,12 @@
     for (const fleet_service& it : options_.services) {
         text += fmt::format("[service {0}]\ntimeout = {2}\nfloor_slots = 4\n"
                             "[route {0}]\npath = /{0}/\nmethods = {1}\nservice = {0}\n"
-                            "target_latency = {3}\n",
-                            it.name, it.method, it.timeout, it.target);
+                            "target_latency = {3}\nregions = {4}\n",
+                            it.name, it.method, it.timeout, it.target, it.regions);
     }
     text += fmt::format("[organisation honey]\nrate = 2000\nburst = 4000\nkey.test = {}\n",
                         to_hex(digest_of(honey_key)));
+    text += options_.extra_configuration;
     const command_result it = run_command({"apply", write("fleet.ini", text)});
     EXPECT_EQ(it.code, 0) << it.output;
 }
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -46,11 +46,13 @@
     std::string service_time = "5ms";
     std::string timeout = "8s";
     std::string target = "0s"; ///< target latency; 0: none
+    std::string regions{};     ///< that may serve its route; empty: all
 };
 
 struct fleet_options {
     std::vector<fleet_service> services{{.name = "lids"}, {.name = "orders", .method = "POST"}};
     std::string extra_node_settings{}; ///< further settings lines for all nodes
+    std::string extra_configuration{}; ///< further sections of the fleet's configuration
     std::size_t slots = 8;             ///< per backend server
 };
 
