An early answer without a length that ends during the upload is cut

A backend server that answers an upload with a 200 without a length, closes its sending direction and reads on, or reads no more, was taken to have answered completely: the close is the end of such a body.

socket_stream now looks before each write whether the peer has closed, or may have behind 32 KiB of unread bytes, and at the close whether all written bytes are acknowledged. If not, the close does not end the message, and the call ends as cut_answer.

Before, early_answer.does_not_reach_the_caller_as_whole showed a complete 200 in 6 of 12 cases: ends its answer and reads on (14 and 150,014 bytes) and never reads, each with a length and in chunks. Resets and closes with and without unread bytes were 502 before. All 12 pass now, as do the two tests of sound answers, which also passed before.

--- a/src/socket_stream.cpp
+++ b/src/socket_stream.cpp
@@ -3,7 +3,9 @@
 #include "system_clock.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -13,6 +15,9 @@
 
 namespace jasminebank {
 
+// Below the smallest receive window of a connection, which is 64 KiB with the kernel's defaults.
+constexpr int max_unread_bytes = 32 * 1024;
+
 bool wait_for_events(socket_t sock, short events, duration time)
 {
     using std::chrono::milliseconds;
@@ -79,13 +84,36 @@
     return true;
 }
 
+// Whether the peer has closed the connection, or may have: a close behind more unread bytes than
+// the receive window takes does not arrive.
+static bool may_have_ended(socket_t sock)
+{
+    int unread = 0;
+    return wait_for_events(sock, POLLRDHUP, duration::zero()) ||
+           ioctl(sock, FIONREAD, &unread) != 0 || unread >= max_unread_bytes;
+}
+
+// Whether the peer closed the connection before it had read all that was written: then the close
+// does not tell that its message is complete. A peer that has read everything has acknowledged it
+// before its close. Bytes that arrive after the close are answered with a reset, which recv does
+// not report behind the end of the input.
+bool socket_stream::has_peer_stopped_reading() const
+{
+    int unacknowledged = 0;
+    int error = 0;
+    socklen_t n = sizeof error;
+    return peer_ended_during_write_ || ioctl(sock_, SIOCOUTQ, &unacknowledged) != 0 ||
+           unacknowledged > 0 || getsockopt(sock_, SOL_SOCKET, SO_ERROR, &error, &n) != 0 ||
+           error != 0;
+}
+
 ssize_t socket_stream::read(char* ptr, std::size_t size)
 {
     if (size_limit_exceeded_ || framing_.is_malformed() || !is_readable())
         return -1;
     if (!has_buffered()) {
         const ssize_t n = recv(sock_, buf_.data(), buf_.size(), 0);
-        if (n == 0)
+        if (n == 0 && !has_peer_stopped_reading())
             framing_.end_of_input();
         // The library takes some messages that end here for whole ones.
         if (n == 0 && !framing_.is_whole())
@@ -113,6 +141,7 @@
     while (done < size) {
         if (!is_writable())
             return -1;
+        peer_ended_during_write_ = peer_ended_during_write_ || may_have_ended(sock_);
         const ssize_t n = send(sock_, ptr + done, size - done, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (n < 0 && (errno == EAGAIN || errno == EINTR))
             continue;
--- a/src/socket_stream.h
+++ b/src/socket_stream.h
@@ -54,6 +54,7 @@
 private:
     duration time_until(time_point end) const;
     duration read_time_left() const;
+    bool has_peer_stopped_reading() const;
     bool count_against_limits(std::size_t requested, std::size_t n, bool ends_line);
 
     socket_t sock_;
@@ -70,6 +71,7 @@
     std::size_t line_bytes_ = 0;
     std::size_t line_limit_ = max_line_bytes;
     bool size_limit_exceeded_ = false;
+    bool peer_ended_during_write_ = false; ///< of a server's answer: before the request's end
 };
 
 /// Waits for `events` of poll(2) on a socket; false if `time` passes first or poll fails.
--- /dev/null
+++ b/tests/early_answer_test.cpp
@@ -0,0 +1,212 @@
+// Faulty backend servers of a fleet of real nodes: they answer an upload before they have read it.
+// No such answer may reach the caller as whole.
+
+#include "process_fleet.h"
+#include "raw_client.h"
+#include "raw_server.h"
+#include "system_clock.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <thread>
+
+using namespace jasminebank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t upload_bytes = 400'000;
+constexpr std::size_t long_answer_bytes = 150'000;
+constexpr duration quiet = 300ms; // longer than any pause of the fleet within an upload
+// The caller goes on with its upload this long after the server has answered, so that the answer
+// and the close have arrived at the node.
+constexpr duration answer_time = 300ms;
+constexpr std::string_view early_answer = "HTTP/1.1 200 OK\r\n\r\npart of a body";
+
+std::string service_of(std::size_t number)
+{
+    return fmt::format("raw{}", number);
+}
+
+// Each case has a service of its own, since a faulty backend server is ejected.
+fleet_options options_for(std::size_t cases)
+{
+    fleet_options out{.services = {{.name = "lids"}},
+                      .extra_node_settings = "announcement_ttl = 1min\n"};
+    for (std::size_t n = 0; n < cases; ++n)
+        out.extra_configuration += fmt::format("[service {0}]\ntimeout = 6s\n[route {0}]\n"
+                                               "path = /{0}/\nmethods = POST\nservice = {0}\n",
+                                               service_of(n));
+    return out;
+}
+
+void announce(const process_fleet& fleet, const raw_server& server, std::size_t number)
+{
+    httplib::Client client(fleet.control(0).host, fleet.control(0).port);
+    const nlohmann::json body{
+        {"service", service_of(number)}, {"address", to_string(server.address())}, {"slots", 4}};
+    const auto answer = client.Post("/announce", body.dump(), "application/json");
+    ASSERT_TRUE(answer && answer->status == 200);
+}
+
+std::string head_of(std::size_t number, const std::string& framing)
+{
+    return fmt::format("POST /{}/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\n"
+                       "Connection: close\r\n{}\r\n\r\n",
+                       service_of(number), honey_key, framing);
+}
+
+bool is_whole_success(const std::string& answer)
+{
+    return answer.starts_with("HTTP/1.1 200 ") &&
+           (answer.ends_with("\r\n0\r\n\r\n") || answer.find("Content-Length: ") < answer.size());
+}
+
+void send_all(int sock, std::string_view text)
+{
+    while (!text.empty()) {
+        const ssize_t n = send(sock, text.data(), text.size(), MSG_NOSIGNAL);
+        if (n <= 0)
+            return; // the node may refuse the rest
+        text.remove_prefix(static_cast<std::size_t>(n));
+    }
+}
+
+// Sends half of an upload, the rest once `answered` holds, and returns the answer.
+std::string upload(const endpoint& to, std::size_t number, bool is_chunked,
+                   const std::atomic<bool>& answered)
+{
+    const std::string half(upload_bytes / 2, 'u');
+    const std::string part = is_chunked ? fmt::format("{:x}\r\n{}\r\n", half.size(), half) : half;
+    const int sock = connect_to(to);
+    send_all(sock, head_of(number, is_chunked ? "Transfer-Encoding: chunked"
+                                              : fmt::format("Content-Length: {}", upload_bytes)));
+    send_all(sock, part);
+    EXPECT_TRUE(wait_until([&] { return answered.load(); }));
+    std::this_thread::sleep_for(answer_time);
+    send_all(sock, part + (is_chunked ? "0\r\n\r\n" : ""));
+    std::string out;
+    std::array<char, 4096> buf{};
+    for (ssize_t n = 0; (n = recv(sock, buf.data(), buf.size(), 0)) > 0;)
+        out.append(buf.data(), static_cast<std::size_t>(n));
+    close(sock);
+    return out;
+}
+
+struct early_case {
+    const char* name;
+    std::function<void(raw_connection&, std::atomic<bool>&)> answer;
+};
+
+const std::array<early_case, 6> early_cases{{
+    {"closes with unread bytes",
+     [](raw_connection& it, std::atomic<bool>& answered) {
+         it.send(early_answer);
+         answered = true;
+     }},
+    {"resets",
+     [](raw_connection& it, std::atomic<bool>& answered) {
+         it.send(early_answer);
+         it.reset_on_close();
+         answered = true;
+     }},
+    {"closes without unread bytes",
+     [](raw_connection& it, std::atomic<bool>& answered) {
+         it.send(early_answer);
+         it.discard_until_quiet(quiet);
+         answered = true;
+     }},
+    {"ends its answer and reads on",
+     [](raw_connection& it, std::atomic<bool>& answered) {
+         it.send(early_answer);
+         it.end_sending();
+         it.discard_until_quiet(quiet);
+         answered = true;
+         it.discard_until_quiet(2 * answer_time + quiet);
+     }},
+    // Longer than the receive window, so that its end does not arrive during the upload, and than
+    // what the entry receives before it forwards the head: the caller's answer breaks off.
+    {"ends a long answer and reads on",
+     [](raw_connection& it, std::atomic<bool>& answered) {
+         it.send(early_answer);
+         it.send(std::string(long_answer_bytes, 'a'));
+         it.end_sending();
+         it.discard_until_quiet(quiet);
+         answered = true;
+         it.discard_until_quiet(2 * answer_time + quiet);
+     }},
+    // The node has handed the whole upload to its socket when the answer ends, but the server has
+    // received only a part.
+    {"ends its answer and never reads",
+     [](raw_connection& it, std::atomic<bool>& answered) {
+         answered = true;
+         std::this_thread::sleep_for(3 * answer_time);
+         it.send(early_answer);
+         it.end_sending();
+         std::this_thread::sleep_for(2 * answer_time);
+     }},
+}};
+
+} // namespace
+
+// Guards against an answer that was cut by a failing server and reaches the caller as complete:
+// without a length, only the close marks its end.
+TEST(early_answer, does_not_reach_the_caller_as_whole)
+{
+    const process_fleet fleet(options_for(2 * early_cases.size()));
+    for (std::size_t n = 0; n < 2 * early_cases.size(); ++n) {
+        const early_case& it = early_cases.at(n / 2);
+        const bool is_chunked = n % 2 == 1;
+        std::atomic<bool> answered = false;
+        const raw_server server("127.0.0.1", 10s,
+                                [&](raw_connection& to) { it.answer(to, answered); });
+        announce(fleet, server, n);
+        const std::string answer = upload(fleet.callers(0), n, is_chunked, answered);
+        EXPECT_FALSE(is_whole_success(answer))
+            << it.name << (is_chunked ? ", chunks: " : ", length: ") << answer;
+        EXPECT_NE(answer, "");
+    }
+}
+
+// Guards against a sound answer without a length that is taken for a cut one.
+TEST(early_answer, is_whole_from_a_server_that_read_the_upload)
+{
+    const process_fleet fleet(options_for(2));
+    for (std::size_t n = 0; n < 2; ++n) {
+        std::atomic<bool> answered = false;
+        const raw_server server("127.0.0.1", 10s, [&](raw_connection& it) {
+            std::size_t received = it.discard_until_quiet(quiet);
+            answered = true;
+            received += it.discard_until_quiet(2 * answer_time + quiet);
+            EXPECT_GE(received, upload_bytes - 4096); // some came along with the head
+            it.send(early_answer);
+        });
+        announce(fleet, server, n);
+        const std::string answer = upload(fleet.callers(0), n, n == 1, answered);
+        EXPECT_TRUE(is_whole_success(answer)) << answer;
+    }
+}
+
+// Guards against a sound answer that is taken for a cut one because it began during the upload.
+TEST(early_answer, is_whole_from_a_server_that_ends_it_after_the_upload)
+{
+    const process_fleet fleet(options_for(1));
+    std::atomic<bool> answered = false;
+    const raw_server server("127.0.0.1", 10s, [&](raw_connection& it) {
+        it.send(early_answer);
+        it.discard_until_quiet(quiet);
+        answered = true;
+        it.discard_until_quiet(2 * answer_time + quiet);
+        it.send(" and its rest");
+    });
+    announce(fleet, server, 0);
+    const std::string answer = upload(fleet.callers(0), 0, false, answered);
+    EXPECT_TRUE(is_whole_success(answer)) << answer;
+}
--- a/tests/raw_server.cpp
+++ b/tests/raw_server.cpp
@@ -71,6 +71,34 @@
     }
 }
 
+std::size_t raw_connection::discard_until_quiet(duration quiet)
+{
+    std::array<char, 16384> buf{};
+    std::size_t out = 0;
+    for (time_point end = boot_now() + quiet; boot_now() < std::min(end, deadline_);) {
+        pollfd it{.fd = sock_, .events = POLLIN, .revents = 0};
+        if (poll(&it, 1, static_cast<int>(poll_interval / 1ms)) <= 0)
+            continue;
+        const ssize_t n = recv(sock_, buf.data(), buf.size(), 0);
+        if (n <= 0)
+            break;
+        out += static_cast<std::size_t>(n);
+        end = boot_now() + quiet;
+    }
+    return out;
+}
+
+void raw_connection::end_sending()
+{
+    shutdown(sock_, SHUT_WR);
+}
+
+void raw_connection::reset_on_close()
+{
+    const linger it{.l_onoff = 1, .l_linger = 0};
+    setsockopt(sock_, SOL_SOCKET, SO_LINGER, &it, sizeof it);
+}
+
 raw_server::raw_server(const std::string& host, duration connection_timeout, handler handle)
     : connection_timeout_(connection_timeout), handler_(std::move(handle)),
       listener_(socket(AF_INET, SOCK_STREAM, 0))
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -30,6 +30,12 @@
     bool send(std::string_view text);
     /// Sends `text` repeatedly until `send` fails, pausing each time after `unpaced_bytes`.
     void send_repeatedly(std::string_view text, std::size_t unpaced_bytes);
+    /// Discards what arrives until nothing has arrived for `quiet`; returns the number of bytes.
+    std::size_t discard_until_quiet(duration quiet);
+    /// Closes the sending direction only: the peer reads the end, and may still write.
+    void end_sending();
+    /// Makes the close of the connection a reset.
+    void reset_on_close();
     /// Whether `send` failed because the deadline had passed.
     bool has_timed_out() const { return has_timed_out_; }
 
