A status above 599 is malformed

Only the lower bound of a status was checked, so 600 and 999 of a backend server were passed on to the caller as its answer.

impossible_status.is_answered_with_502 tries 000, 007, 099, 100, 199, 600, 999, 20, 2000 and 2x0 against real nodes.

--- a/src/message_framing.cpp
+++ b/src/message_framing.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t line_end_bytes = 2;
 constexpr int first_status = 100;
 constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 constexpr int switching_protocols_status = 101;
 constexpr int no_content_status = 204;
 constexpr int not_modified_status = 304;
@@ -149,7 +150,8 @@
         return;
     const auto status = parse_status(line_);
     status_ = status.value_or(0);
-    if (!status || *status < first_status || *status == switching_protocols_status)
+    if (!status || *status < first_status || *status > last_status ||
+        *status == switching_protocols_status)
         state_ = state::malformed;
 }
 
--- a/tests/early_answer_test.cpp
+++ b/tests/early_answer_test.cpp
@@ -1,5 +1,5 @@
-// Faulty backend servers of a fleet of real nodes: they answer an upload before they have read it.
-// No such answer may reach the caller as whole.
+// Faulty backend servers of a fleet of real nodes: they answer an upload before they have read it,
+// or with a status that no HTTP answer may have. No such answer may reach the caller as whole.
 
 #include "process_fleet.h"
 #include "raw_client.h"
@@ -210,3 +210,22 @@
     const std::string answer = upload(fleet.callers(0), 0, false, answered);
     EXPECT_TRUE(is_whole_success(answer)) << answer;
 }
+
+// Guards against a status outside 100 to 599, which the caller's program may not expect, and
+// against an interim answer that is passed on as the final one.
+TEST(impossible_status, is_answered_with_502)
+{
+    const std::vector<std::string> statuses{"000", "007", "099", "100",  "199",
+                                            "600", "999", "20",  "2000", "2x0"};
+    const process_fleet fleet(options_for(statuses.size()));
+    for (std::size_t n = 0; n < statuses.size(); ++n) {
+        const raw_server server("127.0.0.1", 10s, [&](raw_connection& it) {
+            it.send(fmt::format("HTTP/1.1 {} Odd\r\nContent-Length: 2\r\n\r\nok", statuses[n]));
+        });
+        announce(fleet, server, n);
+        const std::string answer =
+            exchange(fleet.callers(0), head_of(n, "Content-Length: 0"), after_sending::keep_open);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << statuses[n] << ": " << answer;
+        EXPECT_NE(answer.find("unknown; reason="), std::string::npos) << answer;
+    }
+}
--- a/tests/message_framing_test.cpp
+++ b/tests/message_framing_test.cpp
@@ -68,7 +68,8 @@
 {
     for (const std::string line :
          {"", "HTTP/1.1", "HTTP/1.1 20", "HTTP/1.1 20x OK", "HTTP/1.1 2000 OK", "HTTP/2 200 OK",
-          "HTTP/1.1 099 Low", "HTTP/1.1 101 Switching", "200 OK"}) {
+          "HTTP/1.1 099 Low", "HTTP/1.1 101 Switching", "200 OK", "HTTP/1.1 600 High",
+          "HTTP/1.1 999 Highest"}) {
         message_framing framing(message_kind::answer);
         EXPECT_FALSE(framing.read(line + "\r\n\r\n")) << line;
     }
