Evacuations: no candidates in evacuated failure domains

Cause: an entry must send no request to an evacuated domain, and an entry of that domain would otherwise keep only the third of its subset that is elsewhere.

Change: the router omits the candidates of evacuated domains before it limits the subset. A gate's refusal with the new reason evacuated (503, not run, may be tried elsewhere) pauses its domain for a second at an entry that does not know of the evacuation yet. A service without any other backend server is refused with the same reason.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -154,6 +154,20 @@
                   [&](const auto& it) { return directory.find(it.first) == nullptr; });
 }
 
+void entry::set_evacuated(std::vector<failure_domain_id> domains)
+{
+    const std::lock_guard lock(mutex_);
+    router_.set_evacuated(std::move(domains));
+}
+
+// Why a request that no gate has refused finds no backend server.
+refusal entry::reason_without_server(const admitted_request& request) const
+{
+    const std::lock_guard lock(mutex_);
+    return router_.is_evacuated(request.service->id) ? refusal::evacuated
+                                                     : refusal::no_backend_server;
+}
+
 entry::retry_count_table entry::retry_counts() const
 {
     const std::lock_guard lock(mutex_);
@@ -444,6 +458,8 @@
             break;
         }
         const auto choice = choose_next_server(request, progress.search);
+        if (!choice && n == 0)
+            progress.last_refusal.reason = reason_without_server(request);
         if (!choice)
             break;
         if (!is_gate_alive(request, *choice)) {
@@ -769,6 +785,8 @@
         router_.refused(it.choice.server, true, it.load, now);
     else if (it.refused && it.refused->reason == refusal::overloaded)
         router_.refused(it.choice.server, false, it.load, now);
+    else if (it.refused && it.refused->reason == refusal::evacuated)
+        router_.gate_evacuated(it.choice.gate, now);
     else if (it.refused && it.refused->reason == refusal::stopping)
         router_.gate_closed(it.choice.gate, it.choice.gate_run);
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -111,6 +111,9 @@
     void begin_stop(const stop_schedule& plan) { stop_.begin(plan); }
     /// Applies an update of the known nodes and their backend servers.
     void set_directory(const member_directory& directory);
+    /// Sets the failure domains whose backend servers must get no requests. The next
+    /// `set_directory` applies it.
+    void set_evacuated(std::vector<failure_domain_id> domains);
     /// Records whether the link to a gate works, as found by a probe.
     void set_gate_reachable(vm_id gate, bool reachable);
 
@@ -136,6 +139,7 @@
                                               const message_head& head, const std::string& body,
                                               const httplib::ContentReader* reader,
                                               granted_claim* hold, httplib::Response& res);
+    refusal reason_without_server(const admitted_request& request) const;
     std::optional<route_choice> choose_server(const admitted_request& request,
                                               const search_step& step);
     std::optional<route_choice> choose_next_server(const admitted_request& request,
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -37,6 +37,7 @@
     refusal_row{refusal::register_unavailable, "register_unavailable", 503},
     refusal_row{refusal::limits_unavailable, "limits_unavailable", 503},
     refusal_row{refusal::caller_left, "caller_left", 504},
+    refusal_row{refusal::evacuated, "evacuated", 503},
 };
 
 constexpr std::array<std::string_view, 3> state_names{"not-run", "ran", "unknown"};
@@ -92,7 +93,7 @@
         return false;
     return it.reason == refusal::overloaded || it.reason == refusal::stopping ||
            it.reason == refusal::shed || it.reason == refusal::suspect ||
-           it.reason == refusal::no_backend_server;
+           it.reason == refusal::no_backend_server || it.reason == refusal::evacuated;
 }
 
 } // namespace jasminebank
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -43,6 +43,7 @@
                           ///< of keys is full
     limits_unavailable,   ///< no holder of the rate limits answers
     caller_left,          ///< the request was cancelled because the caller disconnected
+    evacuated,            ///< the operators have evacuated the backend server's failure domain
 };
 
 /// The answer to a request that was refused or failed.
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -18,21 +18,27 @@
 
 router::router(router_options options) : options_(options) {}
 
-// Rebuilds the candidates of each service from the directory. Draining and ejected servers are
-// omitted, so they get no new requests. A server whose node is shutting down remains usable until
-// that node's gate closes. Such servers are added to the subset instead of counting towards it, so
-// that many nodes shutting down at once do not reduce the number of other candidates.
+// Rebuilds the candidates of each service from the directory. Draining and ejected servers, and
+// those in evacuated failure domains, are omitted, so they get no new requests. A server whose node
+// is shutting down remains usable until that node's gate closes. Such servers are added to the
+// subset instead of counting towards it, so that many nodes shutting down at once do not reduce the
+// number of other candidates.
 void router::update(const member_directory& directory)
 {
     std::unordered_map<service_id, std::vector<candidate>> services;
     std::unordered_map<service_id, std::vector<candidate>> leaving;
     std::unordered_map<backend_server_id, server_state> servers;
+    evacuated_services_.clear();
     for (const member_record& member : directory.members()) {
         for (const server_record& it : member.servers) {
             const auto known = servers_.find(it.id);
             servers[it.id] = known == servers_.end() ? server_state{} : known->second;
             if (it.draining || it.standing == server_standing::held_out)
                 continue;
+            if (is_evacuated(member.domain)) {
+                evacuated_services_.insert(it.service);
+                continue;
+            }
             auto& candidates = (member.leaving ? leaving : services)[it.service];
             candidates.push_back(
                 {.choice = {it.id, member.vm, member.run, member.link, member.leaving},
@@ -47,6 +53,7 @@
         limit_to_subset(candidates);
         services[service].insert(services[service].end(), candidates.begin(), candidates.end());
     }
+    std::erase_if(evacuated_services_, [&](service_id it) { return services.contains(it); });
     std::erase_if(closed_gates_, [&](const auto& it) {
         const member_record* member = directory.find(it.first);
         return member == nullptr || member->run != it.second;
@@ -55,6 +62,16 @@
     servers_ = std::move(servers);
 }
 
+void router::set_evacuated(std::vector<failure_domain_id> domains)
+{
+    evacuated_ = std::move(domains);
+}
+
+bool router::is_evacuated(failure_domain_id domain) const
+{
+    return std::find(evacuated_.begin(), evacuated_.end(), domain) != evacuated_.end();
+}
+
 // Limits the candidates to the subset size. Servers of the own domain come first; within the own
 // and the other domains, rendezvous hashing of this node and the server decides. The subsets of all
 // nodes thus spread evenly over the servers and change little when servers join or leave.
@@ -118,6 +135,9 @@
     if (it.choice.is_leaving && closed != closed_gates_.end() &&
         closed->second == it.choice.gate_run)
         return false;
+    const auto paused_domain = paused_domains_.find(it.domain);
+    if (paused_domain != paused_domains_.end() && now < paused_domain->second)
+        return false;
     const auto paused = paused_gates_.find(it.choice.gate);
     return paused == paused_gates_.end() || paused->second <= now;
 }
@@ -219,6 +239,16 @@
     std::erase_if(paused_gates_, [now](const auto& it) { return it.second <= now; });
 }
 
+void router::gate_evacuated(vm_id gate, time_point now)
+{
+    for (const auto& [service, candidates] : services_) {
+        const auto it = std::find_if(candidates.begin(), candidates.end(),
+                                     [&](const candidate& a) { return a.choice.gate == gate; });
+        if (it != candidates.end())
+            paused_domains_[it->domain] = now + options_.gate_pause;
+    }
+}
+
 void router::gate_closed(vm_id gate, incarnation run)
 {
     closed_gates_[gate] = run;
--- a/src/router.h
+++ b/src/router.h
@@ -59,6 +59,10 @@
 
     /// Replaces the candidates by those in `directory`; servers that remain keep their load.
     void update(const member_directory& directory);
+    /// Sets the failure domains whose servers must get no requests; the next `update` applies it.
+    void set_evacuated(std::vector<failure_domain_id> domains);
+    /// True if all servers of the service are in evacuated failure domains.
+    bool is_evacuated(service_id service) const { return evacuated_services_.contains(service); }
     /// A server for `wanted`, or nothing if none is usable. `random` is uniformly distributed.
     std::optional<route_choice> choose(const route_request& wanted, std::uint64_t random,
                                        time_point now) const;
@@ -75,6 +79,9 @@
     /// The link to a gate failed: its servers get no requests for `gate_pause`, unless
     /// `set_reachable` ends the pause earlier.
     void gate_failed(vm_id gate, time_point now);
+    /// The gate refused a request because its failure domain is evacuated, which this node may not
+    /// know yet: no server of that domain gets requests for `gate_pause`.
+    void gate_evacuated(vm_id gate, time_point now);
     /// The gate shuts down and admits no more requests in this run (until its node restarts).
     void gate_closed(vm_id gate, incarnation run);
     /// Sets whether a gate answers probes on its link; its servers get no requests while it does
@@ -101,6 +108,7 @@
                                        time_point now) const;
     bool is_usable(const candidate& it, const route_request& wanted, time_point now) const;
     void limit_to_subset(std::vector<candidate>& candidates) const;
+    bool is_evacuated(failure_domain_id domain) const;
 
     router_options options_;
     std::unordered_map<service_id, std::vector<candidate>> services_;
@@ -108,6 +116,9 @@
     std::unordered_map<vm_id, time_point> paused_gates_;
     std::unordered_set<vm_id> unreachable_gates_;
     std::unordered_map<vm_id, incarnation> closed_gates_;
+    std::vector<failure_domain_id> evacuated_;
+    std::unordered_set<service_id> evacuated_services_;
+    std::unordered_map<failure_domain_id, time_point> paused_domains_;
 };
 
 } // namespace jasminebank
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -237,3 +237,43 @@
     EXPECT_EQ(tried.size(), 12U);
     EXPECT_EQ(seen.size(), 2U);
 }
+
+// Guards against an entry of an evacuated domain that keeps only the third of its subset that is in
+// other domains, and so overloads few servers.
+TEST(router, evacuated_domains_leave_the_whole_subset_to_the_others)
+{
+    member_directory directory;
+    for (std::uint64_t n = 0; n < 60; ++n)
+        directory.merge(member(10 + n, n % 3, {server(100 + n)}));
+    router it({.self = {1}, .domain = {1}, .subset = 12});
+    it.set_evacuated({{1}});
+    it.update(directory);
+    EXPECT_EQ(it.candidate_counts().at({7}), 12U);
+    std::mt19937_64 random(1);
+    for (int n = 0; n < 1000; ++n)
+        EXPECT_NE(it.choose({.service = {7}}, random(), start)->gate.value % 3, 2U);
+    it.set_evacuated({{0}, {1}, {2}});
+    it.update(directory);
+    EXPECT_FALSE(it.choose({.service = {7}}, 1, start));
+    EXPECT_TRUE(it.is_evacuated(service_id{7}));
+    it.set_evacuated({});
+    it.update(directory);
+    EXPECT_FALSE(it.is_evacuated(service_id{7}));
+    EXPECT_TRUE(it.choose({.service = {7}}, 1, start));
+}
+
+// Guards against an entry that does not know of the evacuation yet and spends its attempts on gates
+// of the same domain.
+TEST(router, refusal_of_an_evacuated_gate_pauses_its_domain)
+{
+    member_directory directory;
+    for (std::uint64_t n = 0; n < 12; ++n)
+        directory.merge(member(10 + n, n % 2, {server(100 + n)}));
+    router it({.self = {1}, .domain = {1}});
+    it.update(directory);
+    it.gate_evacuated({11}, start);
+    std::mt19937_64 random(1);
+    for (int n = 0; n < 1000; ++n)
+        EXPECT_EQ(it.choose({.service = {7}}, random(), start)->gate.value % 2, 0U);
+    EXPECT_EQ(it.choose({.service = {7}}, 1, start + std::chrono::seconds(1))->gate.value % 2, 1U);
+}
