Evacuations: a gate refuses new requests and returns waiting ones

Cause: the gate is the only way to its backend server, so it keeps the bound also when an entry learns of the evacuation late.

Change: gate::set_evacuated refuses new requests and returns those that wait, at once, with the reason evacuated; running ones finish. gate::end_evacuation is the place at which the backend servers may be cold. Events 510 to 513.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -261,6 +261,10 @@
     const auto it = servers_.find(request.server);
     if (stopping_ || request.gate_run != options_.run)
         return refusal::stopping;
+    if (evacuation_.is_evacuated) {
+        ++evacuation_.refused;
+        return refusal::evacuated;
+    }
     if (it == servers_.end() || it->second.is_lost)
         return refusal::no_backend_server;
     const server_record& record = it->second.record;
@@ -571,19 +575,20 @@
     std::shared_ptr<backend_connection> connection;
     double load = 0;
     std::string name;
-    bool is_replaced = false;
+    bool is_given_back = false;
     {
         const std::lock_guard lock(mutex_);
         it = pending_.at(id);
         backend_server& server = servers_.at(it.request.server);
-        is_replaced = server.record.service != it.request.service;
+        // A worker may take up a started request late; nothing has been sent yet.
+        is_given_back = evacuation_.is_evacuated || server.record.service != it.request.service;
         connection = acquire_connection(server, it.stream->head());
         name = server.name;
         it.server_run = server.run;
         load = load_factor(server);
     }
     it.stream->on_cancel({});
-    if (is_replaced || it.stream->is_cancelled()) {
+    if (is_given_back || it.stream->is_cancelled()) {
         finish(id, it, nullptr, {.outcome = call_outcome::not_connected});
         return;
     }
@@ -708,6 +713,48 @@
     perform(out);
 }
 
+void gate::set_evacuated(bool evacuated, time_point now)
+{
+    deferred_actions out;
+    std::size_t running = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        if (evacuated == evacuation_.is_evacuated)
+            return;
+        if (evacuated)
+            begin_evacuation(out);
+        else
+            end_evacuation(now);
+        for (const auto& [id, server] : servers_)
+            running += server.slots.running();
+    }
+    log_event(event::gate_evacuation_changed, "evacuated={} returned={} running={}", evacuated,
+              out.refused.size(), running);
+    perform(out);
+}
+
+// Requires the mutex. Backend servers in other failure domains can still take what waits here.
+void gate::begin_evacuation(deferred_actions& out)
+{
+    evacuation_.is_evacuated = true;
+    for (auto& [id, server] : servers_)
+        collect_actions(server.slots.refuse_waiting(), out, refusal::evacuated);
+    evacuation_.refused += out.refused.size();
+}
+
+// Requires the mutex. The backend servers got no requests during the evacuation, so they may be
+// cold at `now`.
+void gate::end_evacuation(time_point /*now*/)
+{
+    evacuation_.is_evacuated = false;
+}
+
+gate::evacuation_report gate::evacuation() const
+{
+    const std::lock_guard lock(mutex_);
+    return evacuation_;
+}
+
 // Waiting requests are refused at once, so that they can still run elsewhere.
 void gate::close()
 {
--- a/src/gate.h
+++ b/src/gate.h
@@ -78,6 +78,15 @@
     std::vector<server_load> loads(time_point now) const;
     /// Queues, starts or refuses a request received over a link. Never blocks.
     void accept(const std::shared_ptr<link_stream>& stream);
+    /// Begins or ends the evacuation of the failure domain of this gate. Meanwhile new and waiting
+    /// requests are refused with `refusal::evacuated`; running ones continue. Never blocks.
+    void set_evacuated(bool evacuated, time_point now);
+    /// Whether the gate is evacuated, and the requests that it has refused for that reason.
+    struct evacuation_report {
+        bool is_evacuated = false;
+        std::uint64_t refused = 0;
+    };
+    evacuation_report evacuation() const;
     /// Refuses new and waiting requests; running ones continue. Never blocks.
     void close();
     /// Calls `close` and waits for the running requests.
@@ -133,6 +142,8 @@
                          refusal reason = refusal::overloaded);
     void mark_lost(const pending_request& it, call_outcome outcome);
     void set_leaving(backend_server& server, deferred_actions& out);
+    void begin_evacuation(deferred_actions& out);
+    void end_evacuation(time_point now);
     void perform(const deferred_actions& it);
     void cancel(request_id id);
     void run(request_id id);
@@ -155,6 +166,7 @@
     std::unordered_map<request_id, pending_request> pending_;
     std::uint64_t next_request_ = 1;
     bool stopping_ = false;
+    evacuation_report evacuation_;
     bool records_changed_ = false; ///< by the outcome of a request, since the last tick
     withdrawal_list withdrawn_;
     worker_pool workers_;
--- a/src/log.h
+++ b/src/log.h
@@ -49,7 +49,11 @@
     config_rejected = 501,
     config_unreadable = 502,
     config_outdated = 503, ///< older than the one in force
-    mandate_taken = 600,   ///< mandate: the leases on rate limit shards that this node holds
+    evacuation_began = 510,
+    evacuation_ended = 511,
+    evacuation_name_unusable = 512, ///< of a failure domain to evacuate
+    gate_evacuation_changed = 513,
+    mandate_taken = 600, ///< mandate: the leases on rate limit shards that this node holds
     mandate_ended = 601,
     mandate_released = 602,
     mandate_unreadable = 603,
--- a/tests/gate_fixture.cpp
+++ b/tests/gate_fixture.cpp
@@ -75,6 +75,11 @@
     return out == nullptr ? "no outcome" : *out;
 }
 
+void gate_fixture::set_evacuated(bool evacuated)
+{
+    gate_->set_evacuated(evacuated, boot_now());
+}
+
 std::size_t gate_fixture::waiting() const
 {
     return gate_->loads(boot_now()).front().waiting;
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -24,6 +24,8 @@
     /// Sends a request and returns the outcome that the gate reports; without an id if `id` is
     /// empty.
     std::string send(const std::string& id);
+    /// Begins or ends the evacuation of the gate's failure domain.
+    void set_evacuated(bool evacuated);
     /// Requests that wait for a slot.
     std::size_t waiting() const;
 
--- a/tests/replaced_server_test.cpp
+++ b/tests/replaced_server_test.cpp
@@ -1,4 +1,5 @@
-// Backend servers whose address goes to another server while requests wait for a slot.
+// Backend servers whose address goes to another server, or whose failure domain is evacuated, while
+// requests wait for a slot.
 
 #include "gate_fixture.h"
 #include "raw_server.h"
@@ -73,3 +74,21 @@
     first.get();
     EXPECT_EQ(second.get(), "ran");
 }
+
+// Guards against requests that run at a server of an evacuated domain because they waited there,
+// and against a running one that is lost.
+TEST_F(replaced_server, of_an_evacuated_domain_gives_back_what_waited)
+{
+    auto first = send("second");
+    wait_for([&] { return runs == 1; });
+    auto second = send("third");
+    wait_for([&] { return gate.waiting() == 1; });
+    gate.set_evacuated(true);
+    EXPECT_EQ(second.get(), "not-run; reason=evacuated") << "at once";
+    EXPECT_EQ(gate.send("late"), "not-run; reason=evacuated");
+    is_released = true;
+    EXPECT_EQ(first.get(), "ran");
+    EXPECT_EQ(runs, 1);
+    gate.set_evacuated(false);
+    EXPECT_EQ(gate.send("second"), "ran");
+}
