Evacuations: spread with every heartbeat

Cause: most nodes do not read the store, and a node that starts must not serve before it knows what is evacuated.

Change: with shares_evacuations each datagram carries the set. It is merged before the store contact of the same datagram counts and before a newer configuration is fetched, so that whoever knows a store contact knows the evacuations of that time. A changed set is passed on at once. Without the option datagrams are the same as before. Names that cannot be used, or of domains without a member, are warned of once by the readers.

--- a/src/heartbeat.cpp
+++ b/src/heartbeat.cpp
@@ -34,6 +34,19 @@
             .version = unsigned_from<std::uint64_t>(in.at(2))};
 }
 
+static json to_json(const evacuation_state& it)
+{
+    return json::array({it.stamp.era, it.stamp.revision, it.domains});
+}
+
+// The bounds of `check_domain_names` hold for what other nodes send, too.
+static evacuation_state evacuations_from(const json& in)
+{
+    return {.stamp = {.era = unsigned_from<std::uint64_t>(in.at(0)),
+                      .revision = unsigned_from<std::uint64_t>(in.at(1))},
+            .domains = check_domain_names(in.at(2).get<std::vector<std::string>>(), {}).accepted};
+}
+
 std::string encode_heartbeat(const heartbeat& it, std::string_view fleet_key)
 {
     json suspects = json::array();
@@ -42,13 +55,15 @@
     json age = nullptr;
     if (it.store_age)
         age = std::chrono::ceil<std::chrono::milliseconds>(*it.store_age).count();
-    const json out =
+    json out =
         json::array({static_cast<unsigned>(it.kind), it.sequence, it.name, it.sender.run.value,
                      it.sender.version, it.target.host, it.target.port, it.directory_digest,
                      it.generation, std::move(age), std::move(suspects), json::binary([&] {
                          const std::string records = encode_members(it.records);
                          return std::vector<std::uint8_t>(records.begin(), records.end());
                      }())});
+    if (it.evacuations)
+        out.push_back(to_json(*it.evacuations));
     const std::vector<std::uint8_t> bytes = json::to_cbor(out);
     const std::string body(bytes.begin(), bytes.end());
     return truncated_mac(body, fleet_key) + body;
@@ -77,6 +92,9 @@
     const auto& records = in.at(11).get_binary();
     out.records = decode_members({reinterpret_cast<const char*>(records.data()), records.size()})
                       .value_or(std::vector<member_record>{});
+    constexpr std::size_t evacuations_element = 12;
+    if (in.size() > evacuations_element)
+        out.evacuations = evacuations_from(in.at(evacuations_element));
     return out;
 }
 
--- a/src/heartbeat.h
+++ b/src/heartbeat.h
@@ -1,10 +1,11 @@
 #pragma once
 
 // The datagram between nodes. It carries pings and acks, suspected nodes, changed member records,
-// and how recent the sender's configuration is. Encoded in CBOR and preceded by a MAC, a truncated
-// digest keyed with the fleet key.
+// how recent the sender's configuration is, and which failure domains are evacuated. Encoded in
+// CBOR and preceded by a MAC, a truncated digest keyed with the fleet key.
 
 #include "endpoint.h"
+#include "evacuation.h"
 #include "member_directory.h"
 #include "types.h"
 
@@ -36,6 +37,9 @@
     std::uint64_t generation = 0;       ///< of the configuration in force at the sender
     /// Time since any node last reached the store, as far as the sender knows.
     std::optional<duration> store_age{};
+    /// Evacuated failure domains, if the sender takes part in evacuations. At least as new as the
+    /// read of the store that `store_age` and `generation` are from.
+    std::optional<evacuation_state> evacuations{};
     std::vector<record_stamp> suspects; ///< record versions of nodes that do not answer
     std::vector<member_record> records; ///< changed ones, in gossip
 };
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -3,6 +3,9 @@
 #include "log.h"
 #include "system_clock.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace jasminebank {
 
 constexpr duration tick_interval = std::chrono::milliseconds(25);
@@ -78,6 +81,9 @@
         else if (const auto* fetch = std::get_if<fetch_config>(&action)) {
             options_.on_newer_config(fetch->link);
         }
+        else if (std::holds_alternative<evacuations_changed>(action)) {
+            publish_directory();
+        }
         else {
             changed = true;
         }
@@ -90,13 +96,34 @@
 {
     const std::lock_guard order(directory_mutex_);
     member_directory copy;
+    evacuation_state evacuations;
     {
         const std::lock_guard lock(mutex_);
         copy = membership_.directory();
+        evacuations = membership_.evacuations();
     }
+    publish_evacuations(evacuations);
     options_.on_directory_change(copy);
 }
 
+// Requires directory_mutex_.
+void member_service::publish_evacuations(const evacuation_state& it)
+{
+    const std::vector<std::string> before = std::exchange(published_evacuations_, it).domains;
+    if (it.domains == before)
+        return;
+    const auto log_missing = [&](event number, const auto& from, const auto& in) {
+        for (const std::string& name : from) {
+            if (std::find(in.begin(), in.end(), name) == in.end())
+                log_event(number, "failure_domain=\"{}\" era={} revision={}", name, it.stamp.era,
+                          it.stamp.revision);
+        }
+    };
+    log_missing(event::evacuation_began, it.domains, before);
+    log_missing(event::evacuation_ended, before, it.domains);
+    options_.on_evacuations(it.domains);
+}
+
 void member_service::exchange_with(const endpoint& peer, const member_exchange& request)
 {
     const bool sent =
@@ -164,6 +191,41 @@
     update_membership([&](membership& m) { return m.set_generation(generation, boot_now()); });
 }
 
+// Control characters of a refused name must not reach the log.
+static std::string printable(const std::string& name)
+{
+    std::string out = name.substr(0, max_evacuated_name_bytes);
+    for (char& it : out) {
+        if (!is_valid_domain_name({&it, 1}) && it != ' ')
+            it = '?';
+    }
+    return out;
+}
+
+void member_service::record_evacuations(evacuation_read read)
+{
+    update_membership(
+        [&](membership& m) { return m.record_evacuations(std::move(read), boot_now()); });
+    const std::lock_guard order(directory_mutex_);
+    std::vector<std::string> unusable;
+    {
+        const std::lock_guard lock(mutex_);
+        unusable = membership_.unusable_domains();
+    }
+    for (const std::string& it : name_warnings_.take_new(unusable))
+        log_event(event::evacuation_name_unusable, "failure_domain=\"{}\" bytes={} cause=\"{}\"",
+                  printable(it), it.size(),
+                  is_valid_domain_name(it) ? "no member of this failure domain is known, or the "
+                                             "names exceed their bound"
+                                           : "not a name of a failure domain");
+}
+
+evacuation_state member_service::evacuations() const
+{
+    const std::lock_guard lock(directory_mutex_);
+    return published_evacuations_;
+}
+
 void member_service::record_store_contact(time_point at)
 {
     const std::lock_guard lock(mutex_);
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -28,6 +28,10 @@
     std::function<void(const member_directory&)> on_directory_change;
     /// Called with the link address of a node that has a newer configuration.
     std::function<void(const endpoint&)> on_newer_config;
+    /// Called with the names of the evacuated failure domains after they changed, before
+    /// `on_directory_change`; never concurrently.
+    std::function<void(const std::vector<std::string>&)> on_evacuations =
+        [](const std::vector<std::string>&) {};
     /// Called when this node becomes (true) or stops being (false) a watcher of the store.
     std::function<void(bool)> on_watcher_change;
 };
@@ -57,6 +61,11 @@
     /// Announces a changed set of limit shards whose leases this node holds.
     void announce_shards(std::vector<held_shard> shards);
     void set_generation(std::uint64_t generation);
+    /// Applies and spreads what this node read from the store, see `membership`.
+    void record_evacuations(evacuation_read read);
+    /// The evacuated failure domains in force: `on_evacuations` and the `on_directory_change` after
+    /// it have returned.
+    evacuation_state evacuations() const;
     void record_store_contact(time_point at);
     /// Merges the encoded exchange that a peer sent, and returns the encoded reply.
     std::string handle_exchange(std::string_view request);
@@ -81,12 +90,15 @@
     void exchange_with(const endpoint& peer, const member_exchange& request);
     void merge_exchange_reply(const endpoint& peer, const member_exchange& it);
     void publish_directory();
+    void publish_evacuations(const evacuation_state& it);
     void report_role_changes();
 
     const member_service_options options_;
     link_hub& links_;
     mutable std::mutex mutex_;
-    std::mutex directory_mutex_; ///< held during on_directory_change
+    mutable std::mutex directory_mutex_;     ///< held during on_evacuations and on_directory_change
+    evacuation_state published_evacuations_; // guarded by directory_mutex_
+    name_warnings name_warnings_;            // guarded by directory_mutex_
     std::condition_variable wake_;
     membership membership_;
     bool stopping_ = false;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t max_gossip_servers = 24;
 constexpr std::size_t max_suspects_sent = 16;
 constexpr std::size_t max_pending_relays = 256;
+// A node that has started may not know the members of all failure domains yet.
+constexpr duration unknown_domain_grace = std::chrono::seconds(5);
 // Salt of the ranking that selects the nodes that watch the store.
 constexpr std::uint64_t watcher_salt = 0x77617463;
 
@@ -33,8 +35,11 @@
                   .directory_digest = directory_.digest(),
                   .generation = generation_,
                   .store_age = store_age(now),
+                  .evacuations = {},
                   .suspects = {},
                   .records = {}};
+    if (options_.shares_evacuations)
+        out.evacuations = evacuations_.state();
     for (const auto& [vm, it] : suspicions_) {
         if (out.suspects.size() < max_suspects_sent)
             out.suspects.push_back(it.stamp);
@@ -256,8 +261,10 @@
 
 // An ack to a ping that another node requested is passed on to that node, without the store age. An
 // ack to this node's own ping ends that ping. The peer determined its store age after the ping was
-// sent, so the age is counted from that time. It is used only if the peer itself sent the ack and
-// the configuration in force on this node is at least as new as the peer's.
+// sent, so the age is counted from that time. It is used only if the peer itself sent the ack, the
+// configuration in force on this node is at least as new as the peer's, and the ack's evacuations,
+// if this node needs them, have been merged: whoever knows a store contact then also knows the
+// evacuations of that time.
 void membership::process_ack(const endpoint& from, const heartbeat& it, membership_actions& out)
 {
     const auto relay = std::find_if(relays_.begin(), relays_.end(), [&](const relay_state& a) {
@@ -282,7 +289,8 @@
     const bool direct = peer != nullptr && peer->link == from;
     if (direct)
         record_ping_outcome(*ping, true);
-    if (direct && it.store_age && it.generation == generation_)
+    const bool is_complete = it.evacuations || !options_.shares_evacuations;
+    if (direct && it.store_age && it.generation == generation_ && is_complete)
         record_store_contact(ping->sent - *it.store_age);
     pings_.erase(ping);
 }
@@ -316,6 +324,7 @@
     membership_actions out;
     if (it.sender.vm == self_.vm)
         return out;
+    merge_evacuations(it, now, out);
     process_suspects(it, now, out);
     merge_records(it.records, now, out);
     switch (it.kind) {
@@ -407,6 +416,45 @@
     return out;
 }
 
+// A changed set is passed on at once, as a new generation is.
+void membership::merge_evacuations(const heartbeat& it, time_point now, membership_actions& out)
+{
+    if (!options_.shares_evacuations || !it.evacuations || !evacuations_.merge(*it.evacuations))
+        return;
+    out.emplace_back(evacuations_changed{});
+    gossip({}, false, now, out);
+}
+
+membership_actions membership::record_evacuations(evacuation_read read, time_point now)
+{
+    membership_actions out;
+    const std::vector<failure_domain_id> known = known_domains();
+    checked_names names = check_domain_names(std::move(read.domains), known);
+    unusable_domains_ = std::move(names.refused);
+    for (const std::string& it : names.accepted) {
+        const auto id = id_of<failure_domain_id>(it);
+        const bool is_known = std::find(known.begin(), known.end(), id) != known.end();
+        if (!is_known && now - started_ >= unknown_domain_grace)
+            unusable_domains_.push_back(it);
+    }
+    read.domains = std::move(names.accepted);
+    if (!evacuations_.read(std::move(read)))
+        return out;
+    out.emplace_back(evacuations_changed{});
+    gossip({}, true, now, out);
+    return out;
+}
+
+std::vector<failure_domain_id> membership::known_domains() const
+{
+    std::vector<failure_domain_id> out;
+    for (const member_record& it : directory_.members()) {
+        if (std::find(out.begin(), out.end(), it.domain) == out.end())
+            out.push_back(it.domain);
+    }
+    return out;
+}
+
 void membership::record_store_contact(time_point at)
 {
     if (!last_store_contact_ || at > *last_store_contact_)
--- a/src/membership.h
+++ b/src/membership.h
@@ -44,6 +44,8 @@
     /// Each member of another failure domain is pinged by this many nodes of the own domain instead
     /// of all, and changes cross between domains on few ways. 0: domains make no difference.
     std::size_t pingers_per_remote_member = 0;
+    /// Whether this node tells and takes which failure domains are evacuated.
+    bool shares_evacuations = false;
 };
 
 /// Send a datagram.
@@ -63,11 +65,15 @@
     std::uint64_t generation = 0; ///< version number of the newer configuration
 };
 
+/// Apply `membership::evacuations`, because the set of evacuated failure domains changed. Comes
+/// before a `fetch_config` of the same call.
+struct evacuations_changed {};
+
 /// Update the routes, because the directory or a suspicion changed.
 struct directory_changed {};
 
-using membership_action =
-    std::variant<send_heartbeat, exchange_members, fetch_config, directory_changed>;
+using membership_action = std::variant<send_heartbeat, exchange_members, fetch_config,
+                                       evacuations_changed, directory_changed>;
 using membership_actions = std::vector<membership_action>;
 
 /// What a node tells of itself.
@@ -101,6 +107,13 @@
     membership_actions tick(time_point now);
     /// Records that a newer configuration is in force on this node, and gossips its generation.
     membership_actions set_generation(std::uint64_t generation, time_point now);
+    /// Takes the evacuated failure domains that this node read from the store. Call before
+    /// `set_generation` and `record_store_contact` with what the same read found.
+    membership_actions record_evacuations(evacuation_read read, time_point now);
+    /// Names of the last such read that are refused, or for which no member is known.
+    const std::vector<std::string>& unusable_domains() const { return unusable_domains_; }
+    /// The newest set of evacuated failure domains that this node knows.
+    const evacuation_state& evacuations() const { return evacuations_.state(); }
     /// Records that this node itself read the store at `at`. The configuration in force must be at
     /// least as new as what it read.
     void record_store_contact(time_point at);
@@ -156,6 +169,8 @@
     };
 
     membership_actions gossip_self(time_point now);
+    void merge_evacuations(const heartbeat& it, time_point now, membership_actions& out);
+    std::vector<failure_domain_id> known_domains() const;
     heartbeat make_heartbeat(heartbeat_kind kind, std::uint64_t sequence, time_point now) const;
     void send(const endpoint& to, heartbeat body, membership_actions& out) const;
     void ping(const member_record& target, time_point now, membership_actions& out);
@@ -192,6 +207,8 @@
     std::vector<vm_id> round_targets_; // members not yet pinged in this round
     std::uint64_t next_sequence_ = 1;
     std::uint64_t generation_ = 0;
+    evacuation_record evacuations_;
+    std::vector<std::string> unusable_domains_;
     std::optional<time_point> last_store_contact_;
     const time_point started_;
     time_point next_ping_;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <deque>
+#include <map>
 #include <set>
 
 using namespace jasminebank;
@@ -18,8 +20,9 @@
 class simulated_fleet {
 public:
     explicit simulated_fleet(std::size_t size, std::uint64_t seed = 1,
-                             std::size_t pingers_per_remote_member = 0)
-        : pingers(pingers_per_remote_member)
+                             std::size_t pingers_per_remote_member = 0,
+                             bool with_evacuations = false)
+        : pingers(pingers_per_remote_member), shares_evacuations(with_evacuations)
     {
         for (std::size_t n = 0; n < size; ++n)
             nodes.push_back(start(n, seed + n));
@@ -38,7 +41,8 @@
                                     .servers = {}},
                            .seeds = {link(0), link(1)},
                            .random_seed = seed,
-                           .pingers_per_remote_member = pingers},
+                           .pingers_per_remote_member = pingers,
+                           .shares_evacuations = shares_evacuations},
                           now);
     }
 
@@ -51,11 +55,44 @@
             for (std::size_t n = 0; n < nodes.size(); ++n) {
                 if (alive[n])
                     perform(n, nodes[n].tick(now));
+                if (alive[n] && store.reached_by.contains(n) && must_read(n))
+                    read_store(n);
             }
             deliver();
         }
     }
 
+    // The rule of `node::must_read_config`.
+    bool must_read(std::size_t n)
+    {
+        const auto age = nodes[n].store_age(now);
+        const bool is_due = now - store.last_read[n] >= 500ms;
+        return is_due && (nodes[n].is_watcher(1) || !age || *age > 2s);
+    }
+
+    void read_store(std::size_t n)
+    {
+        store.last_read[n] = now;
+        perform(n, nodes[n].record_evacuations(
+                       {.stamp = {1, store.revision}, .domains = store.domains}, now));
+        nodes[n].record_store_contact(now);
+    }
+
+    void write_store(std::vector<std::string> domains)
+    {
+        store.domains = std::move(domains);
+        ++store.revision;
+    }
+
+    // Number of nodes that have not the set of the store.
+    std::size_t outdated_nodes() const
+    {
+        std::size_t out = 0;
+        for (std::size_t n = 0; n < nodes.size(); ++n)
+            out += alive[n] && nodes[n].evacuations().domains != store.domains ? 1 : 0;
+        return out;
+    }
+
     void perform(std::size_t from, const membership_actions& actions)
     {
         for (const membership_action& action : actions) {
@@ -65,6 +102,8 @@
                 exchange(from, index(request->link));
             else if (const auto* fetch = std::get_if<fetch_config>(&action))
                 fetches.insert({from, fetch->generation});
+            if (std::holds_alternative<fetch_config>(action))
+                evacuations_at_fetch[from] = nodes[from].evacuations().domains;
         }
     }
 
@@ -109,6 +148,7 @@
     }
 
     std::size_t pingers; ///< per member of another domain
+    bool shares_evacuations;
     std::size_t bytes_between_domains = 0;
     struct datagram {
         std::size_t from;
@@ -120,6 +160,14 @@
     std::deque<datagram> queue;
     std::set<std::pair<std::size_t, std::size_t>> cuts;
     std::set<std::pair<std::size_t, std::uint64_t>> fetches;
+    std::map<std::size_t, std::vector<std::string>> evacuations_at_fetch;
+    struct simulated_store {
+        std::vector<std::string> domains;
+        std::uint64_t revision = 1;
+        std::set<std::size_t> reached_by;
+        std::map<std::size_t, time_point> last_read;
+    };
+    simulated_store store;
     time_point now = time_point(1h);
 };
 
@@ -237,6 +285,92 @@
     }
 }
 
+// Guards against a heartbeat of a node without evacuations that cannot be read, and against one
+// that is too large to be sent.
+TEST(heartbeat, evacuations_are_optional_and_fit)
+{
+    heartbeat body;
+    body.name = std::string(60, 'v');
+    const std::string without = encode_heartbeat(body, fleet_key);
+    ASSERT_TRUE(decode_heartbeat(without, fleet_key));
+    EXPECT_FALSE(decode_heartbeat(without, fleet_key)->evacuations);
+    body.evacuations = {.stamp = {7, ~std::uint64_t{0}}, .domains = {}};
+    for (std::size_t n = 0; n < max_evacuated_domains; ++n)
+        body.evacuations->domains.push_back(std::to_string(100'000'000'000 + n));
+    const record_stamp stamp{{~std::uint64_t{0}}, {~std::uint64_t{0}}, 1U << 31U};
+    body.suspects.assign(16, stamp);
+    const std::string with = encode_heartbeat(body, fleet_key);
+    EXPECT_LE(with.size(), max_heartbeat_bytes);
+    EXPECT_EQ(decode_heartbeat(with, fleet_key)->evacuations, body.evacuations);
+}
+
+// Guards against nodes that go on sending to an evacuated domain: one of them is not refused by the
+// store, and that one may be killed. 4 s are less than the bound of 5 s.
+TEST(evacuation_spread, reaches_nodes_that_do_not_read_the_store)
+{
+    simulated_fleet fleet(12, 1, 3, true);
+    fleet.store.reached_by = {0, 4, 8};
+    fleet.run(6s);
+    for (const std::vector<std::string>& domains :
+         std::vector<std::vector<std::string>>{{"a"}, {"a", "b"}, {}, {"a"}, {"a", "b", "c"}}) {
+        fleet.write_store(domains);
+        fleet.run(4s);
+        EXPECT_EQ(fleet.outdated_nodes(), 0U) << domains.size();
+    }
+    fleet.alive[0] = fleet.alive[4] = false;
+    fleet.write_store({"b"});
+    fleet.run(4s);
+    EXPECT_EQ(fleet.outdated_nodes(), 0U) << "readers killed";
+    fleet.store.reached_by.clear();
+    fleet.run(10s);
+    EXPECT_EQ(fleet.outdated_nodes(), 0U) << "store unavailable";
+}
+
+// Guards against a node that serves before it knows what is evacuated: it has the evacuations
+// before it asks a peer for the configuration.
+TEST(evacuation_spread, a_node_that_starts_knows_it_before_it_can_serve)
+{
+    simulated_fleet fleet(5, 1, 3, true);
+    fleet.store.reached_by = {0, 1, 2};
+    fleet.write_store({"a"});
+    fleet.perform(1, fleet.nodes[1].set_generation(7, fleet.now));
+    fleet.run(5s);
+    fleet.nodes.push_back(fleet.start(5, 99));
+    fleet.alive.push_back(true);
+    fleet.run(1s);
+    EXPECT_EQ(fleet.evacuations_at_fetch[5], fleet.store.domains);
+}
+
+// Guards against a node that counts as informed by a peer's store contact without having the
+// evacuations of that time, for example while links are cut and heal.
+RC_GTEST_PROP(evacuation_spread, knows_all_that_its_last_store_contact_saw, ())
+{
+    constexpr std::size_t size = 6;
+    simulated_fleet fleet(size, *rc::gen::inRange<std::uint64_t>(1, 1000), 3, true);
+    fleet.store.reached_by = {0, *rc::gen::inRange<std::size_t>(0, size)};
+    std::map<std::string, time_point> written;
+    for (int n = 0; n < 6; ++n) {
+        const std::string name = "d" + std::to_string(n);
+        std::vector<std::string> domains = fleet.store.domains;
+        domains.push_back(name);
+        fleet.write_store(domains);
+        written[name] = fleet.now;
+        const auto a = *rc::gen::inRange<std::size_t>(0, size);
+        if (n % 3 == 2)
+            fleet.cuts.clear();
+        else
+            fleet.cuts.insert({a, *rc::gen::inRange<std::size_t>(0, size)});
+        fleet.run(*rc::gen::inRange(1, 40) * step);
+        for (const membership& it : fleet.nodes) {
+            const auto age = it.store_age(fleet.now);
+            const auto& known = it.evacuations().domains;
+            for (const auto& [domain, at] : written)
+                RC_ASSERT(!age || fleet.now - *age < at ||
+                          std::binary_search(known.begin(), known.end(), domain));
+        }
+    }
+}
+
 // Two partitions whose nodes have equal directories within each partition are connected. Equal
 // digests from the own partition must not hide that the digest of the other partition differs.
 TEST(membership, two_partitions_with_stable_directories_merge_once_connected)
