Evacuations: read with the configuration in one call

Cause: calls of the store have a cost, and a node must know the evacuations before a configuration of the same read is in force.

Change: with an evacuation prefix the session reads the operators' keys by their common prefix and delivers the evacuations first. Without it only the configuration's key is read, as before.

--- a/src/store_session.h
+++ b/src/store_session.h
@@ -7,6 +7,7 @@
 // store delays calls but never accumulates them.
 
 #include "endpoint.h"
+#include "evacuation.h"
 #include "jitter_backoff.h"
 #include "log.h"
 #include "store_era.h"
@@ -45,6 +46,12 @@
     std::string vm_name;
     endpoint link;          ///< address of this node, published in its member entry
     std::string config_key; ///< store key of the configuration
+    /// Prefix of the store keys that name evacuated failure domains, with the domain's name as the
+    /// rest of the key. Empty: they are not read.
+    std::string evacuation_prefix{};
+    /// Prefix that `config_key` and `evacuation_prefix` have in common: one call reads all of its
+    /// keys. Used only if `evacuation_prefix` is not empty.
+    std::string operator_prefix{};
     /// Interval between two reads of the configuration; it bounds the delay until the fleet learns
     /// of a change.
     duration read_interval = std::chrono::milliseconds(500);
@@ -71,6 +78,8 @@
     /// configuration is in force, newly or already. Values are compared, not their revisions: a
     /// store that was restored from an older copy gives revisions out again.
     std::function<bool(const std::string&)> on_config;
+    /// Called with the evacuated failure domains of each read, before `on_config` of that read.
+    std::function<void(evacuation_read)> on_evacuations = [](const evacuation_read&) {};
     /// Called after each read that found the configuration in force here to be that of the store,
     /// or the store to hold none; the argument is the time at which the read was sent.
     std::function<void(time_point)> on_config_confirmed;
@@ -281,20 +290,47 @@
         return true;
     }
 
+    // Pages of a read that are of two eras have no common revision, so they are read once more.
+    result<store_range, store_error> read_operator_keys()
+    {
+        if (options_.evacuation_prefix.empty())
+            return store_->range(store_key_range{.key = options_.config_key, .range_end = {}});
+        const std::uint64_t era = store_->era();
+        auto read = store_->range(prefix_range(options_.operator_prefix));
+        if (failed(read) || store_->era() == era)
+            return read;
+        return store_->range(prefix_range(options_.operator_prefix));
+    }
+
+    evacuation_read evacuations_of(const store_range& read, time_point sent_at) const
+    {
+        const store_revision revision = std::max<store_revision>(read.revision, 0);
+        evacuation_read out{
+            .stamp = {.era = store_->era(), .revision = static_cast<std::uint64_t>(revision)},
+            .is_settled = era_.is_settled(sent_at)};
+        for (const store_entry& it : read.entries) {
+            if (it.key.starts_with(options_.evacuation_prefix))
+                out.domains.push_back(it.key.substr(options_.evacuation_prefix.size()));
+        }
+        return out;
+    }
+
     // Returns true if the store answered.
     bool read_config()
     {
         const time_point sent_at = boot_now();
-        const auto read =
-            store_->range(store_key_range{.key = options_.config_key, .range_end = {}});
+        const auto read = read_operator_keys();
         if (failed(read)) {
             on_call_failed("configuration", error_of(read));
             return false;
         }
         on_call_succeeded();
+        if (!options_.evacuation_prefix.empty())
+            options_.on_evacuations(evacuations_of(value_of(read), sent_at));
         bool in_force = true;
-        if (!value_of(read).entries.empty()) {
-            in_force = options_.on_config(value_of(read).entries.front().value);
+        for (const store_entry& it : value_of(read).entries) {
+            if (it.key == options_.config_key)
+                in_force = options_.on_config(it.value);
         }
         if (in_force && era_.is_settled(sent_at))
             options_.on_config_confirmed(sent_at);
