Evacuations: wire them into the node

Cause: the parts need the setting, the platform's key prefixes and a report.

The state in force is in /status and in the metrics.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -84,9 +84,13 @@
         {.vm_name = settings_.vm_name,
          .link = settings_.links,
          .config_key = platform_->config_key,
+         .evacuation_prefix = settings_.evacuations ? platform_->evacuation_prefix : "",
+         .operator_prefix = platform_->operator_prefix,
          .first_start = settings_.first_start,
          .must_read_config = [this] { return must_read_config(); },
          .on_config = [this](const std::string& text) { return feed_->apply(text); },
+         .on_evacuations =
+             [this](evacuation_read it) { members_->record_evacuations(std::move(it)); },
          .on_config_confirmed = [this](time_point at) { members_->record_store_contact(at); },
          .is_cancelled = std::move(is_cancelled)},
         settings_.store.front());
@@ -356,6 +360,19 @@
         delegations_->set_directory(directory);
 }
 
+// Runs before `apply_directory`, which rebuilds the candidates of the entry.
+void node::apply_evacuations(const std::vector<std::string>& domains)
+{
+    std::vector<failure_domain_id> ids;
+    ids.reserve(domains.size());
+    for (const std::string& it : domains)
+        ids.push_back(id_of<failure_domain_id>(it));
+    entry_->set_evacuated(std::move(ids));
+    const bool is_own =
+        std::find(domains.begin(), domains.end(), settings_.failure_domain) != domains.end();
+    gate_->set_evacuated(is_own, boot_now());
+}
+
 bool node::open_members()
 {
     const member_record self{.vm = id_of<vm_id>(settings_.vm_name),
@@ -372,7 +389,8 @@
                            .random_seed = run_.value,
                            .ping_interval = settings_.ping_period,
                            .pingers_per_remote_member =
-                               platform_ ? remote_member_pingers : std::size_t{0}},
+                               platform_ ? remote_member_pingers : std::size_t{0},
+                           .shares_evacuations = settings_.evacuations},
             .fleet_key = fleet_.fleet_key,
             .watchers_per_domain = platform_ ? std::size_t{1} : std::size_t{2},
             .on_directory_change = [this](const member_directory& it) { apply_directory(it); },
@@ -383,6 +401,7 @@
                     else
                         follower_->fetch_from(it);
                 },
+            .on_evacuations = [this](const std::vector<std::string>& it) { apply_evacuations(it); },
             .on_watcher_change =
                 [this](bool watching) {
                     is_watcher_ = watching;
--- a/src/node.h
+++ b/src/node.h
@@ -79,6 +79,7 @@
     void follow_store();
     void apply_config(const std::shared_ptr<const fleet_config>& config);
     void apply_directory(const member_directory& directory);
+    void apply_evacuations(const std::vector<std::string>& domains);
     bool may_serve() const;
     bool must_read_config() const;
     bool process_announcement(const announcement& it);
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -60,6 +60,8 @@
                        {"may_serve", membership.may_serve},
                        {"hears_majority", membership.reaches_majority},
                        {"members", std::move(members)}};
+    if (settings_.evacuations)
+        out["evacuated"] = members_->evacuations().domains;
     if (membership.store_age) {
         out["store_age_ms"] =
             std::chrono::duration_cast<std::chrono::milliseconds>(*membership.store_age).count();
@@ -151,6 +153,21 @@
     }
 }
 
+static void append_evacuations(std::string& out, const evacuation_state& state,
+                               const gate::evacuation_report& own)
+{
+    out += "# TYPE jasminebank_evacuated_failure_domain gauge\n";
+    for (const std::string& it : state.domains)
+        out += fmt::format("jasminebank_evacuated_failure_domain{{failure_domain=\"{}\"}} 1\n", it);
+    out += fmt::format("# TYPE jasminebank_evacuation_revision gauge\n"
+                       "jasminebank_evacuation_revision {}\n"
+                       "# TYPE jasminebank_gate_evacuated gauge\n"
+                       "jasminebank_gate_evacuated {}\n"
+                       "# TYPE jasminebank_evacuation_refusals_total counter\n"
+                       "jasminebank_evacuation_refusals_total {}\n",
+                       state.stamp.revision, own.is_evacuated ? 1 : 0, own.refused);
+}
+
 // Request metrics first, then control traffic, limits, retries and backend servers.
 std::string node::metrics_text() const
 {
@@ -181,6 +198,8 @@
     add("limit_requests_total", "counter", limits.requests);
     append_retries(out, entry_->retry_counts());
     append_servers(out, gate_->loads(boot_now()));
+    if (settings_.evacuations)
+        append_evacuations(out, members_->evacuations(), gate_->evacuation());
     if (config != nullptr)
         append_services(out, *config, entry_->backend_server_counts());
     return out;
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -93,6 +93,9 @@
     else if (out.store.size() != 1)
         in.reject("store", "one address, with platform = yes");
     read_fleet_settings(in, out);
+    out.evacuations = in.flag("evacuations", false);
+    if (out.evacuations && !out.on_platform)
+        in.reject("evacuations", "no, without platform = yes");
     out.port_file = in.text("port_file", "");
     read_limits(in, out);
     out.when_cut_off = in.one_of("when_cut_off", "refuse", {"refuse", "serve"}) == "serve"
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -56,6 +56,7 @@
     /// 0: no shared limit, each node uses its own retry budget.
     double fleet_retries = 0;
     duration fleet_retry_window{};
+    bool evacuations = false; ///< empty failure domains as the platform's store says
 };
 
 /// Validates a parsed file. The fleet key's file must be readable by its owner only.
--- a/src/platform_parts.h
+++ b/src/platform_parts.h
@@ -31,6 +31,8 @@
 struct platform_parts {
     header_names names{};
     std::string config_key{};
+    std::string evacuation_prefix{}; ///< see `store_session_options`
+    std::string operator_prefix{};
     config_decoder decode_config{};
     /// Adds the platform's announcement endpoints to a server.
     std::function<void(httplib::Server&, const announcement_handlers&)> add_announcements{};
