--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -58,6 +58,7 @@
     double fleet_retries = 0;
     duration fleet_retry_window{};
     region_map_reading regions{}; ///< regions of the failure domains
+    bool evacuations = false;     ///< empty failure domains as the platform's store says
 };
 
 /// Validates a parsed file. The fleet key's file must be readable by its owner only.
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -44,6 +44,7 @@
     limits_unavailable,   ///< no holder of the rate limits answers
     caller_left,          ///< the request was cancelled because the caller disconnected
     no_region,            ///< the route and the organisation allow no region in common
+    evacuated,            ///< the operators have evacuated the backend server's failure domain
 };
 
 /// The answer to a request that was refused or failed.
