A backend server that may be cold is sent a bounded number of requests a second

A cold backend server crashes at a rate well above the one that its service tolerates, and its announcement that it is cold arrives up to 1.5 s late. slot_queue limited its starts only to a rate that the server names in its answers.

Nothing sets the bounds yet, so nothing is limited.

--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -56,6 +56,18 @@
            });
 }
 
+// Time until `count` requests in a row may have started, as far as the rate and the cold-start
+// limit decide; the slots are not considered.
+duration slot_queue::wait_for_starts(std::size_t count, time_point now) const
+{
+    return std::max(pacer_.wait_for(count, now), cold_start_.wait_for(count, now));
+}
+
+bool slot_queue::may_start_one(time_point now) const
+{
+    return wait_for_starts(1, now) == duration::zero();
+}
+
 // Number of waiting requests of all organisations that have this rank or a higher one.
 std::size_t slot_queue::count_ahead(std::uint32_t rank) const
 {
@@ -101,7 +113,7 @@
     if (it.deadline <= now)
         return true;
     const time_point latest = latest_useful_start(it, now);
-    if (now + pacer_.wait_for(count_ahead(it.rank) + 1, now) > latest)
+    if (now + wait_for_starts(count_ahead(it.rank) + 1, now) > latest)
         return true;
     if (samples_ < min_samples || running_.size() < options_.slots)
         return false;
@@ -224,14 +236,14 @@
 
 bool slot_queue::may_start(time_point now) const
 {
-    return running_.size() < options_.slots && waiting_ == 0 && pacer_.may_start(now);
+    return running_.size() < options_.slots && waiting_ == 0 && may_start_one(now);
 }
 
-// Keeps as many requests as can start in time at the rate, those of the lowest ranks and among them
-// the ones with the earliest deadlines.
+// Keeps as many requests as can start in time within the limits, those of the lowest ranks and
+// among them the ones with the earliest deadlines.
 void slot_queue::refuse_beyond_rate(time_point now, slot_actions& out)
 {
-    if (waiting_ == 0 || !pacer_.is_limited())
+    if (waiting_ == 0 || !(pacer_.is_limited() || cold_start_.is_limited()))
         return;
     std::vector<slot_request> waiting;
     for (const organisation_state& it : organisations_)
@@ -241,7 +253,7 @@
     });
     std::size_t kept = 0;
     for (const slot_request& request : waiting) {
-        if (now + pacer_.wait_for(kept + 1, now) <= latest_useful_start(request, now)) {
+        if (now + wait_for_starts(kept + 1, now) <= latest_useful_start(request, now)) {
             ++kept;
             continue;
         }
@@ -289,7 +301,7 @@
 void slot_queue::start_waiting(time_point now, slot_actions& out)
 {
     constexpr double min_charge_s = 1e-4;
-    while (running_.size() < options_.slots && waiting_ > 0 && pacer_.may_start(now)) {
+    while (running_.size() < options_.slots && waiting_ > 0 && may_start_one(now)) {
         organisation_state* next = nullptr;
         service_order best;
         for (organisation_state& it : organisations_) {
@@ -313,9 +325,10 @@
         ++next->running;
         running_.push_back({request.request, next->organisation, now, charged_use});
         pacer_.started(now);
+        cold_start_.started(now);
         out.emplace_back(start_request{request.request});
     }
-    assert(waiting_ == 0 || running_.size() >= options_.slots || !pacer_.may_start(now));
+    assert(waiting_ == 0 || running_.size() >= options_.slots || !may_start_one(now));
     assert(waiting_ <= options_.max_waiting);
 }
 
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -5,8 +5,10 @@
 // the lowest rank number; among these, to requests that can still meet their soft deadline; and
 // among these, to the organisation with the least slot time used relative to its weight (start-time
 // fair queueing), however many requests each organisation sends. If the backend server has named
-// the rate that it takes, requests also wait for their turn at that rate.
+// the rate that it takes, requests also wait for their turn at that rate, and if it may be cold,
+// for their turn within its cold-start limit.
 
+#include "cold_start.h"
 #include "request_outcome.h"
 #include "start_pacer.h"
 #include "types.h"
@@ -56,8 +58,8 @@
 using slot_actions = std::vector<slot_action>;
 
 /// The slots and waiting requests of one backend server. A request is started at most once, and not
-/// after it was refused or cancelled. While a request waits, all slots are in use or the rate
-/// allows none to start.
+/// after it was refused or cancelled. While a request waits, all slots are in use, or the rate or
+/// the cold-start limit allows none to start.
 class slot_queue {
 public:
     explicit slot_queue(const slot_queue_options& options = {});
@@ -77,6 +79,10 @@
     /// Sets the rate of started requests, see `start_pacer`. Refuses the waiting requests that can
     /// no longer start in time.
     slot_actions set_start_rate(std::optional<double> rate, time_point now);
+    /// The limit of a backend server that may be cold. A change to it takes effect with the next
+    /// call of `tick`.
+    cold_start_limit& cold_start() { return cold_start_; }
+    const cold_start_limit& cold_start() const { return cold_start_; }
     /// Whether a request that is enqueued now starts at once.
     bool may_start(time_point now) const;
 
@@ -114,6 +120,8 @@
     bool is_known(request_id request) const;
     time_point latest_useful_start(const slot_request& it, time_point now) const;
     std::size_t count_ahead(std::uint32_t rank) const;
+    duration wait_for_starts(std::size_t count, time_point now) const;
+    bool may_start_one(time_point now) const;
     void refuse_beyond_rate(time_point now, slot_actions& out);
     duration expected_wait(const slot_request& it, const organisation_state& own) const;
     bool would_miss_deadline(const slot_request& it, const organisation_state& own,
@@ -132,6 +140,7 @@
     double expected_service_s_ = 0; // moving average of the time a request holds its slot
     std::uint64_t samples_ = 0;
     start_pacer pacer_;
+    cold_start_limit cold_start_;
 };
 
 } // namespace jasminebank
