The configuration of a service names its warm-up time and rate

The gate needs the requests a second that a cold backend server of a service tolerates, and how long it stays cold.

--- a/src/fleet_config.cpp
+++ b/src/fleet_config.cpp
@@ -185,7 +185,9 @@
             {.id = id_of<service_id>(name),
              .name = name,
              .floor_slots = static_cast<std::uint32_t>(floor),
-             .timeout = in.time("timeout", default_timeout, min_timeout, max_timeout)});
+             .timeout = in.time("timeout", default_timeout, min_timeout, max_timeout),
+             .warm_up = in.time("warm_up", {}, {}, max_warm_up),
+             .warm_up_rate = in.decimal("warm_up_rate", 0, 0, max_warm_up_rate)});
     }
 
     // The fields "key" and "key.NAME" hold one digest each, so that a key can be revoked by its
--- a/src/fleet_config.h
+++ b/src/fleet_config.h
@@ -22,8 +22,14 @@
     std::string name;
     std::uint32_t floor_slots = 0; ///< outlier ejection keeps at least this many healthy slots
     duration timeout{};            ///< upper bound on the time of one request
+    duration warm_up{};            ///< time that a backend server stays cold
+    double warm_up_rate = 0;       ///< requests per second that a cold one tolerates; 0: no limit
 };
 
+/// Bounds of the requests per second and of the duration of a cold phase, in all formats.
+constexpr double max_warm_up_rate = 1e6;
+constexpr duration max_warm_up = std::chrono::minutes(10);
+
 /// Which requests of a route are idempotent, that is, may be executed more than once.
 enum class idempotency : std::uint8_t {
     by_method, ///< GET, HEAD, OPTIONS, PUT and DELETE
--- a/tests/fleet_config_test.cpp
+++ b/tests/fleet_config_test.cpp
@@ -54,6 +54,17 @@
     EXPECT_EQ(value_of(config).failure_domains, (std::vector<std::string>{"east", "west"}));
 }
 
+// Guards against a cold-start limit that the configuration does not name or gets wrong.
+TEST(fleet_config, warm_up_of_a_service_is_read_and_bounded)
+{
+    const auto config = build("[service a]\nwarm_up = 20s\nwarm_up_rate = 2.5\n");
+    ASSERT_FALSE(failed(config)) << describe(error_of(config));
+    EXPECT_EQ(value_of(config).services.front().warm_up, duration(std::chrono::seconds(20)));
+    EXPECT_EQ(value_of(config).services.front().warm_up_rate, 2.5);
+    EXPECT_EQ(error_of(build("[service a]\nwarm_up_rate = -1\n")).field, "warm_up_rate");
+    EXPECT_EQ(error_of(build("[service a]\nwarm_up = 601s\n")).field, "warm_up");
+}
+
 TEST(fleet_config, longest_path_wins_and_stops_at_a_slash)
 {
     const auto config = build(base);
