The gate limits what a cold backend server is sent

cold_start_limit had no bounds. The gate now learns the configuration (gate::set_config, before the entry does), sets the bounds of its backend servers from their services and from the settings cold_over and cold_slack, and takes the rest of the cold phase from announcements. A change of the configuration applies to registered servers. Without a configuration that has the service, a gate with the settings starts nothing, since other entries may have it already. gate::assume_cold is for the end of an evacuation. A cold server reports the share of used starts as its load if that is more than its share of busy slots. Without the settings nothing changes.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -75,6 +75,7 @@
                 slot_queue({.slots = record.slots,
                             .max_waiting = options_.waiting_requests,
                             .max_waiting_per_organisation = options_.waiting_requests / 4 + 1});
+            server.slots.cold_start().met(now);
         }
         if (server.run != it.run || server.name != it.name) {
             server.idle.clear();
@@ -99,6 +100,8 @@
         is_leaving = record.draining;
         if (is_leaving)
             set_leaving(server, out);
+        if (options_.cold_start)
+            apply_warm_up(server, it, now, out);
     }
     perform(out);
     if (!changed)
@@ -111,6 +114,72 @@
     return announcement_result::changed;
 }
 
+// Nothing: no limit. A service that is not in the configuration, or any before the first
+// configuration, may have a rate that this gate does not know of, so none of its requests starts.
+std::optional<cold_start_bounds> gate::cold_bounds_of(service_id service) const
+{
+    if (!options_.cold_start)
+        return std::nullopt;
+    const service_config* it = config_ == nullptr ? nullptr : find_service(*config_, service);
+    if (it == nullptr)
+        return cold_start_bounds{};
+    if (it->warm_up_rate <= 0)
+        return std::nullopt;
+    return cold_start_bounds_for(it->warm_up_rate, it->warm_up, *options_.cold_start);
+}
+
+static void log_cold_start(backend_server_id server, const cold_start_limit& it, bool assumed,
+                           time_point now)
+{
+    log_event(event::backend_server_cold, "server={:016x} left_ms={:.0f} limit={} assumed={}",
+              server.value, as_milliseconds(it.cold_left(now)), it.limit(now).value_or(0), assumed);
+}
+
+void gate::apply_warm_up(backend_server& server, const announcement& it, time_point now,
+                         deferred_actions& out)
+{
+    cold_start_limit& limit = server.slots.cold_start();
+    const bool was_cold = limit.cold_left(now) > duration::zero();
+    limit.set_bounds(cold_bounds_of(it.server.service));
+    limit.announced(it.warm_up, now);
+    if (limit.is_limited() && !was_cold && it.warm_up > duration::zero())
+        log_cold_start(it.server.id, limit, false, now);
+    collect_actions(server.slots.tick(now), out);
+}
+
+void gate::set_config(const std::shared_ptr<const fleet_config>& config, time_point now)
+{
+    deferred_actions out;
+    {
+        const std::lock_guard lock(mutex_);
+        config_ = config;
+        if (!options_.cold_start)
+            return;
+        for (auto& [id, server] : servers_) {
+            server.slots.cold_start().set_bounds(cold_bounds_of(server.record.service));
+            collect_actions(server.slots.tick(now), out);
+        }
+    }
+    perform(out);
+}
+
+void gate::assume_cold(time_point now)
+{
+    deferred_actions out;
+    {
+        const std::lock_guard lock(mutex_);
+        for (auto& [id, server] : servers_) {
+            cold_start_limit& limit = server.slots.cold_start();
+            if (!limit.is_limited())
+                continue;
+            limit.assume_cold(now);
+            collect_actions(server.slots.tick(now), out);
+            log_cold_start(id, limit, true, now);
+        }
+    }
+    perform(out);
+}
+
 // Gives the requests that wait for the backend server back to their entry nodes.
 void gate::set_leaving(backend_server& server, deferred_actions& out)
 {
@@ -242,14 +311,15 @@
     return out;
 }
 
-// Running and waiting requests per slot, plus the probability that the next request fails. A server
-// whose rate allows no request now counts as full at least. Not less than 0, without an upper
-// limit.
+// Running and waiting requests per slot, or starts per start that a cold server takes if that is
+// more, plus the probability that the next request fails. A server whose limits allow no request
+// now counts as full at least. Not less than 0, without an upper limit.
 double gate::load_factor(const backend_server& it)
 {
     const time_point now = boot_now();
-    const double busy = static_cast<double>(it.slots.running() + it.slots.waiting()) /
-                        std::max<std::uint32_t>(it.record.slots, 1);
+    const double busy = std::max(static_cast<double>(it.slots.running() + it.slots.waiting()) /
+                                     std::max<std::uint32_t>(it.record.slots, 1),
+                                 it.slots.cold_start().cold_load(now));
     const bool is_full = busy < 1 && !it.slots.may_start(now);
     return (is_full ? 1 : busy) + it.stalls.suspicion(now);
 }
@@ -306,6 +376,8 @@
     out.running = it->second.slots.running();
     out.waiting = it->second.slots.waiting();
     out.suspicion = it->second.stalls.suspicion(now);
+    out.cold_left = it->second.slots.cold_start().cold_left(now);
+    out.start_limit = it->second.slots.cold_start().limit(now);
     return out;
 }
 
@@ -537,9 +609,10 @@
     const std::string* id = find_field(stream.head(), options_.names.request_id);
     log_event(event::dispatch_refused,
               "id={} from={} server={:016x} reason={} waited_ms={:.1f} running={} waiting={} "
-              "suspicion={:.2f}",
+              "suspicion={:.2f}{}",
               id == nullptr ? "-" : *id, stream.peer().vm_name, load_now.server.value, reason,
-              as_milliseconds(waited), load_now.running, load_now.waiting, load_now.suspicion);
+              as_milliseconds(waited), load_now.running, load_now.waiting, load_now.suspicion,
+              load_now.start_limit ? fmt::format(" start_limit={}", *load_now.start_limit) : "");
 }
 
 static std::string text_of_rate(std::optional<double> it)
--- a/src/gate.h
+++ b/src/gate.h
@@ -8,6 +8,7 @@
 #include "announcement.h"
 #include "backend_call.h"
 #include "dispatch.h"
+#include "fleet_config.h"
 #include "health_service.h"
 #include "link_stream.h"
 #include "notice_record.h"
@@ -34,6 +35,8 @@
     std::size_t waiting_requests = 256; ///< for each backend server
     header_names names{};
     withdrawal_list withdrawn{}; ///< backend servers that withdrew from earlier runs of this node
+    /// What a cold backend server tolerates above its service's rate; nothing: no limit.
+    std::optional<cold_start_tolerance> cold_start{};
 };
 
 /// How an announcement of a backend server was handled.
@@ -49,6 +52,8 @@
     std::size_t running = 0; ///< requests that hold a slot
     std::size_t waiting = 0; ///< requests that wait for a slot
     double suspicion = 0;    ///< probability that the next request gets no good answer
+    duration cold_left{};    ///< see `cold_start_limit`
+    std::optional<std::size_t> start_limit{}; ///< starts in a second; nothing: no limit
 };
 
 /// Thread-safe.
@@ -70,6 +75,12 @@
     /// Removes idle backend servers whose announcement has expired and refuses requests that waited
     /// for too long; true if the records changed.
     bool tick(time_point now);
+    /// Applies the services' cold-start bounds to the backend servers. Until the first
+    /// configuration, a gate with `gate_options::cold_start` starts no requests.
+    void set_config(const std::shared_ptr<const fleet_config>& config, time_point now);
+    /// Limits the starts to all backend servers as if each had announced the warm-up time of its
+    /// service. The next announcement decides again.
+    void assume_cold(time_point now);
     /// Sets the standing of a backend server; false if it is not registered here.
     bool set_standing(backend_server_id server, server_standing standing);
     /// Records of all backend servers registered here, ordered by id.
@@ -131,6 +142,9 @@
     std::optional<refusal> admit(const dispatch& request, time_point now);
     void collect_actions(const slot_actions& actions, deferred_actions& out,
                          refusal reason = refusal::overloaded);
+    std::optional<cold_start_bounds> cold_bounds_of(service_id service) const;
+    void apply_warm_up(backend_server& server, const announcement& it, time_point now,
+                       deferred_actions& out);
     void mark_lost(const pending_request& it, call_outcome outcome);
     void set_leaving(backend_server& server, deferred_actions& out);
     void perform(const deferred_actions& it);
@@ -151,6 +165,7 @@
     health_service& health_;
     poison_service& poison_;
     mutable std::mutex mutex_;
+    std::shared_ptr<const fleet_config> config_; ///< null before the first
     std::unordered_map<backend_server_id, backend_server> servers_;
     std::unordered_map<request_id, pending_request> pending_;
     std::uint64_t next_request_ = 1;
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -67,6 +67,7 @@
     event_entry{event::gate_reachable, severity::info, "gate_reachable"},
     event_entry{event::relay_taken, severity::info, "relay_taken"},
     event_entry{event::relay_dropped, severity::info, "relay_dropped"},
+    event_entry{event::backend_server_cold, severity::info, "backend_server_cold"},
     event_entry{event::member_joined, severity::info, "member_joined"},
     event_entry{event::member_gone, severity::warning, "member_gone"},
     event_entry{event::cut_off_began, severity::error, "cut_off_began"},
--- a/src/log.h
+++ b/src/log.h
@@ -71,6 +71,7 @@
     gate_reachable = 711,
     relay_taken = 720, ///< relay: node that forwards control messages to another
     relay_dropped = 721,
+    backend_server_cold = 730, ///< its starts are limited while it is cold
     member_joined = 800,
     member_gone = 801,
     cut_off_began = 802, ///< `membership::may_serve` became false
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -155,7 +155,8 @@
                                             .backend_idle = settings_.backend_idle,
                                             .waiting_requests = settings_.waiting_requests,
                                             .names = platform_ ? platform_->names : header_names{},
-                                            .withdrawn = withdrawn_before()},
+                                            .withdrawn = withdrawn_before(),
+                                            .cold_start = settings_.cold_start},
                                *health_, *poison_);
     reach_ = std::make_unique<reach_monitor>(
         reach_monitor_options{.on_change =
@@ -231,6 +232,7 @@
 
 void node::apply_config(const std::shared_ptr<const fleet_config>& config)
 {
+    gate_->set_config(config, boot_now());
     entry_->set_config(config);
     health_->set_config(config);
     coordinators_->set_config(config);
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -140,6 +140,22 @@
     add("suspicion", [](const server_load& it) { return fmt::format("{:.3f}", it.suspicion); });
 }
 
+// Only the backend servers that have a cold-start limit.
+static void append_cold_starts(std::string& out, std::vector<server_load> loads)
+{
+    std::erase_if(loads, [](const server_load& it) { return !it.start_limit; });
+    if (loads.empty())
+        return;
+    out += "# TYPE jasminebank_backend_server_start_limit gauge\n";
+    for (const server_load& it : loads)
+        out += fmt::format("jasminebank_backend_server_start_limit{{server=\"{:016x}\"}} {}\n",
+                           it.server.value, *it.start_limit);
+    out += "# TYPE jasminebank_backend_server_cold_seconds gauge\n";
+    for (const server_load& it : loads)
+        out += fmt::format("jasminebank_backend_server_cold_seconds{{server=\"{:016x}\"}} {:.3f}\n",
+                           it.server.value, as_milliseconds(it.cold_left) / 1e3);
+}
+
 static void append_services(std::string& out, const fleet_config& config,
                             const std::unordered_map<service_id, std::size_t>& sizes)
 {
@@ -180,7 +196,9 @@
     add("limit_without_holder_total", "counter", limits.no_holder);
     add("limit_requests_total", "counter", limits.requests);
     append_retries(out, entry_->retry_counts());
-    append_servers(out, gate_->loads(boot_now()));
+    const std::vector<server_load> loads = gate_->loads(boot_now());
+    append_servers(out, loads);
+    append_cold_starts(out, loads);
     if (config != nullptr)
         append_services(out, *config, entry_->backend_server_counts());
     return out;
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -65,6 +65,17 @@
     out.fleet_retry_window = in.time("fleet_retry_window", 10s, 1s, 10min);
 }
 
+// One of the two settings is enough; the other one then adds nothing to the rate.
+static std::optional<cold_start_tolerance> read_cold_start(field_reader& in)
+{
+    constexpr double max_over = 1000;
+    constexpr double max_slack = 1e6;
+    const bool is_set = in.has("cold_over") || in.has("cold_slack");
+    const cold_start_tolerance out{.over = in.decimal("cold_over", 1, 0, max_over),
+                                   .slack = in.decimal("cold_slack", 0, 0, max_slack)};
+    return is_set ? std::optional(out) : std::nullopt;
+}
+
 result<node_settings, ini_error> read_node_settings(const ini_file& file)
 {
     for (const ini_section& section : file.sections) {
@@ -93,6 +104,7 @@
     else if (out.store.size() != 1)
         in.reject("store", "one address, with platform = yes");
     read_fleet_settings(in, out);
+    out.cold_start = read_cold_start(in);
     out.port_file = in.text("port_file", "");
     read_limits(in, out);
     out.when_cut_off = in.one_of("when_cut_off", "refuse", {"refuse", "serve"}) == "serve"
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -2,11 +2,13 @@
 
 // Settings of one node process, read from its INI file.
 
+#include "cold_start.h"
 #include "endpoint.h"
 #include "ini_file.h"
 #include "result.h"
 #include "types.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +58,8 @@
     /// 0: no shared limit, each node uses its own retry budget.
     double fleet_retries = 0;
     duration fleet_retry_window{};
+    /// What a cold backend server tolerates above its service's rate; nothing: no limit.
+    std::optional<cold_start_tolerance> cold_start{};
 };
 
 /// Validates a parsed file. The fleet key's file must be readable by its owner only.
--- a/tests/gate_fixture.cpp
+++ b/tests/gate_fixture.cpp
@@ -10,7 +10,8 @@
 constexpr duration time_limit = 3s;
 constexpr backend_server_id server_id{7};
 
-gate_fixture::gate_fixture(const endpoint& server, std::uint32_t slots)
+gate_fixture::gate_fixture(const endpoint& server, std::uint32_t slots,
+                           std::optional<cold_start_tolerance> cold_start)
     : server_(server), slots_(slots),
       gate_links_(link_hub::start({.self = {.vm_name = "gate", .run = {1}},
                                    .fleet_key = fleet_key,
@@ -21,12 +22,14 @@
                                        }})),
       links_(link_hub::start({.self = {.vm_name = "entry", .run = {1}}, .fleet_key = fleet_key})),
       health_({.self = {1}, .run = {1}, .store = {}, .on_standing_changed = {}}, *gate_links_),
-      poison_({1}, *gate_links_), gate_(std::make_unique<gate>(gate_options{.run = {1},
-                                                                            .announcement_ttl = 1h,
-                                                                            .backend_idle = 1h,
-                                                                            .threads = 4,
-                                                                            .names = names()},
-                                                               health_, poison_))
+      poison_({1}, *gate_links_),
+      gate_(std::make_unique<gate>(gate_options{.run = {1},
+                                                .announcement_ttl = 1h,
+                                                .backend_idle = 1h,
+                                                .threads = 4,
+                                                .names = names(),
+                                                .cold_start = cold_start},
+                                   health_, poison_))
 {
     announce({1});
 }
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -12,7 +12,8 @@
 
 class gate_fixture {
 public:
-    gate_fixture(const endpoint& server, std::uint32_t slots);
+    gate_fixture(const endpoint& server, std::uint32_t slots,
+                 std::optional<cold_start_tolerance> cold_start = std::nullopt);
     ~gate_fixture();
     gate_fixture(const gate_fixture&) = delete;
     gate_fixture& operator=(const gate_fixture&) = delete;
@@ -24,6 +25,7 @@
     /// Sends a request and returns the outcome that the gate reports; without an id if `id` is
     /// empty.
     std::string send(const std::string& id);
+    gate& tested() { return *gate_; }
     /// Requests that wait for a slot.
     std::size_t waiting() const;
 
