The stand-in backend server announces its cold phase

The product's announcements had no field for the rest of a cold phase, so a gate outside of the platform could not know of one. They may have warm_up_s now, and the stand-in sends it for its cold-time.

--- a/src/announcement.cpp
+++ b/src/announcement.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t max_slots = 10'000;
 constexpr std::size_t max_service_name_bytes = 64;
+constexpr double max_warm_up_s = 600;
 
 using json = nlohmann::json;
 
@@ -24,6 +25,8 @@
     out.run = incarnation{in.value("incarnation", std::uint64_t{0})};
     out.load = in.value("load", 0.0);
     out.service_name = service;
+    out.warm_up = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(in.value("warm_up_s", 0.0)));
     return out;
 }
 
@@ -60,6 +63,11 @@
         return announcement_error{"incarnation", "a whole number from 0"};
     if (!is_valid_field(in, "load", is_load, false))
         return announcement_error{"load", "a number of at least 0"};
+    const auto is_warm_up = [](const json& it) {
+        return it.is_number() && it.get<double>() >= 0 && it.get<double>() <= max_warm_up_s;
+    };
+    if (!is_valid_field(in, "warm_up_s", is_warm_up, false))
+        return announcement_error{"warm_up_s", "a number of seconds from 0 to 600"};
     const auto address = parse_endpoint(in["address"].get<std::string>());
     const auto service = in["service"].get<std::string>();
     if (!address || address->port == 0)
--- a/src/announcement.h
+++ b/src/announcement.h
@@ -20,7 +20,7 @@
     std::string name{};         ///< the backend server's own name; empty if it has none
     std::string service_name{}; ///< of `server.service`
     std::uint64_t sequence = 0; ///< increases with each announcement of a run; 0: none
-    duration warm_up{};         ///< time that it remains slow after its start
+    duration warm_up{};         ///< time that it remains cold; 0: it is not cold
 };
 
 /// The first invalid field of an announcement, and which values are allowed.
@@ -29,8 +29,8 @@
     std::string allowed;
 };
 
-/// Parses a JSON object with "service", "address" and "slots", and optionally "draining", "load"
-/// and "incarnation".
+/// Parses a JSON object with "service", "address" and "slots", and optionally "draining", "load",
+/// "incarnation" and "warm_up_s".
 result<announcement, announcement_error> parse_announcement(std::string_view text);
 
 } // namespace jasminebank
--- a/src/announcer.cpp
+++ b/src/announcer.cpp
@@ -16,10 +16,12 @@
 
 std::string to_json(const server_announcement& it)
 {
-    return nlohmann::json{{"service", it.service}, {"address", to_string(it.address)},
-                          {"slots", it.slots},     {"draining", it.draining},
-                          {"load", it.load},       {"incarnation", it.incarnation}}
-        .dump();
+    nlohmann::json out{{"service", it.service}, {"address", to_string(it.address)},
+                       {"slots", it.slots},     {"draining", it.draining},
+                       {"load", it.load},       {"incarnation", it.incarnation}};
+    if (it.warm_up > duration::zero())
+        out["warm_up_s"] = std::chrono::duration<double>(it.warm_up).count();
+    return out.dump();
 }
 
 announcer::announcer(announcer_options options, std::function<server_announcement()> describe)
--- a/src/announcer.h
+++ b/src/announcer.h
@@ -25,6 +25,7 @@
     bool draining = false;
     double load = 0; ///< share of the slots in use, as reported by the backend server
     std::uint64_t incarnation = 0;
+    duration warm_up{}; ///< time that the backend server remains cold
 };
 
 std::string to_json(const server_announcement& it);
--- a/src/fake_backend.cpp
+++ b/src/fake_backend.cpp
@@ -225,7 +225,8 @@
             .slots = options_.slots,
             .draining = draining_,
             .load = reported_load(),
-            .incarnation = incarnation_};
+            .incarnation = incarnation_,
+            .warm_up = std::max(started_ + options_.cold_time - boot_now(), duration::zero())};
 }
 
 // Updates health and load unless the last update is more recent than the mode's report_lag. The
--- a/tests/server_limit_test.cpp
+++ b/tests/server_limit_test.cpp
@@ -1,5 +1,5 @@
-// What backend servers say in their answers about the work that they take, kept by node processes
-// under load.
+// Limits on what a backend server is sent, kept by node processes under load: the rate that it
+// names in its answers, and that of its service while it may be cold.
 
 #include "process_fleet.h"
 #include "run_account.h"
@@ -40,13 +40,14 @@
     return it.is_object() ? it.at("runs").get<std::uint64_t>() : 0;
 }
 
-// Most requests that ran between two samples at most `bound_window` apart.
-std::uint64_t most_in_a_window(const std::vector<run_sample>& samples)
+// Most requests that ran between two samples at most `window` apart.
+std::uint64_t most_in_a_window(const std::vector<run_sample>& samples,
+                               duration window = bound_window)
 {
     std::uint64_t out = 0;
     for (std::size_t a = 0; a < samples.size(); ++a) {
         for (std::size_t b = a; b < samples.size(); ++b) {
-            if (samples[b].after - samples[a].before <= bound_window)
+            if (samples[b].after - samples[a].before <= window)
                 out = std::max(out, samples[b].runs - samples[a].runs);
         }
     }
@@ -96,9 +97,11 @@
         return std::async(std::launch::async, [options] { return load_generator(options).run(); });
     }
 
-    explicit server_limit(const std::string& service_time = "5ms")
+    explicit server_limit(const std::string& service_time = "5ms",
+                          const std::string& further_settings = "")
         : fleet({.services = {{.name = "lids", .service_time = service_time}},
-                 .extra_node_settings = "own_domain_first = no\nother_domain_penalty = 0\n"})
+                 .extra_node_settings =
+                     "own_domain_first = no\nother_domain_penalty = 0\n" + further_settings})
     {
     }
 
@@ -111,6 +114,25 @@
     slow_server_limit() : server_limit("700ms") {}
 };
 
+class cold_server_limit : public server_limit {
+protected:
+    cold_server_limit() : server_limit("5ms", "cold_over = 1.5\ncold_slack = 2\n") {}
+
+    void SetUp() override
+    {
+        const std::string file = fleet.write("cold.ini", "[service lids]\nfloor_slots = 4\n"
+                                                         "warm_up = 10s\nwarm_up_rate = 4\n");
+        ASSERT_EQ(fleet.run_command({"apply", file}).code, 0);
+        ASSERT_TRUE(wait_until([&] {
+            httplib::Client client(fleet.control(0).host, fleet.control(0).port);
+            const httplib::Result answer = client.Get("/metrics");
+            return answer && answer->body.find("_start_limit{") != std::string::npos;
+        }));
+    }
+
+    static constexpr std::uint64_t cold_bound = 8; // 1.5 * 4 + 2
+};
+
 } // namespace
 
 TEST_F(server_limit, backend_server_gets_no_more_than_the_rate_that_it_named)
@@ -150,3 +172,14 @@
     EXPECT_EQ(runs_of(limited), before);
     EXPECT_EQ(report.total.count(answer_kind::ok), report.total.sent);
 }
+
+// Guards against a configuration that does not reach the gate of a registered server, and against
+// nodes that together send a server that may be cold more than the bound.
+TEST_F(cold_server_limit, holds_for_registered_servers_once_the_configuration_names_it)
+{
+    auto load = start_load();
+    const auto samples = sample_runs(limited, load_time);
+    EXPECT_EQ(load.get().total.count(answer_kind::broken), 0U);
+    EXPECT_LE(most_in_a_window(samples, 1s), cold_bound);
+    EXPECT_GT(samples.back().runs, cold_bound);
+}
