--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -2,12 +2,14 @@
 
 // Settings of one node process, read from its INI file.
 
+#include "cold_start.h"
 #include "endpoint.h"
 #include "ini_file.h"
 #include "region_map.h"
 #include "result.h"
 #include "types.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +61,8 @@
     duration fleet_retry_window{};
     region_map_reading regions{}; ///< regions of the failure domains
     bool evacuations = false;     ///< empty failure domains as the platform's store says
+    /// What a cold backend server tolerates above its service's rate; nothing: no limit.
+    std::optional<cold_start_tolerance> cold_start{};
 };
 
 /// Validates a parsed file. The fleet key's file must be readable by its owner only.
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -12,7 +12,8 @@
 
 class gate_fixture {
 public:
-    gate_fixture(const endpoint& server, std::uint32_t slots);
+    gate_fixture(const endpoint& server, std::uint32_t slots,
+                 std::optional<cold_start_tolerance> cold_start = std::nullopt);
     ~gate_fixture();
     gate_fixture(const gate_fixture&) = delete;
     gate_fixture& operator=(const gate_fixture&) = delete;
@@ -26,6 +27,7 @@
     std::string send(const std::string& id);
     /// Begins or ends the evacuation of the gate's failure domain.
     void set_evacuated(bool evacuated);
+    gate& tested() { return *gate_; }
     /// Requests that wait for a slot.
     std::size_t waiting() const;
 
