Metrics: count sent bytes by cause and by how far they go

Nothing told which messages use the links between failure domains and regions. Each node now counts the bytes that it sends to other nodes by cause (heads and bodies of requests and responses, probes, limits, delegations, configuration, membership datagrams and exchanges, relay, health, idempotency, other control messages, other frames) and by scope (same domain, same region, other region, unknown). Frames count with their encoded length as nghttp2 reports it, heads therefore compressed; datagrams with their payload.

The cost per frame is one relaxed addition, and a hash lookup of the path for each control message. A link looks up the scope of its peer again only after the directory has changed.

Until the regions of the failure domains are known to the node, other domains have scope unknown. The sources compile; the new tests have not been run yet.

--- a/src/datagram_socket.cpp
+++ b/src/datagram_socket.cpp
@@ -48,15 +48,16 @@
     close(fd_);
 }
 
-void datagram_socket::send(const endpoint& to, std::string_view bytes)
+bool datagram_socket::send(const endpoint& to, std::string_view bytes)
 {
     sockaddr_in address{};
     if (!to_sockaddr(to, address))
-        return;
+        return false;
     const ssize_t n = sendto(fd_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL,
                              reinterpret_cast<const sockaddr*>(&address), sizeof address);
     if (n > 0)
         bytes_out_ += static_cast<std::uint64_t>(n);
+    return n > 0;
 }
 
 void datagram_socket::receive_loop()
--- a/src/datagram_socket.h
+++ b/src/datagram_socket.h
@@ -25,8 +25,9 @@
     datagram_socket(const datagram_socket&) = delete;
     datagram_socket& operator=(const datagram_socket&) = delete;
 
-    /// Sends without blocking; drops the datagram if the send buffer of the socket is full.
-    void send(const endpoint& to, std::string_view bytes);
+    /// Sends without blocking; drops the datagram if the send buffer of the socket is full. Returns
+    /// whether it was sent.
+    bool send(const endpoint& to, std::string_view bytes);
     /// Payload bytes sent so far, without the IP and UDP headers.
     std::uint64_t bytes_out() const { return bytes_out_; }
 
--- a/src/link_options.h
+++ b/src/link_options.h
@@ -7,6 +7,7 @@
 #include "link_message.h"
 #include "link_stream.h"
 #include "stream_state.h"
+#include "traffic_account.h"
 
 #include <atomic>
 #include <functional>
@@ -48,6 +49,9 @@
     std::size_t max_commands = 16UL * 1024; ///< queued opens, calls and deferred answers
     stream_handler on_stream = {};
     control_handler on_control = {};
+    std::shared_ptr<traffic_account> traffic = {}; ///< counts sent bytes; may be null
+    /// The cause of a control message, by its path; only used with `traffic`.
+    std::function<traffic_cause(std::string_view path)> cause_of_path = {};
 };
 
 /// The limits of each stream. A stream's receive window is replenished in steps of a quarter of the
--- a/src/link_session.cpp
+++ b/src/link_session.cpp
@@ -354,6 +354,24 @@
     return is_request ? context_.counters->requests : context_.counters->control;
 }
 
+// The scope is looked up again only after the known peers have changed.
+void link_session::count_sent(const nghttp2_frame& frame)
+{
+    traffic_account* traffic = context_.options.traffic.get();
+    if (traffic == nullptr)
+        return;
+    const std::uint64_t version = traffic->peers_version();
+    if (phase_ == link_phase::ready && version != scope_version_) {
+        scope_ = traffic->scope_of(id_of<vm_id>(peer_.vm_name));
+        scope_version_ = version;
+    }
+    const bool is_head = frame.hd.type == NGHTTP2_HEADERS;
+    const bool is_message = is_head || frame.hd.type == NGHTTP2_DATA;
+    traffic->add(is_message ? streams_.cause_of(frame.hd.stream_id, is_head)
+                            : traffic_cause::other_frame,
+                 scope_, frame.hd.length + frame_head_bytes);
+}
+
 // Processes the head before counting its frame: only then is it known whether the stream is a
 // request or a control message.
 void link_session::on_frame(const nghttp2_frame& frame)
@@ -392,6 +410,7 @@
     traffic_counter& counter = counter_of(id);
     ++counter.frames_out;
     counter.bytes_out += frame.hd.length + frame_head_bytes;
+    count_sent(frame);
     const bool can_end = frame.hd.type == NGHTTP2_HEADERS || frame.hd.type == NGHTTP2_DATA;
     if (!can_end || (frame.hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
         return;
--- a/src/link_session.h
+++ b/src/link_session.h
@@ -117,6 +117,7 @@
     void on_stream_closed(std::int32_t stream_id, std::uint32_t code);
     ssize_t take_output(std::int32_t stream_id, std::span<char> buf, std::uint32_t& flags);
     traffic_counter& counter_of(std::int32_t stream_id) const;
+    void count_sent(const nghttp2_frame& frame);
 
     link_context& context_;
     link_wire wire_;
@@ -140,6 +141,8 @@
     time_point last_received_at_;
     time_point last_used_at_;
     link_silence silence_;
+    traffic_scope scope_ = traffic_scope::unknown; ///< of the peer, as of `scope_version_`
+    std::uint64_t scope_version_ = 0;
     std::optional<std::string_view> failure_; ///< set in a callback; `fail` is called after it
 };
 
--- a/src/link_streams.cpp
+++ b/src/link_streams.cpp
@@ -48,6 +48,24 @@
     return entry != nullptr && entry->kind == stream_kind::request;
 }
 
+traffic_cause link_streams::cause_of(std::int32_t id, bool is_head) const
+{
+    const stream_entry* entry = table_.find(id);
+    if (entry == nullptr)
+        return traffic_cause::other_frame;
+    if (entry->kind == stream_kind::control)
+        return entry->cause;
+    if (is_caller_)
+        return is_head ? traffic_cause::request_head : traffic_cause::request_body;
+    return is_head ? traffic_cause::response_head : traffic_cause::response_body;
+}
+
+traffic_cause link_streams::cause_of_path(std::string_view path) const
+{
+    const auto& options = context_.options;
+    return options.cause_of_path ? options.cause_of_path(path) : traffic_cause::other_control;
+}
+
 void link_streams::reset(std::int32_t id, std::uint32_t code)
 {
     nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, code);
@@ -124,6 +142,7 @@
     }
     stream_entry& entry = table_.add(id);
     entry.kind = stream_kind::control;
+    entry.cause = cause_of_path(head.path);
     entry.control = std::make_shared<control_exchange>();
     entry.control->out = std::move(it.call->payload);
     entry.control->call = std::move(it.call);
@@ -164,6 +183,7 @@
     }
     table_.count(entry);
     if (entry.kind == stream_kind::control) {
+        entry.cause = cause_of_path(entry.received_head.head.path);
         entry.control = std::make_shared<control_exchange>();
         return;
     }
--- a/src/link_streams.h
+++ b/src/link_streams.h
@@ -50,6 +50,8 @@
     void fail_all(std::string_view reason);
     bool empty() const { return table_.empty(); }
     bool is_request(std::int32_t id) const;
+    /// The cause of a HEADERS or DATA frame that this end sends on the stream.
+    traffic_cause cause_of(std::int32_t id, bool is_head) const;
 
     // Called from the callbacks of nghttp2.
     void on_begun(std::int32_t id) { table_.add(id); }
@@ -64,6 +66,7 @@
     ssize_t take_output(std::int32_t id, std::span<char> buf, std::uint32_t& flags);
 
 private:
+    traffic_cause cause_of_path(std::string_view path) const;
     void submit_request(outgoing_stream it);
     void submit_call(outgoing_stream it);
     std::int32_t submit_head(const message_head& head, stream_kind kind, bool has_body);
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -58,14 +58,22 @@
     perform(actions);
 }
 
+void member_service::send(const send_heartbeat& it)
+{
+    const std::string bytes = encode_heartbeat(it.body, options_.fleet_key);
+    if (bytes.size() > max_heartbeat_bytes || !socket_->send(it.to, bytes) ||
+        options_.traffic == nullptr)
+        return;
+    options_.traffic->add(traffic_cause::member_datagram, options_.traffic->scope_of(it.to),
+                          bytes.size());
+}
+
 void member_service::perform(const membership_actions& actions)
 {
     bool changed = false;
     for (const membership_action& action : actions) {
-        if (const auto* send = std::get_if<send_heartbeat>(&action)) {
-            const std::string bytes = encode_heartbeat(send->body, options_.fleet_key);
-            if (bytes.size() <= max_heartbeat_bytes)
-                socket_->send(send->to, bytes);
+        if (const auto* datagram = std::get_if<send_heartbeat>(&action)) {
+            send(*datagram);
         }
         else if (const auto* exchange = std::get_if<exchange_members>(&action)) {
             member_exchange request;
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -7,6 +7,7 @@
 #include "link_hub.h"
 #include "member_codec.h"
 #include "membership.h"
+#include "traffic_account.h"
 
 #include <condition_variable>
 #include <functional>
@@ -23,6 +24,7 @@
 struct member_service_options {
     membership_options membership;
     std::string fleet_key;
+    std::shared_ptr<traffic_account> traffic = {}; ///< counts sent datagrams; may be null
     std::size_t watchers_per_domain = 2; ///< nodes of a failure domain that watch the store
     /// Called after the directory changed; on any thread, but never concurrently.
     std::function<void(const member_directory&)> on_directory_change;
@@ -78,6 +80,7 @@
     template <class Update>
     void update_membership(Update update);
     void perform(const membership_actions& actions);
+    void send(const send_heartbeat& it);
     void exchange_with(const endpoint& peer, const member_exchange& request);
     void merge_exchange_reply(const endpoint& peer, const member_exchange& it);
     void publish_directory();
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include "control_causes.h"
 #include "log.h"
 #include "system_clock.h"
 
@@ -104,7 +105,9 @@
          .self = {.vm_name = settings_.vm_name, .run = run_},
          .fleet_key = fleet_.fleet_key,
          .on_stream = [this](const std::shared_ptr<link_stream>& it) { accept_stream(it); },
-         .on_control = [this](const control_request& it) { return answer_control(it); }});
+         .on_control = [this](const control_request& it) { return answer_control(it); },
+         .traffic = traffic_,
+         .cause_of_path = cause_of_path});
     if (links_ == nullptr) {
         log_event(event::settings_rejected, "links: cannot listen on {}",
                   to_string(settings_.links));
@@ -338,8 +341,16 @@
     delegations_->set_known_node_count(fleet_.peers.size() + 1);
 }
 
+// Without a map from failure domains to regions, the region of another domain is not known.
+traffic_scope node::scope_of(failure_domain_id) const
+{
+    return traffic_scope::unknown;
+}
+
 void node::apply_directory(const member_directory& directory)
 {
+    traffic_->set_peers(directory, id_of<failure_domain_id>(settings_.failure_domain),
+                        [this](failure_domain_id it) { return scope_of(it); });
     entry_->set_directory(directory);
     health_->set_directory(directory);
     coordinators_->set_directory(directory);
@@ -374,6 +385,7 @@
                            .pingers_per_remote_member =
                                platform_ ? remote_member_pingers : std::size_t{0}},
             .fleet_key = fleet_.fleet_key,
+            .traffic = traffic_,
             .watchers_per_domain = platform_ ? std::size_t{1} : std::size_t{2},
             .on_directory_change = [this](const member_directory& it) { apply_directory(it); },
             .on_newer_config =
--- a/src/node.h
+++ b/src/node.h
@@ -25,6 +25,7 @@
 #include "recall_service.h"
 #include "socket_server.h"
 #include "stop_schedule.h"
+#include "traffic_account.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -79,6 +80,7 @@
     void follow_store();
     void apply_config(const std::shared_ptr<const fleet_config>& config);
     void apply_directory(const member_directory& directory);
+    traffic_scope scope_of(failure_domain_id other) const;
     bool may_serve() const;
     bool must_read_config() const;
     bool process_announcement(const announcement& it);
@@ -107,6 +109,7 @@
     const std::optional<platform_parts> platform_;
     joined_fleet fleet_;
     std::unique_ptr<store_session_base> session_;
+    const std::shared_ptr<traffic_account> traffic_ = std::make_shared<traffic_account>();
     std::unique_ptr<link_hub> links_;
     std::unique_ptr<control_relay> relay_;
     std::unique_ptr<reach_monitor> reach_;
--- a/src/stream_table.h
+++ b/src/stream_table.h
@@ -29,6 +29,7 @@
     std::shared_ptr<stream_state> state;       ///< set for request streams
     std::shared_ptr<control_exchange> control; ///< set for control messages
     incoming_head received_head;
+    traffic_cause cause = traffic_cause::other_control; ///< of a control message
     std::optional<std::uint64_t> head_offset; ///< of the request's head in the link's output
     bool counts_against_limit = false;        ///< on streams of the link
     bool has_head = false;
--- a/tests/link_hub_test.cpp
+++ b/tests/link_hub_test.cpp
@@ -800,3 +800,44 @@
     ASSERT_TRUE(failed(got));
     EXPECT_EQ(error_of(got).kind, link_failure::not_sent);
 }
+
+// Guards against bytes that are counted for the wrong cause or receiver, or not at all.
+TEST(link_hub, sent_bytes_are_counted_by_cause_and_scope)
+{
+    constexpr std::size_t frame_head = 9;
+    const std::string body(1000, 'x');
+    link_options from = options_of("a");
+    from.traffic = std::make_shared<traffic_account>();
+    from.cause_of_path = [](std::string_view path) {
+        return path == "/control/x" ? traffic_cause::limit : traffic_cause::other_control;
+    };
+    link_options to = options_of("b");
+    to.traffic = std::make_shared<traffic_account>();
+    to.on_control = [](const control_request&) { return std::string(300, 'y'); };
+    fixture it(echo, from, to);
+    member_directory directory;
+    directory.merge(
+        {.vm = id_of<vm_id>("b"), .name = "b", .run = {7}, .version = 1, .link = {}, .domain = {}});
+    from.traffic->set_peers(directory, {}, {});
+
+    ASSERT_FALSE(failed(exchange(*it.a, it.b->local(), body)));
+    ASSERT_FALSE(failed(call(*it.a, it.b->local(), std::string(200, 'z'))));
+    it.a->stop();
+    it.b->stop();
+
+    const auto same = traffic_scope::same_domain;
+    const auto unknown = traffic_scope::unknown;
+    const traffic_account& sent = *from.traffic;
+    EXPECT_GE(sent.bytes(traffic_cause::request_body, same), body.size() + frame_head);
+    EXPECT_LT(sent.bytes(traffic_cause::request_body, same), body.size() + 4 * frame_head);
+    EXPECT_GT(sent.bytes(traffic_cause::request_head, same), frame_head);
+    EXPECT_GT(sent.bytes(traffic_cause::limit, same), 200 + 2 * frame_head);
+    EXPECT_EQ(sent.bytes(traffic_cause::response_body, same), 0U);
+    EXPECT_EQ(sent.bytes(traffic_cause::other_control, same), 0U);
+    EXPECT_GT(sent.bytes(traffic_cause::other_frame, unknown), 0U); // the handshake
+    const traffic_account& answered = *to.traffic;
+    EXPECT_GE(answered.bytes(traffic_cause::response_body, unknown), body.size() + frame_head);
+    EXPECT_GT(answered.bytes(traffic_cause::response_head, unknown), frame_head);
+    EXPECT_GT(answered.bytes(traffic_cause::other_control, unknown), 300 + 2 * frame_head);
+    EXPECT_EQ(answered.bytes(traffic_cause::request_body, unknown), 0U);
+}
