Regions of the failure domains, from the settings section [regions]

Restrictions of routes and organisations to regions, and the decision whether a request leaves the region, need to know the region of each failure domain. The announcements of the nodes do not carry it.

A domain that is not listed has no region. A line without a region is reported and ignored.

--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -68,9 +68,9 @@
 result<node_settings, ini_error> read_node_settings(const ini_file& file)
 {
     for (const ini_section& section : file.sections) {
-        if (section.name != "node") {
+        if (section.name != "node" && section.name != regions_section) {
             return ini_error{file.name, section.line,         section.name,
-                             "",        "an unknown section", "[node]"};
+                             "",        "an unknown section", "[node] or [regions]"};
         }
     }
     const ini_section* section = find_section(file, "node");
@@ -93,6 +93,7 @@
     else if (out.store.size() != 1)
         in.reject("store", "one address, with platform = yes");
     read_fleet_settings(in, out);
+    out.regions = read_region_map(file);
     out.port_file = in.text("port_file", "");
     read_limits(in, out);
     out.when_cut_off = in.one_of("when_cut_off", "refuse", {"refuse", "serve"}) == "serve"
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -4,6 +4,7 @@
 
 #include "endpoint.h"
 #include "ini_file.h"
+#include "region_map.h"
 #include "result.h"
 #include "types.h"
 
@@ -56,6 +57,7 @@
     /// 0: no shared limit, each node uses its own retry budget.
     double fleet_retries = 0;
     duration fleet_retry_window{};
+    region_map_reading regions{}; ///< regions of the failure domains
 };
 
 /// Validates a parsed file. The fleet key's file must be readable by its owner only.
--- a/src/types.h
+++ b/src/types.h
@@ -36,6 +36,7 @@
 using route_id = strong_id<struct route_tag>;               ///< hash of the route's name
 using vm_id = strong_id<struct vm_tag>; ///< VM that runs a node; hash of its name
 using failure_domain_id = strong_id<struct failure_domain_tag>; ///< hash of the domain's name
+using region_id = strong_id<struct region_tag>; ///< group of failure domains; hash of its name
 using backend_server_id =
     strong_id<struct backend_server_tag>; ///< upstream server; hash of "host:port"
 
