Metrics: regions of the settings decide the scope of sent bytes

The counters of sent bytes put every other failure domain under scope unknown. They now take the region of each domain from the section [regions] of the settings. A domain that is not listed there stays unknown.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -341,10 +341,10 @@
     delegations_->set_known_node_count(fleet_.peers.size() + 1);
 }
 
-// Without a map from failure domains to regions, the region of another domain is not known.
-traffic_scope node::scope_of(failure_domain_id) const
+traffic_scope node::scope_of(failure_domain_id other) const
 {
-    return traffic_scope::unknown;
+    return scope_of_domain(settings_.regions.map,
+                           id_of<failure_domain_id>(settings_.failure_domain), other);
 }
 
 void node::apply_directory(const member_directory& directory)
--- a/src/traffic_account.cpp
+++ b/src/traffic_account.cpp
@@ -27,6 +27,18 @@
     return scope_names.at(index_of(it));
 }
 
+traffic_scope scope_of_domain(const region_map& regions, failure_domain_id own,
+                              failure_domain_id other)
+{
+    if (own == other)
+        return traffic_scope::same_domain;
+    const auto own_region = regions.region_of(own);
+    const auto other_region = regions.region_of(other);
+    if (!own_region || !other_region)
+        return traffic_scope::unknown;
+    return *own_region == *other_region ? traffic_scope::same_region : traffic_scope::other_region;
+}
+
 void traffic_account::add(traffic_cause cause, traffic_scope scope, std::size_t bytes)
 {
     bytes_[index_of(cause)][index_of(scope)].fetch_add(bytes, std::memory_order_relaxed);
--- a/src/traffic_account.h
+++ b/src/traffic_account.h
@@ -5,6 +5,7 @@
 // their payload; headers of TCP, UDP and IP are not counted.
 
 #include "member_directory.h"
+#include "region_map.h"
 #include "types.h"
 
 #include <array>
@@ -50,6 +51,10 @@
 std::string_view name_of(traffic_cause it);
 std::string_view name_of(traffic_scope it);
 
+/// The scope of traffic from a node of the domain `own` to one of `other`.
+traffic_scope scope_of_domain(const region_map& regions, failure_domain_id own,
+                              failure_domain_id other);
+
 /// The scope of traffic to a node of another failure domain.
 using domain_scope = std::function<traffic_scope(failure_domain_id)>;
 
--- a/tests/traffic_account_test.cpp
+++ b/tests/traffic_account_test.cpp
@@ -50,6 +50,20 @@
     EXPECT_EQ(it.scope_of(endpoint{.host = "127.0.0.1", .port = 14}), traffic_scope::unknown);
 }
 
+// Guards against a domain without a region that counts as near or far.
+TEST(traffic_account, scope_follows_the_regions)
+{
+    region_map regions;
+    regions.assign(own, {10});
+    regions.assign(near, {10});
+    regions.assign(far, {20});
+    EXPECT_EQ(scope_of_domain(regions, own, own), traffic_scope::same_domain);
+    EXPECT_EQ(scope_of_domain(regions, own, near), traffic_scope::same_region);
+    EXPECT_EQ(scope_of_domain(regions, own, far), traffic_scope::other_region);
+    EXPECT_EQ(scope_of_domain(regions, own, {4}), traffic_scope::unknown);
+    EXPECT_EQ(scope_of_domain({}, own, near), traffic_scope::unknown);
+}
+
 // Guards against links that keep counting for the former domain of a node that moved.
 TEST(traffic_account, replaced_peers_change_the_version)
 {
