Router: a policy decides whether a request leaves the domain or the region

Scores compare utilisation, so requests went to other regions long before the own servers were full, and nothing bounded the bytes that all entries together send over the link between regions.

crossing_policy compares the expected times of the answers from the best server of the own domain, the own region and another region with the price of the path. It leaves if the answer comes earlier by more than the price, or if only a server further away answers within the target.

The router asks the policy if router_options::crossing is set, and is unchanged otherwise. The search tells it which servers are excluded only because they had no free slot: they remain places to wait.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -1,6 +1,7 @@
 #include "router.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <cmath>
 
@@ -16,7 +17,27 @@
 // last.
 constexpr double demoted_penalty = 100.0;
 
-router::router(router_options options) : options_(options) {}
+// A gate of another region that reported to be full is not asked again for this long, which is a
+// few round trips between regions. After it, a probe tells whether the gate has room.
+constexpr duration full_report_lifetime = std::chrono::milliseconds(100);
+
+router::router(router_options options) : options_(std::move(options))
+{
+    if (!options_.crossing)
+        return;
+    options_.crossing->self = options_.self;
+    options_.crossing->other_domain_penalty = options_.other_domain_penalty;
+    options_.crossing->other_domain_penalty_per_mb = options_.other_domain_penalty_per_mb;
+    crossing_.emplace(*options_.crossing);
+}
+
+crossing_reach router::reach_of(failure_domain_id domain) const
+{
+    if (domain == options_.domain)
+        return crossing_reach::own_domain;
+    const bool is_far = options_.scope_of(domain) == traffic_scope::other_region;
+    return is_far ? crossing_reach::other_region : crossing_reach::own_region;
+}
 
 // Rebuilds the candidates of each service from the directory. Draining and ejected servers are
 // omitted, so they get no new requests. A server whose node is shutting down remains usable until
@@ -35,7 +56,8 @@
                 continue;
             auto& candidates = (member.leaving ? leaving : services)[it.service];
             candidates.push_back(
-                {.choice = {it.id, member.vm, member.run, member.link, member.leaving},
+                {.choice = {it.id, member.vm, member.run, member.link, member.leaving,
+                            crossing_ ? reach_of(member.domain) : crossing_reach::own_domain},
                  .domain = member.domain,
                  .slots = std::max<std::uint32_t>(it.slots, 1),
                  .standing = it.standing});
@@ -55,6 +77,16 @@
     servers_ = std::move(servers);
 }
 
+void router::set_region_nodes(const member_directory& directory, time_point now)
+{
+    if (!crossing_)
+        return;
+    const auto count = std::ranges::count_if(directory.members(), [this](const auto& it) {
+        return reach_of(it.domain) != crossing_reach::other_region;
+    });
+    crossing_->set_region_nodes(static_cast<std::size_t>(count), now);
+}
+
 // Limits the candidates to the subset size. Servers of the own domain come first; within the own
 // and the other domains, rendezvous hashing of this node and the server decides. The subsets of all
 // nodes thus spread evenly over the servers and change little when servers join or leave.
@@ -103,13 +135,16 @@
     return out;
 }
 
+bool router::is_usable(const candidate& it, const route_request& wanted, time_point now) const
+{
+    return std::ranges::find(wanted.excluded, it.choice.server) == wanted.excluded.end() &&
+           is_available(it, wanted, now);
+}
+
 // A server on trial gets idempotent requests only. Its gate admits one of them at a time and
 // refuses the others as overloaded.
-bool router::is_usable(const candidate& it, const route_request& wanted, time_point now) const
+bool router::is_available(const candidate& it, const route_request& wanted, time_point now) const
 {
-    if (std::find(wanted.excluded.begin(), wanted.excluded.end(), it.choice.server) !=
-        wanted.excluded.end())
-        return false;
     if (it.standing == server_standing::on_trial && !wanted.idempotent)
         return false;
     if (unreachable_gates_.contains(it.choice.gate))
@@ -141,11 +176,13 @@
 // loaded. The balance is close to that of a full search, but nodes with the same stale loads do not
 // all choose the same server.
 std::optional<route_choice> router::choose(const route_request& wanted, std::uint64_t random,
-                                           time_point now) const
+                                           time_point now)
 {
     const auto found = services_.find(wanted.service);
     if (found == services_.end())
         return std::nullopt;
+    if (crossing_)
+        return choose_by_reach(found->second, wanted, random, now);
     std::vector<const candidate*> own;
     std::vector<const candidate*> all;
     bool is_own_free = false;
@@ -172,6 +209,82 @@
     return is_own_better ? best_own->choice : best_overall->choice;
 }
 
+// The requests ahead of a new one in excess of the slots, per slot: as the gate reported them,
+// decayed, or this node's own if they are more. Penalties are those of `score`.
+double router::expected_wait(const candidate& it, time_point now) const
+{
+    const server_state& state = servers_.at(it.choice.server);
+    const double age = std::chrono::duration<double>(now - state.load_time).count();
+    const double decay_time = std::chrono::duration<double>(options_.load_decay_time).count();
+    const double slots = it.slots;
+    const double ahead =
+        std::max(state.load * std::exp(-age / decay_time), state.in_flight / slots);
+    double out = std::max(0.0, ahead + 1 / slots - 1);
+    if (it.choice.is_leaving)
+        out += options_.leaving_penalty;
+    if (it.standing == server_standing::demoted)
+        out += demoted_penalty;
+    if (now < state.suspected_until)
+        out += suspected_penalty;
+    return out;
+}
+
+bool router::has_room(const candidate& it, time_point now) const
+{
+    const server_state& state = servers_.at(it.choice.server);
+    const bool is_report_full = state.load >= 1 && now - state.load_time < full_report_lifetime;
+    return !is_report_full && state.in_flight < it.slots;
+}
+
+// The best server that the request may be sent to; without one, the best of those where it could
+// only wait.
+router::reach_choice router::best_within(crossing_reach reach,
+                                         const std::vector<candidate>& candidates,
+                                         const route_request& wanted, std::uint64_t random,
+                                         time_point now) const
+{
+    std::vector<const candidate*> offered;
+    std::vector<const candidate*> full;
+    const bool is_far = reach == crossing_reach::other_region;
+    for (const candidate& it : candidates) {
+        if (it.choice.reach != reach || (is_far && !has_room(it, now)))
+            continue;
+        if (is_usable(it, wanted, now))
+            offered.push_back(&it);
+        else if (std::ranges::find(wanted.full, it.choice.server) != wanted.full.end() &&
+                 is_available(it, wanted, now))
+            full.push_back(&it);
+    }
+    const auto& from = offered.empty() ? full : offered;
+    return {.server = pick_least_loaded(from, wanted, random, now), .is_offered = !offered.empty()};
+}
+
+std::optional<route_choice> router::choose_by_reach(const std::vector<candidate>& candidates,
+                                                    const route_request& wanted,
+                                                    std::uint64_t random, time_point now)
+{
+    std::array<reach_choice, crossing_reaches> choices;
+    crossing_request request{.service = wanted.service,
+                             .bytes = wanted.bytes,
+                             .service_time = wanted.service_time,
+                             .target = wanted.target,
+                             .time_left = wanted.time_left};
+    for (std::size_t n = 0; n < crossing_reaches; ++n) {
+        const auto reach = static_cast<crossing_reach>(n);
+        choices.at(n) = best_within(reach, candidates, wanted, mix(random, ~std::uint64_t{n}), now);
+        if (choices.at(n).server != nullptr)
+            request.best.at(n) = {.wait = expected_wait(*choices.at(n).server, now),
+                                  .is_offered = choices.at(n).is_offered};
+    }
+    const auto reach = crossing_->decide(request, now);
+    if (!reach)
+        return std::nullopt;
+    route_choice out = choices.at(static_cast<std::size_t>(*reach)).server->choice;
+    out.expected_bytes = wanted.bytes;
+    out.needs_probe = *reach == crossing_reach::other_region && servers_.at(out.server).load >= 1;
+    return out;
+}
+
 std::unordered_map<service_id, std::size_t> router::candidate_counts() const
 {
     std::unordered_map<service_id, std::size_t> out;
--- a/src/router.h
+++ b/src/router.h
@@ -4,6 +4,7 @@
 // servers by the power of two random choices, with a preference for the node's own failure domain.
 // The gate of a backend server is the node that admits the requests to it.
 
+#include "crossing_policy.h"
 #include "member_directory.h"
 #include "types.h"
 
@@ -30,6 +31,11 @@
     /// Random candidates that each choice compares: this many of the own domain, and this many of
     /// all domains.
     std::size_t draws = 2;
+    /// With these, a policy decides how far each request goes. Its penalties for other domains are
+    /// those above.
+    std::optional<crossing_options> crossing{};
+    /// How far away another failure domain is; required with `crossing`.
+    domain_scope scope_of{};
     /// A gate gets no requests for this long after its link failed.
     duration gate_pause = std::chrono::seconds(1);
 };
@@ -39,8 +45,13 @@
     service_id service;
     bool idempotent = false;                       ///< may be sent to a server on trial
     std::span<const backend_server_id> excluded{}; ///< backend servers that were tried already
-    std::size_t bytes = 0;                         ///< expected size of body and response
-    bool examines_all = false;                     ///< compare all candidates, not a random sample
+    /// Those of them that are excluded only while other servers may have a free slot.
+    std::span<const backend_server_id> full{};
+    std::size_t bytes = 0;                ///< expected size of body and response
+    bool examines_all = false;            ///< compare all candidates, not a random sample
+    duration service_time{};              ///< expected, without waiting for a slot
+    duration target{};                    ///< what is left of the target latency; 0: no target
+    duration time_left = duration::max(); ///< until the deadline
 };
 
 /// The chosen backend server and the gate that the request is sent to.
@@ -50,6 +61,9 @@
     incarnation gate_run; ///< incarnation of the gate's process
     endpoint gate_link;
     bool is_leaving = false; ///< the gate's node is shutting down
+    crossing_reach reach{};  ///< how far away it is; set with `router_options::crossing` only
+    bool needs_probe = false;       ///< it is in another region, and its last report was full
+    std::size_t expected_bytes = 0; ///< taken from the link to other regions, if it is there
 };
 
 /// One node's view of the backend servers and their load. Not thread-safe.
@@ -59,9 +73,12 @@
 
     /// Replaces the candidates by those in `directory`; servers that remain keep their load.
     void update(const member_directory& directory);
+    /// Divides the link to other regions among the nodes of the own region; without
+    /// `router_options::crossing` it does nothing.
+    void set_region_nodes(const member_directory& directory, time_point now);
     /// A server for `wanted`, or nothing if none is usable. `random` is uniformly distributed.
     std::optional<route_choice> choose(const route_request& wanted, std::uint64_t random,
-                                       time_point now) const;
+                                       time_point now);
     /// The number of candidates of each service.
     std::unordered_map<service_id, std::size_t> candidate_counts() const;
     /// Counts a request as in flight at the server.
@@ -80,6 +97,8 @@
     /// Sets whether a gate answers probes on its link; its servers get no requests while it does
     /// not.
     void set_reachable(vm_id gate, bool reachable);
+    /// The decisions on how far requests go; null without `router_options::crossing`.
+    crossing_policy* crossing() { return crossing_ ? &*crossing_ : nullptr; }
 
 private:
     struct candidate {
@@ -95,14 +114,30 @@
         time_point suspected_until{};
     };
 
+    struct reach_choice {
+        const candidate* server = nullptr;
+        bool is_offered = true; // false: it had no free slot for this request
+    };
+
     double score(const candidate& it, std::size_t bytes, time_point now) const;
+    double expected_wait(const candidate& it, time_point now) const;
+    bool has_room(const candidate& it, time_point now) const;
+    crossing_reach reach_of(failure_domain_id domain) const;
+    reach_choice best_within(crossing_reach reach, const std::vector<candidate>& candidates,
+                             const route_request& wanted, std::uint64_t random,
+                             time_point now) const;
+    std::optional<route_choice> choose_by_reach(const std::vector<candidate>& candidates,
+                                                const route_request& wanted, std::uint64_t random,
+                                                time_point now);
     const candidate* pick_least_loaded(std::span<const candidate* const> candidates,
                                        const route_request& wanted, std::uint64_t random,
                                        time_point now) const;
     bool is_usable(const candidate& it, const route_request& wanted, time_point now) const;
+    bool is_available(const candidate& it, const route_request& wanted, time_point now) const;
     void limit_to_subset(std::vector<candidate>& candidates) const;
 
     router_options options_;
+    std::optional<crossing_policy> crossing_;
     std::unordered_map<service_id, std::vector<candidate>> services_;
     std::unordered_map<backend_server_id, server_state> servers_;
     std::unordered_map<vm_id, time_point> paused_gates_;
--- a/src/server_search.cpp
+++ b/src/server_search.cpp
@@ -53,9 +53,11 @@
     out.excluded = reached_;
     if (stage_ == search_stage::free_slots || stage_ == search_stage::waiting)
         out.excluded.insert(out.excluded.end(), suspected_.begin(), suspected_.end());
-    if (stage_ == search_stage::free_slots)
+    if (stage_ == search_stage::free_slots) {
         out.excluded.insert(out.excluded.end(), without_free_slot_.begin(),
                             without_free_slot_.end());
+        out.full = without_free_slot_;
+    }
     return out;
 }
 
--- a/src/server_search.h
+++ b/src/server_search.h
@@ -24,7 +24,8 @@
 struct search_step {
     duration pause{};
     std::vector<backend_server_id> excluded;
-    bool consider_all_servers = false; ///< compare all servers instead of a few drawn at random
+    std::vector<backend_server_id> full; ///< excluded only while others may have a free slot
+    bool consider_all_servers = false;   ///< compare all servers instead of a few drawn at random
 };
 
 /// Not thread-safe.
