Bench: leaving the domain and the region under demand that moves

A seeded model without a network plays five loads on four failure domains of two regions with servers 4, 2, 2, 1, once with the present scores and once with the policy. Both get the same demand. It prints what callers got, the bytes between domains and regions, and a signature.

--- a/src/bench_main.cpp
+++ b/src/bench_main.cpp
@@ -1,6 +1,7 @@
-// bench: runs seeded simulations of failure detection and rate limiting without sockets. Prints
-// the measured figures and a signature of all decisions, which shows changes of behaviour.
+// bench: runs seeded simulations of placement, failure detection and rate limiting without sockets.
+// Prints the measured figures and a signature of all decisions, which shows changes of behaviour.
 
+#include "bench_crossing.h"
 #include "bench_detection.h"
 #include "bench_limits.h"
 #include "bench_report.h"
@@ -27,6 +28,7 @@
 
 // Sorted by name.
 constexpr std::array workloads{
+    workload{"crossing", "leaving the failure domain and the region", bench_crossing},
     workload{"detection", "delay of finding failing backend servers", run_detection},
     workload{"false_alarms", "100 hours of healthy traffic (only by name)", run_false_alarms, true},
     workload{"limits", "rate and burst of organisations over the fleet", bench_limits},
