Entry: settings and data for the policy on other regions

The policy needs the expected service time, the target and the deadline of a request, the size of its bytes, round trips, and whether a gate far away has room.

- Settings other_region_penalty, other_region_penalty_per_mb and region_link.
The policy is used if one of them is set and [regions] names more than one region; otherwise routing, probes and messages are as before.
- The service time is estimated from answers whose gate reported no more requests than slots.
- The bytes taken from the link are corrected when the answer names its length.
A body of unknown length counts as the largest allowed one.
- A gate of another region whose last report was full, or that has not answered recently, is probed before any part of the request is sent.
The probe names the backend server, and the response has its load; the request goes there only if it is below 1.
- Metrics of requests and bytes by reach, of requests denied by the link's share, and of what is left of it; events 420 and 421 when a service starts or stops to go further.

--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -5,6 +5,8 @@
 #include "socket_server.h"
 #include "system_clock.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -35,16 +37,19 @@
             .state = run_state::unknown};
 }
 
-std::optional<double> load_of(const message_head& answer)
+std::optional<double> parse_load(std::string_view text)
 {
-    const std::string* text = find_field(answer, load_field);
     double out = 0;
-    if (text == nullptr)
-        return std::nullopt;
-    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), out);
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
     return ec == std::errc{} && std::isfinite(out) ? std::optional(out) : std::nullopt;
 }
 
+std::optional<double> load_of(const message_head& answer)
+{
+    const std::string* text = find_field(answer, load_field);
+    return text == nullptr ? std::nullopt : parse_load(*text);
+}
+
 // Reads until `limit`, in steps after which `caller_left` is asked.
 template <std::predicate CallerLeft>
 result<std::size_t, link_error> read_until(link_stream& stream, std::span<char> buf,
@@ -156,24 +161,28 @@
         it.refused->reason = refusal::stopping;
 }
 
-bool probe_gate(link_hub& links, const endpoint& link, duration timeout)
+std::optional<gate_probe> probe_gate(link_hub& links, const endpoint& link, duration timeout,
+                                     std::optional<backend_server_id> server)
 {
     struct reply {
         std::mutex mutex;
         std::condition_variable arrived;
-        std::optional<bool> answered;
+        std::optional<result<std::string, link_error>> answer;
     };
     const auto pending = std::make_shared<reply>();
     const auto take = [pending](const result<std::string, link_error>& it) {
         const std::lock_guard lock(pending->mutex);
-        pending->answered = !failed(it);
+        pending->answer = it;
         pending->arrived.notify_one();
     };
-    if (!links.call(link, std::string(probe_path), "-", timeout, take))
-        return false;
+    const std::string payload = server ? fmt::format("{:016x}", server->value) : std::string("-");
+    if (!links.call(link, std::string(probe_path), payload, timeout, take))
+        return std::nullopt;
     std::unique_lock lock(pending->mutex);
-    pending->arrived.wait_for(lock, timeout, [&] { return pending->answered.has_value(); });
-    return pending->answered.value_or(false);
+    pending->arrived.wait_for(lock, timeout, [&] { return pending->answer.has_value(); });
+    if (!pending->answer || failed(*pending->answer))
+        return std::nullopt;
+    return gate_probe{.load = parse_load(value_of(*pending->answer))};
 }
 
 bool write_body(link_stream& stream, std::span<const char> bytes, const answer_limit& limit)
--- a/src/dispatch_attempt.h
+++ b/src/dispatch_attempt.h
@@ -67,9 +67,16 @@
 /// attempt, and the caller has received no part of it.
 void receive_answer(dispatch_attempt& it, std::size_t prefetch_bytes, const answer_limit& limit);
 
-/// Sends a probe to the node at `link` and returns whether it answers within `timeout`. Without a
-/// probe, the loss of bytes sent to a node that has just become unreachable would go unnoticed.
-bool probe_gate(link_hub& links, const endpoint& link, duration timeout);
+/// A gate's response to a probe.
+struct gate_probe {
+    std::optional<double> load; ///< of the backend server, as with answers, if the gate knows it
+};
+
+/// Sends a probe to the node at `link`, which asks for the load of `server` if there is one;
+/// nothing if the node does not answer within `timeout`. Without a probe, the loss of bytes sent to
+/// a node that has just become unreachable would go unnoticed.
+std::optional<gate_probe> probe_gate(link_hub& links, const endpoint& link, duration timeout,
+                                     std::optional<backend_server_id> server = std::nullopt);
 
 /// Writes the whole body. Returns false when the stream fails, the caller disconnects or `limit` is
 /// reached; the last two are checked periodically while the gate accepts no more bytes.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -150,6 +150,7 @@
 {
     const std::lock_guard lock(mutex_);
     router_.update(directory);
+    router_.set_region_nodes(directory, boot_now());
     std::erase_if(gate_last_response_,
                   [&](const auto& it) { return directory.find(it.first) == nullptr; });
 }
@@ -300,18 +301,67 @@
                                                  const search_step& step)
 {
     const std::lock_guard lock(mutex_);
-    auto out =
-        router_.choose({.service = request.service->id,
-                        .idempotent = request.idempotent,
-                        .excluded = step.excluded,
-                        .bytes = request.body_bytes + estimates_.expected_bytes(request.route->id),
-                        .examines_all = step.consider_all_servers},
-                       random_(), boot_now());
+    const time_point now = boot_now();
+    auto out = router_.choose(route_request_of(request, step, now), random_(), now);
     if (out)
         router_.started(out->server);
+    if (router_.crossing() != nullptr)
+        log_crossing_changes(*request.config);
     return out;
 }
 
+// A body of unknown size may take as much of a link between regions as the largest one.
+route_request entry::route_request_of(const admitted_request& request, const search_step& step,
+                                      time_point now)
+{
+    route_request out{.service = request.service->id,
+                      .idempotent = request.idempotent,
+                      .excluded = step.excluded,
+                      .full = step.full,
+                      .bytes = request.body_bytes + estimates_.expected_bytes(request.route->id),
+                      .examines_all = step.consider_all_servers};
+    if (router_.crossing() == nullptr)
+        return out;
+    if (request.is_length_unknown)
+        out.bytes += request.config->max_body_bytes;
+    const duration target = request.route->target_latency;
+    out.service_time = service_times_.expected_latency(target);
+    if (target > duration::zero())
+        out.target = std::max(request.start + target - now, duration(1));
+    out.time_left = request.deadline - now;
+    return out;
+}
+
+void entry::log_crossing_changes(const fleet_config& config)
+{
+    for (const crossing_change& it : router_.crossing()->take_changes()) {
+        const auto service = std::ranges::find(config.services, it.service, &service_config::id);
+        log_event(it.starts ? event::crossing_started : event::crossing_stopped,
+                  "service={} reach={}",
+                  service == config.services.end() ? "unknown" : service->name, name_of(it.reach));
+    }
+}
+
+std::string entry::crossing_metrics()
+{
+    const std::lock_guard lock(mutex_);
+    crossing_policy* it = router_.crossing();
+    return it == nullptr ? std::string() : crossing_text(it->counts(), it->link_bytes(boot_now()));
+}
+
+// Corrects what was taken from the link between regions, once the size of the answer is known.
+void entry::settle_crossing(const admitted_request& request, const dispatch_attempt& it,
+                            time_point now)
+{
+    crossing_policy* policy = router_.crossing();
+    if (policy == nullptr || it.choice.reach != crossing_reach::other_region || !it.answer)
+        return;
+    if (request.is_length_unknown)
+        return;
+    const std::size_t answer = std::max(length_of(*it.answer).value_or(0), it.body.size());
+    policy->settle(it.choice.expected_bytes, request.body_bytes + answer, now);
+}
+
 // Chooses the server for the next attempt. When no server fits, the search goes on to its next
 // stage: servers with a free slot, then waiting for a slot, then suspected servers as well.
 std::optional<route_choice> entry::choose_next_server(const admitted_request& request,
@@ -392,6 +442,7 @@
     const organisation_id owner =
         request.organisation == nullptr ? organisation_id{} : request.organisation->id;
     request.body_bytes = length.value_or(0);
+    request.is_length_unknown = reader != nullptr && !length;
     request.fingerprint = fingerprint_of(owner, request.route->id, head.method,
                                          head.path + '\n' + to_hex(digest_of(body)));
     if (const duration wait = options_.poison_time_left(request.fingerprint);
@@ -446,9 +497,11 @@
         const auto choice = choose_next_server(request, progress.search);
         if (!choice)
             break;
-        if (!is_gate_alive(request, *choice)) {
-            progress.unresponsive_gates += choice->is_leaving ? 0 : 1;
-            progress.search.on_refused(choice->server, refusal::no_backend_server);
+        if (const gate_state gate = check_gate(request, *choice); gate != gate_state::ready) {
+            const bool is_full = gate == gate_state::full;
+            progress.unresponsive_gates += choice->is_leaving || is_full ? 0 : 1;
+            progress.search.on_refused(choice->server,
+                                       is_full ? refusal::overloaded : refusal::no_backend_server);
             continue;
         }
         dispatch_attempt it = open_attempt(context, progress.search, *choice, false);
@@ -523,8 +576,9 @@
 }
 
 // Bytes sent to a node that has just crashed or become unreachable are lost without an error, so a
-// gate without a recent response is probed first.
-bool entry::is_gate_alive(const admitted_request& request, const route_choice& choice)
+// gate without a recent response is probed first. Its response says whether the server has room: no
+// body is sent to another region without that.
+entry::gate_state entry::check_gate(const admitted_request& request, const route_choice& choice)
 {
     const duration liveness_window = request.idempotent
                                          ? options_.gate_liveness_window_if_idempotent
@@ -532,26 +586,34 @@
     {
         const std::lock_guard lock(mutex_);
         const auto last_response = gate_last_response_.find(choice.gate);
-        const bool is_recent = last_response != gate_last_response_.end() &&
+        const bool is_recent = !choice.needs_probe && last_response != gate_last_response_.end() &&
                                boot_now() - last_response->second < liveness_window;
         if (is_recent || choice.gate == self_)
-            return true;
+            return gate_state::ready;
     }
-    const bool is_responsive = probe_gate(links_, choice.gate_link, gate_probe_timeout);
-    if (!is_responsive && !choice.is_leaving)
+    const time_point sent = boot_now();
+    const bool is_far = choice.reach == crossing_reach::other_region;
+    const auto probe = probe_gate(links_, choice.gate_link, gate_probe_timeout,
+                                  is_far ? std::optional(choice.server) : std::nullopt);
+    if (!probe && !choice.is_leaving)
         options_.on_gate_failed(choice.gate);
     const std::lock_guard lock(mutex_);
     const time_point now = boot_now();
-    if (is_responsive) {
+    if (probe) {
         gate_last_response_[choice.gate] = now;
-        return true;
+        if (router_.crossing() != nullptr)
+            router_.crossing()->add_round_trip(choice.reach, now - sent);
+        if (!is_far || probe->load.value_or(0) < 1)
+            return gate_state::ready;
+        router_.finished(choice.server, probe->load, now);
+        return gate_state::full;
     }
     router_.finished(choice.server, std::nullopt, now);
     if (choice.is_leaving)
         router_.gate_closed(choice.gate, choice.gate_run);
     else
         router_.gate_failed(choice.gate, now);
-    return false;
+    return gate_state::silent;
 }
 
 // Time at which an idempotent request is also sent to another server, because it takes longer than
@@ -740,8 +802,11 @@
     if (!is_successful(it))
         return;
     const std::lock_guard lock(mutex_);
-    estimates_.add_sample(request.route->id, request.route->target_latency, boot_now() - it.start,
-                          it.body.size());
+    const duration latency = boot_now() - it.start;
+    const duration target = request.route->target_latency;
+    estimates_.add_sample(request.route->id, target, latency, it.body.size());
+    if (it.load.value_or(0) <= 1)
+        service_times_.add_sample(request.route->id, target, latency, it.body.size());
 }
 
 void entry::record_attempt_end(const attempt_context& context, const dispatch_attempt& it)
@@ -765,6 +830,7 @@
     if (it.gate_failed)
         router_.gate_failed(it.choice.gate, now);
     router_.finished(it.choice.server, it.load, now);
+    settle_crossing(context.request, it, now);
     if (it.refused && it.refused->reason == refusal::suspect)
         router_.refused(it.choice.server, true, it.load, now);
     else if (it.refused && it.refused->reason == refusal::overloaded)
--- a/src/entry.h
+++ b/src/entry.h
@@ -75,8 +75,9 @@
     const route_config* route = nullptr;
     const service_config* service = nullptr;
     bool idempotent = false;
-    bool is_nested = false;     ///< sent by a backend server while it runs another request
-    std::size_t body_bytes = 0; ///< announced size of the body
+    bool is_nested = false;         ///< sent by a backend server while it runs another request
+    std::size_t body_bytes = 0;     ///< announced size of the body
+    bool is_length_unknown = false; ///< the body is streamed without an announced size
     time_point start;
     time_point deadline;
     request_fingerprint fingerprint{}; ///< set before the dispatch
@@ -101,6 +102,8 @@
     };
     using retry_count_table = std::map<std::string, retry_count, std::less<>>;
     retry_count_table retry_counts() const;
+    /// Metric lines on how far requests are sent; empty without the policy for other regions.
+    std::string crossing_metrics();
     /// Number of backend servers of each service that requests may be sent to.
     std::unordered_map<service_id, std::size_t> backend_server_counts() const;
     /// Metrics of the requests served so far.
@@ -140,7 +143,13 @@
                                               const search_step& step);
     std::optional<route_choice> choose_next_server(const admitted_request& request,
                                                    server_search& search);
-    bool is_gate_alive(const admitted_request& request, const route_choice& choice);
+    enum class gate_state : std::uint8_t { ready, silent, full };
+    gate_state check_gate(const admitted_request& request, const route_choice& choice);
+    route_request route_request_of(const admitted_request& request, const search_step& step,
+                                   time_point now);
+    void log_crossing_changes(const fleet_config& config);
+    void settle_crossing(const admitted_request& request, const dispatch_attempt& it,
+                         time_point now);
     std::optional<reported_notice> notice_of(backend_server_id server) const;
     dispatch_attempt open_attempt(const attempt_context& context, const server_search& search,
                                   const route_choice& choice, bool is_trial);
@@ -173,6 +182,7 @@
     retry_budget retry_budget_;
     retry_count_table retry_counts_;
     answer_estimate estimates_;
+    answer_estimate service_times_; ///< of answers that did not wait for a slot
     notice_cache notices_;
     std::unordered_map<vm_id, time_point> gate_last_response_; ///< time of the last response
     std::mt19937_64 random_{std::random_device{}()};
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <utility>
 
 namespace jasminebank {
@@ -297,6 +298,19 @@
     return out;
 }
 
+std::string gate::answer_probe(std::string_view payload) const
+{
+    constexpr int hexadecimal = 16;
+    std::uint64_t id = 0;
+    const auto [end, ec] =
+        std::from_chars(payload.data(), payload.data() + payload.size(), id, hexadecimal);
+    if (ec != std::errc{})
+        return "-";
+    const std::lock_guard lock(mutex_);
+    const auto it = servers_.find(backend_server_id{id});
+    return it == servers_.end() ? "-" : fmt::format("{:.3f}", load_factor(it->second));
+}
+
 server_load gate::current_load(backend_server_id server, time_point now) const
 {
     server_load out{.server = server};
--- a/src/gate.h
+++ b/src/gate.h
@@ -76,6 +76,8 @@
     std::vector<server_record> servers() const;
     /// Current load of each of them.
     std::vector<server_load> loads(time_point now) const;
+    /// Answers a probe: the load of the backend server that it names, "-" if it names none here.
+    std::string answer_probe(std::string_view payload) const;
     /// Queues, starts or refuses a request received over a link. Never blocks.
     void accept(const std::shared_ptr<link_stream>& stream);
     /// Refuses new and waiting requests; running ones continue. Never blocks.
--- a/src/log.h
+++ b/src/log.h
@@ -45,6 +45,8 @@
     retry_decided = 411,
     dispatch_refused = 412,
     attempt_lost = 413, ///< an attempt ended without a response of the gate
+    crossing_started = 420, ///< requests of a service leave the failure domain or the region
+    crossing_stopped = 421,
     config_in_force = 500,
     config_rejected = 501,
     config_unreadable = 502,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -27,6 +27,7 @@
 // Nodes of each failure domain that ping a member of another one. More than one, so that a single
 // cut link does not make a suspect.
 constexpr std::size_t remote_member_pingers = 3;
+constexpr double bytes_per_megabit = 1e6 / 8;
 constexpr int ok_status = 200;
 constexpr int first_server_error_status = 500;
 constexpr int unavailable_status = 503;
@@ -212,12 +213,27 @@
                                          ? settings_.retry_share * usable_share_of_retry_bound
                                          : settings_.retry_share,
                       .take_shared_retry = make_shared_retry_limiter()},
-        *links_,
-        router_options{.self = id_of<vm_id>(settings_.vm_name),
-                       .domain = id_of<failure_domain_id>(settings_.failure_domain),
-                       .other_domain_penalty = settings_.other_domain_penalty,
-                       .other_domain_penalty_per_mb = settings_.other_domain_penalty_per_mb,
-                       .own_domain_first = settings_.own_domain_first});
+        *links_, make_router_options());
+}
+
+// The policy for other regions is used only where there are some, and a setting says what they
+// cost.
+router_options node::make_router_options() const
+{
+    const bool is_set = settings_.other_region_penalty > 0 ||
+                        settings_.other_region_penalty_per_mb > 0 || settings_.region_link > 0;
+    const crossing_options crossing{.other_region_penalty = settings_.other_region_penalty,
+                                    .other_region_penalty_per_mb =
+                                        settings_.other_region_penalty_per_mb,
+                                    .region_link = settings_.region_link * bytes_per_megabit};
+    return {.self = id_of<vm_id>(settings_.vm_name),
+            .domain = id_of<failure_domain_id>(settings_.failure_domain),
+            .other_domain_penalty = settings_.other_domain_penalty,
+            .other_domain_penalty_per_mb = settings_.other_domain_penalty_per_mb,
+            .own_domain_first = settings_.own_domain_first,
+            .crossing = is_set && settings_.regions.map.region_count() > 1 ? std::optional(crossing)
+                                                                           : std::nullopt,
+            .scope_of = [this](failure_domain_id it) { return scope_of(it); }};
 }
 
 // Returns a function that takes a retry token from the limit shared by all nodes, or an empty
@@ -607,7 +623,7 @@
         return feed_ != nullptr ? feed_->answer(request.payload)
                                 : follower_->answer(request.payload);
     if (request.path == probe_path)
-        return std::string("-");
+        return gate_->answer_probe(request.payload);
     if (request.path == relay_path)
         return relay_->forward(request);
     if (request.path == relayed_path) {
--- a/src/node.h
+++ b/src/node.h
@@ -81,6 +81,7 @@
     void apply_config(const std::shared_ptr<const fleet_config>& config);
     void apply_directory(const member_directory& directory);
     traffic_scope scope_of(failure_domain_id other) const;
+    router_options make_router_options() const;
     bool may_serve() const;
     bool must_read_config() const;
     bool process_announcement(const announcement& it);
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -179,7 +179,7 @@
     add("limit_refused_total", "counter", limits.refused);
     add("limit_without_holder_total", "counter", limits.no_holder);
     add("limit_requests_total", "counter", limits.requests);
-    out += traffic_->text();
+    out += traffic_->text() + entry_->crossing_metrics();
     append_retries(out, entry_->retry_counts());
     append_servers(out, gate_->loads(boot_now()));
     if (config != nullptr)
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -50,9 +50,14 @@
     double hedge_after = 0;
     double other_domain_penalty = 1.0;      ///< added to scores of other domains; 1: a full server
     double other_domain_penalty_per_mb = 0; ///< added in addition, per MB of body
-    duration ping_period{};                 ///< interval between heartbeats
-    bool own_domain_first = true;           ///< use other domains only if the own one is full
-    double retry_share = 0.1;               ///< allowed retries per recent success of a service
+    double other_region_penalty = 0;        ///< added in addition for other regions
+    double other_region_penalty_per_mb = 0; ///< added in addition, per MB of body
+    /// Megabits a second that all nodes of a region together may cause between regions; 0: no
+    /// bound.
+    double region_link = 0;
+    duration ping_period{};       ///< interval between heartbeats
+    bool own_domain_first = true; ///< use other domains only if the own one is full
+    double retry_share = 0.1;     ///< allowed retries per recent success of a service
     /// Retries that all nodes together may send to a service per window, regardless of successes;
     /// 0: no shared limit, each node uses its own retry budget.
     double fleet_retries = 0;
--- a/src/region_map.cpp
+++ b/src/region_map.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <unordered_set>
 
 namespace jasminebank {
 
@@ -29,6 +30,14 @@
     return it->second;
 }
 
+std::size_t region_map::region_count() const
+{
+    std::unordered_set<region_id> out;
+    for (const auto& [domain, region] : regions_)
+        out.insert(region);
+    return out.size();
+}
+
 bool region_map::is_allowed(failure_domain_id domain, const allowed_regions& allowed) const
 {
     if (!allowed)
--- a/src/region_map.h
+++ b/src/region_map.h
@@ -34,6 +34,8 @@
     /// True if the request may be served in `domain`. A domain without a region serves only
     /// requests that are not restricted.
     bool is_allowed(failure_domain_id domain, const allowed_regions& allowed) const;
+    /// The number of different regions.
+    std::size_t region_count() const;
     /// True if no domain has a region.
     bool empty() const { return regions_.empty(); }
 
