Members: the nodes of a region share the pings to another region

Each failure domain had three nodes that ping a member of another domain, so a region of several domains pinged each member of another region several times over, and every node also the members of its round that only its own domain had to watch.

With regions in the settings, three nodes of the whole own region ping each member of another region. A node still pings at least one member of every other domain. Without regions nothing changes.

Killed members of either region are still removed, and a region that is cut off removes nobody.

--- a/src/domain_contacts.cpp
+++ b/src/domain_contacts.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-bool is_assigned(const member_record& target, std::span<const vm_id> own_domain, vm_id self,
+bool is_assigned(const member_record& target, std::span<const vm_id> near_nodes, vm_id self,
                  std::size_t pingers)
 {
     const std::uint64_t own_rank = mix(self.value, target.vm.value);
-    const auto higher = std::ranges::count_if(own_domain, [&](vm_id it) {
+    const auto higher = std::ranges::count_if(near_nodes, [&](vm_id it) {
         return it != self && mix(it.value, target.vm.value) > own_rank;
     });
     return static_cast<std::size_t>(higher) < pingers;
@@ -20,12 +20,15 @@
 } // namespace
 
 std::vector<vm_id> ping_targets(std::span<const member_record> members, const member_record& self,
-                                std::size_t pingers)
+                                std::size_t pingers, const far_test& is_far)
 {
     std::vector<vm_id> own_domain;
+    std::vector<vm_id> own_region;
     for (const member_record& it : members) {
         if (it.domain == self.domain && !it.leaving)
             own_domain.push_back(it.vm);
+        if (!it.leaving && !is_far(it.domain))
+            own_region.push_back(it.vm);
     }
     std::vector<vm_id> out;
     std::map<failure_domain_id, std::vector<vm_id>> remote;
@@ -38,7 +41,8 @@
             continue;
         }
         remote[it.domain].push_back(it.vm);
-        if (is_assigned(it, own_domain, self.vm, pingers)) {
+        const auto& near_nodes = is_far(it.domain) ? own_region : own_domain;
+        if (is_assigned(it, near_nodes, self.vm, pingers)) {
             out.push_back(it.vm);
             has_target[it.domain] = true;
         }
--- a/src/domain_contacts.h
+++ b/src/domain_contacts.h
@@ -8,17 +8,22 @@
 #include "member_directory.h"
 #include "types.h"
 
+#include <functional>
 #include <span>
 #include <vector>
 
 namespace jasminebank {
 
+/// Whether a failure domain is in another region than that of this node.
+using far_test = std::function<bool(failure_domain_id)>;
+
 /// The members that `self` pings: those of its domain, and each member of another domain for which
 /// it is one of the `pingers` nodes of its domain by rendezvous hash, but at least one of each
-/// domain, so that every node can tell whether it is cut off from it. All members if `pingers` is
-/// 0.
-std::vector<vm_id> ping_targets(std::span<const member_record> members, const member_record& self,
-                                std::size_t pingers);
+/// domain, so that every node can tell whether it is cut off from it. For a member of another
+/// region they are `pingers` nodes of the own region. All members if `pingers` is 0.
+std::vector<vm_id> ping_targets(
+    std::span<const member_record> members, const member_record& self, std::size_t pingers,
+    const far_test& is_far = [](auto) { return false; });
 
 /// Number of members of a domain.
 std::size_t domain_size(std::span<const member_record> members, failure_domain_id domain);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -58,7 +58,8 @@
 // Outcomes of members that this node pings no longer are dropped, as they would stay what they are.
 void membership::choose_round_targets()
 {
-    round_targets_ = ping_targets(directory_.members(), self_, options_.pingers_per_remote_member);
+    round_targets_ = ping_targets(directory_.members(), self_, options_.pingers_per_remote_member,
+                                  options_.is_far);
     if (options_.pingers_per_remote_member > 0)
         std::erase_if(peers_, [this](const auto& it) {
             return std::ranges::find(round_targets_, it.first) == round_targets_.end();
--- a/src/membership.h
+++ b/src/membership.h
@@ -6,6 +6,7 @@
 // the time since the store was last reached. Performs no I/O: each call receives an event and the
 // time, and returns the actions to perform.
 
+#include "domain_contacts.h"
 #include "heartbeat.h"
 #include "member_directory.h"
 #include "types.h"
@@ -44,6 +45,8 @@
     /// Each member of another failure domain is pinged by this many nodes of the own domain instead
     /// of all, and changes cross between domains on few ways. 0: domains make no difference.
     std::size_t pingers_per_remote_member = 0;
+    /// Whether a failure domain is in another region. Fewer datagrams and exchanges go there.
+    far_test is_far = [](failure_domain_id) { return false; };
 };
 
 /// Send a datagram.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -399,7 +399,11 @@
                            .random_seed = run_.value,
                            .ping_interval = settings_.ping_period,
                            .pingers_per_remote_member =
-                               platform_ ? remote_member_pingers : std::size_t{0}},
+                               platform_ ? remote_member_pingers : std::size_t{0},
+                           .is_far =
+                               [this](failure_domain_id it) {
+                                   return scope_of(it) == traffic_scope::other_region;
+                               }},
             .fleet_key = fleet_.fleet_key,
             .traffic = traffic_,
             .watchers_per_domain = platform_ ? std::size_t{1} : std::size_t{2},
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -18,8 +18,8 @@
 class simulated_fleet {
 public:
     explicit simulated_fleet(std::size_t size, std::uint64_t seed = 1,
-                             std::size_t pingers_per_remote_member = 0)
-        : pingers(pingers_per_remote_member)
+                             std::size_t pingers_per_remote_member = 0, bool two_regions = false)
+        : pingers(pingers_per_remote_member), has_regions(two_regions)
     {
         for (std::size_t n = 0; n < size; ++n)
             nodes.push_back(start(n, seed + n));
@@ -38,10 +38,16 @@
                                     .servers = {}},
                            .seeds = {link(0), link(1)},
                            .random_seed = seed,
-                           .pingers_per_remote_member = pingers},
+                           .pingers_per_remote_member = pingers,
+                           .is_far =
+                               [this, n](failure_domain_id it) {
+                                   return has_regions && region(it.value) != region(n);
+                               }},
                           now);
     }
 
+    /// The domains 0 and 1 are one region, the domain 2 is another one.
+    static std::size_t region(std::size_t n) { return n % 3 / 2; }
     static endpoint link(std::size_t n) { return {"127.0.0.1", static_cast<std::uint16_t>(n + 1)}; }
     static std::size_t index(const endpoint& it) { return it.port - 1U; }
 
@@ -88,6 +94,8 @@
             for (const datagram& it : sent) {
                 if (it.from % 3 != it.to % 3)
                     bytes_between_domains += it.bytes.size();
+                if (region(it.from) != region(it.to))
+                    bytes_between_regions += it.bytes.size();
                 if (is_cut(it.from, it.to))
                     continue;
                 const auto body = decode_heartbeat(it.bytes, fleet_key);
@@ -109,7 +117,9 @@
     }
 
     std::size_t pingers; ///< per member of another domain
+    bool has_regions;    ///< the nodes know that there are two regions
     std::size_t bytes_between_domains = 0;
+    std::size_t bytes_between_regions = 0;
     struct datagram {
         std::size_t from;
         std::size_t to;
@@ -307,6 +317,45 @@
     EXPECT_LT(bytes[1], bytes[0] / 2);
 }
 
+// Guards against a member that nobody misses because the nodes of another region share its pings,
+// and against pings between regions that nodes near by could send.
+TEST(membership, few_contacts_between_regions_suffice)
+{
+    std::array<std::size_t, 2> bytes{};
+    for (const bool has_regions : {false, true}) {
+        simulated_fleet fleet(45, 7, 3, has_regions);
+        fleet.run(5s);
+        fleet.bytes_between_regions = 0;
+        fleet.run(30s);
+        bytes.at(has_regions ? 1 : 0) = fleet.bytes_between_regions;
+        for (const std::size_t gone : {10U, 11U}) // one of each region
+            fleet.alive[gone] = false;
+        fleet.run(20s);
+        for (std::size_t n = 0; n < 45; ++n) {
+            EXPECT_TRUE(!fleet.alive[n] || !fleet.knows(n, 10)) << n;
+            EXPECT_TRUE(!fleet.alive[n] || !fleet.knows(n, 11)) << n;
+        }
+    }
+    // Only the region of two domains can share the pings; the other one sends as many as before.
+    EXPECT_LT(bytes[1], bytes[0] * 5 / 6);
+}
+
+// A region that is cut off is the smaller part of the fleet: it must not take the others for gone.
+TEST(membership, region_that_is_cut_off_removes_no_member)
+{
+    simulated_fleet fleet(30, 3, 3, true);
+    fleet.run(5s);
+    for (std::size_t a = 2; a < 30; a += 3) {
+        for (std::size_t b = 0; b < 30; ++b) {
+            if (b % 3 != 2)
+                fleet.cut_between(a, b);
+        }
+    }
+    fleet.run(30s);
+    for (std::size_t a = 2; a < 30; a += 3)
+        EXPECT_EQ(fleet.nodes[a].directory().members().size(), 30U) << a;
+}
+
 // A domain that is cut off is the smaller part of the fleet: it must not take the others for gone.
 TEST(membership, domain_that_is_cut_off_removes_no_member)
 {
