--- a/src/crossing_policy.cpp
+++ b/src/crossing_policy.cpp
@@ -211,8 +211,8 @@
     const crossing_reach near = nearest(it, now);
     const auto& stay = it.best[index_of(near)];
     const auto& other = it.best[index_of(crossing_reach::other_region)];
-    if (other && other->is_offered &&
-        pays(it, near, crossing_reach::other_region, now) && may_use_link(it, near, now))
+    if (other && other->is_offered && pays(it, near, crossing_reach::other_region, now) &&
+        may_use_link(it, near, now))
         return count(crossing_reach::other_region, it.bytes);
     if (!stay || !stay->is_offered)
         return std::nullopt;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -127,7 +127,7 @@
 }
 
 entry::entry(entry_options options, link_hub& links, router_options routing)
-    : options_(std::move(options)), links_(links), self_(routing.self), router_(routing),
+    : options_(std::move(options)), links_(links), self_(routing.self), router_(std::move(routing)),
       retry_budget_({.share = options_.retry_share,
                      .floor_retries = options_.take_shared_retry ? 0 : local_floor_retries})
 {
@@ -673,14 +673,15 @@
 // Sends the request as a trial to a suspected server whose gate has requested one. A server is
 // suspected while its gate assumes that it is failing; a trial is a real request that shows whether
 // the server has recovered. The request is sent to another server as well, so that the caller does
-// not depend on the suspected one.
+// not depend on the suspected one. No trial goes to another region: its bytes would not be counted
+// against the link's share, and entries near the server make trials too.
 void entry::open_trial(const attempt_context& context, request_progress& progress,
                        const dispatch_attempt& refused)
 {
     const admitted_request& request = context.request;
     if (!refused.trial_requested || !request.idempotent || context.reader != nullptr ||
-        progress.other || progress.servers_reached + 2 > request.route->attempts ||
-        !request_retry(context, "trial"))
+        progress.other || refused.choice.reach == crossing_reach::other_region ||
+        progress.servers_reached + 2 > request.route->attempts || !request_retry(context, "trial"))
         return;
     {
         const std::lock_guard lock(mutex_);
--- a/src/log.h
+++ b/src/log.h
@@ -44,7 +44,7 @@
     dispatch_ended = 410, ///< the gate ended a request that a node had sent to it
     retry_decided = 411,
     dispatch_refused = 412,
-    attempt_lost = 413, ///< an attempt ended without a response of the gate
+    attempt_lost = 413,     ///< an attempt ended without a response of the gate
     crossing_started = 420, ///< requests of a service leave the failure domain or the region
     crossing_stopped = 421,
     config_in_force = 500,
--- a/src/router.h
+++ b/src/router.h
@@ -60,9 +60,9 @@
     vm_id gate;
     incarnation gate_run; ///< incarnation of the gate's process
     endpoint gate_link;
-    bool is_leaving = false; ///< the gate's node is shutting down
-    crossing_reach reach{};  ///< how far away it is; set with `router_options::crossing` only
-    bool needs_probe = false;       ///< it is in another region, and its last report was full
+    bool is_leaving = false;  ///< the gate's node is shutting down
+    crossing_reach reach{};   ///< how far away it is; set with `router_options::crossing` only
+    bool needs_probe = false; ///< it is in another region, and its last report was full
     std::size_t expected_bytes = 0; ///< taken from the link to other regions, if it is there
 };
 
