--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -288,36 +288,16 @@
     pings_.erase(ping);
 }
 
-bool membership::is_far(vm_id vm) const
-{
-    const member_record* it = directory_.find(vm);
-    return it != nullptr && options_.is_far(it->domain);
-}
-
-// Fetches the configuration if the sender has a newer one. A sender in another region is asked only
-// if no node of the own region has shown it in time.
-void membership::compare_generations(const endpoint& from, const heartbeat& it, time_point now,
-                                     membership_actions& out)
-{
-    if (it.generation <= generation_)
-        return;
-    if (is_far(it.sender.vm) && !is_joining(now)) {
-        if (!far_news_since_)
-            far_news_since_ = now;
-        if (now - *far_news_since_ < options_.far_fetch_delay)
-            return;
-    }
-    out.emplace_back(fetch_config{.link = from, .generation = it.generation});
-}
-
-// Exchanges directories with the sender if they differ permanently. While gossip spreads, digests
-// differ for a short time. If the digest still differs although this directory has not changed for
-// `digest_settle_time`, one side has missed a change: for example when two partitions are connected
-// again, even if the nodes within each partition have equal directories.
+// Fetches the configuration if the sender has a newer one, and exchanges directories if they differ
+// permanently. While gossip spreads, digests differ for a short time. If the digest still differs
+// although this directory has not changed for `digest_settle_time`, one side has missed a change:
+// for example when two partitions are connected again, even if the nodes within each partition have
+// equal directories.
 void membership::compare_with_sender(const endpoint& from, const heartbeat& it, time_point now,
                                      membership_actions& out)
 {
-    compare_generations(from, it, now, out);
+    if (it.generation > generation_)
+        out.emplace_back(fetch_config{.link = from, .generation = it.generation});
     if (directory_.digest() != last_digest_) {
         last_digest_ = directory_.digest();
         last_digest_since_ = now;
@@ -424,7 +404,6 @@
     if (generation == generation_)
         return out;
     generation_ = generation;
-    far_news_since_.reset();
     gossip({}, false, now, out);
     return out;
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -35,9 +35,6 @@
     /// A differing digest starts an exchange only if the directory has not changed for this long,
     /// which is more than gossip takes to spread.
     duration digest_settle_time = std::chrono::milliseconds(300);
-    /// A newer configuration is fetched from another region only after this time, in which a node
-    /// near by can read it from the store and tell of it.
-    duration far_fetch_delay = std::chrono::milliseconds(500);
     /// After its start a node contacts seeds and exchanges directories at the shorter join interval
     /// for this long: many nodes may start together, in any order, and none can serve before it
     /// knows the others.
@@ -178,9 +175,6 @@
     void refute(std::uint64_t version, time_point now, membership_actions& out);
     void gossip(std::vector<member_record> records, bool is_origin, time_point now,
                 membership_actions& out);
-    bool is_far(vm_id vm) const;
-    void compare_generations(const endpoint& from, const heartbeat& it, time_point now,
-                             membership_actions& out);
     void compare_with_sender(const endpoint& from, const heartbeat& it, time_point now,
                              membership_actions& out);
     std::vector<const member_record*> random_members(std::size_t count);
@@ -208,8 +202,6 @@
     time_point next_exchange_;
     std::uint64_t last_digest_ = 0;  // of the directory, in the last comparison
     time_point last_digest_since_{}; // first comparison with this digest
-    // First sight of a newer configuration that only nodes of another region showed.
-    std::optional<time_point> far_news_since_;
     std::mt19937_64 random_;
 };
 
