--- a/src/membership.h
+++ b/src/membership.h
@@ -7,6 +7,7 @@
 // time, and returns the actions to perform.
 
 #include "config_source.h"
+#include "domain_contacts.h"
 #include "heartbeat.h"
 #include "member_directory.h"
 #include "types.h"
@@ -45,6 +46,8 @@
     /// Each member of another failure domain is pinged by this many nodes of the own domain instead
     /// of all, and changes cross between domains on few ways. 0: domains make no difference.
     std::size_t pingers_per_remote_member = 0;
+    /// Whether a failure domain is in another region. Fewer datagrams and exchanges go there.
+    far_test is_far = [](failure_domain_id) { return false; };
     /// Whether this node tells and takes which failure domains are evacuated.
     bool shares_evacuations = false;
 };
--- a/src/node.h
+++ b/src/node.h
@@ -26,6 +26,7 @@
 #include "region_watch.h"
 #include "socket_server.h"
 #include "stop_schedule.h"
+#include "traffic_account.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -81,6 +82,8 @@
     void apply_config(const std::shared_ptr<const fleet_config>& config);
     void apply_directory(const member_directory& directory);
     void apply_evacuations(const std::vector<std::string>& domains);
+    traffic_scope scope_of(failure_domain_id other) const;
+    router_options make_router_options() const;
     bool may_serve() const;
     bool must_read_config() const;
     bool process_announcement(const announcement& it);
@@ -110,6 +113,7 @@
     const std::optional<platform_parts> platform_;
     joined_fleet fleet_;
     std::unique_ptr<store_session_base> session_;
+    const std::shared_ptr<traffic_account> traffic_ = std::make_shared<traffic_account>();
     std::unique_ptr<link_hub> links_;
     std::unique_ptr<control_relay> relay_;
     std::unique_ptr<reach_monitor> reach_;
