--- a/src/gate.h
+++ b/src/gate.h
@@ -75,8 +75,9 @@
     /// Removes idle backend servers whose announcement has expired and refuses requests that waited
     /// for too long; true if the records changed.
     bool tick(time_point now);
-    /// Applies the services' cold-start bounds to the backend servers. Until the first
-    /// configuration, a gate with `gate_options::cold_start` starts no requests.
+    /// Applies the services' cold-start bounds to the backend servers. A gate with
+    /// `gate_options::cold_start` starts no requests for services that are not in the
+    /// configuration, and none at all before the first one.
     void set_config(const std::shared_ptr<const fleet_config>& config, time_point now);
     /// Limits the starts to all backend servers as if each had announced the warm-up time of its
     /// service. The next announcement decides again.
