Findings of clang-tidy in the code of home regions

The options of the router have become expensive to copy with the region map and are moved; a list is passed by reference; std::unique replaces a range algorithm that clang-tidy cannot parse with this standard library. clang-tidy reports nothing on the changed files.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -127,7 +127,7 @@
 }
 
 entry::entry(entry_options options, link_hub& links, router_options routing)
-    : options_(std::move(options)), links_(links), self_(routing.self), router_(routing),
+    : options_(std::move(options)), links_(links), self_(routing.self), router_(std::move(routing)),
       retry_budget_({.share = options_.retry_share,
                      .floor_retries = options_.take_shared_retry ? 0 : local_floor_retries})
 {
--- a/src/fleet_config.cpp
+++ b/src/fleet_config.cpp
@@ -326,8 +326,7 @@
         config.region_names[out.back()] = name;
     }
     std::ranges::sort(out);
-    const auto repeated = std::ranges::unique(out);
-    out.erase(repeated.begin(), repeated.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
     return out;
 }
 
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace jasminebank {
 
@@ -17,7 +18,7 @@
 // last.
 constexpr double demoted_penalty = 100.0;
 
-router::router(router_options options) : options_(options) {}
+router::router(router_options options) : options_(std::move(options)) {}
 
 // Rebuilds the candidates of each service from the directory. Draining and ejected servers are
 // omitted, so they get no new requests. A server whose node is shutting down remains usable until
--- a/tests/key_homes_test.cpp
+++ b/tests/key_homes_test.cpp
@@ -53,7 +53,8 @@
     return {self, id_of<failure_domain_id>(domain), two_regions()};
 }
 
-std::optional<key_coordinator> find(const key_coordinators& it, std::vector<const char*> regions)
+std::optional<key_coordinator> find(const key_coordinators& it,
+                                    const std::vector<const char*>& regions)
 {
     idempotency_key key{.organisation = organisation};
     for (const char* region : regions)
