--- a/src/entry.h
+++ b/src/entry.h
@@ -80,7 +80,7 @@
     time_point start;
     time_point deadline;
     request_fingerprint fingerprint{}; ///< set before the dispatch
-    allowed_regions regions{};         ///< that may serve the request
+    region_restriction regions{};      ///< that may serve the request
 };
 
 /// Thread-safe.
--- a/src/region_map.cpp
+++ b/src/region_map.cpp
@@ -5,7 +5,8 @@
 
 namespace jasminebank {
 
-allowed_regions intersect_regions(const std::vector<region_id>& a, const std::vector<region_id>& b)
+region_restriction intersect_regions(const std::vector<region_id>& a,
+                                     const std::vector<region_id>& b)
 {
     if (a.empty() && b.empty())
         return std::nullopt;
@@ -29,7 +30,7 @@
     return it->second;
 }
 
-bool region_map::is_allowed(failure_domain_id domain, const allowed_regions& allowed) const
+bool region_map::is_allowed(failure_domain_id domain, const region_restriction& allowed) const
 {
     if (!allowed)
         return true;
--- a/src/region_map.h
+++ b/src/region_map.h
@@ -19,10 +19,11 @@
 
 /// Regions that a request may be served in: sorted, or nothing if it may be served in all. An empty
 /// list allows no region.
-using allowed_regions = std::optional<std::vector<region_id>>;
+using region_restriction = std::optional<std::vector<region_id>>;
 
 /// The regions that both lists name; an empty list restricts nothing. Both must be sorted.
-allowed_regions intersect_regions(const std::vector<region_id>& a, const std::vector<region_id>& b);
+region_restriction intersect_regions(const std::vector<region_id>& a,
+                                     const std::vector<region_id>& b);
 
 /// Immutable after it has been filled. A domain that is not listed has no region.
 class region_map {
@@ -33,7 +34,7 @@
     std::optional<region_id> region_of(failure_domain_id domain) const;
     /// True if the request may be served in `domain`. A domain without a region serves only
     /// requests that are not restricted.
-    bool is_allowed(failure_domain_id domain, const allowed_regions& allowed) const;
+    bool is_allowed(failure_domain_id domain, const region_restriction& allowed) const;
     /// True if no domain has a region.
     bool empty() const { return regions_.empty(); }
 
--- a/src/router.h
+++ b/src/router.h
@@ -43,7 +43,8 @@
     std::span<const backend_server_id> excluded{}; ///< backend servers that were tried already
     std::size_t bytes = 0;                         ///< expected size of body and response
     bool examines_all = false;                     ///< compare all candidates, not a random sample
-    const allowed_regions* regions = nullptr; ///< only servers in these are considered; null: all
+    const region_restriction* regions =
+        nullptr; ///< only servers in these are considered; null: all
 };
 
 /// The chosen backend server and the gate that the request is sent to.
