--- a/src/node.cpp
+++ b/src/node.cpp
@@ -242,7 +242,8 @@
             .own_domain_first = settings_.own_domain_first,
             .crossing = is_set && settings_.regions.map.region_count() > 1 ? std::optional(crossing)
                                                                            : std::nullopt,
-            .scope_of = [this](failure_domain_id it) { return scope_of(it); }};
+            .scope_of = [this](failure_domain_id it) { return scope_of(it); },
+            .regions = settings_.regions.map};
 }
 
 // Returns a function that takes a retry token from the limit shared by all nodes, or an empty
--- a/src/region_map.cpp
+++ b/src/region_map.cpp
@@ -6,7 +6,8 @@
 
 namespace jasminebank {
 
-allowed_regions intersect_regions(const std::vector<region_id>& a, const std::vector<region_id>& b)
+region_restriction intersect_regions(const std::vector<region_id>& a,
+                                     const std::vector<region_id>& b)
 {
     if (a.empty() && b.empty())
         return std::nullopt;
@@ -38,7 +39,7 @@
     return out.size();
 }
 
-bool region_map::is_allowed(failure_domain_id domain, const allowed_regions& allowed) const
+bool region_map::is_allowed(failure_domain_id domain, const region_restriction& allowed) const
 {
     if (!allowed)
         return true;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -5,6 +5,7 @@
 #include <cassert>
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace jasminebank {
 
--- a/src/router.h
+++ b/src/router.h
@@ -49,12 +49,13 @@
     std::span<const backend_server_id> excluded{}; ///< backend servers that were tried already
     /// Those of them that are excluded only while other servers may have a free slot.
     std::span<const backend_server_id> full{};
-    std::size_t bytes = 0;                    ///< expected size of body and response
-    bool examines_all = false;                ///< compare all candidates, not a random sample
-    duration service_time{};                  ///< expected, without waiting for a slot
-    duration target{};                        ///< what is left of the target latency; 0: no target
-    duration time_left = duration::max();     ///< until the deadline
-    const allowed_regions* regions = nullptr; ///< only servers in these are considered; null: all
+    std::size_t bytes = 0;                ///< expected size of body and response
+    bool examines_all = false;            ///< compare all candidates, not a random sample
+    duration service_time{};              ///< expected, without waiting for a slot
+    duration target{};                    ///< what is left of the target latency; 0: no target
+    duration time_left = duration::max(); ///< until the deadline
+    const region_restriction* regions =
+        nullptr; ///< only servers in these are considered; null: all
 };
 
 /// The chosen backend server and the gate that the request is sent to.
