Refuse on arrival what no gate can start in time

Each gate queues for itself, so a request of a service that is short of capacity is tried at up to 24 gates before it is refused. Gates now report their expected wait (jasmine-wait), and with service_admission = yes an entry refuses a request when the gates heard from within 500 ms agree that it cannot start in time, with a Retry-After spread over the expected time until there is capacity. Servers that are suspected report nothing.

--- a/src/answer_estimate.cpp
+++ b/src/answer_estimate.cpp
@@ -21,6 +21,23 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(out));
 }
 
+duration answer_estimate::least_latency(route_id route) const
+{
+    const auto it = least_latency_seconds_.find(route);
+    if (it == least_latency_seconds_.end())
+        return duration::zero();
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(it->second));
+}
+
+// Moves the estimate of a quantile by a fixed share of itself: up by the quantile and down by the
+// rest of one, so that it stays where that share of the samples is below it.
+static void move_quantile(double& estimate, double sample)
+{
+    constexpr double quantile = 0.25;
+    constexpr double step = 0.05;
+    estimate *= sample < estimate ? 1 - step * (1 - quantile) : 1 + step * quantile;
+}
+
 std::size_t answer_estimate::expected_bytes(route_id route) const
 {
     const auto it = answer_bytes_.find(route);
@@ -35,6 +52,10 @@
         const double sample = std::chrono::duration<double>(latency).count();
         latency_seconds_[target] = expected + latency_sample_weight * (sample - expected);
     }
+    if (least_latency_seconds_.size() < max_routes || least_latency_seconds_.contains(route)) {
+        const double sample = std::chrono::duration<double>(latency).count();
+        move_quantile(least_latency_seconds_.try_emplace(route, sample).first->second, sample);
+    }
     if (answer_bytes_.size() < max_routes || answer_bytes_.contains(route)) {
         double& expected_size =
             answer_bytes_.try_emplace(route, static_cast<double>(bytes)).first->second;
--- a/src/answer_estimate.h
+++ b/src/answer_estimate.h
@@ -15,6 +15,9 @@
     /// Expected latency of requests with this target latency; a fixed fraction of the target before
     /// the first sample.
     duration expected_latency(duration target) const;
+    /// Time that three of four answers on this route take at least; zero before the first sample.
+    /// Unlike the average it hardly grows while requests wait for slots.
+    duration least_latency(route_id route) const;
     /// Expected body size of answers on this route in bytes; 0 before the first sample.
     std::size_t expected_bytes(route_id route) const;
     /// Adds the latency and the body size of one answer.
@@ -23,6 +26,7 @@
 private:
     std::map<duration, double> latency_seconds_; ///< by target latency
     std::map<route_id, double> answer_bytes_;
+    std::map<route_id, double> least_latency_seconds_;
 };
 
 } // namespace jasminebank
--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -177,6 +177,8 @@
         head.fields.push_back({.name = std::string(outcome_field), .value = "ran"});
         head.fields.push_back(
             {.name = std::string(load_field), .value = fmt::format("{:.3f}", options_.load)});
+        if (const auto wait = options_.wait ? options_.wait() : std::nullopt)
+            head.fields.push_back(wait_header(*wait));
         if (notice_ && *notice_ != server_notice{})
             head.fields.push_back(
                 {.name = std::string(notice_field),
--- a/src/backend_call.h
+++ b/src/backend_call.h
@@ -13,7 +13,9 @@
 #include "server_notice.h"
 #include "types.h"
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace jasminebank {
 
@@ -54,6 +56,9 @@
 struct backend_call_options {
     time_point deadline;
     double load = 0; ///< sent to the entry node with the answer, see `load_field`
+    /// Called when the answer's head is sent on, for `wait_field`; empty or without a value: the
+    /// field is not sent.
+    std::function<std::optional<duration>()> wait{};
     const header_names& names;
     const dispatch& request;
     const std::string& expected_server; ///< name that the server must have; empty: any
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -32,6 +32,11 @@
     return out > 0 ? static_cast<std::uint64_t>(out) : 0;
 }
 
+header_field wait_header(duration wait)
+{
+    return {.name = std::string(wait_field), .value = fmt::format("{}", in_milliseconds(wait))};
+}
+
 void write_dispatch(const dispatch& it, message_head& head)
 {
     const std::uint64_t flags = (it.idempotent ? idempotent_flag : 0) |
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -21,6 +21,9 @@
 /// Share of the backend server's slots that are busy, from 0 to 1, in answers and refusals of a
 /// gate.
 constexpr std::string_view load_field = "jasmine-load";
+/// Expected wait at the gate for a slot in milliseconds, for a new request of the same rank; in
+/// answers and refusals of a gate that has it (`gate_options::service_admission`).
+constexpr std::string_view wait_field = "jasmine-wait";
 /// Present in a refusal when the gate requests a trial: one request that tests whether a suspected
 /// backend server has recovered.
 constexpr std::string_view trial_field = "jasmine-trial";
@@ -49,6 +52,9 @@
     std::optional<reported_notice> notice{}; ///< what the entry node knows of the backend server
 };
 
+/// The field `wait_field` with this wait.
+header_field wait_header(duration wait);
+
 /// Adds the internal fields to `head`.
 void write_dispatch(const dispatch& it, message_head& head);
 
--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -45,6 +45,22 @@
     return ec == std::errc{} && std::isfinite(out) ? std::optional(out) : std::nullopt;
 }
 
+// A longer wait is longer than any deadline.
+constexpr std::uint64_t max_wait_ms = 3'600'000;
+
+std::optional<duration> wait_of(const message_head& answer)
+{
+    const std::string* text = find_field(answer, wait_field);
+    std::uint64_t out = 0;
+    if (text == nullptr)
+        return std::nullopt;
+    const char* const last = text->data() + text->size();
+    const auto [end, ec] = std::from_chars(text->data(), last, out);
+    if (ec != std::errc{} || end != last || out > max_wait_ms)
+        return std::nullopt;
+    return std::chrono::milliseconds(out);
+}
+
 // Reads until `limit`, in steps after which `caller_left` is asked.
 template <std::predicate CallerLeft>
 result<std::size_t, link_error> read_until(link_stream& stream, std::span<char> buf,
@@ -89,6 +105,7 @@
     }
     it.gate_responded = true;
     it.load = load_of(value_of(head));
+    it.wait = wait_of(value_of(head));
     const std::string* outcome = find_field(value_of(head), outcome_field);
     if (outcome == nullptr || *outcome != name_of(run_state::ran)) {
         it.refused = outcome == nullptr ? std::nullopt : parse_outcome(*outcome);
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -37,6 +37,7 @@
 constexpr std::size_t max_unresponsive_gates = 3;
 // Timeout of a request to another node for a shared retry.
 constexpr duration shared_retry_timeout = std::chrono::milliseconds(60);
+constexpr duration shortage_log_interval = std::chrono::seconds(1);
 
 // Returns the caller's head. Fields that were renamed with `raw_prefix`, to keep the HTTP library
 // from processing them, get their original names back.
@@ -76,6 +77,13 @@
     return out;
 }
 
+std::uint32_t priority_of(const admitted_request& request)
+{
+    if (request.organisation != nullptr && request.organisation->priority)
+        return *request.organisation->priority;
+    return request.route->priority;
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find_first_of("?#"));
@@ -223,9 +231,80 @@
     out.deadline = now + std::min(timeout, head.time_left.value_or(timeout));
     if (out.deadline <= now)
         return refusal_answer{.reason = refusal::overloaded};
+    if (auto refused = check_room(out))
+        return refused;
     return check_rate_limit(out);
 }
 
+// The deadline is that of the caller, since a caller's patience depends on it.
+room_request entry::room_request_of(const admitted_request& request) const
+{
+    return {.service = request.service->id,
+            .rank = queue_rank({.priority = priority_of(request), .is_nested = request.is_nested}),
+            .is_nested = request.is_nested,
+            .start = request.start,
+            .deadline = request.deadline,
+            .target = request.route->target_latency,
+            .expected_service = estimates_.least_latency(request.route->id)};
+}
+
+std::vector<backend_server_id> entry::usable_servers(const admitted_request& request,
+                                                     time_point now) const
+{
+    return router_.usable_servers(
+        {.service = request.service->id, .idempotent = request.idempotent}, now);
+}
+
+// Refuses a request that no backend server can start in time, as far as their gates have said
+// recently.
+std::optional<refusal_answer> entry::check_room(const admitted_request& request)
+{
+    if (!options_.service_admission)
+        return std::nullopt;
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    const auto it = room_.refuse_on_arrival(room_request_of(request), usable_servers(request, now),
+                                            random_(), now);
+    if (!it)
+        return std::nullopt;
+    count_arrival_refusal(request.service->name, *it, now);
+    return refusal_answer{.reason = refusal::overloaded, .retry_after = it->retry_after};
+}
+
+// The number of names is bounded by the configuration. The event is logged once a second for each
+// service.
+void entry::count_arrival_refusal(const std::string& service, const room_refusal& it,
+                                  time_point now)
+{
+    const std::uint64_t total = ++arrival_refusals_[{service, std::string(name_of(it.cause))}];
+    const auto logged = shortage_logged_.find(service);
+    if (logged != shortage_logged_.end() && now - logged->second < shortage_log_interval)
+        return;
+    shortage_logged_[service] = now;
+    log_event(event::service_short, "service={} cause={} retry_after_ms={:.0f} refused={}", service,
+              name_of(it.cause), as_milliseconds(it.retry_after), total);
+}
+
+// Spreads the callers that gates have refused for lack of capacity.
+void entry::set_retry_after(const admitted_request& request, refusal_answer& it)
+{
+    const bool lacks_capacity = it.reason == refusal::overloaded || it.reason == refusal::suspect ||
+                                it.reason == refusal::shed;
+    if (!options_.service_admission || !lacks_capacity || it.state != run_state::not_run ||
+        it.retry_after)
+        return;
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    it.retry_after =
+        room_.retry_after(room_request_of(request), usable_servers(request, now), random_(), now);
+}
+
+entry::arrival_refusal_table entry::arrival_refusals() const
+{
+    const std::lock_guard lock(mutex_);
+    return arrival_refusals_;
+}
+
 // Called last, so that no token is spent on a request that is refused for another reason.
 std::optional<refusal_answer> entry::check_rate_limit(const admitted_request& request) const
 {
@@ -467,16 +546,10 @@
     // The request may have run in an earlier attempt, even if the last one did not run it.
     if (progress.may_have_run)
         progress.last_refusal.state = run_state::unknown;
+    set_retry_after(request, progress.last_refusal);
     return progress.last_refusal;
 }
 
-static std::uint32_t priority_of(const admitted_request& request)
-{
-    if (request.organisation != nullptr && request.organisation->priority)
-        return *request.organisation->priority;
-    return request.route->priority;
-}
-
 std::optional<reported_notice> entry::notice_of(backend_server_id server) const
 {
     const std::lock_guard lock(mutex_);
@@ -690,6 +763,13 @@
     if (it.body_consumed || it.caller_left || (reached_server && progress.other))
         return false;
     open_trial(context, progress, it);
+    if (progress.last_refusal.reason == refusal::overloaded && !progress.may_have_run &&
+        !progress.other) {
+        if (const auto refused = check_room(request)) {
+            progress.last_refusal = *refused;
+            return false;
+        }
+    }
     const bool again = may_try_elsewhere(progress.last_refusal) ||
                        (request.idempotent && is_first_possible_run &&
                         progress.last_refusal.reason == refusal::backend_server_error);
@@ -764,6 +844,8 @@
         notices_.store(it.choice.server, it.notice);
     if (it.gate_failed)
         router_.gate_failed(it.choice.gate, now);
+    if (it.wait && options_.service_admission)
+        room_.reported(it.choice.server, room_request_of(context.request).rank, *it.wait, now);
     router_.finished(it.choice.server, it.load, now);
     if (it.refused && it.refused->reason == refusal::suspect)
         router_.refused(it.choice.server, true, it.load, now);
--- a/src/entry.h
+++ b/src/entry.h
@@ -20,6 +20,7 @@
 #include "retry_budget.h"
 #include "router.h"
 #include "server_search.h"
+#include "service_room.h"
 #include "stop_schedule.h"
 #include "types.h"
 
@@ -32,6 +33,8 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace jasminebank {
 
@@ -57,6 +60,8 @@
     /// An idempotent request is hedged (also sent to a second server) after this multiple of its
     /// expected latency; 0: never.
     double hedge_after = 0;
+    /// Refuse requests on arrival while their service is short of capacity (`service_room`).
+    bool service_admission = false;
     double retry_share = 0.1; ///< retries allowed per recent success of a service
     /// A gate that responded within this window is not probed before a dispatch. The window is
     /// longer for idempotent requests, which can still be sent to another server if the gate has
@@ -101,6 +106,10 @@
     };
     using retry_count_table = std::map<std::string, retry_count, std::less<>>;
     retry_count_table retry_counts() const;
+    /// Number of requests refused for lack of capacity before or instead of further attempts, by
+    /// service and cause.
+    using arrival_refusal_table = std::map<std::pair<std::string, std::string>, std::uint64_t>;
+    arrival_refusal_table arrival_refusals() const;
     /// Number of backend servers of each service that requests may be sent to.
     std::unordered_map<service_id, std::size_t> backend_server_counts() const;
     /// Metrics of the requests served so far.
@@ -122,6 +131,12 @@
     std::optional<refusal_answer> admit(const caller_head& head, time_point now,
                                         admitted_request& out);
     static refusal body_failure_reason(const admitted_request& request);
+    room_request room_request_of(const admitted_request& request) const;
+    std::vector<backend_server_id> usable_servers(const admitted_request& request,
+                                                  time_point now) const;
+    std::optional<refusal_answer> check_room(const admitted_request& request);
+    void count_arrival_refusal(const std::string& service, const room_refusal& it, time_point now);
+    void set_retry_after(const admitted_request& request, refusal_answer& it);
     std::optional<refusal_answer> authenticate(const caller_head& head,
                                                admitted_request& out) const;
     void refuse(httplib::Response& res, const refusal_answer& it) const;
@@ -174,6 +189,9 @@
     retry_count_table retry_counts_;
     answer_estimate estimates_;
     notice_cache notices_;
+    service_room room_;
+    arrival_refusal_table arrival_refusals_;
+    std::map<std::string, time_point> shortage_logged_;        // by service
     std::unordered_map<vm_id, time_point> gate_last_response_; ///< time of the last response
     std::mt19937_64 random_{std::random_device{}()};
 };
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -18,17 +18,28 @@
 // A backend server at or above `high_suspicion` gets a request that must not be repeated only if it
 // was sent no other request for this time.
 constexpr duration high_suspicion_interval = std::chrono::seconds(1);
+// Above it a server is on probation (`stall_watch_options::suspected_from`).
+constexpr double max_reporting_suspicion = 0.5;
+
+// What a refusal tells the entry node about the backend server.
+struct refusal_details {
+    std::optional<double> load{};
+    std::optional<duration> wait{};
+    bool trial_due = false;
+};
 
 // Responds to the entry node that the request was not run, or that this is unknown.
 static void refuse(link_stream& stream, const refusal_answer& it,
-                   std::optional<double> load = std::nullopt, bool trial_due = false)
+                   const refusal_details& details = {})
 {
     message_head head{.method = {}, .path = {}, .status = status_of(it.reason), .fields = {}};
     head.fields.push_back({.name = std::string(outcome_field), .value = outcome_text(it)});
-    if (load)
+    if (details.load)
         head.fields.push_back(
-            {.name = std::string(load_field), .value = fmt::format("{:.3f}", *load)});
-    if (trial_due)
+            {.name = std::string(load_field), .value = fmt::format("{:.3f}", *details.load)});
+    if (details.wait)
+        head.fields.push_back(wait_header(*details.wait));
+    if (details.trial_due)
         head.fields.push_back({.name = std::string(trial_field), .value = "due"});
     stream.respond(std::move(head), true);
 }
@@ -297,6 +308,18 @@
     return out;
 }
 
+// A server that is suspected to hang or fail tells nothing about the capacity of its service: its
+// slots are held by requests that do not end.
+std::optional<duration> gate::reported_wait(backend_server_id server, const dispatch& request,
+                                            time_point now) const
+{
+    const auto it = servers_.find(server);
+    if (!options_.service_admission || it == servers_.end() ||
+        it->second.stalls.suspicion(now) >= max_reporting_suspicion)
+        return std::nullopt;
+    return it->second.slots.expected_wait(queue_rank(request), now);
+}
+
 server_load gate::current_load(backend_server_id server, time_point now) const
 {
     server_load out{.server = server};
@@ -325,7 +348,8 @@
             {.stream = std::move(it->second.stream),
              .reason = refused.reason == slot_refusal::deadline ? refusal::overloaded : reason,
              .load_now = current_load(it->second.request.server, now),
-             .waited = now - it->second.accepted});
+             .waited = now - it->second.accepted,
+             .wait_now = reported_wait(it->second.request.server, it->second.request, now)});
         pending_.erase(it);
     }
 }
@@ -334,7 +358,7 @@
 void gate::perform(const deferred_actions& it)
 {
     for (const refused_stream& refused : it.refused) {
-        refuse(*refused.stream, {.reason = refused.reason});
+        refuse(*refused.stream, {.reason = refused.reason}, {.wait = refused.wait_now});
         log_refusal(*refused.stream, refused.load_now, name_of(refused.reason), refused.waited);
     }
     for (const request_id id : it.started) {
@@ -359,8 +383,7 @@
     const time_point now = boot_now();
     deferred_actions out;
     std::optional<refusal> reason;
-    std::optional<double> load;
-    bool trial_due = false;
+    refusal_details details;
     server_load load_now;
     request_id id;
     {
@@ -375,9 +398,10 @@
         apply_report(*request, out);
         reason = admit(*request, now);
         if (const auto it = servers_.find(request->server); reason && it != servers_.end()) {
-            load = load_factor(it->second);
+            details.load = load_factor(it->second);
+            details.wait = reported_wait(request->server, *request, now);
             load_now = current_load(request->server, now);
-            trial_due = reason == refusal::suspect && it->second.stalls.is_trial_due(now);
+            details.trial_due = reason == refusal::suspect && it->second.stalls.is_trial_due(now);
         }
         if (!reason) {
             const time_point deadline = now + request->time_left;
@@ -399,7 +423,7 @@
         }
     }
     if (reason) {
-        refuse(*stream, {.reason = *reason}, load, trial_due);
+        refuse(*stream, {.reason = *reason}, details);
         log_refusal(*stream, load_now, name_of(*reason), duration::zero());
     }
     perform(out);
@@ -603,6 +627,7 @@
     const call_result result = call_backend(connection, it.stream,
                                             {.deadline = it.deadline,
                                              .load = load,
+                                             .wait = [&] { return wait_after(it.request); },
                                              .names = options_.names,
                                              .request = it.request,
                                              .expected_server = name,
@@ -620,6 +645,12 @@
     finish(id, it, std::move(connection), result);
 }
 
+std::optional<duration> gate::wait_after(const dispatch& request) const
+{
+    const std::lock_guard lock(mutex_);
+    return reported_wait(request.server, request, boot_now());
+}
+
 // The notice is applied before the answer's slot is given to the next request.
 void gate::apply_answer(const pending_request& it, const call_result& result)
 {
--- a/src/gate.h
+++ b/src/gate.h
@@ -33,6 +33,8 @@
     std::size_t threads = 400;          ///< maximum; each running request occupies one
     std::size_t waiting_requests = 256; ///< for each backend server
     header_names names{};
+    /// Report the expected wait for a slot to the entry nodes, see `wait_field`.
+    bool service_admission = false;
     withdrawal_list withdrawn{}; ///< backend servers that withdrew from earlier runs of this node
 };
 
@@ -117,6 +119,7 @@
         refusal reason = refusal::overloaded;
         server_load load_now{}; // of the backend server
         duration waited{};
+        std::optional<duration> wait_now{}; ///< see `wait_field`
     };
     // Collected under the mutex and performed after its release.
     struct deferred_actions {
@@ -125,6 +128,8 @@
     };
 
     static double load_factor(const backend_server& it);
+    std::optional<duration> reported_wait(backend_server_id server, const dispatch& request,
+                                          time_point now) const;
     server_load current_load(backend_server_id server, time_point now) const;
     void log_refusal(const link_stream& stream, const server_load& load_now,
                      std::string_view reason, duration waited) const;
@@ -143,6 +148,7 @@
                                                            const message_head& head) const;
     void apply_notices(backend_server& server, std::optional<double> before, deferred_actions& out);
     void apply_report(const dispatch& request, deferred_actions& out);
+    std::optional<duration> wait_after(const dispatch& request) const;
     void apply_answer(const pending_request& it, const call_result& result);
     void finish(request_id id, const pending_request& it,
                 std::shared_ptr<backend_connection> connection, const call_result& result);
--- a/src/log.h
+++ b/src/log.h
@@ -44,7 +44,8 @@
     dispatch_ended = 410, ///< the gate ended a request that a node had sent to it
     retry_decided = 411,
     dispatch_refused = 412,
-    attempt_lost = 413, ///< an attempt ended without a response of the gate
+    attempt_lost = 413,  ///< an attempt ended without a response of the gate
+    service_short = 414, ///< requests to a service are refused on arrival
     config_in_force = 500,
     config_rejected = 501,
     config_unreadable = 502,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -155,6 +155,7 @@
                                             .backend_idle = settings_.backend_idle,
                                             .waiting_requests = settings_.waiting_requests,
                                             .names = platform_ ? platform_->names : header_names{},
+                                            .service_admission = settings_.service_admission,
                                             .withdrawn = withdrawn_before()},
                                *health_, *poison_);
     reach_ = std::make_unique<reach_monitor>(
@@ -205,6 +206,7 @@
                       .local_service = [this] { return local_service(); },
                       .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
                       .hedge_after = settings_.hedge_after,
+                      .service_admission = settings_.service_admission,
                       .retry_share = settings_.fleet_retries > 0
                                          ? settings_.retry_share * usable_share_of_retry_bound
                                          : settings_.retry_share,
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -126,6 +126,20 @@
     }
 }
 
+// Without `service_admission` there are none, and no series.
+static void append_arrival_refusals(std::string& out, const entry::arrival_refusal_table& counts)
+{
+    if (counts.empty())
+        return;
+    out += "# TYPE jasminebank_refused_on_arrival_total counter\n";
+    for (const auto& [key, count] : counts) {
+        const auto& [service, cause] = key;
+        out +=
+            fmt::format("jasminebank_refused_on_arrival_total{{service=\"{}\",cause=\"{}\"}} {}\n",
+                        service, cause, count);
+    }
+}
+
 // The backend servers whose gate is on this node.
 static void append_servers(std::string& out, const std::vector<server_load>& loads)
 {
@@ -180,6 +194,7 @@
     add("limit_without_holder_total", "counter", limits.no_holder);
     add("limit_requests_total", "counter", limits.requests);
     append_retries(out, entry_->retry_counts());
+    append_arrival_refusals(out, entry_->arrival_refusals());
     append_servers(out, gate_->loads(boot_now()));
     if (config != nullptr)
         append_services(out, *config, entry_->backend_server_counts());
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -51,6 +51,7 @@
     double other_domain_penalty_per_mb = 0; ///< added in addition, per MB of body
     duration ping_period{};                 ///< interval between heartbeats
     bool own_domain_first = true;           ///< use other domains only if the own one is full
+    bool service_admission = false;         ///< admission when a service is short of capacity
     double retry_share = 0.1;               ///< allowed retries per recent success of a service
     /// Retries that all nodes together may send to a service per window, regardless of successes;
     /// 0: no shared limit, each node uses its own retry budget.
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -172,6 +172,20 @@
     return is_own_better ? best_own->choice : best_overall->choice;
 }
 
+std::vector<backend_server_id> router::usable_servers(const route_request& wanted,
+                                                      time_point now) const
+{
+    std::vector<backend_server_id> out;
+    const auto found = services_.find(wanted.service);
+    if (found == services_.end())
+        return out;
+    for (const candidate& it : found->second) {
+        if (is_usable(it, wanted, now) && servers_.at(it.choice.server).suspected_until <= now)
+            out.push_back(it.choice.server);
+    }
+    return out;
+}
+
 std::unordered_map<service_id, std::size_t> router::candidate_counts() const
 {
     std::unordered_map<service_id, std::size_t> out;
--- a/src/router.h
+++ b/src/router.h
@@ -62,6 +62,9 @@
     /// A server for `wanted`, or nothing if none is usable. `random` is uniformly distributed.
     std::optional<route_choice> choose(const route_request& wanted, std::uint64_t random,
                                        time_point now) const;
+    /// The servers that `choose` may select for `wanted`, without those whose gate suspects them.
+    std::vector<backend_server_id> usable_servers(const route_request& wanted,
+                                                  time_point now) const;
     /// The number of candidates of each service.
     std::unordered_map<service_id, std::size_t> candidate_counts() const;
     /// Counts a request as in flight at the server.
--- /dev/null
+++ b/src/service_room.cpp
@@ -0,0 +1,141 @@
+#include "service_room.h"
+
+#include <algorithm>
+
+namespace jasminebank {
+
+// Bounds the memory: above the number of backend servers of a large fleet.
+constexpr std::size_t max_servers = 16'384;
+// Ranks come from the operators' configuration.
+constexpr std::size_t max_ranks_per_server = 16;
+constexpr std::size_t max_services = 4096;
+// Callers honour a Retry-After up to a third of the time that they have left. The margin covers the
+// time that the refusal takes to arrive.
+constexpr int caller_patience_divisor = 3;
+constexpr duration refusal_travel_time = std::chrono::milliseconds(20);
+// The shortest delay: a few round trips, in which slots become free at servers that work.
+constexpr duration shortest_retry_after = std::chrono::milliseconds(50);
+constexpr std::uint64_t spread_steps = 1024;
+
+std::string_view name_of(room_cause it)
+{
+    return it == room_cause::target ? "target" : "deadline";
+}
+
+useful_start useful_start_of(const room_request& it, time_point now)
+{
+    const useful_start last{.latest = it.deadline - it.expected_service};
+    if (it.is_nested || it.target <= duration::zero())
+        return last;
+    const useful_start in_target{.latest = it.start + it.target - it.expected_service,
+                                 .limit = room_cause::target};
+    return in_target.latest <= now || last.latest < in_target.latest ? last : in_target;
+}
+
+duration longest_retry_after(const room_request& it, time_point now)
+{
+    const duration left = it.deadline - now;
+    const duration patience = left / caller_patience_divisor - refusal_travel_time;
+    return std::max(duration::zero(), std::min(patience, left - it.expected_service));
+}
+
+service_room::service_room(const service_room_options& options) : options_(options) {}
+
+// Reports of one rank replace each other; the fading makes an old long wait count for less than a
+// new one.
+void service_room::reported(backend_server_id server, std::uint32_t rank, duration wait,
+                            time_point now)
+{
+    if (reports_.size() >= max_servers && !reports_.contains(server))
+        erase_outdated(now);
+    if (reports_.size() >= max_servers && !reports_.contains(server))
+        return;
+    auto& ranks = reports_[server];
+    if (ranks.size() < max_ranks_per_server || ranks.contains(rank))
+        ranks[rank] = {.wait = wait, .at = now};
+}
+
+void service_room::erase_outdated(time_point now)
+{
+    for (auto& [server, ranks] : reports_)
+        std::erase_if(ranks,
+                      [&](const auto& it) { return now - it.second.at >= options_.view_age; });
+    std::erase_if(reports_, [](const auto& it) { return it.second.empty(); });
+}
+
+// The longest wait that a recent report implies, faded; nothing without a recent report. Reports of
+// ranks that are served before are lower bounds.
+std::optional<duration> service_room::wait_at(backend_server_id server, std::uint32_t rank,
+                                              time_point now) const
+{
+    const auto found = reports_.find(server);
+    if (found == reports_.end())
+        return std::nullopt;
+    std::optional<duration> out;
+    const double view_age = std::chrono::duration<double>(options_.view_age).count();
+    for (const auto& [reported_rank, it] : found->second) {
+        const double age = std::chrono::duration<double>(now - it.at).count();
+        if (reported_rank > rank || age >= view_age)
+            continue;
+        const std::chrono::duration<double> wait = it.wait * std::min(1.0, 1 - age / view_age);
+        out = std::max(out.value_or(duration::zero()), std::chrono::duration_cast<duration>(wait));
+    }
+    return out;
+}
+
+service_room::agreement service_room::agree(const room_request& it,
+                                            std::span<const backend_server_id> usable,
+                                            time_point now) const
+{
+    agreement out;
+    for (const backend_server_id server : usable) {
+        const auto wait = wait_at(server, it.rank, now);
+        if (!wait)
+            continue;
+        ++out.reports;
+        out.shortest_wait = std::min(out.shortest_wait, *wait);
+    }
+    return out;
+}
+
+std::optional<room_refusal>
+service_room::refuse_on_arrival(const room_request& it, std::span<const backend_server_id> usable,
+                                std::uint64_t random, time_point now)
+{
+    if (it.is_returned || usable.empty())
+        return std::nullopt;
+    const agreement known = agree(it, usable, now);
+    const bool is_known = known.reports >= std::min(options_.min_reports, usable.size());
+    const useful_start start = useful_start_of(it, now);
+    if (!is_known || now + known.shortest_wait <= start.latest)
+        return std::nullopt;
+    if (refusable_.size() >= max_services && !refusable_.contains(it.service))
+        return std::nullopt;
+    if (++refusable_[it.service] >= options_.send_one_in) {
+        refusable_[it.service] = 0;
+        return std::nullopt;
+    }
+    return room_refusal{.cause = start.limit, .retry_after = retry_after(it, usable, random, now)};
+}
+
+// Until there is capacity, the queues in front of the request have to become shorter by what
+// exceeds its latest useful start. Those who are refused meanwhile return spread over that time
+// again, since the queue alone would take the first of them only.
+duration service_room::retry_after(const room_request& it,
+                                   std::span<const backend_server_id> usable, std::uint64_t random,
+                                   time_point now) const
+{
+    const agreement known = agree(it, usable, now);
+    duration until_capacity = shortest_retry_after;
+    if (known.reports > 0)
+        until_capacity =
+            std::max(until_capacity, now + known.shortest_wait - useful_start_of(it, now).latest);
+    const duration longest = std::max(longest_retry_after(it, now), shortest_retry_after);
+    // A delay of at least half of the longest is kept free for the spread.
+    const duration first = std::min(until_capacity, longest / 2);
+    const duration spread = std::min(std::max(until_capacity, longest / 2), longest - first);
+    return first + spread * static_cast<std::int64_t>(random % spread_steps) /
+                       static_cast<std::int64_t>(spread_steps);
+}
+
+} // namespace jasminebank
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -81,6 +81,22 @@
     return from_seconds((ahead + 1) * expected_service_s_ / share);
 }
 
+bool slot_queue::has_service_times() const
+{
+    constexpr std::uint64_t min_samples = 8;
+    return samples_ >= min_samples;
+}
+
+duration slot_queue::expected_wait(std::uint32_t rank, time_point now) const
+{
+    const duration paced = pacer_.wait_for(count_ahead(rank) + 1, now);
+    if (running_.size() < options_.slots || !has_service_times())
+        return paced;
+    const slot_request it{.request = {}, .organisation = {}, .deadline = {}, .rank = rank};
+    const organisation_state own{.organisation = {}, .waiting = {}};
+    return std::max(paced, expected_wait(it, own));
+}
+
 // A start after this time is too late for the deadline, or for the soft deadline if that can still
 // be met.
 time_point slot_queue::latest_useful_start(const slot_request& it, time_point now) const
@@ -97,13 +113,12 @@
 bool slot_queue::would_miss_deadline(const slot_request& it, const organisation_state& own,
                                      time_point now) const
 {
-    constexpr std::uint64_t min_samples = 8;
     if (it.deadline <= now)
         return true;
     const time_point latest = latest_useful_start(it, now);
     if (now + pacer_.wait_for(count_ahead(it.rank) + 1, now) > latest)
         return true;
-    if (samples_ < min_samples || running_.size() < options_.slots)
+    if (!has_service_times() || running_.size() < options_.slots)
         return false;
     return now + expected_wait(it, own) > latest;
 }
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -79,6 +79,10 @@
     slot_actions set_start_rate(std::optional<double> rate, time_point now);
     /// Whether a request that is enqueued now starts at once.
     bool may_start(time_point now) const;
+    /// Expected wait of a request of this rank that is enqueued now, for an organisation of weight
+    /// 1 without waiting requests; zero if it starts at once or no service time is known yet. Other
+    /// organisations wait for as long or longer.
+    duration expected_wait(std::uint32_t rank, time_point now) const;
 
     std::size_t running() const { return running_.size(); }
     std::size_t waiting() const { return waiting_; }
@@ -116,6 +120,7 @@
     std::size_t count_ahead(std::uint32_t rank) const;
     void refuse_beyond_rate(time_point now, slot_actions& out);
     duration expected_wait(const slot_request& it, const organisation_state& own) const;
+    bool has_service_times() const;
     bool would_miss_deadline(const slot_request& it, const organisation_state& own,
                              time_point now) const;
     bool make_room(const organisation_state& own, slot_actions& out);
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -634,3 +634,24 @@
     EXPECT_EQ(fixture.send("GET").status, 200);
     EXPECT_EQ(failures, 0);
 }
+
+// Load: a service whose gates are all full. Guards against a request that asks each gate again and
+// again although all have said that it cannot start in time.
+TEST(entry, request_is_refused_when_no_gate_can_start_it_in_time)
+{
+    std::atomic<int> dispatches = 0;
+    entry_fixture fixture(
+        [&](const dispatch&, const std::shared_ptr<link_stream>& stream) {
+            ++dispatches;
+            message_head head{.method = {}, .path = {}, .status = 503, .fields = {}};
+            head.fields.push_back({.name = std::string(outcome_field),
+                                   .value = outcome_text({.reason = refusal::overloaded})});
+            head.fields.push_back(wait_header(1h));
+            stream->respond(std::move(head), true);
+        },
+        {.service_admission = true});
+    const httplib::Response res = fixture.send("GET");
+    EXPECT_EQ(dispatches, 2);
+    EXPECT_EQ(res.get_header_value(std::string(outcome_header)), "not-run; reason=overloaded");
+    EXPECT_TRUE(res.has_header("Retry-After"));
+}
