Requests that return after a refusal go before new ones of their rank

A caller that honours its Retry-After came back as a new request, behind those that had arrived meanwhile. The entry remembers the fingerprints of the requests that it refused with a Retry-After until their deadline and marks the dispatch; the gate orders by rank, then returned before new, and a full queue gives up a new request for one that returns. A request that is to be refused on arrival takes no token before it is known whether it returns.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint64_t allow_suspected_flag = 4;
 constexpr std::uint64_t nested_flag = 8;
 constexpr std::uint64_t trial_flag = 16;
+constexpr std::uint64_t returned_flag = 32;
 
 static void add_field(message_head& head, std::string_view name, std::string value)
 {
@@ -39,10 +40,10 @@
 
 void write_dispatch(const dispatch& it, message_head& head)
 {
-    const std::uint64_t flags = (it.idempotent ? idempotent_flag : 0) |
-                                (it.may_queue ? may_queue_flag : 0) |
-                                (it.allow_suspected ? allow_suspected_flag : 0) |
-                                (it.is_nested ? nested_flag : 0) | (it.is_trial ? trial_flag : 0);
+    const std::uint64_t flags =
+        (it.idempotent ? idempotent_flag : 0) | (it.may_queue ? may_queue_flag : 0) |
+        (it.allow_suspected ? allow_suspected_flag : 0) | (it.is_nested ? nested_flag : 0) |
+        (it.is_trial ? trial_flag : 0) | (it.is_returned ? returned_flag : 0);
     const std::array<std::uint64_t, dispatch_number_count> numbers{
         it.server.value,
         it.gate_run.value,
@@ -100,6 +101,7 @@
                     .caller_service = caller_service == nullptr ? std::string() : *caller_service,
                     .priority = static_cast<std::uint32_t>(priority),
                     .is_nested = (flags & nested_flag) != 0,
+                    .is_returned = (flags & returned_flag) != 0,
                     .target_latency = std::chrono::milliseconds(target_latency),
                     .time_left = std::chrono::milliseconds(time_left),
                     .idempotent = (flags & idempotent_flag) != 0,
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -42,6 +42,7 @@
     std::string caller_service; ///< service of the backend server on the entry node's VM
     std::uint32_t priority = 0; ///< under overload; 0 is the highest
     bool is_nested = false;     ///< sent by a backend server while it runs another request
+    bool is_returned = false;   ///< comes back after a refusal; before new ones of its rank
     duration target_latency{};  ///< for the answer; 0: none
     duration time_left{};       ///< time until the deadline
     bool idempotent = false;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -231,8 +231,9 @@
     out.deadline = now + std::min(timeout, head.time_left.value_or(timeout));
     if (out.deadline <= now)
         return refusal_answer{.reason = refusal::overloaded};
-    if (auto refused = check_room(out))
-        return refused;
+    out.room_refused = check_room(out);
+    if (out.room_refused)
+        return std::nullopt;
     return check_rate_limit(out);
 }
 
@@ -242,6 +243,7 @@
     return {.service = request.service->id,
             .rank = queue_rank({.priority = priority_of(request), .is_nested = request.is_nested}),
             .is_nested = request.is_nested,
+            .is_returned = request.is_returned,
             .start = request.start,
             .deadline = request.deadline,
             .target = request.route->target_latency,
@@ -255,34 +257,66 @@
         {.service = request.service->id, .idempotent = request.idempotent}, now);
 }
 
-// Refuses a request that no backend server can start in time, as far as their gates have said
+// Returns whether no backend server can start the request in time, as far as their gates have said
 // recently.
-std::optional<refusal_answer> entry::check_room(const admitted_request& request)
+std::optional<room_refusal> entry::check_room(const admitted_request& request)
 {
     if (!options_.service_admission)
         return std::nullopt;
     const std::lock_guard lock(mutex_);
     const time_point now = boot_now();
-    const auto it = room_.refuse_on_arrival(room_request_of(request), usable_servers(request, now),
-                                            random_(), now);
-    if (!it)
-        return std::nullopt;
-    count_arrival_refusal(request.service->name, *it, now);
-    return refusal_answer{.reason = refusal::overloaded, .retry_after = it->retry_after};
+    return room_.refuse_on_arrival(room_request_of(request), usable_servers(request, now),
+                                   random_(), now);
 }
 
 // The number of names is bounded by the configuration. The event is logged once a second for each
 // service.
-void entry::count_arrival_refusal(const std::string& service, const room_refusal& it,
-                                  time_point now)
+refusal_answer entry::refuse_for_room(const admitted_request& request, const room_refusal& it)
 {
+    const refusal_answer out{.reason = refusal::overloaded, .retry_after = it.retry_after};
+    const std::string& service = request.service->name;
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
     const std::uint64_t total = ++arrival_refusals_[{service, std::string(name_of(it.cause))}];
     const auto logged = shortage_logged_.find(service);
     if (logged != shortage_logged_.end() && now - logged->second < shortage_log_interval)
-        return;
+        return out;
     shortage_logged_[service] = now;
     log_event(event::service_short, "service={} cause={} retry_after_ms={:.0f} refused={}", service,
               name_of(it.cause), as_milliseconds(it.retry_after), total);
+    return out;
+}
+
+// Called when the fingerprint is known. A request that returns is sent even if it may not start in
+// time, since newer ones of its rank may be sent too. Its token was not taken yet.
+std::optional<refusal_answer> entry::admit_returned(admitted_request& request)
+{
+    if (!options_.service_admission)
+        return std::nullopt;
+    {
+        const std::lock_guard lock(mutex_);
+        request.is_returned = returned_.take(request.fingerprint, boot_now());
+    }
+    if (!request.room_refused)
+        return std::nullopt;
+    if (request.is_returned)
+        return check_rate_limit(request);
+    return refuse_for_room(request, *request.room_refused);
+}
+
+// The caller may return until its deadline.
+void entry::remember_refused(const admitted_request& request, const refusal_answer& it)
+{
+    if (!options_.service_admission || !it.retry_after || it.state != run_state::not_run)
+        return;
+    const std::lock_guard lock(mutex_);
+    returned_.refused(request.fingerprint, request.deadline, boot_now());
+}
+
+std::uint64_t entry::returned_count() const
+{
+    const std::lock_guard lock(mutex_);
+    return returned_.returned();
 }
 
 // Spreads the callers that gates have refused for lack of capacity.
@@ -451,6 +485,11 @@
 {
     const auto length = length_of(head);
     const bool buffered = reader == nullptr || (length && *length <= options_.buffered_body_bytes);
+    if (!buffered && request.room_refused) {
+        socket_server::close_after_answer(res);
+        refuse(res, refuse_for_room(request, *request.room_refused));
+        return;
+    }
     socket_server::set_request_read_deadline(request.deadline);
     std::string body;
     if (buffered && reader != nullptr && *length > 0) {
@@ -480,6 +519,14 @@
         refuse(res, {.reason = refusal::poison, .retry_after = wait});
         return;
     }
+    // A streamed body is not part of the fingerprint, so such requests are not recognised.
+    if (buffered) {
+        if (const auto refused = admit_returned(request)) {
+            remember_refused(request, *refused);
+            refuse(res, *refused);
+            return;
+        }
+    }
     std::unique_ptr<granted_claim> hold;
     if (!claim_idempotency_key(request, head, body, res, hold)) {
         if (!buffered)
@@ -492,6 +539,8 @@
         return;
     if (hold != nullptr)
         hold->on_refused(refused->state);
+    if (buffered)
+        remember_refused(request, *refused);
     refuse(res, *refused);
 }
 
@@ -571,6 +620,7 @@
          .caller_service = options_.local_service(),
          .priority = priority_of(request),
          .is_nested = request.is_nested,
+         .is_returned = request.is_returned,
          .target_latency = request.route->target_latency,
          .time_left = limit.until() - boot_now(),
          .idempotent = request.idempotent,
@@ -766,7 +816,7 @@
     if (progress.last_refusal.reason == refusal::overloaded && !progress.may_have_run &&
         !progress.other) {
         if (const auto refused = check_room(request)) {
-            progress.last_refusal = *refused;
+            progress.last_refusal = refuse_for_room(request, *refused);
             return false;
         }
     }
--- a/src/entry.h
+++ b/src/entry.h
@@ -18,6 +18,7 @@
 #include "refusal.h"
 #include "request_metrics.h"
 #include "retry_budget.h"
+#include "returned_requests.h"
 #include "router.h"
 #include "server_search.h"
 #include "service_room.h"
@@ -85,6 +86,9 @@
     time_point start;
     time_point deadline;
     request_fingerprint fingerprint{}; ///< set before the dispatch
+    /// No gate can start it in time: refused unless it returns, which is known after its body.
+    std::optional<room_refusal> room_refused{};
+    bool is_returned = false; ///< was refused before with a Retry-After
 };
 
 /// Thread-safe.
@@ -110,6 +114,8 @@
     /// service and cause.
     using arrival_refusal_table = std::map<std::pair<std::string, std::string>, std::uint64_t>;
     arrival_refusal_table arrival_refusals() const;
+    /// Number of requests that came back after a refusal with a Retry-After.
+    std::uint64_t returned_count() const;
     /// Number of backend servers of each service that requests may be sent to.
     std::unordered_map<service_id, std::size_t> backend_server_counts() const;
     /// Metrics of the requests served so far.
@@ -134,8 +140,10 @@
     room_request room_request_of(const admitted_request& request) const;
     std::vector<backend_server_id> usable_servers(const admitted_request& request,
                                                   time_point now) const;
-    std::optional<refusal_answer> check_room(const admitted_request& request);
-    void count_arrival_refusal(const std::string& service, const room_refusal& it, time_point now);
+    std::optional<room_refusal> check_room(const admitted_request& request);
+    refusal_answer refuse_for_room(const admitted_request& request, const room_refusal& it);
+    std::optional<refusal_answer> admit_returned(admitted_request& request);
+    void remember_refused(const admitted_request& request, const refusal_answer& it);
     void set_retry_after(const admitted_request& request, refusal_answer& it);
     std::optional<refusal_answer> authenticate(const caller_head& head,
                                                admitted_request& out) const;
@@ -190,6 +198,7 @@
     answer_estimate estimates_;
     notice_cache notices_;
     service_room room_;
+    returned_requests returned_;
     arrival_refusal_table arrival_refusals_;
     std::map<std::string, time_point> shortage_logged_;        // by service
     std::unordered_map<vm_id, time_point> gate_last_response_; ///< time of the last response
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -417,7 +417,8 @@
                                .rank = queue_rank(*request),
                                .soft_deadline = request->target_latency > duration::zero()
                                                     ? now + request->target_latency
-                                                    : time_point::max()},
+                                                    : time_point::max(),
+                               .is_returned = request->is_returned},
                               now),
                 out);
         }
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -126,11 +126,8 @@
     }
 }
 
-// Without `service_admission` there are none, and no series.
 static void append_arrival_refusals(std::string& out, const entry::arrival_refusal_table& counts)
 {
-    if (counts.empty())
-        return;
     out += "# TYPE jasminebank_refused_on_arrival_total counter\n";
     for (const auto& [key, count] : counts) {
         const auto& [service, cause] = key;
@@ -194,7 +191,10 @@
     add("limit_without_holder_total", "counter", limits.no_holder);
     add("limit_requests_total", "counter", limits.requests);
     append_retries(out, entry_->retry_counts());
-    append_arrival_refusals(out, entry_->arrival_refusals());
+    if (settings_.service_admission) {
+        append_arrival_refusals(out, entry_->arrival_refusals());
+        add("returned_requests_total", "counter", entry_->returned_count());
+    }
     append_servers(out, gate_->loads(boot_now()));
     if (config != nullptr)
         append_services(out, *config, entry_->backend_server_counts());
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
+#include <tuple>
+#include <utility>
 
 namespace jasminebank {
 
@@ -56,13 +59,20 @@
            });
 }
 
-// Number of waiting requests of all organisations that have this rank or a higher one.
-std::size_t slot_queue::count_ahead(std::uint32_t rank) const
+// Whether a request that waits is served before `it` if both are of one organisation and neither is
+// late.
+static bool is_ahead(const slot_request& waiting, const slot_request& it)
+{
+    return std::pair(waiting.rank, !waiting.is_returned) <= std::pair(it.rank, !it.is_returned);
+}
+
+// Number of waiting requests of all organisations that are served before `it`.
+std::size_t slot_queue::count_ahead(const slot_request& it) const
 {
     std::size_t out = 0;
-    for (const organisation_state& it : organisations_)
+    for (const organisation_state& own : organisations_)
         out += static_cast<std::size_t>(std::ranges::count_if(
-            it.waiting, [&](const slot_request& other) { return other.rank <= rank; }));
+            own.waiting, [&](const slot_request& other) { return is_ahead(other, it); }));
     return out;
 }
 
@@ -70,14 +80,14 @@
 // The slots are shared by weight with each other organisation that has such requests waiting.
 duration slot_queue::expected_wait(const slot_request& it, const organisation_state& own) const
 {
-    const auto is_ahead = [&](const slot_request& other) { return other.rank <= it.rank; };
+    const auto before_it = [&](const slot_request& other) { return is_ahead(other, it); };
     double weights = own.weight;
     for (const organisation_state& other : organisations_) {
-        if (&other != &own && std::ranges::any_of(other.waiting, is_ahead))
+        if (&other != &own && std::ranges::any_of(other.waiting, before_it))
             weights += other.weight;
     }
     const double share = std::max(1U, options_.slots) * own.weight / weights;
-    const auto ahead = static_cast<double>(std::ranges::count_if(own.waiting, is_ahead));
+    const auto ahead = static_cast<double>(std::ranges::count_if(own.waiting, before_it));
     return from_seconds((ahead + 1) * expected_service_s_ / share);
 }
 
@@ -89,10 +99,10 @@
 
 duration slot_queue::expected_wait(std::uint32_t rank, time_point now) const
 {
-    const duration paced = pacer_.wait_for(count_ahead(rank) + 1, now);
+    const slot_request it{.request = {}, .organisation = {}, .deadline = {}, .rank = rank};
+    const duration paced = pacer_.wait_for(count_ahead(it) + 1, now);
     if (running_.size() < options_.slots || !has_service_times())
         return paced;
-    const slot_request it{.request = {}, .organisation = {}, .deadline = {}, .rank = rank};
     const organisation_state own{.organisation = {}, .waiting = {}};
     return std::max(paced, expected_wait(it, own));
 }
@@ -116,7 +126,7 @@
     if (it.deadline <= now)
         return true;
     const time_point latest = latest_useful_start(it, now);
-    if (now + pacer_.wait_for(count_ahead(it.rank) + 1, now) > latest)
+    if (now + pacer_.wait_for(count_ahead(it) + 1, now) > latest)
         return true;
     if (!has_service_times() || running_.size() < options_.slots)
         return false;
@@ -125,24 +135,43 @@
 
 // Returns whether a request of the organisation can be queued. If the limit of all organisations is
 // reached, the newest request of the longest queue is refused instead, provided that queue is
-// longer than the own queue would become.
-bool slot_queue::make_room(const organisation_state& own, slot_actions& out)
+// longer than the own queue would become. A request that returns takes the place of a new one that
+// would be served after it.
+bool slot_queue::make_room(const slot_request& it, organisation_state& own, slot_actions& out)
 {
     if (own.waiting.size() >= options_.max_waiting_per_organisation)
-        return false;
+        return displace_new(it, own, out);
     if (waiting_ < options_.max_waiting)
         return true;
     const auto longest = std::max_element(
         organisations_.begin(), organisations_.end(),
         [](const auto& a, const auto& b) { return a.waiting.size() < b.waiting.size(); });
     if (longest->waiting.size() <= own.waiting.size() + 1)
-        return false;
+        return std::any_of(organisations_.begin(), organisations_.end(),
+                           [&](organisation_state& from) { return displace_new(it, from, out); });
     out.emplace_back(refuse_request{longest->waiting.back().request, slot_refusal::queue_full});
     longest->waiting.pop_back();
     --waiting_;
     return true;
 }
 
+// If `it` returns, refuses the newest request of `from` that is new and has no higher rank.
+bool slot_queue::displace_new(const slot_request& it, organisation_state& from, slot_actions& out)
+{
+    if (!it.is_returned)
+        return false;
+    const auto last =
+        std::find_if(from.waiting.rbegin(), from.waiting.rend(), [&](const slot_request& other) {
+            return !other.is_returned && other.rank >= it.rank;
+        });
+    if (last == from.waiting.rend())
+        return false;
+    out.emplace_back(refuse_request{last->request, slot_refusal::queue_full});
+    from.waiting.erase(std::next(last).base());
+    --waiting_;
+    return true;
+}
+
 slot_actions slot_queue::enqueue(const slot_request& it, time_point now)
 {
     slot_actions out;
@@ -155,7 +184,7 @@
     if (would_miss_deadline(it, own, now)) {
         out.emplace_back(refuse_request{it.request, slot_refusal::deadline});
     }
-    else if (!make_room(own, out)) {
+    else if (!make_room(it, own, out)) {
         out.emplace_back(refuse_request{it.request, slot_refusal::queue_full});
     }
     else {
@@ -242,8 +271,8 @@
     return running_.size() < options_.slots && waiting_ == 0 && pacer_.may_start(now);
 }
 
-// Keeps as many requests as can start in time at the rate, those of the lowest ranks and among them
-// the ones with the earliest deadlines.
+// Keeps as many requests as can start in time at the rate, those of the lowest ranks, among them
+// the ones that return, and among these the ones with the earliest deadlines.
 void slot_queue::refuse_beyond_rate(time_point now, slot_actions& out)
 {
     if (waiting_ == 0 || !pacer_.is_limited())
@@ -252,7 +281,8 @@
     for (const organisation_state& it : organisations_)
         waiting.insert(waiting.end(), it.waiting.begin(), it.waiting.end());
     std::sort(waiting.begin(), waiting.end(), [](const slot_request& a, const slot_request& b) {
-        return a.rank != b.rank ? a.rank < b.rank : a.deadline < b.deadline;
+        return std::tuple(a.rank, !a.is_returned, a.deadline) <
+               std::tuple(b.rank, !b.is_returned, b.deadline);
     });
     std::size_t kept = 0;
     for (const slot_request& request : waiting) {
@@ -286,6 +316,7 @@
 {
     const duration expected = from_seconds(expected_service_s_);
     return {.rank = it.rank,
+            .is_new = !it.is_returned,
             .is_late = it.soft_deadline != time_point::max() && now + expected > it.soft_deadline};
 }
 
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -2,7 +2,8 @@
 
 // The slots of one backend server, shared between organisations. When all slots are in use,
 // requests wait in one bounded queue per organisation. A free slot goes to the waiting requests of
-// the lowest rank number; among these, to requests that can still meet their soft deadline; and
+// the lowest rank number; among these, to requests that return after a refusal; among these, to
+// requests that can still meet their soft deadline; and
 // among these, to the organisation with the least slot time used relative to its weight (start-time
 // fair queueing), however many requests each organisation sends. If the backend server has named
 // the rate that it takes, requests also wait for their turn at that rate.
@@ -33,6 +34,8 @@
     std::uint32_t weight = 1; ///< of the organisation: its share relative to others, at least 1
     std::uint32_t rank = 0;   ///< 0 is served first
     time_point soft_deadline = time_point::max(); ///< a later answer is worth less; max: none
+    /// Was refused before and has come back; goes before new requests of its rank.
+    bool is_returned = false;
 };
 
 enum class slot_refusal : std::uint8_t {
@@ -103,10 +106,11 @@
         double charged_use = 0; // what was added to `weighted_use` at the start
     };
 
-    /// Order of waiting requests; the least is served first. Within a rank, requests that can no
-    /// longer meet their soft deadline (`is_late`) come last.
+    /// Order of waiting requests; the least is served first. Within a rank, requests that return
+    /// come first, and those that can no longer meet their soft deadline (`is_late`) last.
     struct service_order {
         std::uint32_t rank = 0;
+        bool is_new = true;
         bool is_late = false;
         auto operator<=>(const service_order&) const = default;
     };
@@ -117,13 +121,14 @@
     organisation_state& activate(const slot_request& it);
     bool is_known(request_id request) const;
     time_point latest_useful_start(const slot_request& it, time_point now) const;
-    std::size_t count_ahead(std::uint32_t rank) const;
+    std::size_t count_ahead(const slot_request& it) const;
     void refuse_beyond_rate(time_point now, slot_actions& out);
     duration expected_wait(const slot_request& it, const organisation_state& own) const;
     bool has_service_times() const;
     bool would_miss_deadline(const slot_request& it, const organisation_state& own,
                              time_point now) const;
-    bool make_room(const organisation_state& own, slot_actions& out);
+    bool make_room(const slot_request& it, organisation_state& own, slot_actions& out);
+    bool displace_new(const slot_request& it, organisation_state& from, slot_actions& out);
     void refuse_expired(time_point now, slot_actions& out);
     void start_waiting(time_point now, slot_actions& out);
     void erase_idle();
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -16,6 +16,7 @@
                       .caller_service = "web",
                       .priority = 3,
                       .is_nested = (flags & 1U) != 0,
+                      .is_returned = (flags & 32U) != 0,
                       .target_latency = 1200ms,
                       .time_left = 2500ms,
                       .idempotent = (flags & 2U) != 0,
@@ -32,7 +33,7 @@
     RC_ASSERT(out->target_latency == it.target_latency && out->time_left == it.time_left);
     RC_ASSERT(out->is_nested == it.is_nested && out->idempotent == it.idempotent);
     RC_ASSERT(out->may_queue == it.may_queue && out->allow_suspected == it.allow_suspected);
-    RC_ASSERT(out->is_trial == it.is_trial);
+    RC_ASSERT(out->is_trial == it.is_trial && out->is_returned == it.is_returned);
 }
 
 TEST(dispatch, latest_start_is_bounded_by_target_latency_and_deadline)
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -316,3 +316,34 @@
     EXPECT_EQ(queue.running(), 1U);
     EXPECT_TRUE(queue.finished({1}, now).empty());
 }
+
+// Load: callers that return after a Retry-After to a service that is still short of capacity.
+// Guards against returned requests that are refused while newer ones of their rank are served.
+TEST(slot_queue, returned_requests_go_before_new_ones_of_their_rank)
+{
+    slot_queue queue({.slots = 1, .max_waiting = 3, .max_waiting_per_organisation = 3});
+    const time_point now{1h};
+    const auto send = [&](std::uint64_t id, std::uint32_t rank, bool is_returned) {
+        return queue.enqueue({.request = {id},
+                              .organisation = {1},
+                              .deadline = now + 10s,
+                              .rank = rank,
+                              .is_returned = is_returned},
+                             now);
+    };
+    send(1, 1, false);
+    send(2, 1, false);
+    send(3, 1, false);
+    send(4, 0, false);
+    const slot_actions displaced = send(5, 1, true);
+    ASSERT_EQ(displaced.size(), 1U);
+    EXPECT_EQ(std::get<refuse_request>(displaced.front()).request, request_id{3});
+    std::vector<std::uint64_t> order;
+    for (std::uint64_t running = 1; queue.running() > 0; running = order.back()) {
+        const slot_actions next = queue.finished({running}, now + 1ms);
+        if (next.empty())
+            break;
+        order.push_back(std::get<start_request>(next.front()).request.value);
+    }
+    EXPECT_EQ(order, (std::vector<std::uint64_t>{4, 5, 2}));
+}
