Start no work whose nested requests are refused

A run whose nested request is refused fails after it has held a slot. A gate with service_admission refuses new work on a route while a quarter of the nested requests of its server are refused and runs on the route fail; one request each 250 ms is let through. Each gate keeps slots for nested requests where it sees them, so that new work cannot hold all of them.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -84,6 +84,14 @@
     return request.route->priority;
 }
 
+// Whether the request did not run because no backend server had room for it.
+bool lacks_capacity(const refusal_answer& it)
+{
+    return it.state == run_state::not_run &&
+           (it.reason == refusal::overloaded || it.reason == refusal::suspect ||
+            it.reason == refusal::shed);
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find_first_of("?#"));
@@ -322,10 +330,7 @@
 // Spreads the callers that gates have refused for lack of capacity.
 void entry::set_retry_after(const admitted_request& request, refusal_answer& it)
 {
-    const bool lacks_capacity = it.reason == refusal::overloaded || it.reason == refusal::suspect ||
-                                it.reason == refusal::shed;
-    if (!options_.service_admission || !lacks_capacity || it.state != run_state::not_run ||
-        it.retry_after)
+    if (!options_.service_admission || !lacks_capacity(it) || it.retry_after)
         return;
     const std::lock_guard lock(mutex_);
     const time_point now = boot_now();
@@ -383,6 +388,8 @@
         forward(request, head.sanitised, res, reader);
     }
     const auto outcome = parse_outcome(res.get_header_value(std::string(outcome_header)));
+    if (request.is_nested && options_.service_admission)
+        options_.on_nested_ended(outcome && lacks_capacity(*outcome));
     metrics_.add({.organisation = request.organisation == nullptr ? "" : request.organisation->name,
                   .service = request.service == nullptr ? "" : request.service->name,
                   .outcome = outcome ? name_of(outcome->reason) : name_of(run_state::ran),
--- a/src/entry.h
+++ b/src/entry.h
@@ -61,6 +61,9 @@
     /// An idempotent request is hedged (also sent to a second server) after this multiple of its
     /// expected latency; 0: never.
     double hedge_after = 0;
+    /// Called when a request of the backend server on this VM has ended, with `service_admission`;
+    /// `refused`: it did not run, for lack of capacity.
+    std::function<void(bool refused)> on_nested_ended = [](bool) {};
     /// Refuse requests on arrival while their service is short of capacity (`service_room`).
     bool service_admission = false;
     double retry_share = 0.1; ///< retries allowed per recent success of a service
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -20,6 +20,7 @@
 constexpr duration high_suspicion_interval = std::chrono::seconds(1);
 // Above it a server is on probation (`stall_watch_options::suspected_from`).
 constexpr double max_reporting_suspicion = 0.5;
+constexpr duration hold_log_interval = std::chrono::seconds(1);
 
 // What a refusal tells the entry node about the backend server.
 struct refusal_details {
@@ -85,7 +86,8 @@
             server.slots =
                 slot_queue({.slots = record.slots,
                             .max_waiting = options_.waiting_requests,
-                            .max_waiting_per_organisation = options_.waiting_requests / 4 + 1});
+                            .max_waiting_per_organisation = options_.waiting_requests / 4 + 1,
+                            .reserve_for_first_rank = options_.service_admission});
         }
         if (server.run != it.run || server.name != it.name) {
             server.idle.clear();
@@ -284,7 +286,7 @@
     if (!health_.admits(request.server, request.idempotent))
         return refusal::overloaded;
     backend_server& server = it->second;
-    if (!request.may_queue && !server.slots.may_start(now))
+    if (!request.may_queue && !server.slots.may_start(now, queue_rank(request)))
         return refusal::overloaded;
     if (!request.allow_suspected && !server.stalls.admits(request.is_trial, now))
         return refusal::suspect;
@@ -295,10 +297,81 @@
                               now - server.last_admitted < high_suspicion_interval;
     if (is_throttled)
         return refusal::suspect;
+    if (holds_work(request, now))
+        return refusal::overloaded;
     server.last_admitted = now;
     return std::nullopt;
 }
 
+static request_evidence classify_evidence(const call_result& it)
+{
+    switch (it.outcome) {
+    case call_outcome::whole_answer:
+        return it.status >= first_error_status ? request_evidence::failed
+                                               : request_evidence::answered;
+    case call_outcome::cut_answer:
+        return request_evidence::failed;
+    case call_outcome::no_answer:
+        return it.timed_out ? request_evidence::inconclusive : request_evidence::failed;
+    case call_outcome::not_connected:
+    case call_outcome::shed:
+    case call_outcome::caller_left:
+    case call_outcome::misdirected:
+        break;
+    }
+    return request_evidence::inconclusive;
+}
+
+// The event is logged once a second.
+bool gate::holds_work(const dispatch& request, time_point now)
+{
+    if (!options_.service_admission || request.is_nested ||
+        pressure_.admits_new_work(request.route, now))
+        return false;
+    ++held_;
+    if (now - hold_logged_ >= hold_log_interval) {
+        hold_logged_ = now;
+        log_event(event::work_held, "server={:016x} route={:016x} nested_refused={:.2f} held={}",
+                  request.server.value, request.route.value, pressure_.refused_share(now), held_);
+    }
+    return true;
+}
+
+void gate::nested_ended(bool refused, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    pressure_.ended(refused, now);
+}
+
+std::uint64_t gate::held_count() const
+{
+    const std::lock_guard lock(mutex_);
+    return held_;
+}
+
+// Requests of a route that is held back do not wait for a slot here either. A request that did not
+// run, or whose caller left, says nothing about the nested requests.
+void gate::record_run(const pending_request& it, const call_result& result, time_point now,
+                      deferred_actions& out)
+{
+    const bool has_run = result.outcome == call_outcome::whole_answer ||
+                         result.outcome == call_outcome::cut_answer ||
+                         result.outcome == call_outcome::no_answer;
+    if (!options_.service_admission || it.request.is_nested || !has_run)
+        return;
+    const route_id route = it.request.route;
+    pressure_.run_ended(route, classify_evidence(result) != request_evidence::answered, now);
+    if (!pressure_.holds(route, now))
+        return;
+    std::vector<std::pair<backend_server_id, request_id>> waiting;
+    for (const auto& [id, other] : pending_) {
+        if (!other.request.is_nested && other.request.route == route)
+            waiting.emplace_back(other.request.server, id);
+    }
+    for (const auto& [server, id] : waiting)
+        collect_actions(servers_.at(server).slots.refuse_waiting(id), out);
+}
+
 std::vector<server_load> gate::loads(time_point now) const
 {
     const std::lock_guard lock(mutex_);
@@ -315,7 +388,8 @@
 {
     const auto it = servers_.find(server);
     if (!options_.service_admission || it == servers_.end() ||
-        it->second.stalls.suspicion(now) >= max_reporting_suspicion)
+        it->second.stalls.suspicion(now) >= max_reporting_suspicion ||
+        (!request.is_nested && pressure_.holds(request.route, now)))
         return std::nullopt;
     return it->second.slots.expected_wait(queue_rank(request), now);
 }
@@ -700,25 +774,6 @@
               text_of_rate(max_rate));
 }
 
-static request_evidence classify_evidence(const call_result& it)
-{
-    switch (it.outcome) {
-    case call_outcome::whole_answer:
-        return it.status >= first_error_status ? request_evidence::failed
-                                               : request_evidence::answered;
-    case call_outcome::cut_answer:
-        return request_evidence::failed;
-    case call_outcome::no_answer:
-        return it.timed_out ? request_evidence::inconclusive : request_evidence::failed;
-    case call_outcome::not_connected:
-    case call_outcome::shed:
-    case call_outcome::caller_left:
-    case call_outcome::misdirected:
-        break;
-    }
-    return request_evidence::inconclusive;
-}
-
 // A connection whose answer was not read to its end is closed: the rest of that answer must never
 // reach another caller.
 void gate::finish(request_id id, const pending_request& it,
@@ -735,6 +790,7 @@
             server.idle.size() < server.record.slots)
             server.idle.push_back({.connection = std::move(connection), .since = now});
         pending_.erase(id);
+        record_run(it, result, now, out);
         collect_actions(server.slots.finished(id, now), out);
     }
     perform(out);
--- a/src/gate.h
+++ b/src/gate.h
@@ -10,6 +10,7 @@
 #include "dispatch.h"
 #include "health_service.h"
 #include "link_stream.h"
+#include "nested_pressure.h"
 #include "notice_record.h"
 #include "poison_service.h"
 #include "refusal.h"
@@ -33,7 +34,8 @@
     std::size_t threads = 400;          ///< maximum; each running request occupies one
     std::size_t waiting_requests = 256; ///< for each backend server
     header_names names{};
-    /// Report the expected wait for a slot to the entry nodes, see `wait_field`.
+    /// Report the expected wait for a slot to the entry nodes (`wait_field`), keep slots for nested
+    /// requests, and hold work back while those of the backend server are refused.
     bool service_admission = false;
     withdrawal_list withdrawn{}; ///< backend servers that withdrew from earlier runs of this node
 };
@@ -76,6 +78,11 @@
     bool set_standing(backend_server_id server, server_standing standing);
     /// Records of all backend servers registered here, ordered by id.
     std::vector<server_record> servers() const;
+    /// A nested request of the backend server on this VM ended at the entry of this node;
+    /// `refused`: it did not run, for lack of capacity.
+    void nested_ended(bool refused, time_point now);
+    /// Number of requests refused because the nested requests that they lead to are refused.
+    std::uint64_t held_count() const;
     /// Current load of each of them.
     std::vector<server_load> loads(time_point now) const;
     /// Queues, starts or refuses a request received over a link. Never blocks.
@@ -149,6 +156,9 @@
     void apply_notices(backend_server& server, std::optional<double> before, deferred_actions& out);
     void apply_report(const dispatch& request, deferred_actions& out);
     std::optional<duration> wait_after(const dispatch& request) const;
+    bool holds_work(const dispatch& request, time_point now);
+    void record_run(const pending_request& it, const call_result& result, time_point now,
+                    deferred_actions& out);
     void apply_answer(const pending_request& it, const call_result& result);
     void finish(request_id id, const pending_request& it,
                 std::shared_ptr<backend_connection> connection, const call_result& result);
@@ -163,6 +173,9 @@
     bool stopping_ = false;
     bool records_changed_ = false; ///< by the outcome of a request, since the last tick
     withdrawal_list withdrawn_;
+    nested_pressure pressure_; // of the only backend server on a platform
+    std::uint64_t held_ = 0;
+    time_point hold_logged_{};
     worker_pool workers_;
 };
 
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -42,6 +42,7 @@
     event_entry{event::dispatch_refused, severity::info, "dispatch_refused"},
     event_entry{event::attempt_lost, severity::warning, "attempt_lost"},
     event_entry{event::service_short, severity::warning, "service_short"},
+    event_entry{event::work_held, severity::warning, "work_held"},
     event_entry{event::config_in_force, severity::info, "config_in_force"},
     event_entry{event::config_rejected, severity::error, "config_rejected"},
     event_entry{event::config_unreadable, severity::warning, "config_unreadable"},
--- a/src/log.h
+++ b/src/log.h
@@ -46,6 +46,7 @@
     dispatch_refused = 412,
     attempt_lost = 413,  ///< an attempt ended without a response of the gate
     service_short = 414, ///< requests to a service are refused on arrival
+    work_held = 415,     ///< new work is held back while nested requests are refused
     config_in_force = 500,
     config_rejected = 501,
     config_unreadable = 502,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -193,24 +193,26 @@
                                  .max_keys_per_organisation = max_keys_per_shard / 4}},
         *links_);
     entry_ = std::make_unique<entry>(
-        entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
-                      .may_serve = [this] { return may_serve(); },
-                      .take_token =
-                          [this](organisation_id organisation, time_point deadline) {
-                              return limits_->admit_blocking(organisation, deadline);
-                          },
-                      .poison_time_left =
-                          [this](request_fingerprint it) { return poison_->remaining_refusal(it); },
-                      .once = platform_ ? nullptr : idempotency_.get(),
-                      .names = platform_ ? platform_->names : header_names{},
-                      .local_service = [this] { return local_service(); },
-                      .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
-                      .hedge_after = settings_.hedge_after,
-                      .service_admission = settings_.service_admission,
-                      .retry_share = settings_.fleet_retries > 0
-                                         ? settings_.retry_share * usable_share_of_retry_bound
-                                         : settings_.retry_share,
-                      .take_shared_retry = make_shared_retry_limiter()},
+        entry_options{
+            .buffered_body_bytes = settings_.buffered_body_bytes,
+            .may_serve = [this] { return may_serve(); },
+            .take_token =
+                [this](organisation_id organisation, time_point deadline) {
+                    return limits_->admit_blocking(organisation, deadline);
+                },
+            .poison_time_left =
+                [this](request_fingerprint it) { return poison_->remaining_refusal(it); },
+            .once = platform_ ? nullptr : idempotency_.get(),
+            .names = platform_ ? platform_->names : header_names{},
+            .local_service = [this] { return local_service(); },
+            .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
+            .hedge_after = settings_.hedge_after,
+            .on_nested_ended = [this](bool refused) { gate_->nested_ended(refused, boot_now()); },
+            .service_admission = settings_.service_admission,
+            .retry_share = settings_.fleet_retries > 0
+                               ? settings_.retry_share * usable_share_of_retry_bound
+                               : settings_.retry_share,
+            .take_shared_retry = make_shared_retry_limiter()},
         *links_,
         router_options{.self = id_of<vm_id>(settings_.vm_name),
                        .domain = id_of<failure_domain_id>(settings_.failure_domain),
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -194,6 +194,7 @@
     if (settings_.service_admission) {
         append_arrival_refusals(out, entry_->arrival_refusals());
         add("returned_requests_total", "counter", entry_->returned_count());
+        add("held_requests_total", "counter", gate_->held_count());
     }
     append_servers(out, gate_->loads(boot_now()));
     if (config != nullptr)
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -24,6 +24,9 @@
     std::uint32_t slots = 4;
     std::size_t max_waiting = 128;                 ///< requests of all organisations together
     std::size_t max_waiting_per_organisation = 32; ///< requests of one organisation
+    /// Keep slots free for requests of rank 0: as many as ran or waited at once within the last
+    /// second, up to half of the slots, and one for a minute after the last of them.
+    bool reserve_for_first_rank = false;
 };
 
 /// A request for a slot.
@@ -73,6 +76,8 @@
     slot_actions cancel(request_id request, time_point now);
     /// Refuses all waiting requests, for example when the backend server is draining.
     slot_actions refuse_waiting();
+    /// Refuses this request if it waits.
+    slot_actions refuse_waiting(request_id request);
     /// Refuses waiting requests whose deadline has passed.
     slot_actions tick(time_point now);
     /// Sets the number of slots. Running requests continue even if it is lower than their number.
@@ -80,8 +85,8 @@
     /// Sets the rate of started requests, see `start_pacer`. Refuses the waiting requests that can
     /// no longer start in time.
     slot_actions set_start_rate(std::optional<double> rate, time_point now);
-    /// Whether a request that is enqueued now starts at once.
-    bool may_start(time_point now) const;
+    /// Whether a request of this rank that is enqueued now starts at once.
+    bool may_start(time_point now, std::uint32_t rank = 1) const;
     /// Expected wait of a request of this rank that is enqueued now, for an organisation of weight
     /// 1 without waiting requests; zero if it starts at once or no service time is known yet. Other
     /// organisations wait for as long or longer.
@@ -104,6 +109,7 @@
         organisation_id organisation;
         time_point started;
         double charged_use = 0; // what was added to `weighted_use` at the start
+        std::uint32_t rank = 0;
     };
 
     /// Order of waiting requests; the least is served first. Within a rank, requests that return
@@ -123,8 +129,13 @@
     time_point latest_useful_start(const slot_request& it, time_point now) const;
     std::size_t count_ahead(const slot_request& it) const;
     void refuse_beyond_rate(time_point now, slot_actions& out);
-    duration expected_wait(const slot_request& it, const organisation_state& own) const;
+    duration expected_wait(const slot_request& it, const organisation_state& own,
+                           time_point now) const;
     bool has_service_times() const;
+    std::uint32_t slots_for(std::uint32_t rank, time_point now) const;
+    std::size_t first_rank_running() const;
+    std::size_t first_rank_waiting() const;
+    void record_first_rank_demand(time_point now);
     bool would_miss_deadline(const slot_request& it, const organisation_state& own,
                              time_point now) const;
     bool make_room(const slot_request& it, organisation_state& own, slot_actions& out);
@@ -142,6 +153,9 @@
     double expected_service_s_ = 0; // moving average of the time a request holds its slot
     std::uint64_t samples_ = 0;
     start_pacer pacer_;
+    std::size_t first_rank_peak_ = 0; // requests of rank 0 at once, valid until the next time
+    time_point first_rank_peak_until_{};
+    time_point first_rank_seen_until_{};
 };
 
 } // namespace jasminebank
