Refuse what cannot end in the time left

A request whose caller has less time left than nine of ten runs of its route take only wastes a slot. The gate refuses it as not run, with the reason no_time, and a waiting one is not started after that time.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -286,6 +286,8 @@
     if (!health_.admits(request.server, request.idempotent))
         return refusal::overloaded;
     backend_server& server = it->second;
+    if (request.time_left < least_service_time(server, request))
+        return refusal::no_time;
     if (!request.may_queue && !server.slots.may_start(now, queue_rank(request)))
         return refusal::overloaded;
     if (!request.allow_suspected && !server.stalls.admits(request.is_trial, now))
@@ -322,6 +324,15 @@
     return request_evidence::inconclusive;
 }
 
+// A run that nine of ten times takes longer than its caller has left is not worth its slot. Zero:
+// no run is refused for this.
+duration gate::least_service_time(const backend_server& server, const dispatch& request) const
+{
+    if (!options_.service_admission)
+        return duration::zero();
+    return server.stalls.least_service_time(request.route).value_or(duration::zero());
+}
+
 // The event is logged once a second.
 bool gate::holds_work(const dispatch& request, time_point now)
 {
@@ -483,17 +494,19 @@
                                                  .request = *request,
                                                  .deadline = deadline,
                                                  .accepted = now});
-            slot_queue& slots = servers_.at(request->server).slots;
+            backend_server& server = servers_.at(request->server);
+            const duration least = least_service_time(server, *request);
             collect_actions(
-                slots.enqueue({.request = id,
-                               .organisation = id_of<organisation_id>(request->organisation),
-                               .deadline = latest_start(*request, now, deadline),
-                               .rank = queue_rank(*request),
-                               .soft_deadline = request->target_latency > duration::zero()
-                                                    ? now + request->target_latency
-                                                    : time_point::max(),
-                               .is_returned = request->is_returned},
-                              now),
+                server.slots.enqueue(
+                    {.request = id,
+                     .organisation = id_of<organisation_id>(request->organisation),
+                     .deadline = std::min(latest_start(*request, now, deadline), deadline - least),
+                     .rank = queue_rank(*request),
+                     .soft_deadline = request->target_latency > duration::zero()
+                                          ? now + request->target_latency
+                                          : time_point::max(),
+                     .is_returned = request->is_returned},
+                    now),
                 out);
         }
     }
--- a/src/gate.h
+++ b/src/gate.h
@@ -156,6 +156,7 @@
     void apply_notices(backend_server& server, std::optional<double> before, deferred_actions& out);
     void apply_report(const dispatch& request, deferred_actions& out);
     std::optional<duration> wait_after(const dispatch& request) const;
+    duration least_service_time(const backend_server& server, const dispatch& request) const;
     bool holds_work(const dispatch& request, time_point now);
     void record_run(const pending_request& it, const call_result& result, time_point now,
                     deferred_actions& out);
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -37,6 +37,7 @@
     refusal_row{refusal::register_unavailable, "register_unavailable", 503},
     refusal_row{refusal::limits_unavailable, "limits_unavailable", 503},
     refusal_row{refusal::caller_left, "caller_left", 504},
+    refusal_row{refusal::no_time, "no_time", 503},
 };
 
 constexpr std::array<std::string_view, 3> state_names{"not-run", "ran", "unknown"};
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -43,6 +43,7 @@
                           ///< of keys is full
     limits_unavailable,   ///< no holder of the rate limits answers
     caller_left,          ///< the request was cancelled because the caller disconnected
+    no_time,              ///< the time left is shorter than the least expected service time
 };
 
 /// The answer to a request that was refused or failed.
--- a/src/stall_watch.cpp
+++ b/src/stall_watch.cpp
@@ -61,6 +61,18 @@
     return std::max(0.5 * std::erfc(z / std::sqrt(2.0)), options_.min_survival);
 }
 
+std::optional<duration> stall_watch::least_service_time(route_id route) const
+{
+    constexpr double min_weight = 20;
+    constexpr double first_decile = -1.28; // of the standard normal distribution
+    const auto found = times_.find(route);
+    if (found == times_.end() || found->second.weight < min_weight)
+        return std::nullopt;
+    const service_times& it = found->second;
+    const double least = std::exp(it.mean + first_decile * spread_of(it.variance));
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(least));
+}
+
 // The odds from ended requests, decayed exponentially towards the prior odds.
 double stall_watch::decayed_odds(time_point now) const
 {
--- a/src/stall_watch.h
+++ b/src/stall_watch.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace jasminebank {
@@ -55,6 +56,9 @@
     /// Service times are learned per `route`. `target` is its target latency, 0 if it has none.
     void started(request_id request, route_id route, duration target, time_point now);
     void ended(request_id request, request_evidence evidence, time_point now);
+    /// Service time that nine of ten answered requests on this route exceed; nothing before enough
+    /// of them.
+    std::optional<duration> least_service_time(route_id route) const;
     /// Estimated probability that the next request gets no valid answer.
     double suspicion(time_point now) const;
     /// Whether a request may be sent to this server now; otherwise it should go to another one. On
