--- a/src/bench_main.cpp
+++ b/src/bench_main.cpp
@@ -1,6 +1,7 @@
-// bench: runs seeded simulations of failure detection and rate limiting without sockets. Prints
-// the measured figures and a signature of all decisions, which shows changes of behaviour.
+// bench: runs seeded simulations of admission, failure detection and rate limiting without sockets.
+// Prints the measured figures and a signature of all decisions, which shows changes of behaviour.
 
+#include "bench_admission.h"
 #include "bench_detection.h"
 #include "bench_limits.h"
 #include "bench_report.h"
@@ -27,6 +28,7 @@
 
 // Sorted by name.
 constexpr std::array workloads{
+    workload{"admission", "admission when a service is short of capacity", bench_admission},
     workload{"detection", "delay of finding failing backend servers", run_detection},
     workload{"false_alarms", "100 hours of healthy traffic (only by name)", run_false_alarms, true},
     workload{"limits", "rate and burst of organisations over the fleet", bench_limits},
