Count the reported waits by organisation and place in the queue

The queues of a gate are fair, so the wait of one organisation says nothing about another, and requests that return wait less than new ones. Reports count for requests of the same organisation that are served no earlier. Requests that return can now be refused on arrival too, but before that no new ones are let through. The expected service time is learned from answers that had a slot at once; with the waits in it, the entries refused ever more.

--- a/src/answer_estimate.cpp
+++ b/src/answer_estimate.cpp
@@ -21,10 +21,10 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(out));
 }
 
-duration answer_estimate::least_latency(route_id route) const
+duration answer_estimate::least_service_time(route_id route) const
 {
-    const auto it = least_latency_seconds_.find(route);
-    if (it == least_latency_seconds_.end())
+    const auto it = least_service_seconds_.find(route);
+    if (it == least_service_seconds_.end())
         return duration::zero();
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(it->second));
 }
@@ -38,6 +38,14 @@
     estimate *= sample < estimate ? 1 - step * (1 - quantile) : 1 + step * quantile;
 }
 
+void answer_estimate::add_service_time(route_id route, duration time)
+{
+    if (least_service_seconds_.size() >= max_routes && !least_service_seconds_.contains(route))
+        return;
+    const double sample = std::chrono::duration<double>(time).count();
+    move_quantile(least_service_seconds_.try_emplace(route, sample).first->second, sample);
+}
+
 std::size_t answer_estimate::expected_bytes(route_id route) const
 {
     const auto it = answer_bytes_.find(route);
@@ -52,10 +60,6 @@
         const double sample = std::chrono::duration<double>(latency).count();
         latency_seconds_[target] = expected + latency_sample_weight * (sample - expected);
     }
-    if (least_latency_seconds_.size() < max_routes || least_latency_seconds_.contains(route)) {
-        const double sample = std::chrono::duration<double>(latency).count();
-        move_quantile(least_latency_seconds_.try_emplace(route, sample).first->second, sample);
-    }
     if (answer_bytes_.size() < max_routes || answer_bytes_.contains(route)) {
         double& expected_size =
             answer_bytes_.try_emplace(route, static_cast<double>(bytes)).first->second;
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -21,7 +21,8 @@
 /// Share of the backend server's slots that are busy, from 0 to 1, in answers and refusals of a
 /// gate.
 constexpr std::string_view load_field = "jasmine-load";
-/// Expected wait at the gate for a slot in milliseconds, for a new request of the same rank; in
+/// Expected wait at the gate for a slot in milliseconds, for a request of the same organisation and
+/// rank that returns like this one or is new like it; in
 /// answers and refusals of a gate that has it (`gate_options::service_admission`).
 constexpr std::string_view wait_field = "jasmine-wait";
 /// Present in a refusal when the gate requests a trial: one request that tests whether a suspected
--- a/src/dispatch_attempt.h
+++ b/src/dispatch_attempt.h
@@ -34,6 +34,7 @@
     std::optional<reported_notice> notice; ///< what the answer says about the server's work
     std::optional<double> load;            ///< share of busy slots that the gate reported
     std::optional<duration> wait;          ///< expected wait that the gate reported
+    bool may_queue = false;                ///< it might wait for a slot
     bool gate_responded = false;           ///< the gate sent a head
     bool gate_failed = false;              ///< the link to the gate failed
     bool body_consumed = false;   ///< the caller's body was streamed and cannot be sent again
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -249,13 +249,15 @@
 room_request entry::room_request_of(const admitted_request& request) const
 {
     return {.service = request.service->id,
+            .organisation =
+                request.organisation == nullptr ? organisation_id{} : request.organisation->id,
             .rank = queue_rank({.priority = priority_of(request), .is_nested = request.is_nested}),
             .is_nested = request.is_nested,
             .is_returned = request.is_returned,
             .start = request.start,
             .deadline = request.deadline,
             .target = request.route->target_latency,
-            .expected_service = estimates_.least_latency(request.route->id)};
+            .expected_service = estimates_.least_service_time(request.route->id)};
 }
 
 std::vector<backend_server_id> entry::usable_servers(const admitted_request& request,
@@ -295,8 +297,9 @@
     return out;
 }
 
-// Called when the fingerprint is known. A request that returns is sent even if it may not start in
-// time, since newer ones of its rank may be sent too. Its token was not taken yet.
+// Called when the fingerprint is known. A request that returns goes before new ones, so it may
+// start in time although a new one could not. The token of a request that was to be refused is
+// taken here.
 std::optional<refusal_answer> entry::admit_returned(admitted_request& request)
 {
     if (!options_.service_admission)
@@ -308,6 +311,8 @@
     if (!request.room_refused)
         return std::nullopt;
     if (request.is_returned)
+        request.room_refused = check_room(request);
+    if (!request.room_refused)
         return check_rate_limit(request);
     return refuse_for_room(request, *request.room_refused);
 }
@@ -638,7 +643,10 @@
          .notice = notice_of(choice.server)},
         head);
     const bool is_streamed = context.reader != nullptr;
-    dispatch_attempt it{.choice = choice, .start = boot_now(), .body_consumed = is_streamed};
+    dispatch_attempt it{.choice = choice,
+                        .start = boot_now(),
+                        .may_queue = search.may_queue() && !is_trial,
+                        .body_consumed = is_streamed};
     it.stream =
         links_.open(choice.gate_link, std::move(head), context.body.empty() && !is_streamed);
     if (!context.body.empty()) {
@@ -877,6 +885,8 @@
     if (!is_successful(it))
         return;
     const std::lock_guard lock(mutex_);
+    if (!it.may_queue)
+        estimates_.add_service_time(request.route->id, boot_now() - it.start);
     estimates_.add_sample(request.route->id, request.route->target_latency, boot_now() - it.start,
                           it.body.size());
 }
@@ -901,8 +911,9 @@
         notices_.store(it.choice.server, it.notice);
     if (it.gate_failed)
         router_.gate_failed(it.choice.gate, now);
+    const room_request known = room_request_of(context.request);
     if (it.wait && options_.service_admission)
-        room_.reported(it.choice.server, room_request_of(context.request).rank, *it.wait, now);
+        room_.reported(it.choice.server, known, *it.wait, now);
     router_.finished(it.choice.server, it.load, now);
     if (it.refused && it.refused->reason == refusal::suspect)
         router_.refused(it.choice.server, true, it.load, now);
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -402,7 +402,13 @@
         it->second.stalls.suspicion(now) >= max_reporting_suspicion ||
         (!request.is_nested && pressure_.holds(request.route, now)))
         return std::nullopt;
-    return it->second.slots.expected_wait(queue_rank(request), now);
+    return it->second.slots.expected_wait(
+        {.request = {},
+         .organisation = id_of<organisation_id>(request.organisation),
+         .deadline = {},
+         .rank = queue_rank(request),
+         .is_returned = request.is_returned},
+        now);
 }
 
 server_load gate::current_load(backend_server_id server, time_point now) const
--- a/src/service_room.h
+++ b/src/service_room.h
@@ -10,7 +10,6 @@
 #include "types.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -32,9 +31,10 @@
 /// The properties of a request that decide whether it can start in time.
 struct room_request {
     service_id service;
+    organisation_id organisation;
     std::uint32_t rank = 0;      ///< at the gate's queue, see `queue_rank`
     bool is_nested = false;      ///< a running request depends on it: only its deadline counts
-    bool is_returned = false;    ///< was refused before with a Retry-After; always sent
+    bool is_returned = false;    ///< was refused before with a Retry-After
     time_point start;            ///< when it arrived
     time_point deadline;         ///< it must be answered by then
     duration target{};           ///< target latency; 0: none
@@ -57,9 +57,9 @@
 public:
     explicit service_room(const service_room_options& options = {});
 
-    /// A gate reported the expected wait for requests of this rank; requests of higher rank numbers
-    /// wait at least as long.
-    void reported(backend_server_id server, std::uint32_t rank, duration wait, time_point now);
+    /// A gate reported the expected wait of requests like `it`; requests of its organisation that
+    /// are served later wait at least as long.
+    void reported(backend_server_id server, const room_request& it, duration wait, time_point now);
     /// Returns nothing if the request should be sent. `usable` are the servers that the router may
     /// choose for it; `random` is uniformly distributed.
     std::optional<room_refusal> refuse_on_arrival(const room_request& it,
@@ -73,24 +73,32 @@
 
 private:
     struct report {
+        organisation_id organisation;
+        std::uint64_t place = 0; // in the order of service, see `place_of`
         duration wait{};
         time_point at;
     };
+    struct service_state {
+        // Requests to refuse since the last one that was sent.
+        std::uint32_t new_refusable = 0;
+        std::uint32_t returned_refusable = 0;
+        time_point returned_refused{}; // when the last returned request was refused
+    };
     // What the usable gates agree on.
     struct agreement {
         std::size_t reports = 0;
         duration shortest_wait = duration::max();
     };
 
-    std::optional<duration> wait_at(backend_server_id server, std::uint32_t rank,
+    std::optional<duration> wait_at(backend_server_id server, const room_request& request,
                                     time_point now) const;
     agreement agree(const room_request& it, std::span<const backend_server_id> usable,
                     time_point now) const;
     void erase_outdated(time_point now);
 
     service_room_options options_;
-    std::unordered_map<backend_server_id, std::map<std::uint32_t, report>> reports_; // by rank
-    std::unordered_map<service_id, std::uint32_t> refusable_; // since the last one that was sent
+    std::unordered_map<backend_server_id, std::vector<report>> reports_;
+    std::unordered_map<service_id, service_state> services_;
 };
 
 /// The latest useful start of a request, and what it is for.
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -139,14 +139,15 @@
     return samples_ >= min_samples;
 }
 
-duration slot_queue::expected_wait(std::uint32_t rank, time_point now) const
+duration slot_queue::expected_wait(const slot_request& it, time_point now) const
 {
-    const slot_request it{.request = {}, .organisation = {}, .deadline = {}, .rank = rank};
     const duration paced = pacer_.wait_for(count_ahead(it) + 1, now);
-    if (running_.size() < slots_for(rank, now) || !has_service_times())
+    if (running_.size() < slots_for(it.rank, now) || !has_service_times())
         return paced;
-    const organisation_state own{.organisation = {}, .waiting = {}};
-    return std::max(paced, expected_wait(it, own, now));
+    const organisation_state idle{.organisation = it.organisation, .waiting = {}};
+    const auto own = std::find_if(organisations_.begin(), organisations_.end(),
+                                  [&](const auto& o) { return o.organisation == it.organisation; });
+    return std::max(paced, expected_wait(it, own == organisations_.end() ? idle : *own, now));
 }
 
 // A start after this time is too late for the deadline, or for the soft deadline if that can still
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -87,10 +87,9 @@
     slot_actions set_start_rate(std::optional<double> rate, time_point now);
     /// Whether a request of this rank that is enqueued now starts at once.
     bool may_start(time_point now, std::uint32_t rank = 1) const;
-    /// Expected wait of a request of this rank that is enqueued now, for an organisation of weight
-    /// 1 without waiting requests; zero if it starts at once or no service time is known yet. Other
-    /// organisations wait for as long or longer.
-    duration expected_wait(std::uint32_t rank, time_point now) const;
+    /// Expected wait of a request of this organisation, rank and `is_returned` that is enqueued
+    /// now; zero if it starts at once or no service time is known yet.
+    duration expected_wait(const slot_request& it, time_point now) const;
 
     std::size_t running() const { return running_.size(); }
     std::size_t waiting() const { return waiting_; }
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -655,3 +655,24 @@
     EXPECT_EQ(res.get_header_value(std::string(outcome_header)), "not-run; reason=overloaded");
     EXPECT_TRUE(res.has_header("Retry-After"));
 }
+
+// Load: callers that return after a Retry-After. Guards against a returned request that waits
+// behind new ones, and against marks without the setting.
+TEST(entry, request_that_returns_after_a_refusal_is_marked)
+{
+    for (const bool is_enabled : {true, false}) {
+        std::atomic<int> marked = 0;
+        entry_fixture fixture(
+            [&](const dispatch& it, const std::shared_ptr<link_stream>& stream) {
+                marked += it.is_returned ? 1 : 0;
+                refuse(*stream, {.reason = refusal::overloaded});
+            },
+            {.service_admission = is_enabled});
+        fixture.send("GET");
+        EXPECT_EQ(marked, 0);
+        fixture.send("POST");
+        EXPECT_EQ(marked, 0);
+        fixture.send("GET");
+        EXPECT_EQ(marked > 0, is_enabled);
+    }
+}
--- a/tests/stall_watch_test.cpp
+++ b/tests/stall_watch_test.cpp
@@ -157,3 +157,22 @@
     const double prior = options.prior_odds / (1 + options.prior_odds);
     RC_ASSERT(std::abs(it.suspicion(now + 10 * options.decay_time) - prior) < 0.01);
 }
+
+// Load: callers that return with little time left. Guards against runs that cannot end in time, and
+// against refusals by a service time that is not known yet.
+TEST(stall_watch, least_service_time_needs_answers_and_is_below_the_usual_one)
+{
+    stall_watch watch;
+    time_point now{1h};
+    const route_id route{1};
+    EXPECT_FALSE(watch.least_service_time(route));
+    for (std::uint64_t id = 1; id <= 40; ++id) {
+        watch.started({id}, route, 1s, now);
+        now += 100ms;
+        watch.ended({id}, request_evidence::answered, now);
+    }
+    const auto least = watch.least_service_time(route);
+    ASSERT_TRUE(least);
+    EXPECT_GT(*least, 30ms);
+    EXPECT_LT(*least, 100ms);
+}
