--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -128,7 +128,7 @@
         return options_.slots;
     const std::size_t peak = now < first_rank_peak_until_ ? first_rank_peak_ : 0;
     const std::size_t least = now < first_rank_seen_until_ ? 1 : 0;
-    const std::size_t kept = std::max(least, std::min<std::size_t>(peak, options_.slots / 2));
+    const std::size_t kept = std::max(least, std::min<std::size_t>(peak, options_.slots / 4));
     const std::size_t used = std::min(kept, first_rank_running());
     return options_.slots - static_cast<std::uint32_t>(kept - used);
 }
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -25,7 +25,7 @@
     std::size_t max_waiting = 128;                 ///< requests of all organisations together
     std::size_t max_waiting_per_organisation = 32; ///< requests of one organisation
     /// Keep slots free for requests of rank 0: as many as ran or waited at once within the last
-    /// second, up to half of the slots, and one for a minute after the last of them.
+    /// second, up to a quarter of the slots, and one for a minute after the last of them.
     bool reserve_for_first_rank = false;
 };
 
