--- a/src/bench_admission.cpp
+++ b/src/bench_admission.cpp
@@ -102,12 +102,14 @@
     bool pressure = false;
     bool reserve = false;
     bool no_time = false;
+    bool returned_by_organisation = false;
 };
 
-constexpr std::array<policy, 3> policies{
+constexpr std::array<policy, 4> policies{
     {{"today"},
-     {"without returned first", true, false, true, true, true},
-     {"admission", true, true, true, true, true}}};
+     {"returned_first = none", true, false, true, true, true},
+     {"returned_first = organisation", true, true, true, true, true, true},
+     {"returned_first = rank", true, true, true, true, true}}};
 
 // How the requests of one group ended.
 struct tally {
@@ -274,7 +276,9 @@
                               .slots = slot_queue({.slots = slots_per_server,
                                                    .max_waiting = 64,
                                                    .max_waiting_per_organisation = 17,
-                                                   .reserve_for_first_rank = policy_.reserve}),
+                                                   .reserve_for_first_rank = policy_.reserve,
+                                                   .returned_first_by_organisation =
+                                                       policy_.returned_by_organisation}),
                               .stalls = stall_watch(),
                               .pressure = nested_pressure()});
         }
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -306,7 +306,8 @@
         return std::nullopt;
     {
         const std::lock_guard lock(mutex_);
-        request.is_returned = returned_.take(request.fingerprint, boot_now());
+        request.is_returned =
+            options_.marks_returned && returned_.take(request.fingerprint, boot_now());
     }
     if (!request.room_refused)
         return std::nullopt;
--- a/src/entry.h
+++ b/src/entry.h
@@ -66,6 +66,8 @@
     std::function<void(bool refused)> on_nested_ended = [](bool) {};
     /// Refuse requests on arrival while their service is short of capacity (`service_room`).
     bool service_admission = false;
+    /// With `service_admission`: requests that return after a refusal go before new ones.
+    bool marks_returned = true;
     double retry_share = 0.1; ///< retries allowed per recent success of a service
     /// A gate that responded within this window is not probed before a dispatch. The window is
     /// longer for idempotent requests, which can still be sent to another server if the gate has
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -83,11 +83,12 @@
         server_record record = it.server;
         record.standing = server.record.standing;
         if (is_new) {
-            server.slots =
-                slot_queue({.slots = record.slots,
-                            .max_waiting = options_.waiting_requests,
-                            .max_waiting_per_organisation = options_.waiting_requests / 4 + 1,
-                            .reserve_for_first_rank = options_.service_admission});
+            server.slots = slot_queue(
+                {.slots = record.slots,
+                 .max_waiting = options_.waiting_requests,
+                 .max_waiting_per_organisation = options_.waiting_requests / 4 + 1,
+                 .reserve_for_first_rank = options_.service_admission,
+                 .returned_first_by_organisation = options_.returned_first_by_organisation});
         }
         if (server.run != it.run || server.name != it.name) {
             server.idle.clear();
--- a/src/gate.h
+++ b/src/gate.h
@@ -37,6 +37,8 @@
     /// Report the expected wait for a slot to the entry nodes (`wait_field`), keep slots for nested
     /// requests, and hold work back while those of the backend server are refused.
     bool service_admission = false;
+    /// See `slot_queue_options`.
+    bool returned_first_by_organisation = false;
     withdrawal_list withdrawn{}; ///< backend servers that withdrew from earlier runs of this node
 };
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -149,6 +149,7 @@
                            }},
         *links_);
     poison_ = std::make_unique<poison_service>(id_of<vm_id>(settings_.vm_name), *links_);
+    const bool by_organisation = settings_.returned_first == returned_order::organisation;
     gate_ =
         std::make_unique<gate>(gate_options{.run = run_,
                                             .announcement_ttl = settings_.announcement_ttl,
@@ -156,6 +157,7 @@
                                             .waiting_requests = settings_.waiting_requests,
                                             .names = platform_ ? platform_->names : header_names{},
                                             .service_admission = settings_.service_admission,
+                                            .returned_first_by_organisation = by_organisation,
                                             .withdrawn = withdrawn_before()},
                                *health_, *poison_);
     reach_ = std::make_unique<reach_monitor>(
@@ -192,27 +194,28 @@
             .register_options = {.max_keys = max_keys_per_shard,
                                  .max_keys_per_organisation = max_keys_per_shard / 4}},
         *links_);
+    const auto on_nested_ended = [this](bool refused) { gate_->nested_ended(refused, boot_now()); };
     entry_ = std::make_unique<entry>(
-        entry_options{
-            .buffered_body_bytes = settings_.buffered_body_bytes,
-            .may_serve = [this] { return may_serve(); },
-            .take_token =
-                [this](organisation_id organisation, time_point deadline) {
-                    return limits_->admit_blocking(organisation, deadline);
-                },
-            .poison_time_left =
-                [this](request_fingerprint it) { return poison_->remaining_refusal(it); },
-            .once = platform_ ? nullptr : idempotency_.get(),
-            .names = platform_ ? platform_->names : header_names{},
-            .local_service = [this] { return local_service(); },
-            .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
-            .hedge_after = settings_.hedge_after,
-            .on_nested_ended = [this](bool refused) { gate_->nested_ended(refused, boot_now()); },
-            .service_admission = settings_.service_admission,
-            .retry_share = settings_.fleet_retries > 0
-                               ? settings_.retry_share * usable_share_of_retry_bound
-                               : settings_.retry_share,
-            .take_shared_retry = make_shared_retry_limiter()},
+        entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
+                      .may_serve = [this] { return may_serve(); },
+                      .take_token =
+                          [this](organisation_id organisation, time_point deadline) {
+                              return limits_->admit_blocking(organisation, deadline);
+                          },
+                      .poison_time_left =
+                          [this](request_fingerprint it) { return poison_->remaining_refusal(it); },
+                      .once = platform_ ? nullptr : idempotency_.get(),
+                      .names = platform_ ? platform_->names : header_names{},
+                      .local_service = [this] { return local_service(); },
+                      .on_gate_failed = [this](vm_id it) { reach_->suspect(it); },
+                      .hedge_after = settings_.hedge_after,
+                      .on_nested_ended = on_nested_ended,
+                      .service_admission = settings_.service_admission,
+                      .marks_returned = settings_.returned_first != returned_order::none,
+                      .retry_share = settings_.fleet_retries > 0
+                                         ? settings_.retry_share * usable_share_of_retry_bound
+                                         : settings_.retry_share,
+                      .take_shared_retry = make_shared_retry_limiter()},
         *links_,
         router_options{.self = id_of<vm_id>(settings_.vm_name),
                        .domain = id_of<failure_domain_id>(settings_.failure_domain),
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -60,6 +60,11 @@
     out.ping_period = in.time("ping_period", 125ms, 10ms, 10s);
     out.own_domain_first = in.flag("own_domain_first", true);
     out.service_admission = in.flag("service_admission", false);
+    const std::string returned_first =
+        in.one_of("returned_first", "rank", {"rank", "organisation", "none"});
+    if (returned_first != "rank")
+        out.returned_first =
+            returned_first == "none" ? returned_order::none : returned_order::organisation;
     out.rate_slack = in.decimal("rate_slack", 0, 0, 1e6);
     out.retry_share = in.decimal("retry_share", 0.1, 0, 1);
     out.fleet_retries = in.decimal("fleet_retries", 0, 0, 1e6);
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -15,6 +15,13 @@
 /// Whether a node serves requests while it reaches neither the store nor half of the known members.
 enum class cut_off_policy : std::uint8_t { refuse, serve };
 
+/// With `service_admission`, which requests those that return after a refusal go before.
+enum class returned_order : std::uint8_t {
+    rank,         ///< all new ones of their rank
+    organisation, ///< the new ones of their rank and organisation
+    none,
+};
+
 /// All settings, validated. docs/OPERATIONS.md lists them with their ranges.
 struct node_settings {
     std::string vm_name;
@@ -52,7 +59,8 @@
     duration ping_period{};                 ///< interval between heartbeats
     bool own_domain_first = true;           ///< use other domains only if the own one is full
     bool service_admission = false;         ///< admission when a service is short of capacity
-    double retry_share = 0.1;               ///< allowed retries per recent success of a service
+    returned_order returned_first = returned_order::rank;
+    double retry_share = 0.1; ///< allowed retries per recent success of a service
     /// Retries that all nodes together may send to a service per window, regardless of successes;
     /// 0: no shared limit, each node uses its own retry budget.
     double fleet_retries = 0;
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -402,7 +402,8 @@
         for (organisation_state& it : organisations_) {
             if (it.waiting.empty())
                 continue;
-            const service_order own = service_order_of(*next_to_serve(it, now), now);
+            service_order own = service_order_of(*next_to_serve(it, now), now);
+            own.is_new |= options_.returned_first_by_organisation;
             if (next == nullptr || own < best ||
                 (own == best && it.weighted_use < next->weighted_use)) {
                 next = &it;
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -27,6 +27,8 @@
     /// Keep slots free for requests of rank 0: as many as ran or waited at once within the last
     /// second, up to a quarter of the slots, and one for a minute after the last of them.
     bool reserve_for_first_rank = false;
+    /// Requests that return go before new ones of their own organisation only, not of all.
+    bool returned_first_by_organisation = false;
 };
 
 /// A request for a slot.
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -347,3 +347,32 @@
     }
     EXPECT_EQ(order, (std::vector<std::uint64_t>{4, 5, 2}));
 }
+
+// Load: one organisation at a multiple of its rate, whose refused requests return. Guards against
+// an organisation whose returned requests displace the new ones of all others.
+TEST(slot_queue, returned_requests_may_go_first_within_their_organisation_only)
+{
+    slot_queue queue({.slots = 1, .returned_first_by_organisation = true});
+    const time_point now{1h};
+    const auto send = [&](std::uint64_t id, std::uint64_t organisation, bool is_returned) {
+        queue.enqueue({.request = {id},
+                       .organisation = {organisation},
+                       .deadline = now + 10s,
+                       .rank = 1,
+                       .is_returned = is_returned},
+                      now);
+    };
+    send(1, 1, false);
+    send(2, 1, false);
+    send(3, 1, true);
+    send(4, 1, true);
+    send(5, 2, false);
+    std::vector<std::uint64_t> order;
+    for (std::uint64_t running = 1; order.size() < 4; running = order.back()) {
+        const slot_actions next = queue.finished({running}, now + 1ms);
+        order.push_back(std::get<start_request>(next.front()).request.value);
+    }
+    EXPECT_EQ(order.front(), 5U);
+    EXPECT_EQ((std::vector<std::uint64_t>(order.begin() + 1, order.end())),
+              (std::vector<std::uint64_t>{3, 4, 2}));
+}
