--- a/src/entry.h
+++ b/src/entry.h
@@ -18,8 +18,10 @@
 #include "refusal.h"
 #include "request_metrics.h"
 #include "retry_budget.h"
+#include "returned_requests.h"
 #include "router.h"
 #include "server_search.h"
+#include "service_room.h"
 #include "stop_schedule.h"
 #include "types.h"
 
@@ -32,6 +34,8 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace jasminebank {
 
@@ -57,6 +61,13 @@
     /// An idempotent request is hedged (also sent to a second server) after this multiple of its
     /// expected latency; 0: never.
     double hedge_after = 0;
+    /// Called when a request of the backend server on this VM has ended, with `service_admission`;
+    /// `refused`: it did not run, for lack of capacity.
+    std::function<void(bool refused)> on_nested_ended = [](bool) {};
+    /// Refuse requests on arrival while their service is short of capacity (`service_room`).
+    bool service_admission = false;
+    /// With `service_admission`: requests that return after a refusal go before new ones.
+    bool marks_returned = true;
     double retry_share = 0.1; ///< retries allowed per recent success of a service
     /// A gate that responded within this window is not probed before a dispatch. The window is
     /// longer for idempotent requests, which can still be sent to another server if the gate has
@@ -82,6 +93,9 @@
     time_point deadline;
     request_fingerprint fingerprint{}; ///< set before the dispatch
     region_restriction regions{};      ///< that may serve the request
+    /// No gate can start it in time: refused unless it returns, which is known after its body.
+    std::optional<room_refusal> room_refused{};
+    bool is_returned = false; ///< was refused before with a Retry-After
 };
 
 /// Thread-safe.
@@ -105,6 +119,12 @@
     retry_count_table retry_counts() const;
     /// Metric lines on how far requests are sent; empty without the policy for other regions.
     std::string crossing_metrics();
+    /// Number of requests refused for lack of capacity before or instead of further attempts, by
+    /// service and cause.
+    using arrival_refusal_table = std::map<std::pair<std::string, std::string>, std::uint64_t>;
+    arrival_refusal_table arrival_refusals() const;
+    /// Number of requests that came back after a refusal with a Retry-After.
+    std::uint64_t returned_count() const;
     /// Number of backend servers of each service that requests may be sent to.
     std::unordered_map<service_id, std::size_t> backend_server_counts() const;
     /// Metrics of the requests served so far.
@@ -130,6 +150,14 @@
     std::optional<refusal_answer> admit(const caller_head& head, time_point now,
                                         admitted_request& out);
     static refusal body_failure_reason(const admitted_request& request);
+    room_request room_request_of(const admitted_request& request) const;
+    std::vector<backend_server_id> usable_servers(const admitted_request& request,
+                                                  time_point now) const;
+    std::optional<room_refusal> check_room(const admitted_request& request);
+    refusal_answer refuse_for_room(const admitted_request& request, const room_refusal& it);
+    std::optional<refusal_answer> admit_returned(admitted_request& request);
+    void remember_refused(const admitted_request& request, const refusal_answer& it);
+    void set_retry_after(const admitted_request& request, refusal_answer& it);
     std::optional<refusal_answer> authenticate(const caller_head& head,
                                                admitted_request& out) const;
     void refuse(httplib::Response& res, const refusal_answer& it) const;
@@ -190,6 +218,10 @@
     answer_estimate estimates_;
     answer_estimate service_times_; ///< of answers that did not wait for a slot
     notice_cache notices_;
+    service_room room_;
+    returned_requests returned_;
+    arrival_refusal_table arrival_refusals_;
+    std::map<std::string, time_point> shortage_logged_;        // by service
     std::unordered_map<vm_id, time_point> gate_last_response_; ///< time of the last response
     std::mt19937_64 random_{std::random_device{}()};
 };
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -19,17 +19,29 @@
 // A backend server at or above `high_suspicion` gets a request that must not be repeated only if it
 // was sent no other request for this time.
 constexpr duration high_suspicion_interval = std::chrono::seconds(1);
+// Above it a server is on probation (`stall_watch_options::suspected_from`).
+constexpr double max_reporting_suspicion = 0.5;
+constexpr duration hold_log_interval = std::chrono::seconds(1);
+
+// What a refusal tells the entry node about the backend server.
+struct refusal_details {
+    std::optional<double> load{};
+    std::optional<duration> wait{};
+    bool trial_due = false;
+};
 
 // Responds to the entry node that the request was not run, or that this is unknown.
 static void refuse(link_stream& stream, const refusal_answer& it,
-                   std::optional<double> load = std::nullopt, bool trial_due = false)
+                   const refusal_details& details = {})
 {
     message_head head{.method = {}, .path = {}, .status = status_of(it.reason), .fields = {}};
     head.fields.push_back({.name = std::string(outcome_field), .value = outcome_text(it)});
-    if (load)
+    if (details.load)
         head.fields.push_back(
-            {.name = std::string(load_field), .value = fmt::format("{:.3f}", *load)});
-    if (trial_due)
+            {.name = std::string(load_field), .value = fmt::format("{:.3f}", *details.load)});
+    if (details.wait)
+        head.fields.push_back(wait_header(*details.wait));
+    if (details.trial_due)
         head.fields.push_back({.name = std::string(trial_field), .value = "due"});
     stream.respond(std::move(head), true);
 }
@@ -72,10 +84,12 @@
         server_record record = it.server;
         record.standing = server.record.standing;
         if (is_new) {
-            server.slots =
-                slot_queue({.slots = record.slots,
-                            .max_waiting = options_.waiting_requests,
-                            .max_waiting_per_organisation = options_.waiting_requests / 4 + 1});
+            server.slots = slot_queue(
+                {.slots = record.slots,
+                 .max_waiting = options_.waiting_requests,
+                 .max_waiting_per_organisation = options_.waiting_requests / 4 + 1,
+                 .reserve_for_first_rank = options_.service_admission,
+                 .returned_first_by_organisation = options_.returned_first_by_organisation});
             server.slots.cold_start().met(now);
         }
         if (server.run != it.run || server.name != it.name) {
@@ -344,7 +358,9 @@
     if (!health_.admits(request.server, request.idempotent))
         return refusal::overloaded;
     backend_server& server = it->second;
-    if (!request.may_queue && !server.slots.may_start(now))
+    if (request.time_left < least_service_time(server, request))
+        return refusal::no_time;
+    if (!request.may_queue && !server.slots.may_start(now, queue_rank(request)))
         return refusal::overloaded;
     if (!request.allow_suspected && !server.stalls.admits(request.is_trial, now))
         return refusal::suspect;
@@ -355,10 +371,90 @@
                               now - server.last_admitted < high_suspicion_interval;
     if (is_throttled)
         return refusal::suspect;
+    if (holds_work(request, now))
+        return refusal::overloaded;
     server.last_admitted = now;
     return std::nullopt;
 }
 
+static request_evidence classify_evidence(const call_result& it)
+{
+    switch (it.outcome) {
+    case call_outcome::whole_answer:
+        return it.status >= first_error_status ? request_evidence::failed
+                                               : request_evidence::answered;
+    case call_outcome::cut_answer:
+        return request_evidence::failed;
+    case call_outcome::no_answer:
+        return it.timed_out ? request_evidence::inconclusive : request_evidence::failed;
+    case call_outcome::not_connected:
+    case call_outcome::shed:
+    case call_outcome::caller_left:
+    case call_outcome::misdirected:
+        break;
+    }
+    return request_evidence::inconclusive;
+}
+
+// A run that nine of ten times takes longer than its caller has left is not worth its slot. Zero:
+// no run is refused for this.
+duration gate::least_service_time(const backend_server& server, const dispatch& request) const
+{
+    if (!options_.service_admission)
+        return duration::zero();
+    return server.stalls.least_service_time(request.route).value_or(duration::zero());
+}
+
+// The event is logged once a second.
+bool gate::holds_work(const dispatch& request, time_point now)
+{
+    if (!options_.service_admission || request.is_nested ||
+        pressure_.admits_new_work(request.route, now))
+        return false;
+    ++held_;
+    if (now - hold_logged_ >= hold_log_interval) {
+        hold_logged_ = now;
+        log_event(event::work_held, "server={:016x} route={:016x} nested_refused={:.2f} held={}",
+                  request.server.value, request.route.value, pressure_.refused_share(now), held_);
+    }
+    return true;
+}
+
+void gate::nested_ended(bool refused, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    pressure_.ended(refused, now);
+}
+
+std::uint64_t gate::held_count() const
+{
+    const std::lock_guard lock(mutex_);
+    return held_;
+}
+
+// Requests of a route that is held back do not wait for a slot here either. A request that did not
+// run, or whose caller left, says nothing about the nested requests.
+void gate::record_run(const pending_request& it, const call_result& result, time_point now,
+                      deferred_actions& out)
+{
+    const bool has_run = result.outcome == call_outcome::whole_answer ||
+                         result.outcome == call_outcome::cut_answer ||
+                         result.outcome == call_outcome::no_answer;
+    if (!options_.service_admission || it.request.is_nested || !has_run)
+        return;
+    const route_id route = it.request.route;
+    pressure_.run_ended(route, classify_evidence(result) != request_evidence::answered, now);
+    if (!pressure_.holds(route, now))
+        return;
+    std::vector<std::pair<backend_server_id, request_id>> waiting;
+    for (const auto& [id, other] : pending_) {
+        if (!other.request.is_nested && other.request.route == route)
+            waiting.emplace_back(other.request.server, id);
+    }
+    for (const auto& [server, id] : waiting)
+        collect_actions(servers_.at(server).slots.refuse_waiting(id), out);
+}
+
 std::vector<server_load> gate::loads(time_point now) const
 {
     const std::lock_guard lock(mutex_);
@@ -381,6 +477,25 @@
     return it == servers_.end() ? "-" : fmt::format("{:.3f}", load_factor(it->second));
 }
 
+// A server that is suspected to hang or fail tells nothing about the capacity of its service: its
+// slots are held by requests that do not end.
+std::optional<duration> gate::reported_wait(backend_server_id server, const dispatch& request,
+                                            time_point now) const
+{
+    const auto it = servers_.find(server);
+    if (!options_.service_admission || it == servers_.end() ||
+        it->second.stalls.suspicion(now) >= max_reporting_suspicion ||
+        (!request.is_nested && pressure_.holds(request.route, now)))
+        return std::nullopt;
+    return it->second.slots.expected_wait(
+        {.request = {},
+         .organisation = id_of<organisation_id>(request.organisation),
+         .deadline = {},
+         .rank = queue_rank(request),
+         .is_returned = request.is_returned},
+        now);
+}
+
 server_load gate::current_load(backend_server_id server, time_point now) const
 {
     server_load out{.server = server};
@@ -411,7 +526,8 @@
             {.stream = std::move(it->second.stream),
              .reason = refused.reason == slot_refusal::deadline ? refusal::overloaded : reason,
              .load_now = current_load(it->second.request.server, now),
-             .waited = now - it->second.accepted});
+             .waited = now - it->second.accepted,
+             .wait_now = reported_wait(it->second.request.server, it->second.request, now)});
         pending_.erase(it);
     }
 }
@@ -420,7 +536,7 @@
 void gate::perform(const deferred_actions& it)
 {
     for (const refused_stream& refused : it.refused) {
-        refuse(*refused.stream, {.reason = refused.reason});
+        refuse(*refused.stream, {.reason = refused.reason}, {.wait = refused.wait_now});
         log_refusal(*refused.stream, refused.load_now, name_of(refused.reason), refused.waited);
     }
     for (const request_id id : it.started) {
@@ -445,8 +561,7 @@
     const time_point now = boot_now();
     deferred_actions out;
     std::optional<refusal> reason;
-    std::optional<double> load;
-    bool trial_due = false;
+    refusal_details details;
     server_load load_now;
     request_id id;
     {
@@ -461,9 +576,10 @@
         apply_report(*request, out);
         reason = admit(*request, now);
         if (const auto it = servers_.find(request->server); reason && it != servers_.end()) {
-            load = load_factor(it->second);
+            details.load = load_factor(it->second);
+            details.wait = reported_wait(request->server, *request, now);
             load_now = current_load(request->server, now);
-            trial_due = reason == refusal::suspect && it->second.stalls.is_trial_due(now);
+            details.trial_due = reason == refusal::suspect && it->second.stalls.is_trial_due(now);
         }
         if (!reason) {
             const time_point deadline = now + request->time_left;
@@ -471,21 +587,24 @@
                                                  .request = *request,
                                                  .deadline = deadline,
                                                  .accepted = now});
-            slot_queue& slots = servers_.at(request->server).slots;
+            backend_server& server = servers_.at(request->server);
+            const duration least = least_service_time(server, *request);
             collect_actions(
-                slots.enqueue({.request = id,
-                               .organisation = id_of<organisation_id>(request->organisation),
-                               .deadline = latest_start(*request, now, deadline),
-                               .rank = queue_rank(*request),
-                               .soft_deadline = request->target_latency > duration::zero()
-                                                    ? now + request->target_latency
-                                                    : time_point::max()},
-                              now),
+                server.slots.enqueue(
+                    {.request = id,
+                     .organisation = id_of<organisation_id>(request->organisation),
+                     .deadline = std::min(latest_start(*request, now, deadline), deadline - least),
+                     .rank = queue_rank(*request),
+                     .soft_deadline = request->target_latency > duration::zero()
+                                          ? now + request->target_latency
+                                          : time_point::max(),
+                     .is_returned = request->is_returned},
+                    now),
                 out);
         }
     }
     if (reason) {
-        refuse(*stream, {.reason = *reason}, load, trial_due);
+        refuse(*stream, {.reason = *reason}, details);
         log_refusal(*stream, load_now, name_of(*reason), duration::zero());
     }
     perform(out);
@@ -691,6 +810,7 @@
     const call_result result = call_backend(connection, it.stream,
                                             {.deadline = it.deadline,
                                              .load = load,
+                                             .wait = [&] { return wait_after(it.request); },
                                              .names = options_.names,
                                              .request = it.request,
                                              .expected_server = name,
@@ -708,6 +828,12 @@
     finish(id, it, std::move(connection), result);
 }
 
+std::optional<duration> gate::wait_after(const dispatch& request) const
+{
+    const std::lock_guard lock(mutex_);
+    return reported_wait(request.server, request, boot_now());
+}
+
 // The notice is applied before the answer's slot is given to the next request.
 void gate::apply_answer(const pending_request& it, const call_result& result)
 {
@@ -756,25 +882,6 @@
               text_of_rate(max_rate));
 }
 
-static request_evidence classify_evidence(const call_result& it)
-{
-    switch (it.outcome) {
-    case call_outcome::whole_answer:
-        return it.status >= first_error_status ? request_evidence::failed
-                                               : request_evidence::answered;
-    case call_outcome::cut_answer:
-        return request_evidence::failed;
-    case call_outcome::no_answer:
-        return it.timed_out ? request_evidence::inconclusive : request_evidence::failed;
-    case call_outcome::not_connected:
-    case call_outcome::shed:
-    case call_outcome::caller_left:
-    case call_outcome::misdirected:
-        break;
-    }
-    return request_evidence::inconclusive;
-}
-
 // A connection whose answer was not read to its end is closed: the rest of that answer must never
 // reach another caller.
 void gate::finish(request_id id, const pending_request& it,
@@ -791,6 +898,7 @@
             server.idle.size() < server.record.slots)
             server.idle.push_back({.connection = std::move(connection), .since = now});
         pending_.erase(id);
+        record_run(it, result, now, out);
         collect_actions(server.slots.finished(id, now), out);
     }
     perform(out);
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -128,6 +128,17 @@
     }
 }
 
+static void append_arrival_refusals(std::string& out, const entry::arrival_refusal_table& counts)
+{
+    out += "# TYPE jasminebank_refused_on_arrival_total counter\n";
+    for (const auto& [key, count] : counts) {
+        const auto& [service, cause] = key;
+        out +=
+            fmt::format("jasminebank_refused_on_arrival_total{{service=\"{}\",cause=\"{}\"}} {}\n",
+                        service, cause, count);
+    }
+}
+
 // The backend servers whose gate is on this node.
 static void append_servers(std::string& out, const std::vector<server_load>& loads)
 {
@@ -223,6 +234,11 @@
     add("limit_requests_total", "counter", limits.requests);
     out += traffic_->text() + entry_->crossing_metrics();
     append_retries(out, entry_->retry_counts());
+    if (settings_.service_admission) {
+        append_arrival_refusals(out, entry_->arrival_refusals());
+        add("returned_requests_total", "counter", entry_->returned_count());
+        add("held_requests_total", "counter", gate_->held_count());
+    }
     const std::vector<server_load> loads = gate_->loads(boot_now());
     append_servers(out, loads);
     append_cold_starts(out, loads);
