Evacuations: findings of the review

One gate that refuses because of an evacuation is avoided alone; its domain only once another gate there refuses too, since a gate may have missed the end. A peer's store contact counts only with the evacuations known here. Names with a backslash would break the metrics.

--- a/src/evacuation.cpp
+++ b/src/evacuation.cpp
@@ -77,7 +77,7 @@
     const auto is_allowed = [](char c) {
         constexpr unsigned char del = 0x7f;
         const auto code = static_cast<unsigned char>(c);
-        return code > ' ' && code != del && c != '"';
+        return code > ' ' && code != del && c != '"' && c != '\\';
     };
     return !name.empty() && name.size() <= max_evacuated_name_bytes &&
            std::all_of(name.begin(), name.end(), is_allowed);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -290,7 +290,11 @@
     const bool direct = peer != nullptr && peer->link == from;
     if (direct)
         record_ping_outcome(*ping, true);
-    const bool is_complete = it.evacuations || !options_.shares_evacuations;
+    // A contact vouches for the evacuations that the peer knew, so it counts only if these are the
+    // ones known here.
+    const bool is_complete =
+        !options_.shares_evacuations ||
+        (it.evacuations && it.evacuations->domains == evacuations_.state().domains);
     if (direct && it.store_age && it.generation == generation_ && is_complete)
         record_store_contact(ping->sent - *it.store_age);
     pings_.erase(ping);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -412,13 +412,26 @@
     std::erase_if(paused_gates_, [now](const auto& it) { return it.second <= now; });
 }
 
+// A single gate may have missed the end of an evacuation, so its whole domain is avoided only if
+// another gate there refuses as well.
 void router::gate_evacuated(vm_id gate, time_point now)
 {
     for (const auto& [service, candidates] : services_) {
         const auto it = std::find_if(candidates.begin(), candidates.end(),
                                      [&](const candidate& a) { return a.choice.gate == gate; });
-        if (it != candidates.end())
+        if (it == candidates.end())
+            continue;
+        const auto [place, is_first] =
+            evacuation_refusals_.try_emplace(it->domain, evacuation_refusal{});
+        evacuation_refusal& last = place->second;
+        const bool is_confirmed =
+            !is_first && last.gate != gate && now - last.at < options_.gate_pause;
+        if (is_confirmed)
             paused_domains_[it->domain] = now + options_.gate_pause;
+        else
+            paused_gates_[gate] = now + options_.gate_pause;
+        last = {.gate = gate, .at = now};
+        return;
     }
 }
 
--- a/src/router.h
+++ b/src/router.h
@@ -103,7 +103,8 @@
     /// `set_reachable` ends the pause earlier.
     void gate_failed(vm_id gate, time_point now);
     /// The gate refused a request because its failure domain is evacuated, which this node may not
-    /// know yet: no server of that domain gets requests for `gate_pause`.
+    /// know yet: its server gets no requests for `gate_pause`, nor do the other servers of the
+    /// domain if another gate there has refused within that time.
     void gate_evacuated(vm_id gate, time_point now);
     /// The gate shuts down and admits no more requests in this run (until its node restarts).
     void gate_closed(vm_id gate, incarnation run);
@@ -162,6 +163,12 @@
     std::unordered_map<vm_id, incarnation> closed_gates_;
     std::vector<failure_domain_id> evacuated_;
     std::unordered_set<service_id> evacuated_services_;
+    // The last refusal of a gate because its domain is evacuated.
+    struct evacuation_refusal {
+        vm_id gate;
+        time_point at{};
+    };
+    std::unordered_map<failure_domain_id, evacuation_refusal> evacuation_refusals_;
     std::unordered_map<failure_domain_id, time_point> paused_domains_;
 };
 
