--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -19,6 +19,8 @@
 // A backend server at or above `high_suspicion` gets a request that must not be repeated only if it
 // was sent no other request for this time.
 constexpr duration high_suspicion_interval = std::chrono::seconds(1);
+// Without an admitted request for this time, one is admitted although it is expected to end late.
+constexpr duration estimate_check_interval = std::chrono::seconds(1);
 // Above it a server is on probation (`stall_watch_options::suspected_from`).
 constexpr double max_reporting_suspicion = 0.5;
 constexpr duration hold_log_interval = std::chrono::seconds(1);
@@ -358,7 +360,9 @@
     if (!health_.admits(request.server, request.idempotent))
         return refusal::overloaded;
     backend_server& server = it->second;
-    if (request.time_left < least_service_time(server, request))
+    // Only a run can correct the estimate, so one request per interval is admitted all the same.
+    if (request.time_left < least_service_time(server, request) &&
+        now - server.last_admitted < estimate_check_interval)
         return refusal::no_time;
     if (!request.may_queue && !server.slots.may_start(now, queue_rank(request)))
         return refusal::overloaded;
@@ -480,7 +484,7 @@
 // A server that is suspected to hang or fail tells nothing about the capacity of its service: its
 // slots are held by requests that do not end.
 std::optional<duration> gate::reported_wait(backend_server_id server, const dispatch& request,
-                                            time_point now) const
+                                            time_point now, std::size_t ending) const
 {
     const auto it = servers_.find(server);
     if (!options_.service_admission || it == servers_.end() ||
@@ -493,7 +497,7 @@
          .deadline = {},
          .rank = queue_rank(request),
          .is_returned = request.is_returned},
-        now);
+        now, ending);
 }
 
 server_load gate::current_load(backend_server_id server, time_point now) const
@@ -828,10 +832,11 @@
     finish(id, it, std::move(connection), result);
 }
 
+// The answering request still holds its slot.
 std::optional<duration> gate::wait_after(const dispatch& request) const
 {
     const std::lock_guard lock(mutex_);
-    return reported_wait(request.server, request, boot_now());
+    return reported_wait(request.server, request, boot_now(), 1);
 }
 
 // The notice is applied before the answer's slot is given to the next request.
--- a/src/gate.h
+++ b/src/gate.h
@@ -158,7 +158,7 @@
 
     static double load_factor(const backend_server& it);
     std::optional<duration> reported_wait(backend_server_id server, const dispatch& request,
-                                          time_point now) const;
+                                          time_point now, std::size_t ending = 0) const;
     server_load current_load(backend_server_id server, time_point now) const;
     void log_refusal(const link_stream& stream, const server_load& load_now,
                      std::string_view reason, duration waited) const;
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -95,7 +95,8 @@
         return false;
     return it.reason == refusal::overloaded || it.reason == refusal::stopping ||
            it.reason == refusal::shed || it.reason == refusal::suspect ||
-           it.reason == refusal::no_backend_server || it.reason == refusal::evacuated;
+           it.reason == refusal::no_backend_server || it.reason == refusal::evacuated ||
+           it.reason == refusal::no_time;
 }
 
 } // namespace jasminebank
--- a/src/service_room.cpp
+++ b/src/service_room.cpp
@@ -119,9 +119,12 @@
     if (usable.empty())
         return std::nullopt;
     const agreement known = agree(it, usable, now);
-    const bool is_known = known.reports >= std::min(options_.min_reports, usable.size());
+    // A few full gates say nothing about a service with many.
+    const std::size_t needed = std::max(options_.min_reports, (usable.size() + 2) / 3);
+    const bool is_known = known.reports >= std::min(needed, usable.size());
     const useful_start start = useful_start_of(it, now);
-    if (!is_known || now + known.shortest_wait <= start.latest)
+    const bool has_free_slot = known.shortest_wait <= duration::zero();
+    if (!is_known || has_free_slot || now + known.shortest_wait <= start.latest)
         return std::nullopt;
     if (services_.size() >= max_services && !services_.contains(it.service))
         return std::nullopt;
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -151,10 +151,10 @@
     return samples_ >= min_samples;
 }
 
-duration slot_queue::expected_wait(const slot_request& it, time_point now) const
+duration slot_queue::expected_wait(const slot_request& it, time_point now, std::size_t ending) const
 {
     const duration paced = wait_for_starts(count_ahead(it) + 1, now);
-    if (running_.size() < slots_for(it.rank, now) || !has_service_times())
+    if (running_.size() < slots_for(it.rank, now) + ending || !has_service_times())
         return paced;
     const organisation_state idle{.organisation = it.organisation, .waiting = {}};
     const auto own = std::find_if(organisations_.begin(), organisations_.end(),
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -96,8 +96,9 @@
     /// Whether a request of this rank that is enqueued now starts at once.
     bool may_start(time_point now, std::uint32_t rank = 1) const;
     /// Expected wait of a request of this organisation, rank and `is_returned` that is enqueued
-    /// now; zero if it starts at once or no service time is known yet.
-    duration expected_wait(const slot_request& it, time_point now) const;
+    /// now, while `ending` of the running requests are about to end; zero if it starts at once or
+    /// no service time is known yet.
+    duration expected_wait(const slot_request& it, time_point now, std::size_t ending = 0) const;
 
     std::size_t running() const { return running_.size(); }
     std::size_t waiting() const { return waiting_; }
