--- a/src/answer_estimate.cpp
+++ b/src/answer_estimate.cpp
@@ -21,6 +21,31 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(out));
 }
 
+duration answer_estimate::least_service_time(route_id route) const
+{
+    const auto it = least_service_seconds_.find(route);
+    if (it == least_service_seconds_.end())
+        return duration::zero();
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(it->second));
+}
+
+// Moves the estimate of a quantile by a fixed share of itself: up by the quantile and down by the
+// rest of one, so that it stays where that share of the samples is below it.
+static void move_quantile(double& estimate, double sample)
+{
+    constexpr double quantile = 0.25;
+    constexpr double step = 0.05;
+    estimate *= sample < estimate ? 1 - step * (1 - quantile) : 1 + step * quantile;
+}
+
+void answer_estimate::add_service_time(route_id route, duration time)
+{
+    if (least_service_seconds_.size() >= max_routes && !least_service_seconds_.contains(route))
+        return;
+    const double sample = std::chrono::duration<double>(time).count();
+    move_quantile(least_service_seconds_.try_emplace(route, sample).first->second, sample);
+}
+
 std::size_t answer_estimate::expected_bytes(route_id route) const
 {
     const auto it = answer_bytes_.find(route);
--- a/src/bench_main.cpp
+++ b/src/bench_main.cpp
@@ -1,6 +1,8 @@
-// bench: runs seeded simulations of placement, failure detection and rate limiting without sockets.
-// Prints the measured figures and a signature of all decisions, which shows changes of behaviour.
+// bench: runs seeded simulations of admission, placement, failure detection and rate limiting
+// without sockets. Prints the measured figures and a signature of all decisions, which shows
+// changes of behaviour.
 
+#include "bench_admission.h"
 #include "bench_crossing.h"
 #include "bench_detection.h"
 #include "bench_limits.h"
@@ -28,6 +30,7 @@
 
 // Sorted by name.
 constexpr std::array workloads{
+    workload{"admission", "admission when a service is short of capacity", bench_admission},
     workload{"crossing", "leaving the failure domain and the region", bench_crossing},
     workload{"detection", "delay of finding failing backend servers", run_detection},
     workload{"false_alarms", "100 hours of healthy traffic (only by name)", run_false_alarms, true},
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -21,6 +21,10 @@
 /// Share of the backend server's slots that are busy, from 0 to 1, in answers and refusals of a
 /// gate.
 constexpr std::string_view load_field = "jasmine-load";
+/// Expected wait at the gate for a slot in milliseconds, for a request of the same organisation and
+/// rank that returns like this one or is new like it; in
+/// answers and refusals of a gate that has it (`gate_options::service_admission`).
+constexpr std::string_view wait_field = "jasmine-wait";
 /// Present in a refusal when the gate requests a trial: one request that tests whether a suspected
 /// backend server has recovered.
 constexpr std::string_view trial_field = "jasmine-trial";
@@ -39,6 +43,7 @@
     std::string caller_service; ///< service of the backend server on the entry node's VM
     std::uint32_t priority = 0; ///< under overload; 0 is the highest
     bool is_nested = false;     ///< sent by a backend server while it runs another request
+    bool is_returned = false;   ///< comes back after a refusal; before new ones of its rank
     duration target_latency{};  ///< for the answer; 0: none
     duration time_left{};       ///< time until the deadline
     bool idempotent = false;
@@ -49,6 +54,9 @@
     std::optional<reported_notice> notice{}; ///< what the entry node knows of the backend server
 };
 
+/// The field `wait_field` with this wait.
+header_field wait_header(duration wait);
+
 /// Adds the internal fields to `head`.
 void write_dispatch(const dispatch& it, message_head& head);
 
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -37,6 +37,7 @@
 constexpr std::size_t max_unresponsive_gates = 3;
 // Timeout of a request to another node for a shared retry.
 constexpr duration shared_retry_timeout = std::chrono::milliseconds(60);
+constexpr duration shortage_log_interval = std::chrono::seconds(1);
 
 // Returns the caller's head. Fields that were renamed with `raw_prefix`, to keep the HTTP library
 // from processing them, get their original names back.
@@ -76,6 +77,21 @@
     return out;
 }
 
+std::uint32_t priority_of(const admitted_request& request)
+{
+    if (request.organisation != nullptr && request.organisation->priority)
+        return *request.organisation->priority;
+    return request.route->priority;
+}
+
+// Whether the request did not run because no backend server had room for it.
+bool lacks_capacity(const refusal_answer& it)
+{
+    return it.state == run_state::not_run &&
+           (it.reason == refusal::overloaded || it.reason == refusal::suspect ||
+            it.reason == refusal::shed);
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find_first_of("?#"));
@@ -243,6 +259,9 @@
         out.route->regions, out.organisation == nullptr ? unrestricted : out.organisation->regions);
     if (const auto refused = check_regions(out))
         return refused;
+    out.room_refused = check_room(out);
+    if (out.room_refused)
+        return std::nullopt;
     return check_rate_limit(out);
 }
 
@@ -263,6 +282,113 @@
                      : std::optional(refusal_answer{.reason = refusal::no_backend_server});
 }
 
+// The deadline is that of the caller, since a caller's patience depends on it.
+room_request entry::room_request_of(const admitted_request& request) const
+{
+    return {.service = request.service->id,
+            .organisation =
+                request.organisation == nullptr ? organisation_id{} : request.organisation->id,
+            .rank = queue_rank({.priority = priority_of(request), .is_nested = request.is_nested}),
+            .is_nested = request.is_nested,
+            .is_returned = request.is_returned,
+            .start = request.start,
+            .deadline = request.deadline,
+            .target = request.route->target_latency,
+            .expected_service = estimates_.least_service_time(request.route->id)};
+}
+
+std::vector<backend_server_id> entry::usable_servers(const admitted_request& request,
+                                                     time_point now) const
+{
+    return router_.usable_servers({.service = request.service->id,
+                                   .idempotent = request.idempotent,
+                                   .regions = &request.regions},
+                                  now);
+}
+
+// Returns whether no backend server can start the request in time, as far as their gates have said
+// recently.
+std::optional<room_refusal> entry::check_room(const admitted_request& request)
+{
+    if (!options_.service_admission)
+        return std::nullopt;
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    return room_.refuse_on_arrival(room_request_of(request), usable_servers(request, now),
+                                   random_(), now);
+}
+
+// The number of names is bounded by the configuration. The event is logged once a second for each
+// service.
+refusal_answer entry::refuse_for_room(const admitted_request& request, const room_refusal& it)
+{
+    const refusal_answer out{.reason = refusal::overloaded, .retry_after = it.retry_after};
+    const std::string& service = request.service->name;
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    const std::uint64_t total = ++arrival_refusals_[{service, std::string(name_of(it.cause))}];
+    const auto logged = shortage_logged_.find(service);
+    if (logged != shortage_logged_.end() && now - logged->second < shortage_log_interval)
+        return out;
+    shortage_logged_[service] = now;
+    log_event(event::service_short, "service={} cause={} retry_after_ms={:.0f} refused={}", service,
+              name_of(it.cause), as_milliseconds(it.retry_after), total);
+    return out;
+}
+
+// Called when the fingerprint is known. A request that returns goes before new ones, so it may
+// start in time although a new one could not. The token of a request that was to be refused is
+// taken here.
+std::optional<refusal_answer> entry::admit_returned(admitted_request& request)
+{
+    if (!options_.service_admission)
+        return std::nullopt;
+    {
+        const std::lock_guard lock(mutex_);
+        request.is_returned =
+            options_.marks_returned && returned_.take(request.fingerprint, boot_now());
+    }
+    if (!request.room_refused)
+        return std::nullopt;
+    if (request.is_returned)
+        request.room_refused = check_room(request);
+    if (!request.room_refused)
+        return check_rate_limit(request);
+    return refuse_for_room(request, *request.room_refused);
+}
+
+// The caller may return until its deadline.
+void entry::remember_refused(const admitted_request& request, const refusal_answer& it)
+{
+    if (!options_.service_admission || !it.retry_after || it.state != run_state::not_run)
+        return;
+    const std::lock_guard lock(mutex_);
+    returned_.refused(request.fingerprint, request.deadline, boot_now());
+}
+
+std::uint64_t entry::returned_count() const
+{
+    const std::lock_guard lock(mutex_);
+    return returned_.returned();
+}
+
+// Spreads the callers that gates have refused for lack of capacity.
+void entry::set_retry_after(const admitted_request& request, refusal_answer& it)
+{
+    if (!options_.service_admission || !lacks_capacity(it) || it.retry_after)
+        return;
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    it.retry_after =
+        room_.retry_after(room_request_of(request), usable_servers(request, now), random_(), now);
+}
+
+entry::arrival_refusal_table entry::arrival_refusals() const
+{
+    const std::lock_guard lock(mutex_);
+    return arrival_refusals_;
+}
+
 // Called last, so that no token is spent on a request that is refused for another reason.
 std::optional<refusal_answer> entry::check_rate_limit(const admitted_request& request) const
 {
@@ -307,6 +433,8 @@
         forward(request, head.sanitised, res, reader);
     }
     const auto outcome = parse_outcome(res.get_header_value(std::string(outcome_header)));
+    if (request.is_nested && options_.service_admission)
+        options_.on_nested_ended(outcome && lacks_capacity(*outcome));
     metrics_.add({.organisation = request.organisation == nullptr ? "" : request.organisation->name,
                   .service = request.service == nullptr ? "" : request.service->name,
                   .outcome = outcome ? name_of(outcome->reason) : name_of(run_state::ran),
@@ -460,6 +588,11 @@
 {
     const auto length = length_of(head);
     const bool buffered = reader == nullptr || (length && *length <= options_.buffered_body_bytes);
+    if (!buffered && request.room_refused) {
+        socket_server::close_after_answer(res);
+        refuse(res, refuse_for_room(request, *request.room_refused));
+        return;
+    }
     socket_server::set_request_read_deadline(request.deadline);
     std::string body;
     if (buffered && reader != nullptr && *length > 0) {
@@ -490,6 +623,14 @@
         refuse(res, {.reason = refusal::poison, .retry_after = wait});
         return;
     }
+    // A streamed body is not part of the fingerprint, so such requests are not recognised.
+    if (buffered) {
+        if (const auto refused = admit_returned(request)) {
+            remember_refused(request, *refused);
+            refuse(res, *refused);
+            return;
+        }
+    }
     std::unique_ptr<granted_claim> hold;
     if (!claim_idempotency_key(request, head, body, res, hold)) {
         if (!buffered)
@@ -502,6 +643,8 @@
         return;
     if (hold != nullptr)
         hold->on_refused(refused->state);
+    if (buffered)
+        remember_refused(request, *refused);
     refuse(res, *refused);
 }
 
@@ -560,16 +703,10 @@
     // The request may have run in an earlier attempt, even if the last one did not run it.
     if (progress.may_have_run)
         progress.last_refusal.state = run_state::unknown;
+    set_retry_after(request, progress.last_refusal);
     return progress.last_refusal;
 }
 
-static std::uint32_t priority_of(const admitted_request& request)
-{
-    if (request.organisation != nullptr && request.organisation->priority)
-        return *request.organisation->priority;
-    return request.route->priority;
-}
-
 std::optional<reported_notice> entry::notice_of(backend_server_id server) const
 {
     const std::lock_guard lock(mutex_);
@@ -591,6 +728,7 @@
          .caller_service = options_.local_service(),
          .priority = priority_of(request),
          .is_nested = request.is_nested,
+         .is_returned = request.is_returned,
          .target_latency = request.route->target_latency,
          .time_left = limit.until() - boot_now(),
          .idempotent = request.idempotent,
@@ -601,7 +739,10 @@
          .notice = notice_of(choice.server)},
         head);
     const bool is_streamed = context.reader != nullptr;
-    dispatch_attempt it{.choice = choice, .start = boot_now(), .body_consumed = is_streamed};
+    dispatch_attempt it{.choice = choice,
+                        .start = boot_now(),
+                        .may_queue = search.may_queue() && !is_trial,
+                        .body_consumed = is_streamed};
     it.stream =
         links_.open(choice.gate_link, std::move(head), context.body.empty() && !is_streamed);
     if (!context.body.empty()) {
@@ -793,6 +934,13 @@
     if (it.body_consumed || it.caller_left || (reached_server && progress.other))
         return false;
     open_trial(context, progress, it);
+    if (progress.last_refusal.reason == refusal::overloaded && !progress.may_have_run &&
+        !progress.other) {
+        if (const auto refused = check_room(request)) {
+            progress.last_refusal = refuse_for_room(request, *refused);
+            return false;
+        }
+    }
     const bool again = may_try_elsewhere(progress.last_refusal) ||
                        (request.idempotent && is_first_possible_run &&
                         progress.last_refusal.reason == refusal::backend_server_error);
@@ -848,6 +996,8 @@
     estimates_.add_sample(request.route->id, target, latency, it.body.size());
     if (it.load.value_or(0) <= 1)
         service_times_.add_sample(request.route->id, target, latency, it.body.size());
+    if (!it.may_queue)
+        estimates_.add_service_time(request.route->id, latency);
 }
 
 void entry::record_attempt_end(const attempt_context& context, const dispatch_attempt& it)
@@ -870,6 +1020,9 @@
         notices_.store(it.choice.server, it.notice);
     if (it.gate_failed)
         router_.gate_failed(it.choice.gate, now);
+    const room_request known = room_request_of(context.request);
+    if (it.wait && options_.service_admission)
+        room_.reported(it.choice.server, known, *it.wait, now);
     router_.finished(it.choice.server, it.load, now);
     settle_crossing(context.request, it, now);
     if (it.refused && it.refused->reason == refusal::suspect)
--- a/src/gate.h
+++ b/src/gate.h
@@ -11,6 +11,7 @@
 #include "fleet_config.h"
 #include "health_service.h"
 #include "link_stream.h"
+#include "nested_pressure.h"
 #include "notice_record.h"
 #include "poison_service.h"
 #include "refusal.h"
@@ -34,6 +35,11 @@
     std::size_t threads = 400;          ///< maximum; each running request occupies one
     std::size_t waiting_requests = 256; ///< for each backend server
     header_names names{};
+    /// Report the expected wait for a slot to the entry nodes (`wait_field`), keep slots for nested
+    /// requests, and hold work back while those of the backend server are refused.
+    bool service_admission = false;
+    /// See `slot_queue_options`.
+    bool returned_first_by_organisation = false;
     withdrawal_list withdrawn{}; ///< backend servers that withdrew from earlier runs of this node
     /// What a cold backend server tolerates above its service's rate; nothing: no limit.
     std::optional<cold_start_tolerance> cold_start{};
@@ -83,6 +89,11 @@
     bool set_standing(backend_server_id server, server_standing standing);
     /// Records of all backend servers registered here, ordered by id.
     std::vector<server_record> servers() const;
+    /// A nested request of the backend server on this VM ended at the entry of this node;
+    /// `refused`: it did not run, for lack of capacity.
+    void nested_ended(bool refused, time_point now);
+    /// Number of requests refused because the nested requests that they lead to are refused.
+    std::uint64_t held_count() const;
     /// Current load of each of them.
     std::vector<server_load> loads(time_point now) const;
     /// Answers a probe: the load of the backend server that it names, "-" if it names none here.
@@ -137,6 +148,7 @@
         refusal reason = refusal::overloaded;
         server_load load_now{}; // of the backend server
         duration waited{};
+        std::optional<duration> wait_now{}; ///< see `wait_field`
     };
     // Collected under the mutex and performed after its release.
     struct deferred_actions {
@@ -145,6 +157,8 @@
     };
 
     static double load_factor(const backend_server& it);
+    std::optional<duration> reported_wait(backend_server_id server, const dispatch& request,
+                                          time_point now, std::size_t ending = 0) const;
     server_load current_load(backend_server_id server, time_point now) const;
     void log_refusal(const link_stream& stream, const server_load& load_now,
                      std::string_view reason, duration waited) const;
@@ -169,6 +183,11 @@
                                                            const message_head& head) const;
     void apply_notices(backend_server& server, std::optional<double> before, deferred_actions& out);
     void apply_report(const dispatch& request, deferred_actions& out);
+    std::optional<duration> wait_after(const dispatch& request) const;
+    duration least_service_time(const backend_server& server, const dispatch& request) const;
+    bool holds_work(const dispatch& request, time_point now);
+    void record_run(const pending_request& it, const call_result& result, time_point now,
+                    deferred_actions& out);
     void apply_answer(const pending_request& it, const call_result& result);
     void finish(request_id id, const pending_request& it,
                 std::shared_ptr<backend_connection> connection, const call_result& result);
@@ -185,6 +204,9 @@
     evacuation_report evacuation_;
     bool records_changed_ = false; ///< by the outcome of a request, since the last tick
     withdrawal_list withdrawn_;
+    nested_pressure pressure_; // of the only backend server on a platform
+    std::uint64_t held_ = 0;
+    time_point hold_logged_{};
     worker_pool workers_;
 };
 
--- a/src/log.h
+++ b/src/log.h
@@ -46,6 +46,8 @@
     retry_decided = 411,
     dispatch_refused = 412,
     attempt_lost = 413,     ///< an attempt ended without a response of the gate
+    service_short = 414,    ///< requests to a service are refused on arrival
+    work_held = 415,        ///< new work is held back while nested requests are refused
     crossing_started = 420, ///< requests of a service leave the failure domain or the region
     crossing_stopped = 421,
     config_in_force = 500,
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -161,12 +161,15 @@
                            }},
         *links_);
     poison_ = std::make_unique<poison_service>(id_of<vm_id>(settings_.vm_name), *links_);
+    const bool by_organisation = settings_.returned_first == returned_order::organisation;
     gate_ =
         std::make_unique<gate>(gate_options{.run = run_,
                                             .announcement_ttl = settings_.announcement_ttl,
                                             .backend_idle = settings_.backend_idle,
                                             .waiting_requests = settings_.waiting_requests,
                                             .names = platform_ ? platform_->names : header_names{},
+                                            .service_admission = settings_.service_admission,
+                                            .returned_first_by_organisation = by_organisation,
                                             .withdrawn = withdrawn_before(),
                                             .cold_start = settings_.cold_start},
                                *health_, *poison_);
@@ -204,6 +207,7 @@
             .register_options = {.max_keys = max_keys_per_shard,
                                  .max_keys_per_organisation = max_keys_per_shard / 4}},
         *links_);
+    const auto on_nested_ended = [this](bool refused) { gate_->nested_ended(refused, boot_now()); };
     entry_ = std::make_unique<entry>(
         entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
                       .may_serve = [this] { return may_serve(); },
@@ -218,6 +222,9 @@
                       .local_service = [this] { return local_service(); },
                       .on_gate_failed = [this](vm_id it) { reach_->suspect(it, boot_now()); },
                       .hedge_after = settings_.hedge_after,
+                      .on_nested_ended = on_nested_ended,
+                      .service_admission = settings_.service_admission,
+                      .marks_returned = settings_.returned_first != returned_order::none,
                       .retry_share = settings_.fleet_retries > 0
                                          ? settings_.retry_share * usable_share_of_retry_bound
                                          : settings_.retry_share,
--- a/src/refusal.h
+++ b/src/refusal.h
@@ -45,6 +45,7 @@
     caller_left,          ///< the request was cancelled because the caller disconnected
     no_region,            ///< the route and the organisation allow no region in common
     evacuated,            ///< the operators have evacuated the backend server's failure domain
+    no_time,              ///< the time left is shorter than the least expected service time
 };
 
 /// The answer to a request that was refused or failed.
--- a/src/router.h
+++ b/src/router.h
@@ -89,6 +89,9 @@
                                        time_point now);
     /// False if `choose` finds no server for `wanted`, whatever the random number.
     bool has_server(const route_request& wanted, time_point now) const;
+    /// The servers that `choose` may select for `wanted`, without those whose gate suspects them.
+    std::vector<backend_server_id> usable_servers(const route_request& wanted,
+                                                  time_point now) const;
     /// The number of candidates of each service, without those for restricted requests only.
     std::unordered_map<service_id, std::size_t> candidate_counts() const;
     /// Counts a request as in flight at the server.
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -2,7 +2,8 @@
 
 // The slots of one backend server, shared between organisations. When all slots are in use,
 // requests wait in one bounded queue per organisation. A free slot goes to the waiting requests of
-// the lowest rank number; among these, to requests that can still meet their soft deadline; and
+// the lowest rank number; among these, to requests that return after a refusal; among these, to
+// requests that can still meet their soft deadline; and
 // among these, to the organisation with the least slot time used relative to its weight (start-time
 // fair queueing), however many requests each organisation sends. If the backend server has named
 // the rate that it takes, requests also wait for their turn at that rate, and if it may be cold,
@@ -25,6 +26,11 @@
     std::uint32_t slots = 4;
     std::size_t max_waiting = 128;                 ///< requests of all organisations together
     std::size_t max_waiting_per_organisation = 32; ///< requests of one organisation
+    /// Keep slots free for requests of rank 0: as many as ran or waited at once within the last
+    /// second, up to a quarter of the slots, and one for a minute after the last of them.
+    bool reserve_for_first_rank = false;
+    /// Requests that return go before new ones of their own organisation only, not of all.
+    bool returned_first_by_organisation = false;
 };
 
 /// A request for a slot.
@@ -35,6 +41,8 @@
     std::uint32_t weight = 1; ///< of the organisation: its share relative to others, at least 1
     std::uint32_t rank = 0;   ///< 0 is served first
     time_point soft_deadline = time_point::max(); ///< a later answer is worth less; max: none
+    /// Was refused before and has come back; goes before new requests of its rank.
+    bool is_returned = false;
 };
 
 enum class slot_refusal : std::uint8_t {
@@ -72,6 +80,8 @@
     slot_actions cancel(request_id request, time_point now);
     /// Refuses all waiting requests, for example when the backend server is draining.
     slot_actions refuse_waiting();
+    /// Refuses this request if it waits.
+    slot_actions refuse_waiting(request_id request);
     /// Refuses waiting requests whose deadline has passed.
     slot_actions tick(time_point now);
     /// Sets the number of slots. Running requests continue even if it is lower than their number.
@@ -83,8 +93,12 @@
     /// call of `tick`.
     cold_start_limit& cold_start() { return cold_start_; }
     const cold_start_limit& cold_start() const { return cold_start_; }
-    /// Whether a request that is enqueued now starts at once.
-    bool may_start(time_point now) const;
+    /// Whether a request of this rank that is enqueued now starts at once.
+    bool may_start(time_point now, std::uint32_t rank = 1) const;
+    /// Expected wait of a request of this organisation, rank and `is_returned` that is enqueued
+    /// now, while `ending` of the running requests are about to end; zero if it starts at once or
+    /// no service time is known yet.
+    duration expected_wait(const slot_request& it, time_point now, std::size_t ending = 0) const;
 
     std::size_t running() const { return running_.size(); }
     std::size_t waiting() const { return waiting_; }
@@ -103,12 +117,14 @@
         organisation_id organisation;
         time_point started;
         double charged_use = 0; // what was added to `weighted_use` at the start
+        std::uint32_t rank = 0;
     };
 
-    /// Order of waiting requests; the least is served first. Within a rank, requests that can no
-    /// longer meet their soft deadline (`is_late`) come last.
+    /// Order of waiting requests; the least is served first. Within a rank, requests that return
+    /// come first, and those that can no longer meet their soft deadline (`is_late`) last.
     struct service_order {
         std::uint32_t rank = 0;
+        bool is_new = true;
         bool is_late = false;
         auto operator<=>(const service_order&) const = default;
     };
@@ -119,14 +135,21 @@
     organisation_state& activate(const slot_request& it);
     bool is_known(request_id request) const;
     time_point latest_useful_start(const slot_request& it, time_point now) const;
-    std::size_t count_ahead(std::uint32_t rank) const;
+    std::size_t count_ahead(const slot_request& it) const;
     duration wait_for_starts(std::size_t count, time_point now) const;
     bool may_start_one(time_point now) const;
     void refuse_beyond_rate(time_point now, slot_actions& out);
-    duration expected_wait(const slot_request& it, const organisation_state& own) const;
+    duration expected_wait(const slot_request& it, const organisation_state& own,
+                           time_point now) const;
+    bool has_service_times() const;
+    std::uint32_t slots_for(std::uint32_t rank, time_point now) const;
+    std::size_t first_rank_running() const;
+    std::size_t first_rank_waiting() const;
+    void record_first_rank_demand(time_point now);
     bool would_miss_deadline(const slot_request& it, const organisation_state& own,
                              time_point now) const;
-    bool make_room(const organisation_state& own, slot_actions& out);
+    bool make_room(const slot_request& it, organisation_state& own, slot_actions& out);
+    bool displace_new(const slot_request& it, organisation_state& from, slot_actions& out);
     void refuse_expired(time_point now, slot_actions& out);
     void start_waiting(time_point now, slot_actions& out);
     void erase_idle();
@@ -141,6 +164,9 @@
     std::uint64_t samples_ = 0;
     start_pacer pacer_;
     cold_start_limit cold_start_;
+    std::size_t first_rank_peak_ = 0; // requests of rank 0 at once, valid until the next time
+    time_point first_rank_peak_until_{};
+    time_point first_rank_seen_until_{};
 };
 
 } // namespace jasminebank
