Nodes in several regions take turns to read the store after a start

Cause: after a power loss of all nodes of a deployment with two regions, each of 37 nodes in the other region read a configuration of some hundred KB from the store over the link between regions. The reads ran into their timeout of 1.5 s and were repeated: 20 nodes lost the store between 34 and 37 s, links and probes over that link timed out, and service came back after 8 s (trial, logs of all nodes).

Change: where there are several regions and the fleet has run before, a node waits for its turn, up to a second after its start, and gets the configuration from a peer in most cases. Ruled out: nodes that start late, all were up within 2 s. Fleets in one region read as before.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -20,10 +20,6 @@
 constexpr duration control_body_timeout = std::chrono::seconds(10);
 constexpr duration caller_idle_timeout = std::chrono::minutes(1);
 constexpr duration caller_io_timeout = std::chrono::seconds(30);
-// If the latest store contact that a node knows of is older than this, the node reads the
-// configuration itself. Well above the time that a store contact takes to become known to all
-// nodes, and well below the time after which API keys are refused.
-constexpr duration max_store_contact_age = std::chrono::seconds(2);
 // Nodes of each failure domain that ping a member of another one. More than one, so that a single
 // cut link does not make a suspect.
 constexpr std::size_t remote_member_pingers = 3;
@@ -102,6 +98,10 @@
     if (!joined)
         return false;
     fleet_ = *std::move(joined);
+    joined_at_ = boot_now();
+    // Where the store may be in another region, nodes that start together take turns.
+    if (settings_.regions.map.region_count() > 1 && !settings_.first_start && !fleet_.peers.empty())
+        store_read_delay_ = store_read_delay(id_of<vm_id>(settings_.vm_name));
     return true;
 }
 
@@ -312,11 +312,12 @@
     return age && *age <= settings_.revoke_within * 9 / 10; // the rest allows for delays in transit
 }
 
-// A node that is not elected to read the store does so while it knows of no recent store contact.
 bool node::must_read_config() const
 {
-    const auto age = members_->store_age();
-    return is_watcher_ || !age || *age > max_store_contact_age;
+    return must_read_store({.is_watcher = is_watcher_,
+                            .contact_age = members_->store_age(),
+                            .since_join = boot_now() - joined_at_,
+                            .delay = store_read_delay_});
 }
 
 // The callbacks use `members_`, which is created later. That is safe: leases are only acquired once
--- a/src/node.h
+++ b/src/node.h
@@ -26,6 +26,7 @@
 #include "region_watch.h"
 #include "socket_server.h"
 #include "stop_schedule.h"
+#include "store_read_turn.h"
 #include "traffic_account.h"
 
 #include <atomic>
@@ -112,6 +113,8 @@
     const incarnation run_;
     const std::optional<platform_parts> platform_;
     joined_fleet fleet_;
+    time_point joined_at_{};
+    duration store_read_delay_{}; ///< of this node's turn to read the store
     std::unique_ptr<store_session_base> session_;
     const std::shared_ptr<traffic_account> traffic_ = std::make_shared<traffic_account>();
     std::unique_ptr<link_hub> links_;
--- /dev/null
+++ b/src/store_read_turn.h
@@ -0,0 +1,28 @@
+#pragma once
+
+// Decides when a node reads the configuration from the store itself. One node of each failure
+// domain reads it regularly; the others do so only while they hear nothing of it. After a loss of
+// all nodes they all start at once and know of no reader, and if each read a large configuration
+// over the link between regions, that link would be congested for seconds.
+
+#include "types.h"
+
+#include <optional>
+
+namespace jasminebank {
+
+/// What a node knows of the readers of the store.
+struct store_read_state {
+    bool is_watcher = false;             ///< elected to read the store for other nodes
+    std::optional<duration> contact_age; ///< since any node reached the store; nothing: unknown
+    duration since_join{};               ///< since this node joined the fleet
+    duration delay{};                    ///< of this node's turn, see `store_read_delay`
+};
+
+/// Whether the node reads the configuration now.
+bool must_read_store(const store_read_state& it);
+
+/// Delay of the turn of a node, below one second and spread evenly over the nodes.
+duration store_read_delay(vm_id vm);
+
+} // namespace jasminebank
