A request that waited in vain is refused as not run instead of sent to another gate

Cause: a gate returns a request that no slot was free for 120 ms before its deadline. Where a route's target latency lies beyond its timeout, the entry then sent it to another gate, where the deadline passed: the caller got 504, unknown, for a request that no server had run.

Change: with less than 250 ms left a request is not sent again. The test failed before: outcome unknown.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -35,6 +35,10 @@
 // After this many unresponsive gates, this node itself is assumed to be cut off, and the search
 // ends. Gates of stopping nodes are not counted, since they are expected to become unresponsive.
 constexpr std::size_t max_unresponsive_gates = 3;
+// With less time left than this, a request that no server has run is refused instead of sent to
+// another gate: the deadline would pass while it waits there, and its caller would be told that it
+// may have run. Gates return requests that wait in vain 120 ms before their deadline.
+constexpr duration least_retry_time = std::chrono::milliseconds(250);
 // Timeout of a request to another node for a shared retry.
 constexpr duration shared_retry_timeout = std::chrono::milliseconds(60);
 constexpr duration shortage_log_interval = std::chrono::seconds(1);
@@ -666,11 +670,13 @@
                                                  .start = request.start,
                                                  .is_nested = request.is_nested})};
     const answer_limit limit(request.deadline, stop_);
-    const auto may_try = [&] {
+    const auto may_try = [&](std::size_t n) {
+        const duration least_time = n == 0 ? duration::zero() : least_retry_time;
         return progress.servers_reached < request.route->attempts &&
-               progress.unresponsive_gates < max_unresponsive_gates && boot_now() < limit.until();
+               progress.unresponsive_gates < max_unresponsive_gates &&
+               boot_now() + least_time < limit.until();
     };
-    for (std::size_t n = 0; n < max_gate_tries && may_try(); ++n) {
+    for (std::size_t n = 0; n < max_gate_tries && may_try(n); ++n) {
         if (hold != nullptr && boot_now() >= hold->deadline()) {
             progress.last_refusal = {.reason = refusal::deadline};
             break;
--- a/tests/entry_test.cpp
+++ b/tests/entry_test.cpp
@@ -369,6 +369,37 @@
 
 // Neither server answers before both have the request; then the server of the first attempt
 // answers.
+// Guards against a request that waited in vain and is sent to another gate just before its
+// deadline: it would end there with an unknown outcome although no server has run it.
+TEST(entry, request_that_waited_in_vain_is_refused_as_not_run)
+{
+    std::atomic<int> waits = 0;
+    std::vector<std::shared_ptr<link_stream>> unanswered;
+    std::mutex mutex;
+    std::vector<std::thread> timers;
+    const auto gate = [&](const dispatch& it, const std::shared_ptr<link_stream>& stream) {
+        const std::lock_guard lock(mutex);
+        if (!it.may_queue) {
+            refuse(*stream, refusal::overloaded);
+        }
+        else if (++waits == 1) {
+            timers.emplace_back([stream, left = it.time_left] {
+                std::this_thread::sleep_for(left - 120ms);
+                refuse(*stream, refusal::overloaded);
+            });
+        }
+        else {
+            unanswered.push_back(stream);
+        }
+    };
+    entry_fixture fixture(gate, {.names = {.caller_service = "caller"}});
+    const httplib::Response res = fixture.send("GET", "");
+    EXPECT_EQ(waits, 1);
+    EXPECT_EQ(res.get_header_value("Jasmine-Outcome"), "not-run; reason=overloaded");
+    for (std::thread& it : timers)
+        it.join();
+}
+
 TEST(entry, hedged_request_returns_the_first_answer)
 {
     std::vector<std::shared_ptr<link_stream>> open;
