--- a/src/crossing_policy.cpp
+++ b/src/crossing_policy.cpp
@@ -123,7 +123,9 @@
         (price(far, it.bytes) - price(near, it.bytes)) * threshold_factor(it.service);
     const bool is_rescue = is_late(it, near) && !is_late(it, far);
     const bool is_better = earlier > threshold || is_rescue;
-    const bool is_still_better = is_better || earlier > threshold - options_.return_margin;
+    // The margin never keeps a service away that would be answered earlier near by.
+    const bool is_still_better =
+        is_better || earlier > std::max(0.0, threshold - options_.return_margin);
     if (is_better && !state.is_away) {
         state.is_away = true;
         changes_.push_back({.service = it.service, .reach = far, .starts = true});
@@ -157,13 +159,19 @@
     const micro_tokens needed = tokens_of(static_cast<double>(it.bytes + head_bytes));
     const auto scarce =
         static_cast<micro_tokens>(options_.scarce_share * static_cast<double>(link_->part().burst));
+    // A request of more bytes than can be saved up may leave with a full bucket; the rest is a
+    // debt.
+    const bool is_full = debt_ == 0 && link_->tokens() >= link_->part().burst;
     const bool is_scarce = link_->tokens() - needed < scarce;
-    if (needed > link_->tokens() || (is_scarce && !is_late(it, near))) {
+    const bool has_capacity = needed <= link_->tokens() && (!is_scarce || is_late(it, near));
+    if (!has_capacity && !is_full) {
         ++counts_.denied;
         return false;
     }
-    link_->issue(needed);
-    link_->remove_outstanding(needed, now);
+    const micro_tokens taken = std::min(needed, link_->tokens());
+    link_->issue(taken);
+    link_->remove_outstanding(taken, now);
+    debt_ += needed - taken;
     return true;
 }
 
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -523,14 +523,24 @@
                             time_point now)
 {
     crossing_policy* policy = router_.crossing();
-    if (policy == nullptr || it.choice.reach != crossing_reach::other_region || !it.answer)
+    if (policy == nullptr || it.choice.reach != crossing_reach::other_region)
         return;
     if (request.is_length_unknown)
         return;
-    const std::size_t answer = std::max(length_of(*it.answer).value_or(0), it.body.size());
+    const std::size_t answer =
+        it.answer ? std::max(length_of(*it.answer).value_or(0), it.body.size()) : 0;
     policy->settle(it.choice.expected_bytes, request.body_bytes + answer, now);
 }
 
+// Returns the capacity of the link that was taken for a request which was not sent.
+void entry::settle_unsent(const route_choice& choice)
+{
+    const std::lock_guard lock(mutex_);
+    crossing_policy* policy = router_.crossing();
+    if (policy != nullptr && choice.reach == crossing_reach::other_region)
+        policy->settle(choice.expected_bytes, 0, boot_now());
+}
+
 // Chooses the server for the next attempt. When no server fits, the search goes on to its next
 // stage: servers with a free slot, then waiting for a slot, then suspected servers as well.
 std::optional<route_choice> entry::choose_next_server(const admitted_request& request,
@@ -688,6 +698,7 @@
             break;
         if (const gate_state gate = check_gate(request, *choice); gate != gate_state::ready) {
             const bool is_full = gate == gate_state::full;
+            settle_unsent(*choice);
             progress.unresponsive_gates += choice->is_leaving || is_full ? 0 : 1;
             progress.search.on_refused(choice->server,
                                        is_full ? refusal::overloaded : refusal::no_backend_server);
--- a/src/entry.h
+++ b/src/entry.h
@@ -182,6 +182,7 @@
     route_request route_request_of(const admitted_request& request, const search_step& step,
                                    time_point now);
     void log_crossing_changes(const fleet_config& config);
+    void settle_unsent(const route_choice& choice);
     void settle_crossing(const admitted_request& request, const dispatch_attempt& it,
                          time_point now);
     std::optional<reported_notice> notice_of(backend_server_id server) const;
--- a/src/service_room.h
+++ b/src/service_room.h
@@ -4,7 +4,7 @@
 // in answers and refusals. A request that no gate can start in time is refused when it arrives,
 // with the time after which it should return, instead of after a search over many gates.
 //
-// The view errs towards sending: a gate without a recent report counts as if it had room, a report
+// The view errs towards sending: nothing is refused before enough gates have reported, a report
 // fades to no wait within `view_age`, and a share of the requests that would be refused is sent.
 
 #include "types.h"
@@ -21,8 +21,8 @@
 struct service_room_options {
     /// A reported wait counts for this long and fades linearly to zero in it.
     duration view_age = std::chrono::milliseconds(500);
-    /// Gates that must agree that a request cannot start in time; all usable ones if there are
-    /// fewer.
+    /// Gates that must agree that a request cannot start in time, but at least a third of the
+    /// usable ones; all of these if there are fewer.
     std::size_t min_reports = 5;
     /// Of the requests to one service that would be refused, one in this many is sent.
     std::uint32_t send_one_in = 10;
--- a/tests/crossing_policy_test.cpp
+++ b/tests/crossing_policy_test.cpp
@@ -85,6 +85,34 @@
     EXPECT_EQ(other.decide(late, start), own_domain);
 }
 
+// Guards against a service that lives in the other region only and whose bodies exceed what a small
+// share of the link can save up: each would be refused, even on an idle link.
+TEST(crossing_policy, a_request_larger_than_the_saved_share_leaves_with_a_full_one)
+{
+    crossing_policy it = linked_policy(10'000);
+    crossing_request large = request_of({}, {}, 0);
+    large.bytes = 25'000;
+    EXPECT_EQ(it.decide(large, start), std::nullopt);
+    EXPECT_EQ(it.decide(large, start + 1s), other_region);
+    EXPECT_EQ(it.decide(large, start + 3s), std::nullopt)
+        << "what exceeded the share is not paid yet";
+    EXPECT_EQ(it.decide(large, start + 5s), std::nullopt);
+    EXPECT_EQ(it.decide(large, start + 7s), other_region);
+}
+
+// Guards against a service that stays away although servers near by are idle, where other regions
+// have a small price.
+TEST(crossing_policy, returns_when_near_servers_are_idle_whatever_the_price)
+{
+    crossing_options options = options_of();
+    options.other_domain_penalty = 0;
+    options.other_region_penalty = 0.1;
+    crossing_policy it(options);
+    it.add_round_trip(other_region, service_time / 10);
+    ASSERT_EQ(it.decide(request_of(2, {}, 0), start), other_region);
+    EXPECT_EQ(it.decide(request_of(0, {}, 0), start + 100ms), own_domain);
+}
+
 // Guards against requests that leave the domain or the region at any price because the search
 // excludes the full servers near by.
 TEST(crossing_policy, full_servers_count_as_a_place_to_wait)
