--- a/review/7/waves.py
+++ b/review/7/waves.py
@@ -16,6 +16,10 @@
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     f = Fleet(net=random.SystemRandom().randrange(20, 220))
     count, ended, lost = collections.Counter(), [], 0
+
+    def is_over():
+        return lost > 3 or len(ended) == GATES or now() >= end
+
     try:
         f.config(services=tuple("svc-%d" % k for k in range(GATES)) + ("orders",),
                  tenants=[dict(name="tenant-%d" % k, api_keys=[key], priority=1, rate_per_s=0, burst=0)
@@ -56,7 +60,7 @@
 
         async def waves(g):
             await asyncio.sleep(3.5)  # each order's connection is a kept one by then
-            while now() < end and not ended:
+            while not is_over():
                 try:
                     await asyncio.gather(*[settle(g, f.nodes[k % GATES]) for k in range(9)])
                     connections = []
@@ -86,7 +90,8 @@
         async def order(n, k):
             nonlocal lost
             c = Client(n)
-            while now() < end and not ended:
+            await asyncio.sleep(k / 6)  # the orders of one node are in different phases
+            while not is_over():
                 i = rid()
                 kept = c.w is not None
                 note("sent", i, "node", n.n, "on a kept connection" if kept else "on a new connection")
@@ -99,9 +104,9 @@
                     return
 
         async def watch():
-            while now() < end and not ended:
+            while not is_over():
                 for n in f.nodes:
-                    if n.p.poll() is not None:
+                    if n not in ended and n.p.poll() is not None:
                         ended.append(n)
                         text = open(n.logf, errors="replace").read()
                         note("the process of node", n.n, "has ended by itself, status", n.p.returncode,
