Review case 8: late check-ins bring an upstream that has left back into use

notice_record ends a leaving once check-ins of state ready have come for ten seconds, late ones too.

--- a/review/standin-2.cpp
+++ b/review/standin-2.cpp
@@ -386,30 +386,72 @@
     }
 
 private:
+    // Until the upstream leaves, if `leave_s` is set. It then deregisters first, as some do, and
+    // serves for `stay_s`. Its last two check-ins before that arrive `late_ms` and `later_ms` after
+    // it has left; 0: in time.
     void check_in()
     {
-        const auto born = static_cast<std::uint64_t>(wall_time() * 1000);
-        const std::string path = "/v1/Instances.Heartbeat/" + option("id");
-        for (std::uint64_t sequence = 1;; ++sequence) {
-            const json body{
-                {"address", option("listen")},
-                {"born", born},
-                {"info",
-                 {{"service", option("service")},
-                  {"version", "v1"},
-                  {"zone", option("zone")},
-                  {"slots", number("slots", 4)}}},
-                {"status", {{"state", "ready"}, {"sequence", sequence}, {"warmup_left_s", 0}}}};
-            httplib::Client client("http://" + option("control"));
-            client.set_connection_timeout(1);
-            client.set_read_timeout(1);
-            const auto answer = client.Post(path, body.dump(), "application/json");
-            const bool is_confirmed = answer && answer->status == 200;
+        const double leaves_at = number("leave_s", 0) > 0 ? wall_time() + number("leave_s", 0) : 0;
+        while (leaves_at == 0 || wall_time() + 1.6 < leaves_at) {
+            const bool is_confirmed = send_check_in(next_check_in());
             if (is_confirmed != was_confirmed_)
                 record(is_confirmed ? "check-in confirmed" : "check-in not confirmed");
             was_confirmed_ = is_confirmed;
             std::this_thread::sleep_for(milliseconds(is_confirmed ? 1500 : 200));
         }
+        const std::string last = next_check_in();
+        const std::string later = next_check_in();
+        if (number("late_ms", 0) == 0) {
+            send_check_in(last);
+            send_check_in(later);
+        }
+        sleep_until(leaves_at);
+        const bool is_confirmed = post("/v1/Instances.Deregister/" + option("id"), "");
+        record(is_confirmed ? "leaving confirmed" : "leaving not confirmed");
+        if (number("late_ms", 0) != 0) {
+            sleep_until(leaves_at + number("late_ms", 0) / 1000.0);
+            record(std::string("late check-in ") + (send_check_in(last) ? "" : "not ") + "taken");
+            sleep_until(leaves_at + number("later_ms", 0) / 1000.0);
+            record(std::string("late check-in ") + (send_check_in(later) ? "" : "not ") + "taken");
+        }
+        sleep_until(leaves_at + number("stay_s", 15));
+        record("ends");
+        std::exit(0);
+    }
+
+    static void sleep_until(double at)
+    {
+        const double left = at - wall_time();
+        if (left > 0)
+            std::this_thread::sleep_for(std::chrono::duration<double>(left));
+    }
+
+    std::string next_check_in()
+    {
+        const json body{
+            {"address", option("listen")},
+            {"born", born_},
+            {"info",
+             {{"service", option("service")},
+              {"version", "v1"},
+              {"zone", option("zone")},
+              {"slots", number("slots", 4)}}},
+            {"status", {{"state", "ready"}, {"sequence", ++sequence_}, {"warmup_left_s", 0}}}};
+        return body.dump();
+    }
+
+    static bool send_check_in(const std::string& body)
+    {
+        return post("/v1/Instances.Heartbeat/" + option("id"), body);
+    }
+
+    static bool post(const std::string& path, const std::string& body)
+    {
+        httplib::Client client("http://" + option("control"));
+        client.set_connection_timeout(1);
+        client.set_read_timeout(1);
+        const auto answer = client.Post(path, body, "application/json");
+        return answer && answer->status == 200;
     }
 
     void serve_connection(int fd)
@@ -453,6 +495,8 @@
         return "HTTP/1.1 200 OK\r\n" + fields + body;
     }
 
+    const std::uint64_t born_ = static_cast<std::uint64_t>(wall_time() * 1000);
+    std::uint64_t sequence_ = 0;
     bool was_confirmed_ = false;
 };
 
@@ -494,6 +538,18 @@
     return answer->field("connection") != "close";
 }
 
+// Sends the request once, or with `for_s` again and again for this time, each with an id of its
+// own.
+void send_repeatedly(int fd, reader& in, outgoing_request it)
+{
+    const double end = wall_time() + number("for_s", 0);
+    const std::string id = it.id;
+    for (int n = 0; exchange(fd, in, it) && wall_time() < end; ++n) {
+        it.id = id + "-" + std::to_string(n);
+        std::this_thread::sleep_for(milliseconds(number("pause_ms", 200)));
+    }
+}
+
 // On each of its connections one request to keep the connection for, then the one in question.
 int run_client()
 {
@@ -519,7 +575,7 @@
                                           .body = option("body")};
             if (exchange(fd, in, first)) {
                 std::this_thread::sleep_for(milliseconds(number("pause_ms", 200)));
-                exchange(fd, in, second);
+                send_repeatedly(fd, in, second);
             }
             close(fd);
         });
