--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -8,11 +8,13 @@
 api_key=reviewkey0reviewkey01
 dir=$(mktemp -d)
 pids=()
+net_lock=
 cleanup() {
   for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
   rm -rf "$dir"
+  [ -z "$net_lock" ] || rmdir "$net_lock" 2>/dev/null || true
 }
 trap cleanup EXIT
 trap 'echo "the limit of the script has passed" >&2; exit 2' TERM
@@ -47,7 +49,9 @@
 free_net() {
   for _ in $(seq 50); do
     net=$((RANDOM % 200 + 20))
-    listens "127.0.$net.1" 8548 || listens "127.0.$net.250" 8545 || return 0
+    listens "127.0.$net.1" 8548 || listens "127.0.$net.250" 8545 && continue
+    net_lock=${TMPDIR:-/tmp}/review-2-net-$net
+    mkdir "$net_lock" 2>/dev/null && return 0
   done
   cannot_run "no free addresses"
 }
--- a/review/standin-2.cpp
+++ b/review/standin-2.cpp
@@ -8,8 +8,9 @@
 #include <nlohmann/json.hpp>
 
 #include <arpa/inet.h>
-#include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -481,6 +482,10 @@
         const std::string id = it.field("jasminebank-request-id");
         const std::string body = "answer to " + id + "\n";
         record("ran " + id + " " + it.first_line);
+        if (number("restart_s", 0) != 0 && it.first_line.find("/crash/") != std::string::npos) {
+            record("crashes " + id);
+            std::_Exit(1);
+        }
         std::this_thread::sleep_for(milliseconds(number("work_ms", 50)));
         const std::string fields =
             "Jasminebank-Request-Id: " + id + "\r\nJasminebank-Server-Signature: signed." + id +
@@ -500,6 +505,22 @@
     bool was_confirmed_ = false;
 };
 
+// Starts the upstream again, `restart_s` after it has crashed, as a new boot with a new id.
+void supervise_upstream()
+{
+    const std::string id = option("id");
+    for (int boot = 0;; ++boot) {
+        options["id"] = id + "-" + std::to_string(boot);
+        const pid_t child = fork();
+        if (child == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            upstream().serve();
+        }
+        waitpid(child, nullptr, 0);
+        std::this_thread::sleep_for(std::chrono::seconds(number("restart_s", 0)));
+    }
+}
+
 // ---- a client --------------------------------------------------------------------------------
 
 struct outgoing_request {
@@ -599,8 +620,10 @@
     }
     if (role == "store")
         store().serve();
-    else if (role == "upstream")
+    else if (role == "upstream" && number("restart_s", 0) == 0)
         upstream().serve();
+    else if (role == "upstream")
+        supervise_upstream();
     else if (role == "client")
         return run_client();
     std::fprintf(stderr, "standin: cannot run as '%s'\n", role.c_str());
