--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -9,7 +9,10 @@
 dir=$(mktemp -d)
 pids=()
 net_lock=
+watcher=
 cleanup() {
+  kill -TERM "$watcher" 2>/dev/null || true # it ends its own sleep
+  wait "$watcher" 2>/dev/null || true
   for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
@@ -18,7 +21,11 @@
 }
 trap cleanup EXIT
 trap 'echo "the limit of the script has passed" >&2; exit 2' TERM
-(sleep "${LIMIT:-110}" && kill -TERM $$) 2>/dev/null & pids+=($!)
+(
+  sleep "${LIMIT:-110}" & sleeper=$!
+  trap 'kill "$sleeper"; exit' TERM
+  wait "$sleeper" && kill -TERM $$
+) 2>/dev/null & watcher=$!
 : >"$record"
 
 # cannot_run TEXT
