--- a/review/standin-2.cpp
+++ b/review/standin-2.cpp
@@ -398,7 +398,8 @@
             if (is_confirmed != was_confirmed_)
                 record(is_confirmed ? "check-in confirmed" : "check-in not confirmed");
             was_confirmed_ = is_confirmed;
-            std::this_thread::sleep_for(milliseconds(is_confirmed ? 1500 : 200));
+            std::this_thread::sleep_for(
+                milliseconds(is_confirmed || number("patient", 0) != 0 ? 1500 : 200));
         }
         const std::string last = next_check_in();
         const std::string later = next_check_in();
@@ -481,7 +482,8 @@
     {
         const std::string id = it.field("jasminebank-request-id");
         const std::string body = "answer to " + id + "\n";
-        record("ran " + id + " " + it.first_line);
+        record("ran " + id + " " + it.first_line + " from " +
+               it.field("jasminebank-caller-service"));
         if (number("restart_s", 0) != 0 && it.first_line.find("/crash/") != std::string::npos) {
             record("crashes " + id);
             std::_Exit(1);
