A cancelled request that has a slot is left to its worker

Callers saw: connections of a whole node closed without an answer, because its process ended.

Cause: gate::cancel compared the number of waiting requests before and after slot_queue::cancel, which also refused expired ones. It then erased the started request, and its worker's pending_.at threw.

Change: slot_queue::cancel says whether the request waited, and refuses nothing else. Only a request that waited is erased. A started one is erased by finish alone, which every worker calls once, so the lookups of the worker hold.

Ruled out: the pool's refusal of a start, and a replaced on_cancel: neither erases anything.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -615,7 +615,7 @@
 }
 
 // Called when the caller cancels a request. Only a waiting request is removed here; one that has a
-// slot is ended by its worker.
+// slot is ended by its worker, even if the worker has not begun.
 void gate::cancel(request_id id)
 {
     deferred_actions out;
@@ -627,17 +627,15 @@
         const auto it = pending_.find(id);
         if (it == pending_.end())
             return;
-        const auto server = servers_.find(it->second.request.server);
-        const std::size_t before = server->second.slots.waiting();
-        collect_actions(server->second.slots.cancel(id, now), out);
-        if (server->second.slots.waiting() < before) {
-            gone = std::move(it->second);
-            pending_.erase(id);
-            load_now = current_load(gone.request.server, now);
-        }
+        slot_queue& slots = servers_.at(it->second.request.server).slots;
+        if (!slots.cancel(id))
+            return;
+        gone = std::move(it->second);
+        pending_.erase(it);
+        collect_actions(slots.tick(now), out);
+        load_now = current_load(gone.request.server, now);
     }
-    if (gone.stream != nullptr)
-        log_refusal(*gone.stream, load_now, "caller_left", now - gone.accepted);
+    log_refusal(*gone.stream, load_now, "caller_left", now - gone.accepted);
     perform(out);
 }
 
--- a/src/slot_queue.cpp
+++ b/src/slot_queue.cpp
@@ -279,13 +279,16 @@
     return out;
 }
 
-slot_actions slot_queue::cancel(request_id request, time_point now)
+bool slot_queue::cancel(request_id request)
 {
-    for (organisation_state& it : organisations_) {
-        waiting_ -=
-            std::erase_if(it.waiting, [&](const slot_request& r) { return r.request == request; });
+    std::size_t removed = 0;
+    for (organisation_state& own : organisations_) {
+        removed += std::erase_if(own.waiting,
+                                 [&](const slot_request& it) { return it.request == request; });
     }
-    return tick(now);
+    waiting_ -= removed;
+    erase_idle();
+    return removed > 0;
 }
 
 slot_actions slot_queue::refuse_waiting()
@@ -304,14 +307,8 @@
 slot_actions slot_queue::refuse_waiting(request_id request)
 {
     slot_actions out;
-    for (organisation_state& own : organisations_) {
-        if (std::erase_if(own.waiting,
-                          [&](const slot_request& it) { return it.request == request; }) == 0)
-            continue;
-        --waiting_;
+    if (cancel(request))
         out.emplace_back(refuse_request{request, slot_refusal::queue_full});
-    }
-    erase_idle();
     return out;
 }
 
--- a/src/slot_queue.h
+++ b/src/slot_queue.h
@@ -75,9 +75,9 @@
     slot_actions enqueue(const slot_request& it, time_point now);
     /// Frees the slot of a started request that ended in any way.
     slot_actions finished(request_id request, time_point now);
-    /// Removes a waiting request whose caller has cancelled it. A started one keeps its slot until
-    /// `finished`.
-    slot_actions cancel(request_id request, time_point now);
+    /// Removes a waiting request whose caller has cancelled it; false if it does not wait. A
+    /// started one keeps its slot until `finished`.
+    [[nodiscard]] bool cancel(request_id request);
     /// Refuses all waiting requests, for example when the backend server is draining.
     slot_actions refuse_waiting();
     /// Refuses this request if it waits.
--- a/tests/gate_fixture.cpp
+++ b/tests/gate_fixture.cpp
@@ -26,7 +26,7 @@
       gate_(std::make_unique<gate>(gate_options{.run = {1},
                                                 .announcement_ttl = 1h,
                                                 .backend_idle = 1h,
-                                                .threads = 4,
+                                                .threads = threads,
                                                 .names = names(),
                                                 .cold_start = cold_start},
                                    health_, poison_))
@@ -58,7 +58,8 @@
         boot_now());
 }
 
-std::string gate_fixture::send(const std::string& id)
+std::shared_ptr<link_stream> gate_fixture::open(const std::string& id, duration time_left,
+                                                service_id service)
 {
     message_head head{.method = "GET", .path = "/a", .status = 0, .fields = {}};
     if (!id.empty())
@@ -66,11 +67,16 @@
     write_dispatch({.server = server_id,
                     .gate_run = {1},
                     .route = {1},
-                    .service = own_service,
-                    .time_left = time_limit,
+                    .service = service,
+                    .time_left = time_left,
                     .may_queue = true},
                    head);
-    const auto stream = links_->open(gate_links_->local(), std::move(head), true);
+    return links_->open(gate_links_->local(), std::move(head), true);
+}
+
+std::string gate_fixture::send(const std::string& id, service_id service)
+{
+    const auto stream = open(id, time_limit, service);
     const auto answer = stream->read_head(boot_now() + time_limit + 2s);
     if (failed(answer))
         return "no answer";
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -24,7 +24,10 @@
     void announce(incarnation run, service_id service = own_service);
     /// Sends a request and returns the outcome that the gate reports; without an id if `id` is
     /// empty.
-    std::string send(const std::string& id);
+    std::string send(const std::string& id, service_id service = own_service);
+    /// Sends a request and returns its stream, without waiting for the answer.
+    std::shared_ptr<link_stream> open(const std::string& id, duration time_left,
+                                      service_id service = own_service);
     /// Begins or ends the evacuation of the gate's failure domain.
     void set_evacuated(bool evacuated);
     gate& tested() { return *gate_; }
@@ -32,6 +35,8 @@
     std::size_t waiting() const;
 
     static constexpr service_id own_service{3};
+    static constexpr service_id other_service{4};
+    static constexpr std::size_t threads = 4; ///< of the gate
 
 private:
     const endpoint server_;
--- a/tests/replaced_server_test.cpp
+++ b/tests/replaced_server_test.cpp
@@ -18,7 +18,6 @@
 
 constexpr duration step = 5ms;
 constexpr int steps = 400;
-constexpr service_id other_service{4};
 
 // A server with one slot that gives no answer to its first request until it is released.
 class replaced_server : public testing::Test {
@@ -55,7 +54,7 @@
     wait_for([&] { return runs == 1; });
     auto second = send("second");
     wait_for([&] { return gate.waiting() == 1; });
-    gate.announce({2}, other_service);
+    gate.announce({2}, gate_fixture::other_service);
     is_released = true;
     first.get();
     EXPECT_EQ(second.get(), "not-run; reason=no_backend_server");
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -108,9 +108,11 @@
             apply(queue.set_slots(slots, now));
             break;
         case 1:
+            RC_ASSERT(queue.cancel({id}) ==
+                      (found != states.end() && found->second == request_state::waiting));
             if (found != states.end() && found->second == request_state::waiting)
                 found->second = request_state::cancelled;
-            apply(queue.cancel({id}, now));
+            apply(queue.tick(now));
             break;
         case 2:
         case 3:
