An organisation whose last caller was refused is no longer listed as busy

Callers would see: all connections of an entry node closed, because its process ended.

Cause: limit_entry::cancel left the organisation in the set of busy ones. With a full table (4,096 organisations) find_or_add removed its state as idle, and the next tick looked it up with active_.at.

Evidence: the new test, with a table of one, failed before with std::out_of_range. No holder has to be lost for this: a request without a holder is cancelled at once.

Change: cancel takes an organisation that is no longer busy out of the set. limit_holder removes organisations only after it has visited all busy ones, and needs no change.

--- a/src/limit_entry.cpp
+++ b/src/limit_entry.cpp
@@ -366,8 +366,11 @@
     const auto found = organisation_by_ticket_.find(ticket);
     if (found == organisation_by_ticket_.end())
         return;
-    std::erase_if(active_.at(found->second).waiting,
-                  [&](const waiting_caller& it) { return it.ticket == ticket; });
+    organisation_state& state = active_.at(found->second);
+    std::erase_if(state.waiting, [&](const waiting_caller& it) { return it.ticket == ticket; });
+    // An organisation that is not busy may be removed at any time.
+    if (!state.is_busy())
+        busy_.erase(found->second);
     organisation_by_ticket_.erase(found);
 }
 
--- a/tests/limit_holder_test.cpp
+++ b/tests/limit_holder_test.cpp
@@ -171,3 +171,19 @@
     // The token for the waiting caller is requested once more.
     EXPECT_EQ(out.size(), 2U);
 }
+
+// Guards against an exception, which ends the process, when an organisation without a holder was
+// removed from the full table and the node then looks for its deadlines.
+TEST(limit_entry, organisation_whose_caller_was_refused_may_be_removed)
+{
+    limit_entry it({.shards = 1, .max_organisations = 1});
+    limit_outbox out;
+    limit_outcomes ended;
+    const auto first = it.admit(make_contract(lids, 1, 1), start, out);
+    EXPECT_TRUE(std::get<limit_refused>(first).no_holder);
+    const auto second = it.admit(make_contract({lids.value + 1}, 1, 1), start, out);
+    EXPECT_TRUE(std::get<limit_refused>(second).no_holder) << "the first one has been removed";
+    EXPECT_EQ(it.next_deadline(), time_point::max());
+    it.tick(start + 1s, out, ended);
+    EXPECT_TRUE(ended.empty());
+}
