Crashes of backend servers are kept in the store for all next runs

Callers saw: after each kill of all nodes a request that is known to crash backend servers was passed on again.

Cause: victims were held by processes only. A node that starts asks its peers, but after a kill of all there is none that knows; peer_recalled says victims=0.

Change: the gate that saw a crash writes it under a key of its node before it answers, so before the request may be tried again (0.3 s at most; then the session goes on trying). Each node that starts reads the victims of all nodes with the range that its join reads anyway. saved_victims decides what is written: the first two victims of a request, 64 a node, under a lease of ten minutes. The calls: a lease and a write for a crash, none at a start.

store_session asks for the value when it writes it: two callers of save at once could write the older value last. That was so for withdrawals; read, not run.

Remains: a crash while the store is away is forgotten if all nodes are killed before it is back.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -73,6 +73,7 @@
     event_entry{event::backend_server_limited, severity::warning, "backend_server_limited"},
     event_entry{event::withdrawals_unreadable, severity::warning, "withdrawals_unreadable"},
     event_entry{event::peer_recalled, severity::info, "peer_recalled"},
+    event_entry{event::victims_unreadable, severity::warning, "victims_unreadable"},
     event_entry{event::gate_unreachable, severity::warning, "gate_unreachable"},
     event_entry{event::gate_reachable, severity::info, "gate_reachable"},
     event_entry{event::relay_taken, severity::info, "relay_taken"},
--- a/src/log.h
+++ b/src/log.h
@@ -77,6 +77,7 @@
     backend_server_limited = 706, ///< named another rate of requests that it takes
     withdrawals_unreadable = 707, ///< of earlier runs of the node, in the store
     peer_recalled = 708,          ///< a peer told this node of its earlier runs
+    victims_unreadable = 709,     ///< that an earlier run of a node saved in the store
     gate_unreachable = 710,
     gate_reachable = 711,
     relay_taken = 720, ///< relay: node that forwards control messages to another
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -88,6 +88,7 @@
          .operator_prefix = platform_->operator_prefix,
          .first_start = settings_.first_start,
          .must_read_config = [this] { return must_read_config(); },
+         .value_to_save = [this](saved_kind it) { return value_to_save(it); },
          .on_config = [this](const std::string& text) { return feed_->apply(text); },
          .on_evacuations =
              [this](evacuation_read it) { members_->record_evacuations(std::move(it)); },
@@ -160,7 +161,11 @@
                                    publish_servers();
                            }},
         *links_);
-    poison_ = std::make_unique<poison_service>(id_of<vm_id>(settings_.vm_name), *links_);
+    poison_ = std::make_unique<poison_service>(
+        poison_service_options{.self = id_of<vm_id>(settings_.vm_name),
+                               .save = [this] { save(saved_kind::victims); }},
+        *links_);
+    poison_->restore(fleet_.victims, fleet_.victims_of_others);
     const bool by_organisation = settings_.returned_first == returned_order::organisation;
     gate_ =
         std::make_unique<gate>(gate_options{.run = run_,
@@ -625,10 +630,16 @@
     return true;
 }
 
-void node::save_withdrawals()
+void node::save(saved_kind kind)
 {
     if (session_ != nullptr)
-        session_->save_withdrawals(encode_withdrawals(gate_->withdrawals()));
+        session_->save(kind);
+}
+
+std::string node::value_to_save(saved_kind kind) const
+{
+    return kind == saved_kind::victims ? poison_->saved()
+                                       : encode_withdrawals(gate_->withdrawals());
 }
 
 // Serialised, because an older list, or one from before a stop, must not replace a newer one. The
@@ -641,7 +652,7 @@
         members_->announce(
             {.servers = gate_->servers(), .leaving = leaving_, .withdrawn = gate_->withdrawals()});
     }
-    save_withdrawals();
+    save(saved_kind::withdrawals);
 }
 
 // Streams can arrive before all components of the node exist; these are reset.
--- a/src/node.h
+++ b/src/node.h
@@ -89,7 +89,8 @@
     bool must_read_config() const;
     bool process_announcement(const announcement& it);
     bool withdraw_server(const std::string& name, incarnation run);
-    void save_withdrawals();
+    void save(saved_kind kind);
+    std::string value_to_save(saved_kind kind) const;
     bool is_expected(const announcement& it) const;
     std::function<bool(service_id, time_point)> make_shared_retry_limiter();
     std::string local_service() const;
--- a/src/poison_service.cpp
+++ b/src/poison_service.cpp
@@ -4,18 +4,45 @@
 #include "poison_codec.h"
 #include "system_clock.h"
 
+#include <utility>
+
 namespace jasminebank {
 
 constexpr duration report_timeout = std::chrono::seconds(2);
 
-poison_service::poison_service(vm_id self, link_hub& links) : self_(self), links_(links) {}
+poison_service::poison_service(poison_service_options options, link_hub& links)
+    : options_(std::move(options)), links_(links)
+{
+}
+
+// An empty text: nothing was saved.
+static std::vector<poison_victim> read_saved(const std::string& text)
+{
+    if (text.empty())
+        return {};
+    const auto out = decode_victims(text);
+    if (!out)
+        log_event(event::victims_unreadable, "bytes={}", text.size());
+    return out.value_or(std::vector<poison_victim>{});
+}
+
+void poison_service::restore(const std::string& own, const std::vector<std::string>& others)
+{
+    const std::vector<poison_victim> earlier = read_saved(own);
+    const std::lock_guard lock(mutex_);
+    const time_point now = boot_now();
+    saved_.restore(earlier, now);
+    list_.merge(earlier, now);
+    for (const std::string& it : others)
+        list_.merge(read_saved(it), now);
+}
 
 void poison_service::set_directory(const member_directory& directory)
 {
     const std::lock_guard lock(mutex_);
     peers_.clear();
     for (const member_record& it : directory.members()) {
-        if (it.vm != self_)
+        if (it.vm != options_.self)
             peers_.push_back(it.link);
     }
 }
@@ -26,11 +53,14 @@
 {
     std::string payload;
     std::vector<endpoint> peers;
+    bool must_save = false;
     {
         const std::lock_guard lock(mutex_);
         const time_point now = boot_now();
+        const std::size_t known = list_.victim_count(fingerprint, now);
         if (!list_.on_server_crash(fingerprint, server, run, now))
             return;
+        must_save = saved_.add(fingerprint, server, run, known, now);
         log_event(event::backend_server_died, "backend server {:016x}, victims of this request: {}",
                   server.value, list_.victim_count(fingerprint, now));
         payload = encode_victims(list_.entries(now));
@@ -38,8 +68,10 @@
     }
     for (const endpoint& it : peers) {
         if (!links_.call(it, std::string(poison_path), payload, report_timeout, [](const auto&) {}))
-            return;
+            break;
     }
+    if (must_save)
+        options_.save();
 }
 
 std::string poison_service::receive_victims(std::string_view payload)
@@ -63,6 +95,12 @@
     return list_.entries(boot_now());
 }
 
+std::string poison_service::saved() const
+{
+    const std::lock_guard lock(mutex_);
+    return saved_.encode(boot_now());
+}
+
 duration poison_service::remaining_refusal(request_fingerprint fingerprint) const
 {
     const std::lock_guard lock(mutex_);
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -17,6 +17,7 @@
 
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <array>
 #include <condition_variable>
 #include <functional>
@@ -34,14 +35,24 @@
 constexpr std::string_view fleet_key_key = "jasminebank/fleet/key";
 constexpr std::string_view fleet_members_prefix = "jasminebank/fleet/members/";
 constexpr std::string_view fleet_withdrawn_prefix = "jasminebank/fleet/withdrawn/";
+constexpr std::string_view fleet_victims_prefix = "jasminebank/fleet/victims/";
 
 /// Result of joining the fleet.
 struct joined_fleet {
     std::string fleet_key;
     std::vector<endpoint> peers; ///< link addresses of the other nodes with a member entry
     std::string withdrawals{};   ///< saved by earlier runs of this node
+    std::string victims{};       ///< likewise
+    std::vector<std::string> victims_of_others{}; ///< saved by the other nodes
 };
 
+/// What a node saves in the store for later runs, each under a key and a lease of its own.
+enum class saved_kind : std::uint8_t {
+    withdrawals, ///< see `withdrawal_list`
+    victims,     ///< see `saved_victims`
+};
+constexpr std::size_t saved_kinds = 2;
+
 struct store_session_options {
     std::string vm_name;
     endpoint link;          ///< address of this node, published in its member entry
@@ -63,10 +74,10 @@
     /// TTL of the member entry. The entry only helps joining nodes to find peers, so one that
     /// outlives its node does no harm.
     duration entry_ttl = std::chrono::seconds(60);
-    /// How long withdrawals are kept for the next run. Longer than backend servers take to leave.
-    duration withdrawals_ttl = std::chrono::minutes(10);
-    /// Maximum time that `save_withdrawals` waits for the store. Backend servers wait about a
-    /// second for the confirmation.
+    /// How long saved values are kept for the next run. Longer than backend servers take to leave.
+    duration saved_ttl = std::chrono::minutes(10);
+    /// Maximum time that `save` waits for the store. Backend servers wait about a second for the
+    /// confirmation of a withdrawal.
     duration save_timeout = std::chrono::milliseconds(300);
     /// Whether the whole fleet starts for the first time. If not, a node that finds no fleet key or
     /// no other member waits for `fleet_wait`: the fleet writes both again after a restore.
@@ -74,6 +85,9 @@
     duration fleet_wait = std::chrono::seconds(3);
     /// Returns true while this node must read the configuration itself.
     std::function<bool()> must_read_config;
+    /// Returns what to save of a kind. Called by `save`, and again when the value is written, so
+    /// that the newest is written last.
+    std::function<std::string(saved_kind)> value_to_save = [](saved_kind) { return std::string(); };
     /// Called with the value of the configuration after each read. Returns true if that
     /// configuration is in force, newly or already. Values are compared, not their revisions: a
     /// store that was restored from an older copy gives revisions out again.
@@ -97,9 +111,9 @@
     /// Starts the thread that renews the lease and reads the configuration. Call after `join`.
     virtual void start() = 0;
     virtual void stop() = 0;
-    /// Saves what `joined_fleet::withdrawals` of the next run contains. Returns once it is written
-    /// or `save_timeout` has passed; the session then continues to try. Thread-safe.
-    virtual void save_withdrawals(const std::string& value) = 0;
+    /// Saves `value_to_save`, which `joined_fleet` of the next run contains. Returns once it is
+    /// written or `save_timeout` has passed; the session then continues to try. Thread-safe.
+    virtual void save(saved_kind kind) = 0;
     /// Removes the member entry, for a planned shutdown.
     virtual void leave() = 0;
 };
@@ -109,9 +123,11 @@
 public:
     store_session(store_session_options options, std::unique_ptr<Store> store)
         : options_(std::move(options)), store_(std::move(store)),
-          member_key_(std::string(fleet_members_prefix) + options_.vm_name),
-          withdrawn_key_(std::string(fleet_withdrawn_prefix) + options_.vm_name)
+          member_key_(std::string(fleet_members_prefix) + options_.vm_name)
     {
+        saved_of(saved_kind::withdrawals).key =
+            std::string(fleet_withdrawn_prefix) + options_.vm_name;
+        saved_of(saved_kind::victims).key = std::string(fleet_victims_prefix) + options_.vm_name;
     }
     ~store_session() override { stop(); }
 
@@ -120,10 +136,11 @@
         duration wait = options_.retry_interval;
         while (true) {
             if (auto out = try_join()) {
-                log_event(event::store_joined, "peers={} withdrawals_bytes={}", out->peers.size(),
-                          out->withdrawals.size());
+                log_event(event::store_joined,
+                          "peers={} withdrawals_bytes={} victims_bytes={} victims_of_others={}",
+                          out->peers.size(), out->withdrawals.size(), out->victims.size(),
+                          out->victims_of_others.size());
                 fleet_key_ = out->fleet_key;
-                saved_withdrawals_ = wanted_withdrawals_ = out->withdrawals;
                 return out;
             }
             if (!wait_unless_cancelled(boot_now() + wait))
@@ -148,28 +165,45 @@
             thread_.join();
     }
 
-    void save_withdrawals(const std::string& value) override
+    void save(saved_kind kind) override
     {
+        const std::string value = options_.value_to_save(kind);
         std::unique_lock lock(mutex_);
-        if (value == wanted_withdrawals_)
+        saved_value& it = saved_of(kind);
+        if (!it.is_due && value == it.written)
             return;
-        wanted_withdrawals_ = value;
-        next_save_ = {};
+        const std::uint64_t wanted = ++it.wanted_version;
+        it.is_due = true;
+        it.next_attempt = {};
         wake_.notify_all();
-        saved_.wait_for(lock, options_.save_timeout,
-                        [&] { return stopping_ || saved_withdrawals_ == wanted_withdrawals_; });
+        saved_changed_.wait_for(lock, options_.save_timeout,
+                                [&] { return stopping_ || it.written_version >= wanted; });
     }
 
     void leave() override
     {
         stop();
-        if (saved_withdrawals_ != wanted_withdrawals_)
-            write_withdrawals();
+        for (const saved_kind it : {saved_kind::withdrawals, saved_kind::victims}) {
+            if (saved_of(it).is_due)
+                write(it);
+        }
         if (lease_ != lease_id{})
             static_cast<void>(store_->revoke_lease(lease_)); // else the lease expires later
     }
 
 private:
+    struct saved_value {
+        std::string key;
+        std::string written;
+        store_revision revision = 0; // of `key`, as last seen
+        bool is_due = false;         // `written` is not what `value_to_save` returns, or may not be
+        time_point next_attempt{};
+        std::uint64_t wanted_version = 0; // counts the calls of `save`
+        std::uint64_t written_version = 0;
+    };
+
+    saved_value& saved_of(saved_kind it) { return saved_.at(static_cast<std::size_t>(it)); }
+
     // Returns false if the session was stopped or cancelled.
     bool wait_unless_cancelled(time_point until)
     {
@@ -225,14 +259,21 @@
         for (const store_entry& it : value_of(fleet_entries).entries) {
             if (it.key == fleet_key_key)
                 out.fleet_key = it.value;
-            if (it.key == withdrawn_key_) {
-                out.withdrawals = it.value;
-                withdrawn_revision_ = it.mod_revision;
+            for (saved_value& own : saved_) {
+                if (it.key == own.key) {
+                    own.written = it.value;
+                    own.revision = it.mod_revision;
+                }
             }
+            if (it.key.starts_with(fleet_victims_prefix) &&
+                it.key != saved_of(saved_kind::victims).key)
+                out.victims_of_others.push_back(it.value);
             const auto peer = parse_endpoint(it.value);
             if (it.key.starts_with(fleet_members_prefix) && it.key != member_key_ && peer)
                 out.peers.push_back(*peer);
         }
+        out.withdrawals = saved_of(saved_kind::withdrawals).written;
+        out.victims = saved_of(saved_kind::victims).written;
         if (must_wait_for_fleet(out, boot_now()))
             return std::nullopt;
         if (out.fleet_key.empty() && !create_fleet_key(out.fleet_key))
@@ -364,8 +405,11 @@
         lease_ = {};
         {
             const std::lock_guard lock(mutex_);
-            saved_withdrawals_.clear();
-            withdrawn_revision_ = 0;
+            for (saved_value& it : saved_) {
+                it.is_due |= !it.written.empty();
+                it.written.clear();
+                it.revision = 0;
+            }
         }
         must_write_again_ = !put_member_entry() || !put_fleet_key();
     }
@@ -394,52 +438,62 @@
     }
 
     // Requires the mutex.
-    bool is_save_due(time_point now) const
+    static bool is_write_due(const saved_value& it, time_point now)
+    {
+        return it.is_due && now >= it.next_attempt;
+    }
+
+    void write_due_values()
     {
-        return wanted_withdrawals_ != saved_withdrawals_ && now >= next_save_;
+        for (const saved_kind kind : {saved_kind::withdrawals, saved_kind::victims}) {
+            std::unique_lock lock(mutex_);
+            if (!is_write_due(saved_of(kind), boot_now()))
+                continue;
+            lock.unlock();
+            write(kind);
+        }
     }
 
     // The entry has a lease of its own, which outlives the session. The write is conditional: an
     // earlier one whose outcome is unknown may be executed later and must not replace a newer one.
-    void write_withdrawals()
+    void write(saved_kind kind)
     {
-        std::string value;
+        saved_value& it = saved_of(kind);
+        std::uint64_t version = 0;
         {
             const std::lock_guard lock(mutex_);
-            value = wanted_withdrawals_;
-            next_save_ = boot_now() + options_.read_interval;
+            version = it.wanted_version;
+            it.next_attempt = boot_now() + options_.read_interval;
         }
-        const auto lease = store_->grant_lease(options_.withdrawals_ttl);
+        const std::string value = options_.value_to_save(kind);
+        const auto lease = store_->grant_lease(options_.saved_ttl);
         if (failed(lease)) {
-            on_call_failed("withdrawals lease", error_of(lease));
+            on_call_failed("saved value's lease", error_of(lease));
             return;
         }
-        const store_compare expected = withdrawn_revision_ == 0
-                                           ? absent(withdrawn_key_)
-                                           : unchanged_since(withdrawn_key_, withdrawn_revision_);
+        const store_compare expected =
+            it.revision == 0 ? absent(it.key) : unchanged_since(it.key, it.revision);
         const auto done = store_->commit(
             {.compares = {expected},
-             .puts = {{.key = withdrawn_key_, .value = value, .lease = value_of(lease).lease}},
+             .puts = {{.key = it.key, .value = value, .lease = value_of(lease).lease}},
              .deletes = {}});
         if (failed(done)) {
-            on_call_failed("withdrawals", error_of(done));
+            on_call_failed("saved value", error_of(done));
             return;
         }
         on_call_succeeded();
-        record_save(value_of(done), value);
-    }
-
-    void record_save(const store_commit& it, const std::string& value)
-    {
         const std::lock_guard lock(mutex_);
-        if (!it.succeeded) {
-            withdrawn_revision_ = it.found.empty() ? 0 : it.found.front().mod_revision;
-            next_save_ = {};
+        if (!value_of(done).succeeded) {
+            it.revision =
+                value_of(done).found.empty() ? 0 : value_of(done).found.front().mod_revision;
+            it.next_attempt = {};
             return;
         }
-        withdrawn_revision_ = it.revision;
-        saved_withdrawals_ = value;
-        saved_.notify_all();
+        it.revision = value_of(done).revision;
+        it.written = value;
+        it.written_version = version;
+        it.is_due = it.wanted_version != version;
+        saved_changed_.notify_all();
     }
 
     void run()
@@ -447,10 +501,8 @@
         std::unique_lock lock(mutex_);
         duration retry = options_.retry_interval;
         while (!stopping_) {
-            const bool must_save = is_save_due(boot_now());
             lock.unlock();
-            if (must_save)
-                write_withdrawals();
+            write_due_values();
             duration wait = options_.idle_interval;
             if (options_.must_read_config()) {
                 const bool was_read = read_config();
@@ -463,14 +515,17 @@
             if (boot_now() >= next_renewal_ || (must_check_lease_ && !is_unreachable_))
                 renew_member_entry();
             lock.lock();
-            wake_.wait_for(lock, wait, [this] { return stopping_ || is_save_due(boot_now()); });
+            wake_.wait_for(lock, wait, [this] {
+                return stopping_ || std::ranges::any_of(saved_, [](const saved_value& it) {
+                           return is_write_due(it, boot_now());
+                       });
+            });
         }
     }
 
     const store_session_options options_;
     const std::unique_ptr<Store> store_;
     const std::string member_key_;
-    const std::string withdrawn_key_;
     lease_id lease_{};
     time_point next_renewal_{};
     bool is_unreachable_ = false;
@@ -482,11 +537,8 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_ = false;
-    std::condition_variable saved_;
-    std::string wanted_withdrawals_;
-    std::string saved_withdrawals_;
-    store_revision withdrawn_revision_ = 0; // of `withdrawn_key_`, as last seen
-    time_point next_save_{};
+    std::condition_variable saved_changed_;
+    std::array<saved_value, saved_kinds> saved_;
     std::thread thread_;
 };
 
