One budget bounds what all connections of a node buffer

One answer can't do that here, but many callers could: each stream, upload and answer had a limit of its own, and nothing bounded their sum. 500 callers that stall under an endless body took 139 to 174 MB at their node and 158 MB at the server's; stalled uploads of 500 kB took 298 MB. VMs have 160 MB and more, and a process that exceeds its memory is ended, with all its callers' requests.

Change: buffer_budget, 16 MiB for a node. Windows and write buffers of streams beyond 32 KiB, buffered request bodies and prefetched answers reserve a part. Without one, streams go on with 32 KiB, uploads are streamed, answers are forwarded at once. byte_queue keeps blocks that are freed as they are read; its vector held up to four times its bytes.

--- a/src/byte_queue.cpp
+++ b/src/byte_queue.cpp
@@ -4,31 +4,44 @@
 
 namespace jasminebank {
 
-// Erases the popped bytes once they are at least half of the vector, so that the vector has at most
-// twice the size of the queue.
+// A block is freed once its last byte was popped.
+constexpr std::size_t block_bytes = std::size_t{16} << 10;
+
 void byte_queue::push(std::span<const char> bytes)
 {
-    if (start_ > 0 && start_ >= size()) {
-        bytes_.erase(bytes_.begin(), bytes_.begin() + static_cast<std::ptrdiff_t>(start_));
-        start_ = 0;
+    size_ += bytes.size();
+    while (!bytes.empty()) {
+        if (blocks_.empty() || blocks_.back().size() == block_bytes)
+            blocks_.emplace_back();
+        std::string& last = blocks_.back();
+        const std::size_t n = std::min(bytes.size(), block_bytes - last.size());
+        last.append(bytes.data(), n);
+        bytes = bytes.subspan(n);
     }
-    bytes_.insert(bytes_.end(), bytes.begin(), bytes.end());
 }
 
 std::size_t byte_queue::pop(std::span<char> buf)
 {
-    const std::size_t n = std::min(buf.size(), size());
-    std::copy_n(bytes_.begin() + static_cast<std::ptrdiff_t>(start_), n, buf.begin());
-    start_ += n;
-    if (empty())
-        clear();
-    return n;
+    std::size_t out = 0;
+    while (out < buf.size() && !blocks_.empty()) {
+        const std::string& first = blocks_.front();
+        const std::size_t n = first.copy(buf.data() + out, buf.size() - out, start_);
+        out += n;
+        start_ += n;
+        if (start_ < first.size())
+            break;
+        blocks_.pop_front();
+        start_ = 0;
+    }
+    size_ -= out;
+    return out;
 }
 
 void byte_queue::clear()
 {
-    std::vector<char>().swap(bytes_);
+    blocks_.clear();
     start_ = 0;
+    size_ = 0;
 }
 
 } // namespace jasminebank
--- a/src/byte_queue.h
+++ b/src/byte_queue.h
@@ -1,10 +1,11 @@
 #pragma once
 
-// A FIFO queue of bytes that holds no memory while it is empty.
+// A FIFO queue of bytes that holds little more memory than its bytes, and none while it is empty.
 
 #include <cstddef>
+#include <list>
 #include <span>
-#include <vector>
+#include <string>
 
 namespace jasminebank {
 
@@ -17,12 +18,13 @@
     std::size_t pop(std::span<char> buf);
     void clear();
 
-    std::size_t size() const { return bytes_.size() - start_; }
-    bool empty() const { return size() == 0; }
+    std::size_t size() const { return size_; }
+    bool empty() const { return size_ == 0; }
 
 private:
-    std::vector<char> bytes_;
-    std::size_t start_ = 0;
+    std::list<std::string> blocks_; // none is empty
+    std::size_t start_ = 0;         // bytes popped from the first block
+    std::size_t size_ = 0;
 };
 
 } // namespace jasminebank
--- a/src/dispatch_attempt.cpp
+++ b/src/dispatch_attempt.cpp
@@ -166,11 +166,17 @@
     }
 }
 
-void receive_answer(dispatch_attempt& it, std::size_t prefetch_bytes, const answer_limit& limit)
+void receive_answer(dispatch_attempt& it, std::size_t prefetch_bytes,
+                    const std::shared_ptr<buffer_budget>& buffers, const answer_limit& limit)
 {
     store_head(it, it.stream->read_head(boot_now()), limit);
-    if (it.answer)
-        prefetch_body(it, prefetch_bytes, limit);
+    if (it.answer) {
+        const std::size_t wanted =
+            std::min(length_of(*it.answer).value_or(prefetch_bytes), prefetch_bytes);
+        it.body_memory = buffer_reservation(buffers, wanted);
+        if (it.body_memory.bytes() == wanted)
+            prefetch_body(it, prefetch_bytes, limit);
+    }
     // The gate received the same limit, but not whether the request's deadline or a stop of this
     // node sets it. It reports either as a deadline; a stop is corrected here.
     const bool is_over = it.refused && it.refused->reason == refusal::deadline;
--- a/src/dispatch_attempt.h
+++ b/src/dispatch_attempt.h
@@ -30,6 +30,7 @@
     std::optional<message_head> answer;    ///< head of the backend server's answer
     std::optional<refusal_answer> refused; ///< by the gate, or for a failure of link or caller
     std::string body;                      ///< the prefetched part of the answer's body
+    buffer_reservation body_memory;        ///< for `body`
     bool body_is_whole = false;            ///< `body` is the complete body
     std::optional<reported_notice> notice; ///< what the answer says about the server's work
     std::optional<double> load;            ///< share of busy slots that the gate reported
@@ -65,9 +66,10 @@
                             const answer_limit& limit, time_point until = time_point::max());
 
 /// Stores the head that has arrived, or the failure, in the attempt; then reads up to
-/// `prefetch_bytes` of the answer's body. An answer truncated within these bytes is a failed
-/// attempt, and the caller has received no part of it.
-void receive_answer(dispatch_attempt& it, std::size_t prefetch_bytes, const answer_limit& limit);
+/// `prefetch_bytes` of the answer's body, none if `buffers` has no room for them. An answer
+/// truncated within these bytes is a failed attempt, and the caller has received no part of it.
+void receive_answer(dispatch_attempt& it, std::size_t prefetch_bytes,
+                    const std::shared_ptr<buffer_budget>& buffers, const answer_limit& limit);
 
 /// A gate's response to a probe.
 struct gate_probe {
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <optional>
 #include <thread>
 
@@ -69,18 +68,6 @@
     return status == unavailable_status || status == too_many_requests_status;
 }
 
-std::optional<std::size_t> length_of(const message_head& head)
-{
-    const std::string* text = find_field(head, "content-length");
-    std::size_t out = 0;
-    if (text == nullptr)
-        return std::nullopt;
-    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), out);
-    if (ec != std::errc{} || end != text->data() + text->size())
-        return std::nullopt;
-    return out;
-}
-
 std::uint32_t priority_of(const admitted_request& request)
 {
     if (request.organisation != nullptr && request.organisation->priority)
@@ -601,7 +588,11 @@
                     const httplib::ContentReader* reader)
 {
     const auto length = length_of(head);
-    const bool buffered = reader == nullptr || (length && *length <= options_.buffered_body_bytes);
+    // A body is streamed as well if there is no memory to buffer it.
+    buffer_reservation memory;
+    if (reader != nullptr && length && *length <= options_.buffered_body_bytes)
+        memory = buffer_reservation(options_.buffers, *length);
+    const bool buffered = reader == nullptr || length == std::size_t{0} || !memory.is_empty();
     if (!buffered && request.room_refused) {
         socket_server::close_after_answer(res);
         refuse(res, refuse_for_room(request, *request.room_refused));
@@ -844,7 +835,7 @@
         const wait_result end = wait_for_either(it, other, limit, due);
         if (end == wait_result::own_ready ||
             (end == wait_result::timed_out && boot_now() >= limit.until())) {
-            receive_answer(it, options_.buffered_answer_bytes, limit);
+            receive_answer(it, options_.buffered_answer_bytes, options_.buffers, limit);
             return;
         }
         if (end == wait_result::timed_out) {
@@ -900,7 +891,7 @@
     const bool is_needed = !progress.answered || !is_successful(*progress.answered);
     const answer_limit limit(context.request.deadline, stop_);
     if (is_needed && wait_for_either(it, nullptr, limit) != wait_result::caller_left)
-        receive_answer(it, options_.buffered_answer_bytes, limit);
+        receive_answer(it, options_.buffered_answer_bytes, options_.buffers, limit);
     record_attempt_end(context, it);
     // A backend server that refused the request under load (`shed`) was reached too.
     const bool reached_server = !it.refused || it.refused->state != run_state::not_run ||
@@ -1054,8 +1045,8 @@
 
 // Forwards the answer's body as it arrives. A failure closes the caller's connection, so that the
 // caller can't mistake a truncated body for a complete one.
-void entry::deliver(const admitted_request& request, const dispatch_attempt& it,
-                    const message_head& head, httplib::Response& res)
+void entry::deliver(const admitted_request& request, dispatch_attempt& it, const message_head& head,
+                    httplib::Response& res)
 {
     const message_head& answer = *it.answer;
     if (!is_server_error(answer)) {
@@ -1076,13 +1067,18 @@
     if (it.body_is_whole && !bodiless)
         length = it.body.size();
     // Writes the prefetched part first, then the rest as it arrives.
-    auto prefetched = std::make_shared<std::string>(it.body);
+    struct prefetched_body {
+        std::string bytes;
+        buffer_reservation memory;
+    };
+    const auto prefetched = std::make_shared<prefetched_body>(
+        prefetched_body{.bytes = std::move(it.body), .memory = std::move(it.body_memory)});
     const answer_limit limit(request.deadline, stop_);
     const auto write_next_part = [stream = it.stream, limit, length, prefetched,
                                   whole = it.body_is_whole](std::size_t, httplib::DataSink& sink) {
-        if (!prefetched->empty()) {
-            const std::string first = std::exchange(*prefetched, {});
-            sink.write(first.data(), first.size());
+        if (!prefetched->bytes.empty()) {
+            const prefetched_body first = std::exchange(*prefetched, {});
+            sink.write(first.bytes.data(), first.bytes.size());
             return true;
         }
         if (whole) {
--- a/src/entry.h
+++ b/src/entry.h
@@ -58,6 +58,7 @@
     std::function<void(vm_id)> on_gate_failed = [](vm_id) {};
     /// Answers up to this size are received completely before they are forwarded.
     std::size_t buffered_answer_bytes = 64UL * 1024;
+    std::shared_ptr<buffer_budget> buffers{}; ///< for buffered bodies; null: no limit
     /// An idempotent request is hedged (also sent to a second server) after this multiple of its
     /// expected latency; 0: never.
     double hedge_after = 0;
@@ -201,8 +202,8 @@
     bool request_retry(const attempt_context& context, std::string_view cause);
     void update_estimate(const admitted_request& request, const dispatch_attempt& it);
     void record_attempt_end(const attempt_context& context, const dispatch_attempt& it);
-    void deliver(const admitted_request& request, const dispatch_attempt& it,
-                 const message_head& head, httplib::Response& res);
+    void deliver(const admitted_request& request, dispatch_attempt& it, const message_head& head,
+                 httplib::Response& res);
     void log_request_end(const caller_head& head, const admitted_request& request,
                          const httplib::Response& res);
 
--- a/src/link_message.cpp
+++ b/src/link_message.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace jasminebank {
 
@@ -17,6 +18,18 @@
     return nullptr;
 }
 
+std::optional<std::size_t> length_of(const message_head& head)
+{
+    const std::string* text = find_field(head, "content-length");
+    std::size_t out = 0;
+    if (text == nullptr)
+        return std::nullopt;
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), out);
+    if (ec != std::errc{} || end != text->data() + text->size())
+        return std::nullopt;
+    return out;
+}
+
 static const std::uint8_t* octets(const std::string& text)
 {
     return reinterpret_cast<const std::uint8_t*>(text.data());
--- a/src/link_message.h
+++ b/src/link_message.h
@@ -5,6 +5,7 @@
 #include "types.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,9 @@
 /// Value of the first field with this lower-case name, or null.
 const std::string* find_field(const message_head& head, std::string_view name);
 
+/// The body's size by its Content-Length; nothing if there is none.
+std::optional<std::size_t> length_of(const message_head& head);
+
 /// Bytes that each field counts in addition to its name and value, as HPACK defines it.
 constexpr std::size_t field_overhead_bytes = 32;
 
--- a/src/link_options.h
+++ b/src/link_options.h
@@ -9,6 +9,7 @@
 #include "stream_state.h"
 #include "traffic_account.h"
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -41,7 +42,8 @@
     std::size_t max_streams = 1024;                     ///< request streams per link
     std::size_t max_control_streams = 256;              ///< control messages per link
     std::size_t stream_buffer_bytes = 256UL * 1024;     ///< full window and write buffer per stream
-    std::size_t first_window_bytes = 32UL * 1024;       ///< window of a stream until its first read
+    std::size_t first_window_bytes = 32UL * 1024;       ///< both, until they have grown
+    std::shared_ptr<buffer_budget> buffers = {};        ///< for their growth; null: no limit
     std::size_t link_buffer_bytes = 16UL * 1024 * 1024; ///< sum of a link's window enlargements
     std::size_t max_control_bytes = 1536UL * 1024;      ///< per request or response payload
     std::size_t max_link_control_bytes = 8UL * 1024 * 1024; ///< sum of payloads received on a link
@@ -58,7 +60,9 @@
 /// initial window.
 inline stream_limits limits_of(const link_options& it)
 {
-    return {.buffer_bytes = it.stream_buffer_bytes,
+    return {.first_buffer_bytes = std::min(it.first_window_bytes, it.stream_buffer_bytes),
+            .buffer_bytes = it.stream_buffer_bytes,
+            .buffers = it.buffers,
             .window_step = it.first_window_bytes / 4,
             .head_bytes = it.max_head_bytes};
 }
--- a/src/link_stream.cpp
+++ b/src/link_stream.cpp
@@ -58,14 +58,14 @@
 {
     stream_state& it = *state_;
     std::unique_lock lock(it.mutex_);
-    const std::size_t limit = it.limits_.buffer_bytes;
-    const bool is_ready = wait(
-        lock, until, [&] { return it.is_over() || it.is_output_ended_ || it.out_.size() < limit; });
+    const bool is_ready = wait(lock, until, [&] {
+        return it.is_over() || it.is_output_ended_ || it.has_output_room_locked();
+    });
     if (it.is_over() || it.is_output_ended_)
         return it.error_.value_or(already_ended);
     if (!is_ready)
         return std::size_t{0};
-    const std::size_t n = std::min(bytes.size(), limit - it.out_.size());
+    const std::size_t n = std::min(bytes.size(), it.out_limit_ - it.out_.size());
     it.out_.push(bytes.first(n));
     it.has_output_ = true;
     it.schedule_locked();
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -23,6 +23,9 @@
 // Nodes of each failure domain that ping a member of another one. More than one, so that a single
 // cut link does not make a suspect.
 constexpr std::size_t remote_member_pingers = 3;
+// For buffered bodies, and for streams beyond their first 32 KiB: a tenth of the memory of the
+// smallest VM.
+constexpr std::size_t buffer_bytes = std::size_t{16} << 20;
 constexpr double bytes_per_megabit = 1e6 / 8;
 constexpr int ok_status = 200;
 constexpr int first_server_error_status = 500;
@@ -40,8 +43,8 @@
 
 node::node(node_settings settings, incarnation run, std::optional<platform_parts> platform)
     : settings_(std::move(settings)), run_(run), platform_(std::move(platform)),
-      local_service_(settings_.service), when_cut_off_(settings_.when_cut_off),
-      stop_grace_(settings_.stop_grace)
+      buffers_(std::make_shared<buffer_budget>(buffer_bytes)), local_service_(settings_.service),
+      when_cut_off_(settings_.when_cut_off), stop_grace_(settings_.stop_grace)
 {
 }
 
@@ -112,6 +115,7 @@
         {.listen = settings_.links,
          .self = {.vm_name = settings_.vm_name, .run = run_},
          .fleet_key = fleet_.fleet_key,
+         .buffers = buffers_,
          .on_stream = [this](const std::shared_ptr<link_stream>& it) { accept_stream(it); },
          .on_control = [this](const control_request& it) { return answer_control(it); },
          .traffic = traffic_,
@@ -226,6 +230,7 @@
                       .names = platform_ ? platform_->names : header_names{},
                       .local_service = [this] { return local_service(); },
                       .on_gate_failed = [this](vm_id it) { reach_->suspect(it, boot_now()); },
+                      .buffers = buffers_,
                       .hedge_after = settings_.hedge_after,
                       .on_nested_ended = on_nested_ended,
                       .service_admission = settings_.service_admission,
--- a/src/node.h
+++ b/src/node.h
@@ -5,6 +5,7 @@
 // connects them to each other, to the clock and to I/O. A platform is a host system with its own
 // store, header names and configuration format, see platform_parts.h.
 
+#include "buffer_budget.h"
 #include "config_feed.h"
 #include "config_follower.h"
 #include "control_relay.h"
@@ -118,6 +119,7 @@
     duration store_read_delay_{}; ///< of this node's turn to read the store
     std::unique_ptr<store_session_base> session_;
     const std::shared_ptr<traffic_account> traffic_ = std::make_shared<traffic_account>();
+    const std::shared_ptr<buffer_budget> buffers_; ///< for all connections
     std::unique_ptr<link_hub> links_;
     std::unique_ptr<control_relay> relay_;
     std::unique_ptr<reach_monitor> reach_;
--- a/src/stream_state.cpp
+++ b/src/stream_state.cpp
@@ -7,7 +7,7 @@
 stream_state::stream_state(std::shared_ptr<link_queue> queue, stream_limits limits, bool is_caller,
                            message_head request, bool ends)
     : queue_(std::move(queue)), limits_(limits), is_caller_(is_caller),
-      request_(std::move(request)), request_ends_(ends)
+      request_(std::move(request)), request_ends_(ends), out_limit_(limits_.first_buffer_bytes)
 {
     is_output_ended_ = is_caller && ends;
     is_output_end_taken_ = is_output_ended_;
@@ -24,6 +24,20 @@
     queue_->schedule(shared_from_this());
 }
 
+// Requires `mutex_`. A full buffer grows once, if the process has memory left for it.
+bool stream_state::has_output_room_locked()
+{
+    if (out_.size() < out_limit_)
+        return true;
+    if (out_limit_ >= limits_.buffer_bytes)
+        return false;
+    out_growth_ = buffer_reservation(limits_.buffers, limits_.buffer_bytes - out_limit_);
+    if (out_growth_.is_empty())
+        return false;
+    out_limit_ = limits_.buffer_bytes;
+    return true;
+}
+
 // From here on only the link can determine whether the request was sent: a caller whose deadline
 // passes must assume that it may have run.
 bool stream_state::mark_submitted()
@@ -53,7 +67,7 @@
 stream_output stream_state::take_output(std::span<char> buf)
 {
     const std::lock_guard lock(mutex_);
-    const bool was_full = out_.size() >= limits_.buffer_bytes;
+    const bool was_full = out_.size() >= out_limit_;
     stream_output out{.bytes = out_.pop(buf)};
     out.is_end = is_output_ended_ && out_.empty() && !reset_;
     is_output_end_taken_ = out.is_end;
--- a/src/stream_state.h
+++ b/src/stream_state.h
@@ -3,6 +3,7 @@
 // The state of one request stream, shared by worker threads, which use it through `link_stream`,
 // and the thread that owns the links, which uses the functions below. One mutex protects it.
 
+#include "buffer_budget.h"
 #include "byte_queue.h"
 #include "link_message.h"
 #include "link_queue.h"
@@ -18,9 +19,11 @@
 
 /// Limits of one stream.
 struct stream_limits {
-    std::size_t buffer_bytes = 0; ///< written bytes that are not yet passed to the link
-    std::size_t window_step = 0;  ///< bytes read before the receive window is replenished
-    std::size_t head_bytes = 0;   ///< size of a head, as computed by `size_of`
+    std::size_t first_buffer_bytes = 0; ///< written bytes that are not yet passed to the link
+    std::size_t buffer_bytes = 0;       ///< the same, with a part of `buffers`
+    std::shared_ptr<buffer_budget> buffers = {};
+    std::size_t window_step = 0; ///< bytes read before the receive window is replenished
+    std::size_t head_bytes = 0;  ///< size of a head, as computed by `size_of`
 };
 
 /// Actions that worker threads requested since the owner thread last took them.
@@ -75,6 +78,7 @@
     friend class link_stream;
 
     bool is_over() const { return is_link_done_ || reset_; }
+    bool has_output_room_locked();
     void schedule_locked();
 
     std::shared_ptr<link_queue> queue_;
@@ -91,6 +95,8 @@
     bool response_ends_ = false;
     byte_queue in_;
     byte_queue out_;
+    buffer_reservation out_growth_;
+    std::size_t out_limit_;
     std::size_t taken_bytes_ = 0;
     bool has_output_ = false;
     bool is_submitted_ = false;
--- a/src/stream_table.cpp
+++ b/src/stream_table.cpp
@@ -29,8 +29,7 @@
     if (it == entries_.end())
         return;
     const stream_entry& entry = it->second;
-    if (entry.is_window_grown)
-        grown_bytes_ -= growth_of(options_);
+    grown_bytes_ -= entry.window_growth.bytes();
     if (entry.control)
         control_bytes_ -= entry.control->in.size();
     if (entry.counts_against_limit && entry.kind == stream_kind::request)
@@ -76,11 +75,11 @@
 bool stream_table::grow_window(stream_entry& it)
 {
     const std::size_t growth = growth_of(options_);
-    if (it.is_window_grown || growth == 0 || grown_bytes_ + growth > options_.link_buffer_bytes)
+    if (!it.window_growth.is_empty() || grown_bytes_ + growth > options_.link_buffer_bytes)
         return false;
-    it.is_window_grown = true;
-    grown_bytes_ += growth;
-    return true;
+    it.window_growth = buffer_reservation(options_.buffers, growth);
+    grown_bytes_ += it.window_growth.bytes();
+    return !it.window_growth.is_empty();
 }
 
 } // namespace jasminebank
--- a/src/stream_table.h
+++ b/src/stream_table.h
@@ -36,7 +36,7 @@
     bool is_answered = false; ///< control messages: response or reset submitted
     bool is_input_ended = false;
     bool is_output_ended = false;
-    bool is_window_grown = false;
+    buffer_reservation window_growth;
 };
 
 /// Streams by HTTP/2 stream identifier, with the limits of `link_options`.
@@ -59,8 +59,8 @@
     bool add_control_bytes(stream_entry& it, std::span<const char> bytes);
     /// Removes the received payload from the entry and returns it.
     std::string take_control_bytes(stream_entry& it);
-    /// Reserves the enlarged receive window of a stream; false when the stream already has it or
-    /// the link's `link_buffer_bytes` would be exceeded.
+    /// Reserves the enlarged receive window of a stream; false when the stream already has it, or
+    /// the link's `link_buffer_bytes` or the process's `buffers` would be exceeded.
     bool grow_window(stream_entry& it);
 
     bool empty() const { return entries_.empty(); }
--- a/tests/process_fleet.cpp
+++ b/tests/process_fleet.cpp
@@ -74,6 +74,17 @@
     wait_for_exit(start_timeout);
 }
 
+std::size_t child_process::peak_memory() const
+{
+    std::ifstream in(fmt::format("/proc/{}/status", pid_));
+    for (std::string word; in >> word;) {
+        std::size_t kib = 0;
+        if (word == "VmHWM:" && in >> kib)
+            return kib * 1024;
+    }
+    return 0;
+}
+
 void child_process::signal(int number) const
 {
     if (pid_ > 0 && !exit_)
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -33,6 +33,8 @@
     /// Returns the exit code, or minus the signal that killed it; nullopt if it runs after
     /// `timeout`.
     std::optional<int> wait_for_exit(duration timeout);
+    /// Most memory that it has used at once, in bytes.
+    std::size_t peak_memory() const;
 
 private:
     pid_t pid_ = -1;
