An answer without a body ends with its head, also a 304

And a 304 held its slot at the server until the time limit.

Cause: which answers have no body was decided in three places. entry::deliver gave the HTTP library a body provider for a 304 with a length; the library writes a body after 304, and called a function that was not set.

Change: answer_has_body, of method and status, serves entry, backend_call and message_framing. bounded_client ends the call with the head and keeps the connection; a 204 or 304 without a length no longer costs one.

Ruled out: const_cast on the library's answer, and closing the connection after each 304 (callers that revalidate would pay a connection for each answer).

--- a/src/backend_call.cpp
+++ b/src/backend_call.cpp
@@ -3,6 +3,7 @@
 #include "dispatch.h"
 #include "endpoint.h"
 #include "link_wire.h"
+#include "message_framing.h"
 #include "refusal.h"
 #include "system_clock.h"
 
@@ -28,9 +29,7 @@
 // call.
 constexpr std::size_t max_shed_body_bytes = 64UL * 1024;
 constexpr int first_success_status = 200;
-constexpr int no_content_status = 204;
 constexpr int first_redirect_status = 300;
-constexpr int not_modified_status = 304;
 constexpr int misdirected_status = 421;
 
 std::string lower(std::string text)
@@ -102,10 +101,12 @@
     }
 
 private:
-    static bool closes_connection(const httplib::Response& res)
+    bool closes_connection(const httplib::Response& res) const
     {
-        return lower(res.get_header_value("Connection")) == "close" ||
-               (!res.has_header("Content-Length") && !res.has_header("Transfer-Encoding"));
+        const bool ends_with_connection = answer_has_body(stream_->head().method, res.status) &&
+                                          !res.has_header("Content-Length") &&
+                                          !res.has_header("Transfer-Encoding");
+        return lower(res.get_header_value("Connection")) == "close" || ends_with_connection;
     }
 
     static bool parse_length(const std::string& text, std::size_t& out)
@@ -166,8 +167,7 @@
         if (is_success && !options_.names.success_mark.empty() &&
             !res.has_header(options_.names.success_mark))
             return false;
-        const bool bodiless = stream_->head().method == "HEAD" || res.status == no_content_status ||
-                              res.status == not_modified_status;
+        const bool bodiless = !answer_has_body(stream_->head().method, res.status);
         message_head head{.method = {}, .path = {}, .status = res.status, .fields = {}};
         for (const auto& [name, value] : res.headers) {
             std::string field = lower(name);
--- a/src/bounded_client.cpp
+++ b/src/bounded_client.cpp
@@ -36,13 +36,19 @@
     has_ambiguous_end_ = false;
     is_whole_ = false;
     received_malformed_ = false;
+    has_ended_with_head_ = false;
+    const std::string method = request.method;
     const httplib::ResponseHandler on_response_head = std::move(request.response_handler);
     bool has_seen_head = false;
     request.response_handler = [&](const httplib::Response& res) {
         has_seen_head = true;
         current_stream_->end_head();
         // The library takes interim answers other than 100 as final.
-        return res.status >= first_final_status && (!on_response_head || on_response_head(res));
+        if (res.status < first_final_status || (on_response_head && !on_response_head(res)))
+            return false;
+        // The library would wait for the body of a 304 until the deadline.
+        has_ended_with_head_ = !answer_has_body(method, res.status);
+        return !has_ended_with_head_;
     };
     httplib::Result out = send(request);
     if (out && !is_whole_)
@@ -62,7 +68,7 @@
     socket_stream stream(socket.sock, duration::max(), deadline_);
     stream.begin_message(answer_kind_, deadline_, max_answer_head_bytes, max_status_line_bytes);
     current_stream_ = &stream;
-    const bool good = callback(stream);
+    const bool good = callback(stream) || has_ended_with_head_;
     current_stream_ = nullptr;
     size_limit_exceeded_ = stream.exceeded_size_limit();
     has_discarded_bytes_ = stream.has_buffered();
--- a/src/bounded_client.h
+++ b/src/bounded_client.h
@@ -49,6 +49,7 @@
 
     time_point deadline_ = time_point::max();
     message_kind answer_kind_ = message_kind::answer; ///< of the current call
+    bool has_ended_with_head_ = false;                ///< the library has not read on
     socket_stream* current_stream_ = nullptr;
     bool is_whole_ = false; ///< the last answer
     bool received_malformed_ = false;
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_head.h"
 #include "log.h"
+#include "message_framing.h"
 #include "socket_server.h"
 #include "system_clock.h"
 
@@ -17,8 +18,6 @@
 namespace {
 
 constexpr std::size_t chunk_bytes = 16UL * 1024;
-constexpr int no_content_status = 204;
-constexpr int not_modified_status = 304;
 constexpr int bad_gateway_status = 502;
 constexpr int too_many_requests_status = 429;
 constexpr int unavailable_status = 503;
@@ -1061,8 +1060,7 @@
             res.headers.emplace(field.name, field.value);
     }
     res.set_header(std::string(outcome_header), std::string(name_of(run_state::ran)));
-    const bool bodiless = head.method == "HEAD" || answer.status == no_content_status ||
-                          answer.status == not_modified_status;
+    const bool bodiless = !answer_has_body(head.method, answer.status);
     auto length = length_of(answer);
     if (it.body_is_whole && !bodiless)
         length = it.body.size();
@@ -1096,7 +1094,14 @@
         return true;
     };
     const std::string content_type = type == nullptr ? "" : *type;
-    if (length == std::size_t{0} && !bodiless) {
+    if (bodiless) {
+        // The HTTP library would write a body after the head of a 304.
+        if (length)
+            res.set_header("Content-Length", std::to_string(*length));
+        if (type != nullptr)
+            res.set_header("Content-Type", *type);
+    }
+    else if (length == std::size_t{0}) {
         // The HTTP library sends no length for an empty content provider, and the caller would wait
         // for a body.
         res.set_content("", content_type);
@@ -1108,7 +1113,7 @@
                 return write_next_part(offset, sink);
             });
     }
-    else if (!bodiless) {
+    else {
         res.set_chunked_content_provider(content_type, write_next_part);
     }
     if (type == nullptr)
--- a/src/message_framing.cpp
+++ b/src/message_framing.cpp
@@ -66,8 +66,19 @@
     return out ? std::optional(static_cast<int>(*out)) : std::nullopt;
 }
 
+bool status_has_body(int status)
+{
+    return status >= first_final_status && status != no_content_status &&
+           status != not_modified_status;
+}
+
 } // namespace
 
+bool answer_has_body(std::string_view method, int status)
+{
+    return method != "HEAD" && status_has_body(status);
+}
+
 bool message_framing::read(std::string_view bytes)
 {
     while (!bytes.empty() && !is_whole() && !is_malformed()) {
@@ -184,7 +195,7 @@
         return;
     }
     const bool is_bodiless = kind_ == message_kind::answer_to_head ||
-                             status_ == no_content_status || status_ == not_modified_status;
+                             (kind_ == message_kind::answer && !status_has_body(status_));
     bytes_left_ = length_.value_or(0);
     if (!is_bodiless && is_chunked_)
         state_ = state::chunk_size;
--- a/src/message_framing.h
+++ b/src/message_framing.h
@@ -19,6 +19,10 @@
     answer_to_head, ///< an answer without a body, whatever its fields say
 };
 
+/// Whether an answer to a request of this method has a body, as RFC 9112, section 6.3 defines it.
+/// Without one it ends with its head, whatever length its fields name.
+bool answer_has_body(std::string_view method, int status);
+
 /// Reads one message. Interim (1xx) answers before an answer are part of it.
 class message_framing {
 public:
