Late announcements do not bring a server back that has left

Cause: notice_record ended the leaving once two announcements had arrived ten seconds apart. Both were from before the withdrawal; how long a network delays them has no bound.

Change: announcements are numbered, and the number is asked for: a server that has left counts as staying only after an announcement that is 20 beyond the last one before its leaving, and ten seconds as before.

Ruled out: a longer time (no bound), and a leaving that is final: on the platform a withdrawal does not tell its run, so a late one of an earlier run can concern the present one.

--- a/src/announcement.h
+++ b/src/announcement.h
@@ -12,6 +12,10 @@
 
 namespace jasminebank {
 
+/// A partition of the network delays announcements, so some may still arrive after their server has
+/// left or ended. A run that has sent this many more than were known before has not.
+constexpr std::uint64_t max_late_announcements = 20;
+
 /// One announcement of a backend server.
 struct announcement {
     server_record server;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -105,7 +105,7 @@
         // What waits was admitted for the service that the address had.
         if (!is_new && server.record.service != it.server.service)
             collect_actions(server.slots.refuse_waiting(), out, refusal::no_backend_server);
-        server.notices.announced(it.server.draining, now);
+        server.notices.announced(it.server.draining, it.sequence, now);
         record.draining |= server.notices.is_leaving();
         changed = is_new || server.record != record;
         server.record = record;
--- a/src/notice_record.h
+++ b/src/notice_record.h
@@ -2,6 +2,7 @@
 
 // What a gate knows of the work that one backend server takes, from the server's answers.
 
+#include "announcement.h"
 #include "server_notice.h"
 #include "types.h"
 
@@ -19,10 +20,11 @@
     /// an answer: that is newer, or as new.
     void reported(const server_notice& it);
 
-    /// Takes an announcement of the server, which says whether it is draining. Announcements may
-    /// arrive many seconds late, so a server that said it is leaving counts as staying only after
-    /// it has announced the contrary for a longer time.
-    void announced(bool is_draining, time_point now);
+    /// Takes an announcement of the server, which says whether it is draining; `sequence` is its
+    /// number, 0 if it has none. Announcements may arrive many seconds late, so a server that said
+    /// it is leaving counts as staying only after it has announced the contrary for a longer time,
+    /// and `max_late_announcements` times if they are numbered.
+    void announced(bool is_draining, std::uint64_t sequence, time_point now);
     /// The server has withdrawn from the node.
     void withdrawn();
 
@@ -35,6 +37,8 @@
     time_point named_at_{}; // when the limit was last named
     bool is_leaving_ = false;
     std::optional<time_point> ready_since_; // announcements since then said that it stays
+    std::uint64_t last_sequence_ = 0;       // of the announcements taken
+    std::uint64_t leaving_sequence_ = 0;    // the last one when the server left; 0: not known
     bool has_answer_ = false;
 };
 
--- a/tests/start_pacer_test.cpp
+++ b/tests/start_pacer_test.cpp
@@ -146,20 +146,49 @@
 {
     notice_record it;
     const time_point start{1h};
-    it.announced(false, start);
+    it.announced(false, 0, start);
     it.answered({.is_leaving = true}, start, start + 1s);
-    it.announced(false, start + 20s);
+    it.announced(false, 0, start + 20s);
     EXPECT_TRUE(it.is_leaving());
-    it.announced(true, start + 21s);
-    it.announced(false, start + 31s);
+    it.announced(true, 0, start + 21s);
+    it.announced(false, 0, start + 31s);
     EXPECT_TRUE(it.is_leaving());
-    it.announced(false, start + 42s);
+    it.announced(false, 0, start + 42s);
     EXPECT_FALSE(it.is_leaving());
     it.withdrawn();
-    it.announced(false, start + 43s);
+    it.announced(false, 0, start + 43s);
     EXPECT_TRUE(it.is_leaving());
 }
 
+// Guards against a server that has left and gets requests again because two announcements from
+// before its leaving arrive far apart.
+TEST(notice_record, late_announcements_do_not_undo_leaving_however_far_apart_they_arrive)
+{
+    notice_record it;
+    const time_point start{1h};
+    it.announced(false, 100, start);
+    it.withdrawn();
+    it.announced(false, 101, start + 100ms);
+    it.announced(false, 102, start + 10'300ms);
+    it.announced(false, 119, start + 1min);
+    EXPECT_TRUE(it.is_leaving());
+    it.announced(false, 120, start + 61s);
+    EXPECT_FALSE(it.is_leaving()) << "a server that goes on announcing itself is used again";
+}
+
+// The same if the node was restarted in between, and does not know the announcements from before.
+TEST(notice_record, late_announcements_after_a_restart_of_the_node_do_not_undo_leaving)
+{
+    notice_record it;
+    const time_point start{1h};
+    it.withdrawn();
+    it.announced(false, 101, start);
+    it.announced(false, 120, start + 30s);
+    EXPECT_TRUE(it.is_leaving());
+    it.announced(false, 121, start + 31s);
+    EXPECT_FALSE(it.is_leaving());
+}
+
 TEST(server_notice, is_decoded_as_encoded)
 {
     for (const reported_notice& it :
