A withdrawal that tells no run is recorded before the first announcement

Cause: a withdrawal on the platform does not tell its run, and the gate recorded one of a server that is not registered only if it does. The next announcement of the same run brought the server into use.

A later run of the same name is used.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -201,29 +201,34 @@
     collect_actions(server.slots.refuse_waiting(), out, refusal::stopping);
 }
 
-// A run that is not registered is recorded as well: its announcement may be still on its way. A
-// withdrawal of an earlier run than the registered one changes nothing.
-bool gate::withdraw(const std::string& name, incarnation run, time_point now)
+// A run that is not registered is recorded as well: its announcement may be still on its way, and
+// this node may have been restarted. If the run is not told, all that have started by now have
+// withdrawn. A withdrawal of an earlier run than the registered one changes nothing.
+bool gate::withdraw(const std::string& name, const withdrawing_run& withdrawing, time_point now)
 {
     deferred_actions out;
     bool found = false;
-    const bool is_known = run != incarnation{};
+    const incarnation run = withdrawing.run;
+    const bool is_told = run != incarnation{};
+    const bool is_known = is_told || withdrawing.latest != incarnation{};
     {
         const std::lock_guard lock(mutex_);
-        withdrawn_.add({.server = id_of<server_name_id>(name), .run = run});
+        if (is_told)
+            withdrawn_.add({.server = id_of<server_name_id>(name), .run = run});
         for (auto& [id, server] : servers_) {
-            if (server.name != name || (is_known && run < server.run))
+            if (server.name != name || (is_told && run < server.run))
                 continue;
             found = true;
             server.notices.withdrawn();
             server.last_announced = now;
             set_leaving(server, out);
         }
+        if (!found && !is_told)
+            withdrawn_.add({.server = id_of<server_name_id>(name), .run = withdrawing.latest});
     }
     perform(out);
-    if (found || is_known)
-        log_event(event::backend_server_changed, "name={} run={} withdrawn registered={}", name,
-                  run.value, found);
+    log_event(event::backend_server_changed, "name={} run={} latest={} withdrawn registered={}",
+              name, run.value, withdrawing.latest.value, found);
     if (found)
         health_.set_servers(servers());
     return found || is_known;
--- a/src/gate.h
+++ b/src/gate.h
@@ -70,9 +70,8 @@
 
     /// Registers a backend server or updates its record.
     announcement_result announce(const announcement& it, time_point now);
-    /// Starts draining the backend server of this name. `run` is the run of the server that
-    /// withdraws, 0 if it is not known: then the registered one. False if no run is known.
-    bool withdraw(const std::string& name, incarnation run, time_point now);
+    /// Starts draining the backend server of this name. False if no run is known.
+    bool withdraw(const std::string& name, const withdrawing_run& run, time_point now);
     /// Backend servers that withdrew from earlier runs of this node, as its peers say. They get no
     /// new requests; the next `tick` reports the change. Never blocks.
     void restore_withdrawals(const std::vector<server_withdrawal>& withdrawn);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -566,8 +566,10 @@
     if (platform_) {
         platform_->add_announcements(
             server, {.announce = [this](const auto& it) { return process_announcement(it); },
-                     .withdraw = [this](const std::string& name,
-                                        incarnation run) { return withdraw_server(name, run); }});
+                     .withdraw =
+                         [this](const std::string& name, const withdrawing_run& run) {
+                             return withdraw_server(name, run);
+                         }});
         return;
     }
     server.Post("/announce", [this](const httplib::Request& req, httplib::Response& res) {
@@ -627,7 +629,7 @@
     return true;
 }
 
-bool node::withdraw_server(const std::string& name, incarnation run)
+bool node::withdraw_server(const std::string& name, const withdrawing_run& run)
 {
     if (!gate_->withdraw(name, run, boot_now()))
         return false;
--- a/src/node.h
+++ b/src/node.h
@@ -89,7 +89,7 @@
     bool may_serve() const;
     bool must_read_config() const;
     bool process_announcement(const announcement& it);
-    bool withdraw_server(const std::string& name, incarnation run);
+    bool withdraw_server(const std::string& name, const withdrawing_run& run);
     void save(saved_kind kind);
     std::string value_to_save(saved_kind kind) const;
     bool is_expected(const announcement& it) const;
--- a/src/platform_parts.h
+++ b/src/platform_parts.h
@@ -8,6 +8,7 @@
 #include "config_feed.h"
 #include "header_names.h"
 #include "store_session.h"
+#include "withdrawal_list.h"
 
 #include <httplib.h>
 
@@ -25,7 +26,7 @@
     std::function<bool(const announcement&)> announce;
     /// Starts draining the backend server of this name. The second argument is the server's run, 0
     /// if it is not told: then the registered one. False if no run is known.
-    std::function<bool(const std::string&, incarnation)> withdraw;
+    std::function<bool(const std::string&, const withdrawing_run&)> withdraw;
 };
 
 struct platform_parts {
--- a/src/withdrawal_list.h
+++ b/src/withdrawal_list.h
@@ -22,6 +22,12 @@
     bool operator==(const server_withdrawal&) const = default;
 };
 
+/// The run of a backend server that withdraws, as it is told to its node.
+struct withdrawing_run {
+    incarnation run;      ///< 0: not told; then the registered one
+    incarnation latest{}; ///< no run that starts from now on has a lower one; 0: not known
+};
+
 /// Not thread-safe.
 class withdrawal_list {
 public:
