The service of the VM is not taken from a server that ended before the node started

Cause: node::process_announcement took the service from each announcement that the gate accepts. A late one of a crashed server, whose address has gone to another service, is the first one that a restarted gate sees.

Change: local_service decides, without network. The settings are current when they are read; a server that contradicts them counts only if it started later, or goes on announcing itself (20 times), since the VM's clock may have been set back.

Ruled out: rejecting the announcement. The gate may take it: its requests name the crashed server, and the present one refuses them.

--- a/src/announcement.h
+++ b/src/announcement.h
@@ -7,6 +7,7 @@
 #include "result.h"
 #include "types.h"
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,8 @@
     std::string service_name{}; ///< of `server.service`
     std::uint64_t sequence = 0; ///< increases with each announcement of a run; 0: none
     duration warm_up{};         ///< time that it remains cold; 0: it is not cold
+    /// Start of the run by the clock of its VM; the epoch: not known.
+    std::chrono::system_clock::time_point started{};
 };
 
 /// The first invalid field of an announcement, and which values are allowed.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -43,7 +43,8 @@
 
 node::node(node_settings settings, incarnation run, std::optional<platform_parts> platform)
     : settings_(std::move(settings)), run_(run), platform_(std::move(platform)),
-      buffers_(std::make_shared<buffer_budget>(buffer_bytes)), local_service_(settings_.service),
+      buffers_(std::make_shared<buffer_budget>(buffer_bytes)),
+      local_service_(settings_.service, std::chrono::system_clock::now()),
       when_cut_off_(settings_.when_cut_off), stop_grace_(settings_.stop_grace)
 {
 }
@@ -228,7 +229,7 @@
                           [this](request_fingerprint it) { return poison_->remaining_refusal(it); },
                       .once = platform_ ? nullptr : idempotency_.get(),
                       .names = platform_ ? platform_->names : header_names{},
-                      .local_service = [this] { return local_service(); },
+                      .local_service = [this] { return local_service_.name(); },
                       .on_gate_failed = [this](vm_id it) { reach_->suspect(it, boot_now()); },
                       .buffers = buffers_,
                       .hedge_after = settings_.hedge_after,
@@ -591,12 +592,6 @@
     res.set_content("{}\n", "application/json");
 }
 
-std::string node::local_service() const
-{
-    const std::lock_guard lock(service_mutex_);
-    return local_service_;
-}
-
 // On a platform, the node's VM runs one backend server at a configured address. Announcements with
 // another address, or with a service that is neither configured nor in the settings, are rejected.
 bool node::is_expected(const announcement& it) const
@@ -620,10 +615,7 @@
     // An outdated withdrawal counts as failed, any other outdated announcement as accepted.
     if (end == announcement_result::outdated)
         return !it.server.draining;
-    {
-        const std::lock_guard lock(service_mutex_);
-        local_service_ = it.service_name;
-    }
+    local_service_.announced(it);
     if (end == announcement_result::changed)
         publish_servers();
     return true;
--- a/src/node.h
+++ b/src/node.h
@@ -17,6 +17,7 @@
 #include "limit_lease_service.h"
 #include "limit_service.h"
 #include "link_hub.h"
+#include "local_service.h"
 #include "member_service.h"
 #include "node_settings.h"
 #include "once_service.h"
@@ -94,7 +95,6 @@
     std::string value_to_save(saved_kind kind) const;
     bool is_expected(const announcement& it) const;
     std::function<bool(service_id, time_point)> make_shared_retry_limiter();
-    std::string local_service() const;
     bool open_members();
     bool open_http_servers();
     void add_caller_routes();
@@ -146,8 +146,7 @@
     std::atomic<bool> is_watcher_ = false; ///< elected to read the store for other nodes
     std::atomic<bool> leaving_ = false;    ///< a planned stop has begun
     std::mutex publish_mutex_;             ///< held from reading the records to publishing
-    mutable std::mutex service_mutex_;
-    std::string local_service_;       ///< service of the last announced backend server
+    local_service local_service_;
     std::atomic<bool> ready_ = false; ///< all handlers of link messages exist
     std::mutex mutex_;
     std::condition_variable wake_;
