--- a/src/announcement.h
+++ b/src/announcement.h
@@ -13,8 +13,8 @@
 
 namespace jasminebank {
 
-/// A partition of the network delays announcements, so some may still arrive after their server has
-/// left or ended. A run that has sent this many more than were known before has not.
+/// A partition of the network may delay this many announcements of a run, which then arrive after
+/// their server has left or ended.
 constexpr std::uint64_t max_late_announcements = 20;
 
 /// One announcement of a backend server.
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -170,8 +170,9 @@
         const std::string value = options_.value_to_save(kind);
         std::unique_lock lock(mutex_);
         saved_value& it = saved_of(kind);
-        if (!it.is_due && value == it.written)
+        if (value == it.wanted)
             return;
+        it.wanted = value;
         const std::uint64_t wanted = ++it.wanted_version;
         it.is_due = true;
         it.next_attempt = {};
@@ -194,9 +195,9 @@
 private:
     struct saved_value {
         std::string key;
-        std::string written;
+        std::string wanted;          // at the last call of `save`
         store_revision revision = 0; // of `key`, as last seen
-        bool is_due = false;         // `written` is not what `value_to_save` returns, or may not be
+        bool is_due = false;         // to be written
         time_point next_attempt{};
         std::uint64_t wanted_version = 0; // counts the calls of `save`
         std::uint64_t written_version = 0;
@@ -261,7 +262,7 @@
                 out.fleet_key = it.value;
             for (saved_value& own : saved_) {
                 if (it.key == own.key) {
-                    own.written = it.value;
+                    own.wanted = it.value;
                     own.revision = it.mod_revision;
                 }
             }
@@ -272,8 +273,8 @@
             if (it.key.starts_with(fleet_members_prefix) && it.key != member_key_ && peer)
                 out.peers.push_back(*peer);
         }
-        out.withdrawals = saved_of(saved_kind::withdrawals).written;
-        out.victims = saved_of(saved_kind::victims).written;
+        out.withdrawals = saved_of(saved_kind::withdrawals).wanted;
+        out.victims = saved_of(saved_kind::victims).wanted;
         if (must_wait_for_fleet(out, boot_now()))
             return std::nullopt;
         if (out.fleet_key.empty() && !create_fleet_key(out.fleet_key))
@@ -406,8 +407,7 @@
         {
             const std::lock_guard lock(mutex_);
             for (saved_value& it : saved_) {
-                it.is_due |= !it.written.empty();
-                it.written.clear();
+                it.is_due = !it.wanted.empty();
                 it.revision = 0;
             }
         }
@@ -490,7 +490,6 @@
             return;
         }
         it.revision = value_of(done).revision;
-        it.written = value;
         it.written_version = version;
         it.is_due = it.wanted_version != version;
         saved_changed_.notify_all();
