--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include "answer_writer.h"
 #include "caller_head.h"
 #include "log.h"
 #include "message_framing.h"
@@ -17,7 +18,6 @@
 
 namespace {
 
-constexpr std::size_t chunk_bytes = 16UL * 1024;
 constexpr int bad_gateway_status = 502;
 constexpr int too_many_requests_status = 429;
 constexpr int unavailable_status = 503;
@@ -1064,35 +1064,8 @@
     auto length = length_of(answer);
     if (it.body_is_whole && !bodiless)
         length = it.body.size();
-    // Writes the prefetched part first, then the rest as it arrives.
-    struct prefetched_body {
-        std::string bytes;
-        buffer_reservation memory;
-    };
-    const auto prefetched = std::make_shared<prefetched_body>(
-        prefetched_body{.bytes = std::move(it.body), .memory = std::move(it.body_memory)});
-    const answer_limit limit(request.deadline, stop_);
-    const auto write_next_part = [stream = it.stream, limit, length, prefetched,
-                                  whole = it.body_is_whole](std::size_t, httplib::DataSink& sink) {
-        if (!prefetched->bytes.empty()) {
-            const prefetched_body first = std::exchange(*prefetched, {});
-            sink.write(first.bytes.data(), first.bytes.size());
-            return true;
-        }
-        if (whole) {
-            sink.done();
-            return true;
-        }
-        std::array<char, chunk_bytes> buf{};
-        const auto n = read_answer_part(*stream, buf, limit);
-        if (failed(n) || (value_of(n) == 0 && length))
-            return false;
-        if (value_of(n) == 0)
-            sink.done();
-        else
-            sink.write(buf.data(), value_of(n));
-        return true;
-    };
+    const answer_writer write =
+        make_answer_writer(it, length.has_value(), answer_limit(request.deadline, stop_));
     const std::string content_type = type == nullptr ? "" : *type;
     if (bodiless) {
         // The HTTP library would write a body after the head of a 304.
@@ -1109,12 +1082,11 @@
     else if (length) {
         res.set_content_provider(
             *length, content_type,
-            [write_next_part](std::size_t offset, std::size_t, httplib::DataSink& sink) {
-                return write_next_part(offset, sink);
-            });
+            [write](std::size_t, std::size_t, httplib::DataSink& sink) { return write(sink); });
     }
     else {
-        res.set_chunked_content_provider(content_type, write_next_part);
+        res.set_chunked_content_provider(
+            content_type, [write](std::size_t, httplib::DataSink& sink) { return write(sink); });
     }
     if (type == nullptr)
         res.headers.erase("Content-Type");
--- a/src/stream_state.cpp
+++ b/src/stream_state.cpp
@@ -6,7 +6,7 @@
 
 stream_state::stream_state(std::shared_ptr<link_queue> queue, stream_limits limits, bool is_caller,
                            message_head request, bool ends)
-    : queue_(std::move(queue)), limits_(limits), is_caller_(is_caller),
+    : queue_(std::move(queue)), limits_(std::move(limits)), is_caller_(is_caller),
       request_(std::move(request)), request_ends_(ends), out_limit_(limits_.first_buffer_bytes)
 {
     is_output_ended_ = is_caller && ends;
--- a/tests/buffer_budget_test.cpp
+++ b/tests/buffer_budget_test.cpp
@@ -50,8 +50,9 @@
         const auto entry = link_hub::start(
             {.self = {.vm_name = "a", .run = {1}}, .fleet_key = "k", .buffers = budget});
         std::vector<std::shared_ptr<link_stream>> streams;
-        for (int n = 0; n < 4; ++n)
-            streams.push_back(entry->open(gate->local(), {.method = "GET", .path = "/"}, true));
+        streams.resize(4);
+        for (auto& it : streams)
+            it = entry->open(gate->local(), {.method = "GET", .path = "/"}, true);
         for (const auto& it : streams) {
             std::size_t received = 0;
             std::array<char, 4096> buf{};
