A server that closes its connections before its listening socket is noticed as crashed

Cause: a broken connection counts as a crash if a new one is refused at once. A process that ends closes its sockets one after the other; 0.4 ms after the break its listening socket was still open.

Change: the gate looks again after 50 ms, when the request has been answered and its slot is free.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <thread>
 #include <utility>
 
 namespace jasminebank {
@@ -708,24 +709,21 @@
     }
 }
 
-// True if the connection broke and the backend server no longer accepts any: it died while it ran
-// the request. The death is reported against the request's fingerprint; a second death makes the
-// request count as poison.
-bool gate::detect_death(const pending_request& it, const call_result& result)
+// Whether the connection broke before the deadline, so that the server may have died.
+static bool has_broken(const call_result& it)
 {
-    if (result.outcome != call_outcome::no_answer && result.outcome != call_outcome::cut_answer)
-        return false;
-    server_record record;
-    incarnation run;
-    {
-        const std::lock_guard lock(mutex_);
-        const backend_server& server = servers_.at(it.request.server);
-        record = server.record;
-        run = server.run;
-    }
-    if (accepts_connections(record.address))
+    return !it.timed_out &&
+           (it.outcome == call_outcome::no_answer || it.outcome == call_outcome::cut_answer);
+}
+
+// For a connection that broke. True if the backend server no longer accepts any: it died while it
+// ran the request. The death is reported against the request's fingerprint; a second death makes
+// the request count as poison.
+bool gate::detect_death(const pending_request& it)
+{
+    if (accepts_connections(it.address))
         return false;
-    poison_.on_server_crash(it.request.fingerprint, record.id, run);
+    poison_.on_server_crash(it.request.fingerprint, it.request.server, it.server_run);
     return true;
 }
 
@@ -794,6 +792,7 @@
         connection = acquire_connection(server, it.stream->head());
         name = server.name;
         it.server_run = server.run;
+        it.address = server.record.address;
         load = load_factor(server);
     }
     it.stream->on_cancel({});
@@ -828,11 +827,15 @@
     const bool past_deadline = result.timed_out;
     log_dispatch_end(it, result, past_deadline);
     apply_answer(it, result);
-    const bool died = !past_deadline && detect_death(it, result);
+    const bool died = has_broken(result) && detect_death(it);
     health_.finished({.request = id,
                       .outcome = classify_outcome(result, past_deadline),
                       .suspected_poison = died});
     finish(id, it, std::move(connection), result);
+    if (has_broken(result) && !died) {
+        std::this_thread::sleep_for(options_.second_death_check);
+        detect_death(it);
+    }
 }
 
 // The answering request still holds its slot.
--- a/src/gate.h
+++ b/src/gate.h
@@ -41,6 +41,9 @@
     /// See `slot_queue_options`.
     bool returned_first_by_organisation = false;
     withdrawal_list withdrawn{}; ///< backend servers that withdrew from earlier runs of this node
+    /// A process that ends may close its connections before its listening socket: a server whose
+    /// connection broke is looked at again after this time.
+    duration second_death_check = std::chrono::milliseconds(50);
     /// What a cold backend server tolerates above its service's rate; nothing: no limit.
     std::optional<cold_start_tolerance> cold_start{};
 };
@@ -140,6 +143,7 @@
         time_point started;
         double suspicion = 0;   // of the backend server when the request started
         incarnation server_run; // of the backend server when the request started
+        endpoint address;       // likewise
     };
     // A refusal to send once the mutex is released.
     struct refused_stream {
@@ -177,7 +181,7 @@
     void run(request_id id);
     void log_dispatch_end(const pending_request& it, const call_result& result,
                           bool past_deadline) const;
-    bool detect_death(const pending_request& it, const call_result& result);
+    bool detect_death(const pending_request& it);
     std::shared_ptr<backend_connection> acquire_connection(backend_server& server,
                                                            const message_head& head) const;
     void apply_notices(backend_server& server, std::optional<double> before, deferred_actions& out);
--- a/tests/gate_fixture.cpp
+++ b/tests/gate_fixture.cpp
@@ -28,6 +28,7 @@
                                                 .backend_idle = 1h,
                                                 .threads = threads,
                                                 .names = names(),
+                                                .second_death_check = 1s,
                                                 .cold_start = cold_start},
                                    health_, poison_))
 {
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -31,6 +31,7 @@
     /// Begins or ends the evacuation of the gate's failure domain.
     void set_evacuated(bool evacuated);
     gate& tested() { return *gate_; }
+    poison_service& poison() { return poison_; }
     /// Requests that wait for a slot.
     std::size_t waiting() const;
 
