Configuration: log slow and failed transfers, why a node reads the store, and where a configuration came from

Events 505 to 507, fields of event 500, counters of reads and fetches with their bytes, the reason for reading and the age of the confirmed configuration as gauges. No logic changes.

--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -3,9 +3,11 @@
 #include "config_follower.h"
 #include "deflated_text.h"
 #include "log.h"
+#include "system_clock.h"
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace jasminebank {
@@ -24,8 +26,9 @@
 {
 }
 
-bool config_feed::apply(const std::string& text)
+bool config_feed::apply(const std::string& text, const config_origin& origin)
 {
+    const time_point started = boot_now();
     const std::lock_guard order(apply_mutex_);
     {
         const std::lock_guard lock(mutex_);
@@ -56,29 +59,46 @@
         text_ = text;
         deflated_.clear();
     }
-    log_event(event::config_in_force, "generation={} routes={} organisations={} services={}",
-              fresh->generation, fresh->routes.size(), fresh->organisations.size(),
-              fresh->services.size());
     options_.on_generation(fresh);
+    const time_point now = boot_now();
+    log_event(event::config_in_force,
+              "generation={} routes={} organisations={} services={} bytes={} from={} "
+              "known_ms={:.1f} apply_ms={:.1f}",
+              fresh->generation, fresh->routes.size(), fresh->organisations.size(),
+              fresh->services.size(), text.size(), origin.from,
+              as_milliseconds(now - origin.known_since), as_milliseconds(now - started));
     return true;
 }
 
-void config_feed::fetch_from(const endpoint& peer)
+void config_feed::fetch_from(const endpoint& peer, std::uint64_t generation)
 {
     std::string request;
+    const time_point started = boot_now();
+    config_origin origin{.from = to_string(peer), .known_since = started};
     {
         const std::lock_guard lock(mutex_);
+        if (told_generation_ <= generation_)
+            told_since_ = started;
+        told_generation_ = std::max(told_generation_, generation);
+        origin.known_since = told_since_;
         if (std::exchange(fetching_, true))
             return;
         request = fmt::format("{}{}", generation_, accepts_deflated);
     }
-    const auto done = [this](const result<std::string, link_error>& answer) {
+    const auto done = [=, this](const result<std::string, link_error>& answer) {
         {
             const std::lock_guard lock(mutex_);
             fetching_ = false;
         }
-        if (!failed(answer) && !value_of(answer).empty())
-            apply_fetched(value_of(answer));
+        const std::string cause = failed(answer)             ? describe(error_of(answer))
+                                  : value_of(answer).empty() ? "the peer has no newer one"
+                                                             : "";
+        options_.account->fetch_ended(peer, generation,
+                                      {.took = boot_now() - started,
+                                       .bytes = failed(answer) ? 0 : value_of(answer).size(),
+                                       .cause = cause});
+        if (cause.empty())
+            apply_fetched(value_of(answer), origin);
     };
     if (!links_.call(peer, std::string(config_path), std::move(request), fetch_timeout, done)) {
         const std::lock_guard lock(mutex_);
@@ -86,16 +106,16 @@
     }
 }
 
-void config_feed::apply_fetched(const std::string& answer)
+void config_feed::apply_fetched(const std::string& answer, const config_origin& origin)
 {
     if (!answer.starts_with(deflated_mark)) {
-        apply(answer);
+        apply(answer, origin);
         return;
     }
     const auto text =
         inflate_text(std::string_view(answer).substr(deflated_mark.size()), max_config_bytes);
     if (text)
-        apply(*text);
+        apply(*text, origin);
     else
         log_event(event::config_rejected, "field=\"(compressed)\" bytes={}", answer.size());
 }
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -4,6 +4,7 @@
 // could be decoded is in force and is sent to nodes that request it. The generation in force never
 // decreases.
 
+#include "config_account.h"
 #include "fleet_config.h"
 #include "link_hub.h"
 #include "types.h"
@@ -28,6 +29,7 @@
     config_decoder decode;
     /// Called with each new generation, never concurrently.
     std::function<void(std::shared_ptr<const fleet_config>)> on_generation;
+    std::shared_ptr<config_account> account = std::make_shared<config_account>();
 };
 
 /// Thread-safe.
@@ -38,16 +40,16 @@
     /// Decodes `text` and puts it into force unless its generation is old. True if it, or a
     /// configuration of the same generation, is now in force; false if it is invalid or older, as
     /// in a store that was restored from an older copy.
-    bool apply(const std::string& text);
-    /// Requests a newer configuration from the node at `peer`, unless a request is pending. Does
-    /// not block.
-    void fetch_from(const endpoint& peer);
+    bool apply(const std::string& text, const config_origin& origin);
+    /// Requests a configuration of `generation` or a newer one from the node at `peer`, unless a
+    /// request is pending. Does not block.
+    void fetch_from(const endpoint& peer, std::uint64_t generation);
     /// Response to another node's request: the value in force if it is newer than the requester's,
     /// otherwise empty. Compressed if the requester accepts that.
     std::string answer(std::string_view request) const;
 
 private:
-    void apply_fetched(const std::string& answer);
+    void apply_fetched(const std::string& answer, const config_origin& origin);
 
     const config_feed_options options_;
     link_hub& links_;
@@ -59,6 +61,8 @@
     mutable std::string deflated_; ///< answer made of `text_`; empty until it is requested
     std::uint64_t generation_ = 0;
     bool fetching_ = false;
+    std::uint64_t told_generation_ = 0; ///< the newest that a peer has
+    time_point told_since_{};
 };
 
 } // namespace jasminebank
--- a/src/log.h
+++ b/src/log.h
@@ -53,8 +53,11 @@
     config_in_force = 500,
     config_rejected = 501,
     config_unreadable = 502,
-    config_outdated = 503, ///< older than the one in force
-    region_absent = 504,   ///< no known node is in a region that the configuration names
+    config_outdated = 503,       ///< older than the one in force
+    region_absent = 504,         ///< no known node is in a region that the configuration names
+    config_fetch_slow = 505,     ///< a fetch from a peer failed or took long
+    config_read_slow = 506,      ///< a read of its value from the store failed or took long
+    config_reader_changed = 507, ///< why this node reads the store
     evacuation_began = 510,
     evacuation_ended = 511,
     evacuation_name_unusable = 512, ///< of a failure domain to evacuate
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -87,7 +87,7 @@
             exchange_with(exchange->link, request);
         }
         else if (const auto* fetch = std::get_if<fetch_config>(&action)) {
-            options_.on_newer_config(fetch->link);
+            options_.on_newer_config(*fetch);
         }
         else if (std::holds_alternative<evacuations_changed>(action)) {
             publish_directory();
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -29,7 +29,7 @@
     /// Called after the directory changed; on any thread, but never concurrently.
     std::function<void(const member_directory&)> on_directory_change;
     /// Called with the link address of a node that has a newer configuration.
-    std::function<void(const endpoint&)> on_newer_config;
+    std::function<void(const fetch_config&)> on_newer_config;
     /// Called with the names of the evacuated failure domains after they changed, before
     /// `on_directory_change`; never concurrently.
     std::function<void(const std::vector<std::string>&)> on_evacuations =
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -93,7 +93,12 @@
          .first_start = settings_.first_start,
          .must_read_config = [this] { return must_read_config(); },
          .value_to_save = [this](saved_kind it) { return value_to_save(it); },
-         .on_config = [this](const std::string& text) { return feed_->apply(text); },
+         .on_config =
+             [this](const std::string& text, time_point sent_at) {
+                 return feed_->apply(text, {.from = "store", .known_since = sent_at});
+             },
+         .on_config_read =
+             [this](const config_transfer& it) { config_account_->store_read_ended(it); },
          .on_evacuations =
              [this](evacuation_read it) { members_->record_evacuations(std::move(it)); },
          .on_config_confirmed = [this](time_point at) { members_->record_store_contact(at); },
@@ -296,7 +301,8 @@
             config_feed_options{
                 .decode = platform_->decode_config,
                 .on_generation =
-                    [this](const std::shared_ptr<const fleet_config>& it) { apply_config(it); }},
+                    [this](const std::shared_ptr<const fleet_config>& it) { apply_config(it); },
+                .account = config_account_},
             *links_);
         return;
     }
@@ -325,10 +331,13 @@
 
 bool node::must_read_config() const
 {
-    return must_read_store({.is_watcher = is_watcher_,
-                            .contact_age = members_->store_age(),
-                            .since_join = boot_now() - joined_at_,
-                            .delay = store_read_delay_});
+    const auto contact_age = members_->store_age();
+    const store_read_reason reason = reason_to_read_store({.is_watcher = is_watcher_,
+                                                           .contact_age = contact_age,
+                                                           .since_join = boot_now() - joined_at_,
+                                                           .delay = store_read_delay_});
+    config_account_->reader_changed(reason, contact_age);
+    return reason != store_read_reason::none;
 }
 
 // The callbacks use `members_`, which is created later. That is safe: leases are only acquired once
@@ -455,11 +464,11 @@
             .watchers_per_domain = platform_ ? std::size_t{1} : std::size_t{2},
             .on_directory_change = [this](const member_directory& it) { apply_directory(it); },
             .on_newer_config =
-                [this](const endpoint& it) {
+                [this](const fetch_config& it) {
                     if (feed_ != nullptr)
-                        feed_->fetch_from(it);
+                        feed_->fetch_from(it.link, it.generation);
                     else
-                        follower_->fetch_from(it);
+                        follower_->fetch_from(it.link);
                 },
             .on_evacuations = [this](const std::vector<std::string>& it) { apply_evacuations(it); },
             .on_watcher_change =
--- a/src/node.h
+++ b/src/node.h
@@ -6,6 +6,7 @@
 // store, header names and configuration format, see platform_parts.h.
 
 #include "buffer_budget.h"
+#include "config_account.h"
 #include "config_feed.h"
 #include "config_follower.h"
 #include "control_relay.h"
@@ -119,6 +120,7 @@
     duration store_read_delay_{}; ///< of this node's turn to read the store
     std::unique_ptr<store_session_base> session_;
     const std::shared_ptr<traffic_account> traffic_ = std::make_shared<traffic_account>();
+    const std::shared_ptr<config_account> config_account_ = std::make_shared<config_account>();
     const std::shared_ptr<buffer_budget> buffers_; ///< for all connections
     std::unique_ptr<link_hub> links_;
     std::unique_ptr<control_relay> relay_;
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -225,6 +225,12 @@
     add("members_heard", "gauge", membership.overall.answered);
     add("may_serve", "gauge", membership.may_serve ? 1 : 0);
     add("config_generation", "gauge", config == nullptr ? 0 : config->generation);
+    if (membership.store_age)
+        out += fmt::format("# TYPE jasminebank_config_confirmed_age_seconds gauge\n"
+                           "jasminebank_config_confirmed_age_seconds {:.3f}\n",
+                           as_milliseconds(*membership.store_age) / 1e3);
+    if (feed_ != nullptr)
+        out += config_account_->text();
     add("log_lines_dropped_total", "counter", dropped_log_lines());
     const limit_entry_counts limits = limits_->counts();
     add("limit_admitted_total", "counter", limits.admitted);
--- a/src/store_read_turn.h
+++ b/src/store_read_turn.h
@@ -7,7 +7,9 @@
 
 #include "types.h"
 
+#include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace jasminebank {
 
@@ -19,6 +21,19 @@
     duration delay{};                    ///< of this node's turn, see `store_read_delay`
 };
 
+/// Why a node reads the store.
+enum class store_read_reason : std::uint8_t {
+    none,        ///< it does not: other nodes read it
+    elected,     ///< it is the reader of its failure domain
+    no_contact,  ///< it knows of no node that reached the store
+    old_contact, ///< the last contact that it knows of is old
+};
+
+std::string_view name_of(store_read_reason it);
+
+/// Why the node reads the configuration now.
+store_read_reason reason_to_read_store(const store_read_state& it);
+
 /// Whether the node reads the configuration now.
 bool must_read_store(const store_read_state& it);
 
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -6,6 +6,7 @@
 // this node is responsible for that. All calls are made one after another on one thread, so a slow
 // store delays calls but never accumulates them.
 
+#include "config_account.h"
 #include "endpoint.h"
 #include "evacuation.h"
 #include "jitter_backoff.h"
@@ -88,10 +89,13 @@
     /// Returns what to save of a kind. Called by `save`, and again when the value is written, so
     /// that the newest is written last.
     std::function<std::string(saved_kind)> value_to_save = [](saved_kind) { return std::string(); };
-    /// Called with the value of the configuration after each read. Returns true if that
-    /// configuration is in force, newly or already. Values are compared, not their revisions: a
-    /// store that was restored from an older copy gives revisions out again.
-    std::function<bool(const std::string&)> on_config;
+    /// Called with the value of the configuration after each read, and with the time at which the
+    /// read was sent. Returns true if that configuration is in force, newly or already. Values are
+    /// compared, not their revisions: a store that was restored from an older copy gives revisions
+    /// out again.
+    std::function<bool(const std::string&, time_point)> on_config;
+    /// Called after each read of the configuration's value.
+    std::function<void(const config_transfer&)> on_config_read = [](const config_transfer&) {};
     /// Called with the evacuated failure domains of each read, before `on_config` of that read.
     std::function<void(evacuation_read)> on_evacuations = [](const evacuation_read&) {};
     /// Called after each read that found the configuration in force here to be that of the store,
@@ -357,22 +361,33 @@
         return out;
     }
 
+    static std::size_t value_bytes(const store_range& read)
+    {
+        std::size_t out = 0;
+        for (const store_entry& it : read.entries)
+            out += it.value.size();
+        return out;
+    }
+
     // Returns true if the store answered.
     bool read_config()
     {
         const time_point sent_at = boot_now();
         const auto read = read_operator_keys();
         if (failed(read)) {
+            options_.on_config_read({.took = boot_now() - sent_at, .cause = error_of(read).detail});
             on_call_failed("configuration", error_of(read));
             return false;
         }
+        options_.on_config_read(
+            {.took = boot_now() - sent_at, .bytes = value_bytes(value_of(read))});
         on_call_succeeded();
         if (!options_.evacuation_prefix.empty())
             options_.on_evacuations(evacuations_of(value_of(read), sent_at));
         bool in_force = true;
         for (const store_entry& it : value_of(read).entries) {
             if (it.key == options_.config_key)
-                in_force = options_.on_config(it.value);
+                in_force = options_.on_config(it.value, sent_at);
         }
         if (in_force && era_.is_settled(sent_at))
             options_.on_config_confirmed(sent_at);
--- a/tests/config_feed_test.cpp
+++ b/tests/config_feed_test.cpp
@@ -18,10 +18,10 @@
          },
          .on_generation = [&](const auto& it) { in_force = it->generation; }},
         *links);
-    EXPECT_TRUE(feed.apply("xxx"));
-    EXPECT_FALSE(feed.apply("xx"));
-    EXPECT_FALSE(feed.apply("xx"));
-    EXPECT_TRUE(feed.apply("xxx"));
+    EXPECT_TRUE(feed.apply("xxx", {}));
+    EXPECT_FALSE(feed.apply("xx", {}));
+    EXPECT_FALSE(feed.apply("xx", {}));
+    EXPECT_TRUE(feed.apply("xxx", {}));
     EXPECT_EQ(in_force, 3U);
     links->stop();
 }
@@ -40,12 +40,12 @@
          .on_generation = [](const auto&) {}},
         *links);
     const std::string text(10'000, 'x');
-    ASSERT_TRUE(feed.apply(text));
+    ASSERT_TRUE(feed.apply(text, {}));
     EXPECT_EQ(feed.answer("3"), text);
     EXPECT_TRUE(feed.answer("3 deflate").starts_with("deflate:"));
     EXPECT_LT(feed.answer("3 deflate").size(), 200U);
     EXPECT_EQ(feed.answer("10000 deflate"), "");
-    ASSERT_TRUE(feed.apply(text + "y"));
+    ASSERT_TRUE(feed.apply(text + "y", {}));
     EXPECT_TRUE(feed.answer("10000 deflate").starts_with("deflate:"));
     links->stop();
 }
