A reader transfers the configuration only if the store has changed

Cause, of hypothesis 1: the readers of the failure domains transferred the whole value every half second as proof that it is the newest; with thousands of routes this alone filled the machines' 10 Mbit/s and much of the link between the regions, and a transfer that took longer than 1.5 s was dropped and begun again.

Change: a reader first asks for the store's revision, by a read that returns no item. While it equals the revision of the last read, in the same era, nothing has changed and the read is confirmed.

--- a/src/bounded_client.h
+++ b/src/bounded_client.h
@@ -30,6 +30,8 @@
     /// Sends a request; fails unless a whole, well-formed answer is received by `deadline`.
     /// Connecting has a timeout of its own.
     httplib::Result send_until(httplib::Request request, time_point deadline);
+    /// Replaces the deadline of the call that is running. Only for its receiver of the body.
+    void set_deadline(time_point deadline) { current_stream_->set_deadline(deadline); }
     /// Whether a line or the head of the last answer was longer than its limit.
     bool exceeded_size_limit() const { return size_limit_exceeded_; }
     /// Whether the last answer could not be parsed.
--- a/src/http_pool.cpp
+++ b/src/http_pool.cpp
@@ -65,6 +65,13 @@
 
 result<http_answer, http_failure> http_pool::send(const char* method, const std::string& path,
                                                   const std::string& body, time_point deadline)
+{
+    return send(method, path, body, deadline, deadline);
+}
+
+result<http_answer, http_failure> http_pool::send(const char* method, const std::string& path,
+                                                  const std::string& body, time_point deadline,
+                                                  time_point last_deadline)
 {
     const auto left = std::max(std::chrono::ceil<std::chrono::milliseconds>(deadline - boot_now()),
                                std::chrono::milliseconds(1));
@@ -78,6 +85,8 @@
             too_large = answer.body.size() + n > options_.max_answer_bytes;
             if (!too_large)
                 answer.body.append(data, n);
+            deadline = std::max(deadline, std::min(boot_now() + left, last_deadline));
+            client->set_deadline(deadline);
             return !too_large;
         });
     request.method = method;
--- a/src/http_pool.h
+++ b/src/http_pool.h
@@ -46,6 +46,11 @@
     /// request has none.
     result<http_answer, http_failure> send(const char* method, const std::string& path,
                                            const std::string& body, time_point deadline);
+    /// Likewise, but each part of the answer's body that arrives extends `deadline` to as long
+    /// after it as it was after the call, at most to `last_deadline`.
+    result<http_answer, http_failure> send(const char* method, const std::string& path,
+                                           const std::string& body, time_point deadline,
+                                           time_point last_deadline);
     /// Calls `send` with the method POST.
     result<http_answer, http_failure> post(const std::string& path, const std::string& body,
                                            time_point deadline);
--- a/src/socket_stream.h
+++ b/src/socket_stream.h
@@ -27,6 +27,8 @@
     /// Each read or write waits for at most `timeout`, and not beyond `deadline`.
     socket_stream(socket_t sock, duration timeout, time_point deadline = time_point::max());
 
+    /// Replaces the deadline of the stream.
+    void set_deadline(time_point it) { deadline_ = it; }
     /// Sets a deadline for reads alone; the stream's deadline continues to apply to both.
     void set_read_deadline(time_point it) { read_deadline_ = it; }
     /// Begins a message. Its head must end by `end` and have at most `bytes` in total and
--- a/src/store_messages.h
+++ b/src/store_messages.h
@@ -150,4 +150,13 @@
         } -> std::same_as<std::uint64_t>;
 };
 
+/// A store that tells its present revision without sending a value.
+template <class Store>
+concept revision_store = key_value_store<Store> && requires(Store& it)
+{
+    {
+        it.revision()
+        } -> std::same_as<result<store_revision, store_error>>;
+};
+
 } // namespace jasminebank
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -3,8 +3,9 @@
 // Session of a node with the store that holds the configuration. It joins the fleet (obtains the
 // fleet key, a secret shared by all nodes, writes the member entry of this node under a lease,
 // reads the addresses of the other members), renews the lease, and polls the configuration while
-// this node is responsible for that. All calls are made one after another on one thread, so a slow
-// store delays calls but never accumulates them.
+// this node is responsible for that: its value is transferred only after a change of the store. All
+// calls are made one after another on one thread, so a slow store delays calls but never
+// accumulates them.
 
 #include "config_account.h"
 #include "endpoint.h"
@@ -13,6 +14,7 @@
 #include "log.h"
 #include "store_era.h"
 #include "store_messages.h"
+#include "store_snapshot.h"
 #include "system_clock.h"
 #include "types.h"
 
@@ -122,7 +124,7 @@
     virtual void leave() = 0;
 };
 
-template <key_value_store Store>
+template <revision_store Store>
 class store_session : public store_session_base {
 public:
     store_session(store_session_options options, std::unique_ptr<Store> store)
@@ -371,6 +373,24 @@
 
     // Returns true if the store answered.
     bool read_config()
+    {
+        const time_point sent_at = boot_now();
+        if (snapshot_.is_known()) {
+            const auto revision = store_->revision();
+            if (failed(revision)) {
+                on_call_failed("revision", error_of(revision));
+                return false;
+            }
+            on_call_succeeded();
+            if (snapshot_.is_current({.era = store_->era(), .revision = value_of(revision)})) {
+                confirm_config(sent_at);
+                return true;
+            }
+        }
+        return read_value();
+    }
+
+    bool read_value()
     {
         const time_point sent_at = boot_now();
         const auto read = read_operator_keys();
@@ -382,18 +402,30 @@
         options_.on_config_read(
             {.took = boot_now() - sent_at, .bytes = value_bytes(value_of(read))});
         on_call_succeeded();
+        last_evacuations_ = evacuations_of(value_of(read), sent_at);
         if (!options_.evacuation_prefix.empty())
-            options_.on_evacuations(evacuations_of(value_of(read), sent_at));
+            options_.on_evacuations(last_evacuations_);
         bool in_force = true;
         for (const store_entry& it : value_of(read).entries) {
             if (it.key == options_.config_key)
                 in_force = options_.on_config(it.value, sent_at);
         }
+        snapshot_.record({.era = store_->era(), .revision = value_of(read).revision}, in_force);
         if (in_force && era_.is_settled(sent_at))
             options_.on_config_confirmed(sent_at);
         return true;
     }
 
+    // The store still holds what the last read found.
+    void confirm_config(time_point sent_at)
+    {
+        last_evacuations_.is_settled = era_.is_settled(sent_at);
+        if (!options_.evacuation_prefix.empty())
+            options_.on_evacuations(last_evacuations_);
+        if (snapshot_.is_in_force() && era_.is_settled(sent_at))
+            options_.on_config_confirmed(sent_at);
+    }
+
     void renew_member_entry()
     {
         next_renewal_ = boot_now() + options_.entry_ttl / 3;
@@ -545,6 +577,8 @@
     bool is_unreachable_ = false;
     bool must_check_lease_ = false;
     store_era era_;
+    store_snapshot snapshot_;               // of the last read of the configuration
+    evacuation_read last_evacuations_;      // of the same read
     std::optional<time_point> alone_since_; // the store has shown no fleet since then
     std::string fleet_key_;
     bool must_write_again_ = false;
