A fetch of the configuration that fails or takes long is followed by one from another peer

News of other peers was dropped meanwhile, a failed fetch left no trace, and the next one began only with a further heartbeat of a peer that had the newer generation. The first reader of another domain waited 800 ms for its own domain, which it is to inform itself. Each node that handed the configuration on compressed it again.

Change: config_fetch_plan keeps the peers that told of a newer generation. The first reader of a domain fetches from another domain at once, and the node that reads a change from the store tells the first readers of the other domains.

A store without a revision call is read as before.

--- a/src/config_account.h
+++ b/src/config_account.h
@@ -21,7 +21,8 @@
 /// Where a configuration came from, and what is known of its way here.
 struct config_origin {
     std::string from = "store"; ///< "store", or the link address of the peer
-    time_point known_since{};   ///< when this node first knew that there is a newer one
+    bool is_store = true;
+    time_point known_since{}; ///< when this node first knew that there is a newer one
 };
 
 /// How a transfer of the configuration ended.
--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -7,12 +7,13 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <charconv>
 
 namespace jasminebank {
 
-constexpr duration fetch_timeout = std::chrono::milliseconds(700);
+// Longer than the wait before a second fetch from another peer, so that a text which arrives slowly
+// is not given up and requested again.
+constexpr duration fetch_timeout = std::chrono::seconds(2);
 // Follows the generation in the request of a node that accepts a compressed configuration. Nodes
 // that do not know it ignore it and answer with the text itself.
 constexpr std::string_view accepts_deflated = " deflate";
@@ -27,6 +28,13 @@
 }
 
 bool config_feed::apply(const std::string& text, const config_origin& origin)
+{
+    return apply_text(text, origin, {});
+}
+
+// `deflated` is the answer that `text` came in, if it was compressed; it is passed on as it is.
+bool config_feed::apply_text(const std::string& text, const config_origin& origin,
+                             const std::string& deflated)
 {
     const time_point started = boot_now();
     const std::lock_guard order(apply_mutex_);
@@ -57,9 +65,10 @@
         }
         generation_ = fresh->generation;
         text_ = text;
-        deflated_.clear();
+        deflated_ = deflated;
+        plan_.set_in_force(generation_, boot_now());
     }
-    options_.on_generation(fresh);
+    options_.on_generation(fresh, origin);
     const time_point now = boot_now();
     log_event(event::config_in_force,
               "generation={} routes={} organisations={} services={} bytes={} from={} "
@@ -70,54 +79,93 @@
     return true;
 }
 
-void config_feed::fetch_from(const endpoint& peer, std::uint64_t generation)
+void config_feed::hear(const config_news& it)
 {
-    std::string request;
-    const time_point started = boot_now();
-    config_origin origin{.from = to_string(peer), .known_since = started};
     {
         const std::lock_guard lock(mutex_);
-        if (told_generation_ <= generation_)
-            told_since_ = started;
-        told_generation_ = std::max(told_generation_, generation);
-        origin.known_since = told_since_;
-        if (std::exchange(fetching_, true))
-            return;
-        request = fmt::format("{}{}", generation_, accepts_deflated);
+        plan_.hear(it, boot_now());
     }
-    const auto done = [=, this](const result<std::string, link_error>& answer) {
+    tick();
+}
+
+void config_feed::tick()
+{
+    while (true) {
+        std::optional<config_fetch> due;
         {
             const std::lock_guard lock(mutex_);
-            fetching_ = false;
+            due = plan_.next(boot_now());
         }
-        const std::string cause = failed(answer)             ? describe(error_of(answer))
-                                  : value_of(answer).empty() ? "the peer has no newer one"
-                                                             : "";
-        options_.account->fetch_ended(peer, generation,
-                                      {.took = boot_now() - started,
-                                       .bytes = failed(answer) ? 0 : value_of(answer).size(),
-                                       .cause = cause});
-        if (cause.empty())
-            apply_fetched(value_of(answer), origin);
-    };
-    if (!links_.call(peer, std::string(config_path), std::move(request), fetch_timeout, done)) {
+        if (!due)
+            return;
+        start_fetch(*due);
+    }
+}
+
+std::optional<duration> config_feed::behind_for() const
+{
+    const std::lock_guard lock(mutex_);
+    const auto since = plan_.behind_since();
+    if (!since)
+        return std::nullopt;
+    return boot_now() - *since;
+}
+
+void config_feed::start_fetch(const config_fetch& it)
+{
+    std::string request;
+    {
         const std::lock_guard lock(mutex_);
-        fetching_ = false;
+        request = fmt::format("{}{}", generation_, accepts_deflated);
     }
+    const time_point started = boot_now();
+    const auto done = [=, this](const result<std::string, link_error>& answer) {
+        end_fetch(it, started, answer);
+    };
+    if (!links_.call(it.peer, std::string(config_path), std::move(request), fetch_timeout, done))
+        end_fetch(it, started, link_error{.kind = link_failure::not_sent});
 }
 
-void config_feed::apply_fetched(const std::string& answer, const config_origin& origin)
+void config_feed::end_fetch(const config_fetch& it, time_point started,
+                            const result<std::string, link_error>& answer)
 {
-    if (!answer.starts_with(deflated_mark)) {
-        apply(answer, origin);
-        return;
+    std::string cause;
+    if (failed(answer))
+        cause = describe(error_of(answer));
+    else if (value_of(answer).empty() && !is_in_force(it.generation))
+        cause = "the peer has no newer one";
+    options_.account->fetch_ended(it.peer, it.generation,
+                                  {.took = boot_now() - started,
+                                   .bytes = failed(answer) ? 0 : value_of(answer).size(),
+                                   .cause = cause});
+    const bool succeeded =
+        cause.empty() && (value_of(answer).empty() ||
+                          apply_fetched(value_of(answer), {.from = to_string(it.peer),
+                                                           .is_store = false,
+                                                           .known_since = it.known_since}));
+    {
+        const std::lock_guard lock(mutex_);
+        plan_.ended(it.peer, succeeded, boot_now());
     }
+    tick();
+}
+
+bool config_feed::is_in_force(std::uint64_t generation) const
+{
+    const std::lock_guard lock(mutex_);
+    return generation_ >= generation;
+}
+
+bool config_feed::apply_fetched(const std::string& answer, const config_origin& origin)
+{
+    if (!answer.starts_with(deflated_mark))
+        return apply(answer, origin);
     const auto text =
         inflate_text(std::string_view(answer).substr(deflated_mark.size()), max_config_bytes);
     if (text)
-        apply(*text, origin);
-    else
-        log_event(event::config_rejected, "field=\"(compressed)\" bytes={}", answer.size());
+        return apply_text(*text, origin, answer);
+    log_event(event::config_rejected, "field=\"(compressed)\" bytes={}", answer.size());
+    return false;
 }
 
 // The compressed text is kept, since many nodes fetch a new configuration at about the same time.
--- a/src/config_feed.h
+++ b/src/config_feed.h
@@ -5,6 +5,7 @@
 // decreases.
 
 #include "config_account.h"
+#include "config_fetch_plan.h"
 #include "fleet_config.h"
 #include "link_hub.h"
 #include "types.h"
@@ -12,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,7 +30,7 @@
 struct config_feed_options {
     config_decoder decode;
     /// Called with each new generation, never concurrently.
-    std::function<void(std::shared_ptr<const fleet_config>)> on_generation;
+    std::function<void(std::shared_ptr<const fleet_config>, const config_origin&)> on_generation;
     std::shared_ptr<config_account> account = std::make_shared<config_account>();
 };
 
@@ -41,15 +43,26 @@
     /// configuration of the same generation, is now in force; false if it is invalid or older, as
     /// in a store that was restored from an older copy.
     bool apply(const std::string& text, const config_origin& origin);
-    /// Requests a configuration of `generation` or a newer one from the node at `peer`, unless a
-    /// request is pending. Does not block.
-    void fetch_from(const endpoint& peer, std::uint64_t generation);
+    /// A peer told of a newer configuration. Fetches it now or later, see `config_fetch_plan`. Does
+    /// not block.
+    void hear(const config_news& it);
+    /// Starts fetches that are due. To be called about every 50 ms.
+    void tick();
+    /// For how long this node has known of a configuration newer than the one in force; nothing if
+    /// it knows of none.
+    std::optional<duration> behind_for() const;
     /// Response to another node's request: the value in force if it is newer than the requester's,
     /// otherwise empty. Compressed if the requester accepts that.
     std::string answer(std::string_view request) const;
 
 private:
-    void apply_fetched(const std::string& answer, const config_origin& origin);
+    bool apply_text(const std::string& text, const config_origin& origin,
+                    const std::string& deflated);
+    bool apply_fetched(const std::string& answer, const config_origin& origin);
+    bool is_in_force(std::uint64_t generation) const;
+    void start_fetch(const config_fetch& it);
+    void end_fetch(const config_fetch& it, time_point started,
+                   const result<std::string, link_error>& answer);
 
     const config_feed_options options_;
     link_hub& links_;
@@ -60,9 +73,7 @@
     std::string text_;
     mutable std::string deflated_; ///< answer made of `text_`; empty until it is requested
     std::uint64_t generation_ = 0;
-    bool fetching_ = false;
-    std::uint64_t told_generation_ = 0; ///< the newest that a peer has
-    time_point told_since_{};
+    config_fetch_plan plan_;
 };
 
 } // namespace jasminebank
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -86,7 +86,7 @@
             }
             exchange_with(exchange->link, request);
         }
-        else if (const auto* fetch = std::get_if<fetch_config>(&action)) {
+        else if (const auto* fetch = std::get_if<newer_config>(&action)) {
             options_.on_newer_config(*fetch);
         }
         else if (std::holds_alternative<evacuations_changed>(action)) {
@@ -194,9 +194,10 @@
         [&](membership& m) { return m.announce_shards(std::move(shards), boot_now()); });
 }
 
-void member_service::set_generation(std::uint64_t generation)
+void member_service::set_generation(std::uint64_t generation, bool is_first_hand)
 {
-    update_membership([&](membership& m) { return m.set_generation(generation, boot_now()); });
+    update_membership(
+        [&](membership& m) { return m.set_generation(generation, is_first_hand, boot_now()); });
 }
 
 // Control characters of a refused name must not reach the log.
@@ -252,6 +253,12 @@
     return membership_.store_age(boot_now());
 }
 
+reader_rank member_service::rank() const
+{
+    const std::lock_guard lock(mutex_);
+    return membership_.rank();
+}
+
 std::vector<unanswered_ping> member_service::unanswered_pings() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -29,7 +29,7 @@
     /// Called after the directory changed; on any thread, but never concurrently.
     std::function<void(const member_directory&)> on_directory_change;
     /// Called with the link address of a node that has a newer configuration.
-    std::function<void(const fetch_config&)> on_newer_config;
+    std::function<void(const newer_config&)> on_newer_config;
     /// Called with the names of the evacuated failure domains after they changed, before
     /// `on_directory_change`; never concurrently.
     std::function<void(const std::vector<std::string>&)> on_evacuations =
@@ -62,7 +62,8 @@
     void announce(own_state state);
     /// Announces a changed set of limit shards whose leases this node holds.
     void announce_shards(std::vector<held_shard> shards);
-    void set_generation(std::uint64_t generation);
+    /// See `membership::set_generation`.
+    void set_generation(std::uint64_t generation, bool is_first_hand);
     /// Applies and spreads what this node read from the store, see `membership`.
     void record_evacuations(evacuation_read read);
     /// The evacuated failure domains in force: `on_evacuations` and the `on_directory_change` after
@@ -74,6 +75,7 @@
     bool may_serve() const;
     /// Time since this or, as far as known, any other node reached the store; nullopt if never.
     std::optional<duration> store_age() const;
+    reader_rank rank() const;
     /// The last pings from this node that were not answered directly, one for each such member.
     std::vector<unanswered_ping> unanswered_pings() const;
     member_status status() const;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t max_pending_relays = 256;
 // A node that has started may not know the members of all failure domains yet.
 constexpr duration unknown_domain_grace = std::chrono::seconds(5);
-// Salt of the ranking that selects the nodes that watch the store.
-constexpr std::uint64_t watcher_salt = 0x77617463;
 
 membership::membership(membership_options options, time_point now)
     : options_(std::move(options)), self_(options_.self), started_(now), next_ping_(now),
@@ -302,15 +300,13 @@
 
 // Where domains make no difference, every peer counts as one of the own domain, as does a peer that
 // is not known yet.
-bool membership::may_fetch_config(const heartbeat& it, time_point now)
+bool membership::is_own_domain(vm_id vm) const
 {
-    const member_record* sender = directory_.find(it.sender.vm);
-    const bool is_own_domain = options_.pingers_per_remote_member == 0 || sender == nullptr ||
-                               sender->domain == self_.domain;
-    return config_source_.may_fetch(it.generation, generation_, is_own_domain, now);
+    const member_record* it = directory_.find(vm);
+    return options_.pingers_per_remote_member == 0 || it == nullptr || it->domain == self_.domain;
 }
 
-// Fetches the configuration if the sender has a newer one, and exchanges directories if they differ
+// Reports if the sender has a newer configuration, and exchanges directories if they differ
 // permanently. While gossip spreads, digests differ for a short time. If the digest still differs
 // although this directory has not changed for `digest_settle_time`, one side has missed a change:
 // for example when two partitions are connected again, even if the nodes within each partition have
@@ -318,8 +314,10 @@
 void membership::compare_with_sender(const endpoint& from, const heartbeat& it, time_point now,
                                      membership_actions& out)
 {
-    if (may_fetch_config(it, now))
-        out.emplace_back(fetch_config{.link = from, .generation = it.generation});
+    if (it.generation > generation_)
+        out.emplace_back(newer_config{.link = from,
+                                      .generation = it.generation,
+                                      .is_own_domain = is_own_domain(it.sender.vm)});
     if (directory_.digest() != last_digest_) {
         last_digest_ = directory_.digest();
         last_digest_since_ = now;
@@ -420,7 +418,9 @@
     return out;
 }
 
-membership_actions membership::set_generation(std::uint64_t generation, time_point now)
+// The first readers of the other domains get the news at once: they hand it on in their domains.
+membership_actions membership::set_generation(std::uint64_t generation, bool is_first_hand,
+                                              time_point now)
 {
     assert(generation >= generation_);
     membership_actions out;
@@ -428,6 +428,11 @@
         return out;
     generation_ = generation;
     gossip({}, false, now, out);
+    if (is_first_hand && options_.pingers_per_remote_member > 0) {
+        for (const member_record* to :
+             first_reader_of_each_other_domain(directory_.members(), self_))
+            send(to->link, make_heartbeat(heartbeat_kind::gossip, 0, now), out);
+    }
     return out;
 }
 
@@ -573,21 +578,6 @@
     return 2 * recent.answered > recent.pinged && 2 * overall.answered > overall.pinged;
 }
 
-// Rendezvous hashing: all nodes of a failure domain compute the same ranking, so only the first
-// `count` watch the store. If directories differ, more or fewer nodes watch it: that changes the
-// load on the store, but not safety.
-bool membership::is_watcher(std::size_t count) const
-{
-    const std::uint64_t own = mix(self_.vm.value, watcher_salt);
-    std::size_t higher_ranked = 0;
-    for (const member_record& it : directory_.members()) {
-        const bool eligible = it.domain == self_.domain && !it.leaving && it.vm != self_.vm;
-        if (eligible && mix(it.vm.value, watcher_salt) > own)
-            ++higher_ranked;
-    }
-    return higher_ranked < count;
-}
-
 // In the own domain a change spreads from node to node. The node where it began sends it to each
 // other domain, and so does about one of those that pass it on, in case the first message is lost.
 std::vector<const member_record*> membership::gossip_targets(bool is_origin)
--- a/src/membership.h
+++ b/src/membership.h
@@ -6,10 +6,10 @@
 // the time since the store was last reached. Performs no I/O: each call receives an event and the
 // time, and returns the actions to perform.
 
-#include "config_source.h"
 #include "domain_contacts.h"
 #include "heartbeat.h"
 #include "member_directory.h"
+#include "reader_rank.h"
 #include "types.h"
 
 #include <cstdint>
@@ -63,20 +63,21 @@
     endpoint link;
 };
 
-/// Fetch the configuration from this node over a link, because it has a newer one.
-struct fetch_config {
+/// A node has a newer configuration than this one, and sends it over a link.
+struct newer_config {
     endpoint link;
     std::uint64_t generation = 0; ///< version number of the newer configuration
+    bool is_own_domain = true;
 };
 
 /// Apply `membership::evacuations`, because the set of evacuated failure domains changed. Comes
-/// before a `fetch_config` of the same call.
+/// before a `newer_config` of the same call.
 struct evacuations_changed {};
 
 /// Update the routes, because the directory or a suspicion changed.
 struct directory_changed {};
 
-using membership_action = std::variant<send_heartbeat, exchange_members, fetch_config,
+using membership_action = std::variant<send_heartbeat, exchange_members, newer_config,
                                        evacuations_changed, directory_changed>;
 using membership_actions = std::vector<membership_action>;
 
@@ -115,8 +116,9 @@
     /// Merges records that were received over a link.
     membership_actions merge(std::span<const member_record> records, time_point now);
     membership_actions tick(time_point now);
-    /// Records that a newer configuration is in force on this node, and gossips its generation.
-    membership_actions set_generation(std::uint64_t generation, time_point now);
+    /// Records that a newer configuration is in force on this node, and gossips its generation. If
+    /// it `is_first_hand`, that is from the store, the first readers of the other domains are told.
+    membership_actions set_generation(std::uint64_t generation, bool is_first_hand, time_point now);
     /// Takes the evacuated failure domains that this node read from the store. Call before
     /// `set_generation` and `record_store_contact` with what the same read found.
     membership_actions record_evacuations(evacuation_read read, time_point now);
@@ -149,9 +151,11 @@
     bool may_serve(time_point now) const;
     /// True if more than half of the other known members answer: any two majorities overlap.
     bool reaches_majority(time_point now) const;
+    /// The rank of this node as a reader of the store for its failure domain.
+    reader_rank rank() const { return rank_reader(directory_.members(), self_); }
     /// True if this node is one of the `count` nodes of its failure domain that read the
     /// configuration from the store regularly.
-    bool is_watcher(std::size_t count) const;
+    bool is_watcher(std::size_t count) const { return rank().higher < count; }
 
 private:
     struct ping_state {
@@ -197,7 +201,7 @@
     void refute(std::uint64_t version, time_point now, membership_actions& out);
     void gossip(std::vector<member_record> records, bool is_origin, time_point now,
                 membership_actions& out);
-    bool may_fetch_config(const heartbeat& it, time_point now);
+    bool is_own_domain(vm_id vm) const;
     void compare_with_sender(const endpoint& from, const heartbeat& it, time_point now,
                              membership_actions& out);
     std::vector<const member_record*> random_members(std::size_t count);
@@ -218,7 +222,6 @@
     std::vector<vm_id> round_targets_; // members not yet pinged in this round
     std::uint64_t next_sequence_ = 1;
     std::uint64_t generation_ = 0;
-    config_source config_source_;
     evacuation_record evacuations_;
     std::vector<std::string> unusable_domains_;
     std::optional<time_point> last_store_contact_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -281,7 +281,7 @@
     };
 }
 
-void node::apply_config(const std::shared_ptr<const fleet_config>& config)
+void node::apply_config(const std::shared_ptr<const fleet_config>& config, bool is_first_hand)
 {
     gate_->set_config(config, boot_now());
     entry_->set_config(config);
@@ -291,7 +291,7 @@
     limits_->set_config(config);
     if (leases_ != nullptr)
         leases_->set_config(config);
-    members_->set_generation(config->generation);
+    members_->set_generation(config->generation, is_first_hand);
 }
 
 void node::follow_store()
@@ -301,7 +301,8 @@
             config_feed_options{
                 .decode = platform_->decode_config,
                 .on_generation =
-                    [this](const std::shared_ptr<const fleet_config>& it) { apply_config(it); },
+                    [this](const std::shared_ptr<const fleet_config>& it,
+                           const config_origin& origin) { apply_config(it, origin.is_store); },
                 .account = config_account_},
             *links_);
         return;
@@ -311,7 +312,7 @@
             .store = settings_.store,
             .on_generation =
                 [this](const std::shared_ptr<const config_generation>& it) {
-                    apply_config(it->config);
+                    apply_config(it->config, false);
                 },
             .on_store_current = [this](time_point at) { members_->record_store_contact(at); }},
         *links_);
@@ -464,9 +465,11 @@
             .watchers_per_domain = platform_ ? std::size_t{1} : std::size_t{2},
             .on_directory_change = [this](const member_directory& it) { apply_directory(it); },
             .on_newer_config =
-                [this](const fetch_config& it) {
+                [this](const newer_config& it) {
                     if (feed_ != nullptr)
-                        feed_->fetch_from(it.link, it.generation);
+                        feed_->hear({.peer = it.link,
+                                     .generation = it.generation,
+                                     .is_preferred = it.is_own_domain || is_watcher_});
                     else
                         follower_->fetch_from(it.link);
                 },
@@ -728,6 +731,8 @@
         for (const unanswered_ping& it : members_->unanswered_pings())
             reach_->suspect(it.vm, it.sent);
         reach_->tick(boot_now());
+        if (feed_ != nullptr)
+            feed_->tick();
         report_absent_regions();
         lock.lock();
         wake_.wait_for(lock, tick_interval);
--- a/src/node.h
+++ b/src/node.h
@@ -83,7 +83,7 @@
     void suspect_node(vm_id vm);
     void open_delegations();
     void follow_store();
-    void apply_config(const std::shared_ptr<const fleet_config>& config);
+    void apply_config(const std::shared_ptr<const fleet_config>& config, bool is_first_hand);
     void apply_directory(const member_directory& directory);
     void apply_evacuations(const std::vector<std::string>& domains);
     traffic_scope scope_of(failure_domain_id other) const;
--- a/src/store_messages.h
+++ b/src/store_messages.h
@@ -150,7 +150,8 @@
         } -> std::same_as<std::uint64_t>;
 };
 
-/// A store that tells its present revision without sending a value.
+/// A store that tells its present revision without sending a value. It must tell its era, too:
+/// after a restore from an older copy, revisions are given out again.
 template <class Store>
 concept revision_store = key_value_store<Store> && requires(Store& it)
 {
--- a/src/store_session.h
+++ b/src/store_session.h
@@ -124,7 +124,7 @@
     virtual void leave() = 0;
 };
 
-template <revision_store Store>
+template <key_value_store Store>
 class store_session : public store_session_base {
 public:
     store_session(store_session_options options, std::unique_ptr<Store> store)
@@ -374,8 +374,10 @@
     // Returns true if the store answered.
     bool read_config()
     {
-        const time_point sent_at = boot_now();
-        if (snapshot_.is_known()) {
+        if constexpr (revision_store<Store>) {
+            const time_point sent_at = boot_now();
+            if (!snapshot_.is_known())
+                return read_value();
             const auto revision = store_->revision();
             if (failed(revision)) {
                 on_call_failed("revision", error_of(revision));
--- a/tests/config_feed_test.cpp
+++ b/tests/config_feed_test.cpp
@@ -16,7 +16,7 @@
              out.generation = static_cast<std::uint64_t>(text.size());
              return out;
          },
-         .on_generation = [&](const auto& it) { in_force = it->generation; }},
+         .on_generation = [&](const auto& it, const auto&) { in_force = it->generation; }},
         *links);
     EXPECT_TRUE(feed.apply("xxx", {}));
     EXPECT_FALSE(feed.apply("xx", {}));
@@ -37,7 +37,7 @@
              out.generation = static_cast<std::uint64_t>(text.size());
              return out;
          },
-         .on_generation = [](const auto&) {}},
+         .on_generation = [](const auto&, const auto&) {}},
         *links);
     const std::string text(10'000, 'x');
     ASSERT_TRUE(feed.apply(text, {}));
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -107,9 +107,9 @@
                 queue.push_back({from, index(it->to), encode_heartbeat(it->body, fleet_key)});
             else if (const auto* request = std::get_if<exchange_members>(&action))
                 exchange(from, index(request->link));
-            else if (const auto* fetch = std::get_if<fetch_config>(&action))
+            else if (const auto* fetch = std::get_if<newer_config>(&action))
                 fetches.insert({from, fetch->generation});
-            if (std::holds_alternative<fetch_config>(action))
+            if (std::holds_alternative<newer_config>(action))
                 evacuations_at_fetch[from] = nodes[from].evacuations().domains;
         }
     }
@@ -268,7 +268,7 @@
 {
     simulated_fleet fleet(9);
     fleet.run(5s);
-    fleet.perform(2, fleet.nodes[2].set_generation(7, fleet.now));
+    fleet.perform(2, fleet.nodes[2].set_generation(7, false, fleet.now));
     fleet.run(1s);
     for (std::size_t n = 0; n < 9; ++n) {
         if (n != 2) {
@@ -344,7 +344,7 @@
     simulated_fleet fleet(5, 1, 3, true);
     fleet.store.reached_by = {0, 1, 2};
     fleet.write_store({"a"});
-    fleet.perform(1, fleet.nodes[1].set_generation(7, fleet.now));
+    fleet.perform(1, fleet.nodes[1].set_generation(7, false, fleet.now));
     fleet.run(5s);
     fleet.nodes.push_back(fleet.start(5, 99));
     fleet.alive.push_back(true);
