A late configuration does not make all nodes of a region readers of the store

Cause, hypothesis 1: a contact with the store counts only with the newest generation, so one late configuration gave every node that waited for it an old contact, and each began to read the whole value, over the link on which it was awaited.

Change: a node that knows of a newer configuration at a peer does not read for a second, since the peer sends it, compressed. Otherwise old contacts make readers one after another, in the order of their ranks; the first deputy asks for the store's revision after 1.2 s already, in case the reader cannot reach the store.

The tests store_read_turn.nodes_that_wait_* and .old_contact_makes_readers_* do not build on the code before, which had no rank and made all 18 nodes readers at 2 s.

--- a/src/config_account.cpp
+++ b/src/config_account.cpp
@@ -63,7 +63,7 @@
     const store_read_reason reason = reason_;
     out += "# TYPE jasminebank_config_store_reader gauge\n";
     for (const auto it : {store_read_reason::elected, store_read_reason::no_contact,
-                          store_read_reason::old_contact})
+                          store_read_reason::deputy, store_read_reason::old_contact})
         out += fmt::format("jasminebank_config_store_reader{{reason=\"{}\"}} {}\n", name_of(it),
                            it == reason ? 1 : 0);
     return out;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -336,7 +336,9 @@
     const store_read_reason reason = reason_to_read_store({.is_watcher = is_watcher_,
                                                            .contact_age = contact_age,
                                                            .since_join = boot_now() - joined_at_,
-                                                           .delay = store_read_delay_});
+                                                           .delay = store_read_delay_,
+                                                           .rank = members_->rank(),
+                                                           .behind_for = feed_->behind_for()});
     config_account_->reader_changed(reason, contact_age);
     return reason != store_read_reason::none;
 }
--- a/tests/store_read_turn_test.cpp
+++ b/tests/store_read_turn_test.cpp
@@ -35,3 +35,39 @@
     EXPECT_TRUE(must_read_store({.contact_age = 2300ms, .since_join = 1min}));
     EXPECT_TRUE(must_read_store({.is_watcher = true, .contact_age = 1s, .since_join = 1min}));
 }
+
+// Guards against a late configuration that makes every node of a region a reader of the store, over
+// the link on which it is awaited.
+TEST(store_read_turn, nodes_that_wait_for_a_peer_with_the_newer_configuration_do_not_read)
+{
+    store_read_state late{.contact_age = 4s, .since_join = 1min, .behind_for = 500ms};
+    EXPECT_FALSE(must_read_store(late));
+    late.is_watcher = true;
+    EXPECT_FALSE(must_read_store(late));
+    late.behind_for = 1500ms;
+    EXPECT_TRUE(must_read_store(late)) << "no peer has sent it";
+    late.behind_for.reset();
+    EXPECT_TRUE(must_read_store(late));
+}
+
+// Guards against nodes that all begin to read when the contact of their domain becomes old.
+TEST(store_read_turn, old_contact_makes_readers_one_after_another)
+{
+    constexpr std::size_t size = 18;
+    const auto readers = [](duration age) {
+        std::size_t out = 0;
+        for (std::size_t n = 0; n < size; ++n)
+            out += must_read_store({.is_watcher = n == 0,
+                                    .contact_age = age,
+                                    .since_join = 1min,
+                                    .rank = {.higher = n, .domain_size = size}})
+                       ? 1
+                       : 0;
+        return out;
+    };
+    EXPECT_EQ(readers(1s), 1U);
+    EXPECT_EQ(readers(1500ms), 2U) << "the reader may be unable to reach the store";
+    EXPECT_EQ(readers(2s), 2U);
+    EXPECT_LE(readers(2300ms), 6U);
+    EXPECT_EQ(readers(3500ms), size) << "in time before keys are refused";
+}
