Nodes without a contact read the store in the order of their ranks

Cause, as of the commit before: after a start a node knows of no contact with the store until a peer answers its ping, and each read the whole value meanwhile. Change: their turns are spread over 1.5 s, as for old contacts.

--- a/src/store_read_turn.cpp
+++ b/src/store_read_turn.cpp
@@ -34,11 +34,11 @@
 }
 
 // The turns of a domain's nodes are spread over `turn_spread`, in the order of their ranks.
-static duration old_contact_limit(const store_read_state& it)
+static duration turn_of(const store_read_state& it)
 {
     const auto higher = static_cast<duration::rep>(it.rank.higher);
     const auto size = static_cast<duration::rep>(std::max<std::size_t>(it.rank.domain_size, 1));
-    return max_store_contact_age + std::max<duration>(it.delay, turn_spread * higher / size);
+    return std::max<duration>(it.delay, turn_spread * higher / size);
 }
 
 store_read_reason reason_to_read_store(const store_read_state& it)
@@ -48,11 +48,12 @@
     if (it.is_watcher)
         return store_read_reason::elected;
     if (!it.contact_age)
-        return store_read_reason::no_contact;
+        return it.since_join >= turn_of(it) ? store_read_reason::no_contact
+                                            : store_read_reason::none;
     if (it.rank.higher == 1 && *it.contact_age > deputy_contact_age)
         return store_read_reason::deputy;
-    return *it.contact_age > old_contact_limit(it) ? store_read_reason::old_contact
-                                                   : store_read_reason::none;
+    return *it.contact_age > max_store_contact_age + turn_of(it) ? store_read_reason::old_contact
+                                                                 : store_read_reason::none;
 }
 
 bool must_read_store(const store_read_state& it)
--- a/tests/store_read_turn_test.cpp
+++ b/tests/store_read_turn_test.cpp
@@ -71,3 +71,14 @@
     EXPECT_LE(readers(2300ms), 6U);
     EXPECT_EQ(readers(3500ms), size) << "in time before keys are refused";
 }
+
+// Guards against nodes that start together and all read the store before their peers can tell them
+// of a contact.
+TEST(store_read_turn, nodes_without_a_contact_read_one_after_another)
+{
+    const store_read_state second{.since_join = 500ms, .rank = {.higher = 9, .domain_size = 18}};
+    EXPECT_FALSE(must_read_store(second));
+    store_read_state later = second;
+    later.since_join = 800ms;
+    EXPECT_TRUE(must_read_store(later));
+}
