The nodes with the fastest links read the configuration for their failure domain

Change: setting link_rate, told in the member record; the rank is by link rate, then by hash. Readers of equal rate are drawn as before.

--- a/src/member_codec.cpp
+++ b/src/member_codec.cpp
@@ -13,7 +13,8 @@
 
 constexpr std::size_t shards_index = 8; // in a record's array; absent if no shard is held
 constexpr std::size_t max_shards = 64;
-constexpr std::size_t withdrawn_index = 9; // absent if no server has withdrawn
+constexpr std::size_t withdrawn_index = 9;  // absent if no server has withdrawn
+constexpr std::size_t link_rate_index = 10; // absent if unknown
 // Those that withdrew last are enough for peers, and a record must fit into a datagram.
 constexpr std::size_t max_withdrawn = 4;
 
@@ -52,10 +53,12 @@
         servers.push_back(to_json(server));
     json out = json::array({it.name, it.run.value, it.version, it.link.host, it.link.port,
                             it.domain.value, it.leaving, std::move(servers)});
-    if (!it.shards.empty() || !it.withdrawn.empty())
+    if (!it.shards.empty() || !it.withdrawn.empty() || it.link_rate != 0)
         out.push_back(shards_to_json(it.shards));
-    if (!it.withdrawn.empty())
+    if (!it.withdrawn.empty() || it.link_rate != 0)
         out.push_back(withdrawn_to_json(it.withdrawn));
+    if (it.link_rate != 0)
+        out.push_back(it.link_rate);
     return out;
 }
 
@@ -135,6 +138,8 @@
         out.shards = shards_from(in.at(shards_index));
     if (in.size() > withdrawn_index)
         out.withdrawn = withdrawn_from(in.at(withdrawn_index));
+    if (in.size() > link_rate_index)
+        out.link_rate = unsigned_from<std::uint32_t>(in.at(link_rate_index));
     return out;
 }
 
--- a/src/member_directory.h
+++ b/src/member_directory.h
@@ -42,7 +42,8 @@
     std::uint64_t version = 0; ///< increases with each change of the record within a run
     endpoint link;             ///< address at which the node accepts links
     failure_domain_id domain;
-    bool leaving = false; ///< a planned shutdown has begun
+    std::uint32_t link_rate = 0; ///< Mbit/s of the VM's own link; 0: unknown
+    bool leaving = false;        ///< a planned shutdown has begun
     std::vector<server_record> servers{};
     std::vector<held_shard> shards{}; ///< few: the nodes of a failure domain share all shards
     /// Backend servers that withdrew last from this node or its earlier runs, oldest first.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -448,6 +448,7 @@
                              .version = 1,
                              .link = links_->local(),
                              .domain = id_of<failure_domain_id>(settings_.failure_domain),
+                             .link_rate = static_cast<std::uint32_t>(settings_.link_rate),
                              .servers = {}};
     members_ = std::make_unique<member_service>(
         member_service_options{
--- a/src/node_settings.cpp
+++ b/src/node_settings.cpp
@@ -59,6 +59,7 @@
     out.other_domain_penalty_per_mb = in.decimal("other_domain_penalty_per_mb", 0, 0, 1e6);
     out.other_region_penalty = in.decimal("other_region_penalty", 0, 0, 1000);
     out.other_region_penalty_per_mb = in.decimal("other_region_penalty_per_mb", 0, 0, 1e6);
+    out.link_rate = in.decimal("link_rate", 0, 0, 1e6);
     out.region_link = in.decimal("region_link", 0, 0, 1e6);
     out.ping_period = in.time("ping_period", 125ms, 10ms, 10s);
     out.own_domain_first = in.flag("own_domain_first", true);
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -61,6 +61,9 @@
     double other_domain_penalty_per_mb = 0; ///< added in addition, per MB of body
     double other_region_penalty = 0;        ///< added in addition for other regions
     double other_region_penalty_per_mb = 0; ///< added in addition, per MB of body
+    /// Megabits a second of this VM's own link; 0: unknown. The nodes with the fastest links read
+    /// the configuration for their failure domain and send it to the others.
+    double link_rate = 0;
     /// Megabits a second that all nodes of a region together may cause between regions; 0: no
     /// bound.
     double region_link = 0;
--- a/src/reader_rank.cpp
+++ b/src/reader_rank.cpp
@@ -7,9 +7,11 @@
 // Differs from the salts of other rankings, so that one node does not get all roles.
 constexpr std::uint64_t reader_salt = 0x77617463;
 
-static std::uint64_t weight_of(const member_record& it)
+static bool comes_before(const member_record& a, const member_record& b)
 {
-    return mix(it.vm.value, reader_salt);
+    if (a.link_rate != b.link_rate)
+        return a.link_rate > b.link_rate;
+    return mix(a.vm.value, reader_salt) > mix(b.vm.value, reader_salt);
 }
 
 reader_rank rank_reader(std::span<const member_record> members, const member_record& self)
@@ -19,7 +21,7 @@
         if (it.domain != self.domain || it.leaving || it.vm == self.vm)
             continue;
         ++out.domain_size;
-        out.higher += weight_of(it) > weight_of(self) ? 1 : 0;
+        out.higher += comes_before(it, self) ? 1 : 0;
     }
     return out;
 }
@@ -32,7 +34,7 @@
         if (it.domain == self.domain || it.leaving)
             continue;
         const member_record*& best = first[it.domain];
-        if (best == nullptr || weight_of(it) > weight_of(*best))
+        if (best == nullptr || comes_before(it, *best))
             best = &it;
     }
     std::vector<const member_record*> out;
--- a/src/reader_rank.h
+++ b/src/reader_rank.h
@@ -1,8 +1,9 @@
 #pragma once
 
-// Ranks the nodes of a failure domain as readers of the store, by rendezvous hash: all nodes of the
-// domain compute the same order from the same members. Where their directories differ, more or
-// fewer nodes read the store, which changes its load but not safety.
+// Ranks the nodes of a failure domain as readers of the store: those with the fastest links first,
+// since a reader also sends the configuration to the others, and among equals by rendezvous hash.
+// All nodes of the domain compute the same order from the same members. Where their directories
+// differ, more or fewer nodes read the store, which changes its load but not safety.
 
 #include "member_directory.h"
 #include "types.h"
