--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -11,9 +11,6 @@
 
 namespace jasminebank {
 
-// Longer than the wait before a second fetch from another peer, so that a text which arrives slowly
-// is not given up and requested again.
-constexpr duration fetch_timeout = std::chrono::seconds(2);
 // Follows the generation in the request of a node that accepts a compressed configuration. Nodes
 // that do not know it ignore it and answer with the text itself.
 constexpr std::string_view accepts_deflated = " deflate";
@@ -122,7 +119,7 @@
     const auto done = [=, this](const result<std::string, link_error>& answer) {
         end_fetch(it, started, answer);
     };
-    if (!links_.call(it.peer, std::string(config_path), std::move(request), fetch_timeout, done))
+    if (!links_.call(it.peer, std::string(config_path), std::move(request), it.timeout, done))
         end_fetch(it, started, link_error{.kind = link_failure::not_sent});
 }
 
--- a/src/config_fetch_plan.cpp
+++ b/src/config_fetch_plan.cpp
@@ -8,11 +8,17 @@
 // for its news to spread. Well below the time within which a configuration has to be in force.
 constexpr duration own_domain_wait = std::chrono::milliseconds(800);
 // A fetch of a compressed configuration over a link without congestion takes less.
-constexpr duration second_fetch_wait = std::chrono::milliseconds(300);
-constexpr std::size_t max_fetches = 2;
+constexpr duration next_fetch_wait = std::chrono::milliseconds(300);
+constexpr std::size_t max_fetches = 4;
+// The link may be silent, so the first fetches are given up soon. After each that timed out the
+// next may take longer, so that a text which arrives slowly is not requested again for ever.
+constexpr duration first_timeout = std::chrono::milliseconds(700);
+constexpr duration max_timeout = std::chrono::milliseconds(1400);
 constexpr duration failed_peer_wait = std::chrono::milliseconds(500);
 constexpr std::size_t max_sources = 32;
 
+config_fetch_plan::config_fetch_plan() : timeout_(first_timeout) {}
+
 void config_fetch_plan::hear(const config_news& it, time_point now)
 {
     if (it.generation <= in_force_)
@@ -46,7 +52,7 @@
         if (!it.fetched_at)
             continue;
         ++pending;
-        is_late &= now - *it.fetched_at >= second_fetch_wait;
+        is_late &= now - *it.fetched_at >= next_fetch_wait;
     }
     if (!behind_since_ || pending >= max_fetches || !is_late)
         return std::nullopt;
@@ -57,7 +63,8 @@
     best->fetched_at = now;
     return config_fetch{.peer = best->news.peer,
                         .generation = best->news.generation,
-                        .known_since = *behind_since_};
+                        .known_since = *behind_since_,
+                        .timeout = timeout_};
 }
 
 void config_fetch_plan::ended(const endpoint& peer, bool succeeded, time_point now)
@@ -66,11 +73,15 @@
                                  [&](const source& s) { return s.news.peer == peer; });
     if (it == sources_.end())
         return;
+    const time_point started = it->fetched_at.value_or(now);
     it->fetched_at.reset();
     if (succeeded)
         return;
+    if (now - started >= timeout_)
+        timeout_ = std::min(timeout_ * 2, max_timeout);
     it->not_before = now + failed_peer_wait;
     it->is_told = false;
+    std::rotate(it, it + 1, sources_.end()); // others come first
 }
 
 // Sources of a newer generation than this one are kept: it may have been replaced meanwhile.
@@ -84,6 +95,7 @@
         return it.news.generation > in_force_;
     });
     behind_since_ = is_behind ? std::optional(now) : std::nullopt;
+    timeout_ = first_timeout;
 }
 
 } // namespace jasminebank
--- a/src/config_fetch_plan.h
+++ b/src/config_fetch_plan.h
@@ -29,11 +29,14 @@
     endpoint peer;
     std::uint64_t generation = 0; ///< that the peer told of
     time_point known_since{};     ///< when this node first knew that there is a newer one
+    duration timeout{};           ///< for the whole answer
 };
 
 /// Not thread-safe.
 class config_fetch_plan {
 public:
+    config_fetch_plan();
+
     /// A peer told of its generation. Ignored unless it is newer than the one in force here.
     void hear(const config_news& it, time_point now);
     /// The next fetch, which counts as started; nothing if none is due. Call it after each other
@@ -60,6 +63,7 @@
     std::vector<source> sources_; // in the order in which they told
     std::uint64_t in_force_ = 0;
     std::optional<time_point> behind_since_;
+    duration timeout_; // of the next fetch
 };
 
 } // namespace jasminebank
