A node that knows of a newer configuration gives no final refusal

Now such a request is refused as not run, 503 with Retry-After, while news of a newer generation is at most 2 s old; after that, who told of it may be gone, and the refusals are final again.

--- a/src/config_feed.cpp
+++ b/src/config_feed.cpp
@@ -102,10 +102,7 @@
 std::optional<duration> config_feed::behind_for() const
 {
     const std::lock_guard lock(mutex_);
-    const auto since = plan_.behind_since();
-    if (!since)
-        return std::nullopt;
-    return boot_now() - *since;
+    return plan_.behind_for(boot_now());
 }
 
 void config_feed::start_fetch(const config_fetch& it)
--- a/src/config_fetch_plan.cpp
+++ b/src/config_fetch_plan.cpp
@@ -16,6 +16,8 @@
 constexpr duration max_timeout = std::chrono::milliseconds(1400);
 constexpr duration failed_peer_wait = std::chrono::milliseconds(500);
 constexpr std::size_t max_sources = 32;
+// Above the time between two heartbeats from any of several peers.
+constexpr duration news_lifetime = std::chrono::seconds(2);
 
 config_fetch_plan::config_fetch_plan() : timeout_(first_timeout) {}
 
@@ -25,6 +27,7 @@
         return;
     if (!behind_since_)
         behind_since_ = now;
+    last_told_ = now;
     const auto known = std::find_if(sources_.begin(), sources_.end(),
                                     [&](const source& s) { return s.news.peer == it.peer; });
     if (known != sources_.end()) {
@@ -37,6 +40,13 @@
     }
 }
 
+std::optional<duration> config_fetch_plan::behind_for(time_point now) const
+{
+    if (!behind_since_ || now - last_told_ > news_lifetime)
+        return std::nullopt;
+    return now - *behind_since_;
+}
+
 bool config_fetch_plan::is_due(const source& it, time_point now) const
 {
     if (it.fetched_at || !it.is_told || now < it.not_before || it.news.generation <= in_force_)
--- a/src/config_fetch_plan.h
+++ b/src/config_fetch_plan.h
@@ -46,9 +46,9 @@
     void ended(const endpoint& peer, bool succeeded, time_point now);
     /// `generation` is in force here.
     void set_in_force(std::uint64_t generation, time_point now);
-    /// Since when this node has known of a configuration newer than the one in force; nothing if it
-    /// knows of none.
-    std::optional<time_point> behind_since() const { return behind_since_; }
+    /// For how long this node has known of a configuration newer than the one in force; nothing if
+    /// it knows of none, or no peer has told of one lately: those that had it may be gone.
+    std::optional<duration> behind_for(time_point now) const;
 
 private:
     struct source {
@@ -63,7 +63,8 @@
     std::vector<source> sources_; // in the order in which they told
     std::uint64_t in_force_ = 0;
     std::optional<time_point> behind_since_;
-    duration timeout_; // of the next fetch
+    time_point last_told_; // of a newer one
+    duration timeout_;     // of the next fetch
 };
 
 } // namespace jasminebank
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -1,5 +1,7 @@
 #include "entry.h"
 
+#include "config_refusal.h"
+
 #include "answer_writer.h"
 #include "caller_head.h"
 #include "log.h"
@@ -206,7 +208,7 @@
         return refusal_answer{.reason = *head.key_error};
     out.organisation = find_organisation_by_key(*out.config, head.key);
     if (out.organisation == nullptr)
-        return refusal_answer{.reason = refusal::unknown_key};
+        return refuse_by_config(refusal::unknown_key, options_.is_config_outdated());
     return std::nullopt;
 }
 
@@ -222,7 +224,7 @@
     out.route =
         find_route(*out.config, head.sanitised.method, path_of(head.sanitised.path), head.host);
     if (out.route == nullptr)
-        return refusal_answer{.reason = refusal::no_route};
+        return refuse_by_config(refusal::no_route, options_.is_config_outdated());
     if (!out.route->is_public) {
         if (const auto refused = authenticate(head, out))
             return refused;
@@ -235,7 +237,7 @@
     // platform, a request without an organisation is taken to come from a backend server.
     out.is_nested = out.organisation == nullptr && !options_.names.caller_service.empty();
     if (out.organisation != nullptr && !may_use(*out.route, out.organisation->id))
-        return refusal_answer{.reason = refusal::not_allowed};
+        return refuse_by_config(refusal::not_allowed, options_.is_config_outdated());
     if (length_of(head.sanitised).value_or(0) > out.config->max_body_bytes)
         return refusal_answer{.reason = refusal::body_too_large};
     out.idempotent = is_idempotent(*out.route, head.sanitised.method);
--- a/src/entry.h
+++ b/src/entry.h
@@ -43,6 +43,8 @@
     std::size_t buffered_body_bytes = 0; ///< larger request bodies are streamed
     /// Returns false while this node may be cut off from configuration updates.
     std::function<bool()> may_serve;
+    /// Whether a peer has a newer configuration that this node has not received yet.
+    std::function<bool()> is_config_outdated = [] { return false; };
     /// Takes one token of the organisation's rate limit, waiting at most until the deadline. Always
     /// returns a final verdict, never limit_waiting.
     std::function<limit_verdict(organisation_id, time_point)> take_token;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -226,6 +226,8 @@
     entry_ = std::make_unique<entry>(
         entry_options{.buffered_body_bytes = settings_.buffered_body_bytes,
                       .may_serve = [this] { return may_serve(); },
+                      .is_config_outdated =
+                          [this] { return feed_ != nullptr && feed_->behind_for().has_value(); },
                       .take_token =
                           [this](organisation_id organisation, time_point deadline) {
                               return limits_->admit_blocking(organisation, deadline);
--- a/src/refusal.cpp
+++ b/src/refusal.cpp
@@ -40,6 +40,7 @@
     refusal_row{refusal::no_region, "no_region", 503},
     refusal_row{refusal::evacuated, "evacuated", 503},
     refusal_row{refusal::no_time, "no_time", 503},
+    refusal_row{refusal::outdated_configuration, "outdated_configuration", 503},
 };
 
 constexpr std::array<std::string_view, 3> state_names{"not-run", "ran", "unknown"};
--- a/tests/config_fetch_plan_test.cpp
+++ b/tests/config_fetch_plan_test.cpp
@@ -68,7 +68,7 @@
     EXPECT_EQ(hear(it, 6, 7, true, start + 1500ms), 0) << "four fetches at most";
     it.set_in_force(7, start + 1s);
     it.ended(peer(3), true, start + 1s);
-    EXPECT_FALSE(it.behind_since());
+    EXPECT_FALSE(it.behind_for(start + 1s));
     EXPECT_FALSE(it.next(start + 2s));
 }
 
@@ -78,7 +78,8 @@
     config_fetch_plan it;
     it.set_in_force(6, start);
     EXPECT_EQ(hear(it, 1, 7, false, start), 0);
-    EXPECT_EQ(it.behind_since(), start);
+    EXPECT_EQ(it.behind_for(start + 500ms), 500ms);
+    EXPECT_FALSE(it.behind_for(start + 5s)) << "who told of it is silent";
     EXPECT_FALSE(it.next(start + 700ms));
     EXPECT_EQ(it.next(start + 800ms)->peer, peer(1));
 }
