--- a/tests/reader_rank_test.cpp
+++ b/tests/reader_rank_test.cpp
@@ -28,6 +28,7 @@
         members.push_back(node_of(n, 1, n > 16 ? 200 : 10));
     members.push_back(node_of(19, 2, 1000));
     std::vector<std::size_t> ranks;
+    ranks.reserve(members.size());
     for (const member_record& it : members)
         ranks.push_back(rank_reader(members, it).higher);
     EXPECT_LT(ranks[16], 2U);
