The product's own configuration fetches are logged and counted, too

Found while looking for the same cause elsewhere: config_follower also drops a failed fetch without a trace.

--- a/src/config_follower.cpp
+++ b/src/config_follower.cpp
@@ -56,7 +56,7 @@
         keeper_.make_response(it.value_or(config_request{}), max_response_bytes));
 }
 
-void config_follower::fetch_from(const endpoint& peer)
+void config_follower::fetch_from(const endpoint& peer, std::uint64_t generation)
 {
     {
         const std::lock_guard lock(mutex_);
@@ -64,20 +64,28 @@
             return;
         fetching_ = true;
     }
-    send_request(peer);
+    send_request(peer, generation);
 }
 
 // The response arrives on a thread of link_hub, which only queues it for the follower's thread.
-void config_follower::send_request(const endpoint& peer)
+void config_follower::send_request(const endpoint& peer, std::uint64_t generation)
 {
+    const time_point started = boot_now();
     std::string payload;
     {
         const std::lock_guard lock(keeper_mutex_);
         payload = encode_config_request(keeper_.make_request());
     }
-    const auto done = [this, peer](const result<std::string, link_error>& answer) {
+    const auto done = [=, this](const result<std::string, link_error>& answer) {
         const auto response =
             failed(answer) ? std::nullopt : decode_config_response(value_of(answer));
+        const std::string cause = failed(answer) ? describe(error_of(answer))
+                                  : response     ? ""
+                                                 : "malformed answer";
+        options_.account->fetch_ended(peer, generation,
+                                      {.took = boot_now() - started,
+                                       .bytes = failed(answer) ? 0 : value_of(answer).size(),
+                                       .cause = cause});
         const std::lock_guard lock(mutex_);
         fetching_ = false;
         if (response && responses_.size() < max_pending_responses)
@@ -135,7 +143,7 @@
     }
     activate_collected();
     if (again)
-        fetch_from(it.peer);
+        fetch_from(it.peer, it.response.head.generation);
 }
 
 // Building a generation with many organisations temporarily uses several times the memory that the
--- a/src/config_follower.h
+++ b/src/config_follower.h
@@ -4,6 +4,7 @@
 // there, the others fetch it from their peers. One thread does the work; config_keeper decides
 // which generation is in force.
 
+#include "config_account.h"
 #include "config_keeper.h"
 #include "link_hub.h"
 #include "store_client.h"
@@ -30,6 +31,7 @@
     std::function<void(std::shared_ptr<const config_generation>)> on_generation;
     /// Called when the generation in force equals the one in the store, with the start of the read.
     std::function<void(time_point)> on_store_current;
+    std::shared_ptr<config_account> account = std::make_shared<config_account>();
 };
 
 class config_follower {
@@ -41,9 +43,9 @@
 
     /// Starts or stops watching the store; no effect if no store is configured.
     void watch_store(bool watching);
-    /// Requests the documents of a newer generation from the node at `peer`, unless a request is
-    /// pending. Does not block.
-    void fetch_from(const endpoint& peer);
+    /// Requests the documents of `generation` or a newer one from the node at `peer`, unless a
+    /// request is pending. Does not block.
+    void fetch_from(const endpoint& peer, std::uint64_t generation);
     /// Response to another node's configuration request.
     std::string answer(std::string_view request) const;
 
@@ -57,7 +59,7 @@
     bool read_store();
     void apply_response(const received_response& it);
     void activate_collected();
-    void send_request(const endpoint& peer);
+    void send_request(const endpoint& peer, std::uint64_t generation);
     void report_head_event(bool head_changed);
 
     const config_follower_options options_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -316,7 +316,8 @@
                 [this](const std::shared_ptr<const config_generation>& it) {
                     apply_config(it->config, false);
                 },
-            .on_store_current = [this](time_point at) { members_->record_store_contact(at); }},
+            .on_store_current = [this](time_point at) { members_->record_store_contact(at); },
+            .account = config_account_},
         *links_);
 }
 
@@ -476,7 +477,7 @@
                                      .generation = it.generation,
                                      .is_preferred = it.is_own_domain || is_watcher_});
                     else
-                        follower_->fetch_from(it.link);
+                        follower_->fetch_from(it.link, it.generation);
                 },
             .on_evacuations = [this](const std::vector<std::string>& it) { apply_evacuations(it); },
             .on_watcher_change =
--- a/src/node_report.cpp
+++ b/src/node_report.cpp
@@ -229,8 +229,7 @@
         out += fmt::format("# TYPE jasminebank_config_confirmed_age_seconds gauge\n"
                            "jasminebank_config_confirmed_age_seconds {:.3f}\n",
                            as_milliseconds(*membership.store_age) / 1e3);
-    if (feed_ != nullptr)
-        out += config_account_->text();
+    out += config_account_->text();
     add("log_lines_dropped_total", "counter", dropped_log_lines());
     const limit_entry_counts limits = limits_->counts();
     add("limit_admitted_total", "counter", limits.admitted);
