Peers that failed make room for others among those to fetch the configuration from

Found in the review of the diff: 32 peers that failed would have kept a further one from being asked. config_fetch_plan.peers_that_failed_make_room_for_others failed before the change at the 33rd peer.

--- a/src/config_fetch_plan.cpp
+++ b/src/config_fetch_plan.cpp
@@ -35,8 +35,13 @@
         known->news.is_preferred = it.is_preferred;
         known->is_told = true;
     }
-    else if (sources_.size() < max_sources) {
-        sources_.push_back({.news = it});
+    else {
+        const auto silent = std::find_if(sources_.begin(), sources_.end(),
+                                         [](const source& s) { return !s.is_told; });
+        if (sources_.size() >= max_sources && silent != sources_.end())
+            sources_.erase(silent);
+        if (sources_.size() < max_sources)
+            sources_.push_back({.news = it});
     }
 }
 
--- a/tests/config_fetch_plan_test.cpp
+++ b/tests/config_fetch_plan_test.cpp
@@ -138,3 +138,13 @@
     it.ended(peer(1), false, start + 700ms);
     EXPECT_FALSE(it.next(start + 5s)) << "it has told nothing since";
 }
+
+// Guards against peers that failed and keep a new one from being asked.
+TEST(config_fetch_plan, peers_that_failed_make_room_for_others)
+{
+    config_fetch_plan it;
+    for (std::uint16_t n = 1; n <= 100; ++n) {
+        ASSERT_EQ(hear(it, n, 7, true, start), n);
+        it.ended(peer(n), false, start);
+    }
+}
