--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -280,6 +280,26 @@
     EXPECT_FALSE(fleet.nodes[5].store_age(fleet.now).has_value());
 }
 
+// Guards against a change that crosses to another failure domain only by chance.
+TEST(membership, a_change_read_from_the_store_is_told_to_the_first_readers_of_other_domains)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        simulated_fleet fleet(18, seed, 3);
+        fleet.run(5s);
+        const auto actions = fleet.nodes[0].set_generation(7, true, fleet.now);
+        std::set<std::size_t> told;
+        for (const membership_action& it : actions) {
+            if (const auto* sent = std::get_if<send_heartbeat>(&it))
+                told.insert(simulated_fleet::index(sent->to));
+        }
+        for (std::size_t n = 0; n < 18; ++n) {
+            if (n % 3 != 0 && fleet.nodes[n].is_watcher(1)) {
+                EXPECT_TRUE(told.contains(n)) << seed;
+            }
+        }
+    }
+}
+
 TEST(heartbeat, rejects_altered_and_truncated_datagrams_and_another_fleet_key)
 {
     simulated_fleet fleet(2);
