once_entry: the test opens its links before the requests

A gate that does not answer a probe within its 150 ms is no candidate, so the product did what it should; how long a handshake takes is not the test's subject. Checks and limits are unchanged.

--- a/tests/once_entry_test.cpp
+++ b/tests/once_entry_test.cpp
@@ -73,6 +73,8 @@
         for (std::size_t n = 0; n < hubs_.size(); ++n) {
             hubs_[n] = link_hub::start({.self = {.vm_name = "entry", .run = {n + 1}},
                                         .fleet_key = "fleet key of the tests"});
+            // Opens the link before the test: its setup may take longer than a probe may.
+            EXPECT_TRUE(probe_gate(*hubs_[n], coordinator_hub_->local(), 10s));
             services_[n] = std::make_unique<idempotency_service>(options_of(n + 2), *hubs_[n]);
             entries_[n] = std::make_unique<entry>(
                 entry_options{.may_serve = [] { return true; },
